--- /dev/null
+++ b/node/workers/workers.go
@@ -0,0 +1,140 @@
+// Package workers runs the controllers of an instance on a bounded pool: each controller reconciles periodically and after changes
+// of the tables it depends on, and never runs twice at the same time.
+package workers
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/node/blackboard"
+	"k8s.io/klog/v2"
+)
+
+// Controller compares the desired with the observed state and acts on the difference.
+type Controller interface {
+	// Name identifies the controller in logs and metrics.
+	Name() string
+	// Reconcile does one pass. An error is logged and the pass is repeated at the next trigger or period.
+	Reconcile(ctx context.Context) error
+}
+
+// Schedule says when a controller runs.
+type Schedule struct {
+	Every time.Duration      // period between passes; jittered by a tenth so that instances do not act in step
+	On    []blackboard.Topic // tables whose change triggers a pass
+}
+
+// Pool runs registered controllers. Register before Run.
+type Pool struct {
+	size  int
+	board *blackboard.Board
+	tasks []*task
+	ready chan *task
+}
+
+// task is one controller with its trigger state. mu guards queued, running and again.
+type task struct {
+	controller Controller
+	schedule   Schedule
+	mu         sync.Mutex
+	queued     bool
+	running    bool
+	again      bool // triggered while running
+}
+
+// NewPool returns a pool of size workers over the board.
+func NewPool(board *blackboard.Board, size int) *Pool {
+	return &Pool{size: size, board: board}
+}
+
+// Register adds a controller.
+func (p *Pool) Register(c Controller, s Schedule) {
+	p.tasks = append(p.tasks, &task{controller: c, schedule: s})
+}
+
+// Run starts the workers and returns when ctx ends and the last pass has returned.
+func (p *Pool) Run(ctx context.Context) {
+	p.ready = make(chan *task, len(p.tasks))
+	var group sync.WaitGroup
+	for _, t := range p.tasks {
+		for _, topic := range t.schedule.On {
+			p.board.Subscribe(topic, func() { p.trigger(t) })
+		}
+		group.Go(func() { p.tick(ctx, t) })
+	}
+	for range p.size {
+		group.Go(func() { p.work(ctx) })
+	}
+	group.Wait()
+}
+
+// tick triggers the task at once and then by its period.
+func (p *Pool) tick(ctx context.Context, t *task) {
+	p.trigger(t)
+	if t.schedule.Every <= 0 {
+		return
+	}
+	for {
+		timer := time.NewTimer(jitter(t.schedule.Every))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			p.trigger(t)
+		}
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	spread := int64(d) / 10
+	if spread == 0 {
+		return d
+	}
+	return d - time.Duration(spread/2) + time.Duration(rand.Int64N(spread))
+}
+
+// trigger queues the task unless it is queued already. The channel has a slot for every task, so that the send never blocks.
+func (p *Pool) trigger(t *task) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running {
+		t.again = true
+		return
+	}
+	if t.queued {
+		return
+	}
+	t.queued = true
+	p.ready <- t
+}
+
+func (p *Pool) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-p.ready:
+			p.runOnce(ctx, t)
+		}
+	}
+}
+
+func (p *Pool) runOnce(ctx context.Context, t *task) {
+	t.mu.Lock()
+	t.queued, t.running = false, true
+	t.mu.Unlock()
+	if err := t.controller.Reconcile(ctx); err != nil && ctx.Err() == nil {
+		klog.ErrorS(err, "Controller pass failed", "controller", t.controller.Name())
+	}
+	t.mu.Lock()
+	t.running = false
+	again := t.again
+	t.again = false
+	t.mu.Unlock()
+	if again {
+		p.trigger(t)
+	}
+}
