--- a/core/bundle/active.go
+++ b/core/bundle/active.go
@@ -10,3 +10,6 @@
 
 // Generation returns the bundle's generation.
 func (a *Active) Generation() fleet.Generation { return a.document.Generation }
+
+// Manifest returns the signed manifest, for peers that ask for it.
+func (a *Active) Manifest() SignedManifest { return a.manifest }
--- a/core/bundle/document.go
+++ b/core/bundle/document.go
@@ -30,7 +30,7 @@
 
 // Link bounds the traffic between regions, each direction.
 type Link struct {
-	BytesPerSecond       int64 `yaml:"bytes_per_second" json:"bytes_per_second"`               // 0 means unlimited
+	BytesPerSecond       int64 `yaml:"bytes_per_second" json:"bytes_per_second"`             // 0 means unlimited
 	OnlineReservePercent int   `yaml:"online_reserve_percent" json:"online_reserve_percent"` // share that batch may not use, 0 to 100
 }
 
