--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,155 @@
+// Package routing chooses the target of a request: filters drop targets that must not be used, scorers rate the rest, a picker
+// chooses among the rated ones, and the Decision records every candidate with the reason.
+package routing
+
+import (
+	"math/rand/v2"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	ID            fleet.RequestID
+	Kind          fleet.TargetKind
+	Service       string // for KindService
+	Base          string // for KindEngine: model that the engine must hold
+	Version       string
+	Adapter       string // empty when none is needed
+	FailureDomain fleet.FailureDomain
+	Prefix        Prefix
+	Excluded      []fleet.TargetID // targets that this request was sent to already
+	Batch         bool
+}
+
+// Reason says in a few words why a candidate was dropped or chosen; decision logs show it.
+type Reason string
+
+// Filter drops candidates that must not be used.
+type Filter interface {
+	Name() string
+	// Keep returns false and the reason for a candidate that must not be used.
+	Keep(*Request, *Candidate) (bool, Reason)
+}
+
+// Scorer rates a candidate from 0 (worst) to 1 (best). Each scorer says what it returns when its signal is missing.
+type Scorer interface {
+	Name() string
+	Score(*Request, *Candidate, *Pool) float64
+}
+
+// WeightedScorer is a scorer with its share in the sum.
+type WeightedScorer struct {
+	Scorer Scorer
+	Weight float64
+}
+
+// Picker chooses one of the scored candidates, which are never empty.
+type Picker interface {
+	Name() string
+	Pick(*Request, []Scored, *rand.Rand) (int, Reason)
+}
+
+// Scored is a candidate with its weighted score.
+type Scored struct {
+	Candidate *Candidate
+	Score     float64
+}
+
+// Pool holds what scorers need to know of all kept candidates together.
+type Pool struct {
+	Kept     []*Candidate
+	MeanLoad float64 // mean of Candidate.Utilisation over Kept
+	affinity []fleet.TargetID
+}
+
+// View is one candidate in a decision.
+type View struct {
+	Target   fleet.TargetID `json:"target"`
+	Score    float64        `json:"score,omitempty"`
+	Load     float64        `json:"load"`
+	Rejected Reason         `json:"rejected,omitempty"`
+}
+
+// Decision is the result of routing one attempt of a request. Chosen is nil when no candidate was left.
+type Decision struct {
+	Request    fleet.RequestID
+	Chosen     *Candidate
+	Reason     Reason
+	Candidates []View
+}
+
+// Router holds the parts in the order in which they run. It is immutable and safe for concurrent use; the random source is not.
+type Router struct {
+	filters []Filter
+	scorers []WeightedScorer
+	picker  Picker
+}
+
+// NewRouter returns a router of the given parts.
+func NewRouter(filters []Filter, scorers []WeightedScorer, picker Picker) *Router {
+	return &Router{filters: filters, scorers: scorers, picker: picker}
+}
+
+// Decide chooses a target among the candidates.
+func (r *Router) Decide(req *Request, candidates []Candidate, rng *rand.Rand) Decision {
+	decision := Decision{Request: req.ID, Candidates: make([]View, len(candidates))}
+	pool := r.filter(req, candidates, decision.Candidates)
+	if len(pool.Kept) == 0 {
+		decision.Reason = "no candidate left"
+		return decision
+	}
+	scored := r.score(req, pool)
+	index, reason := r.picker.Pick(req, scored, rng)
+	decision.Chosen = scored[index].Candidate
+	decision.Reason = reason
+	recordScores(decision.Candidates, scored)
+	return decision
+}
+
+func (r *Router) filter(req *Request, candidates []Candidate, views []View) *Pool {
+	pool := &Pool{Kept: make([]*Candidate, 0, len(candidates))}
+	for i := range candidates {
+		c := &candidates[i]
+		views[i] = View{Target: c.Target, Load: c.Load}
+		if reason := r.reject(req, c); reason != "" {
+			views[i].Rejected = reason
+			continue
+		}
+		pool.Kept = append(pool.Kept, c)
+	}
+	pool.MeanLoad = meanUtilisation(pool.Kept)
+	return pool
+}
+
+func (r *Router) reject(req *Request, c *Candidate) Reason {
+	for _, f := range r.filters {
+		if keep, reason := f.Keep(req, c); !keep {
+			return reason
+		}
+	}
+	return ""
+}
+
+func (r *Router) score(req *Request, pool *Pool) []Scored {
+	scored := make([]Scored, len(pool.Kept))
+	for i, c := range pool.Kept {
+		scored[i].Candidate = c
+		for _, s := range r.scorers {
+			scored[i].Score += s.Weight * s.Scorer.Score(req, c, pool)
+		}
+	}
+	return scored
+}
+
+// recordScores copies scores into the views. Kept candidates are in the order of the views.
+func recordScores(views []View, scored []Scored) {
+	next := 0
+	for i := range views {
+		if views[i].Rejected != "" {
+			continue
+		}
+		views[i].Score = scored[next].Score
+		next++
+	}
+}
