--- a/core/routing/load.go
+++ b/core/routing/load.go
@@ -58,8 +58,8 @@
 // InFlight returns this instance's own requests at the target.
 func (t *LoadTracker) InFlight() int { return t.inFlight }
 
-// ReportedAt returns the sample time of the last report, or the zero time.
-func (t *LoadTracker) ReportedAt() time.Time { return t.report.SampledAt }
+// LastReport returns the last report; its SampledAt is zero before the first one.
+func (t *LoadTracker) LastReport() fleet.LoadReport { return t.report }
 
 // Estimate returns the requests that are probably running or waiting at the target: the last report plus the balance of own starts
 // and ends since its sample. Peers is the number of instances that send to the target, including this one. They follow the same
--- a/node/blackboard/blackboard.go
+++ b/node/blackboard/blackboard.go
@@ -28,6 +28,7 @@
 	Bundle    *BundleTable
 	Members   *MemberTable
 	Targets   *TargetTable
+	Loads     *LoadTable
 	Decisions *DecisionTable
 	notices   *notifier
 }
@@ -39,6 +40,7 @@
 		Bundle:    newBundleTable(n),
 		Members:   newMemberTable(n),
 		Targets:   newTargetTable(n),
+		Loads:     newLoadTable(),
 		Decisions: newDecisionTable(decisionCapacity),
 		notices:   n,
 	}
--- /dev/null
+++ b/node/blackboard/loads.go
@@ -0,0 +1,88 @@
+package blackboard
+
+import (
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routing"
+)
+
+// LoadTable holds the load estimate of each target. It publishes no change notices: it changes with every request.
+type LoadTable struct {
+	mu       sync.Mutex // guards trackers and what they point to
+	trackers map[fleet.TargetID]*routing.LoadTracker
+}
+
+func newLoadTable() *LoadTable {
+	return &LoadTable{trackers: make(map[fleet.TargetID]*routing.LoadTracker)}
+}
+
+func (t *LoadTable) tracker(id fleet.TargetID) *routing.LoadTracker {
+	tracker, ok := t.trackers[id]
+	if !ok {
+		tracker = &routing.LoadTracker{}
+		t.trackers[id] = tracker
+	}
+	return tracker
+}
+
+// Started records that a request was sent to the target.
+func (t *LoadTable) Started(id fleet.TargetID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker(id).Started(now)
+}
+
+// Ended records that a request at the target ended.
+func (t *LoadTable) Ended(id fleet.TargetID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker(id).Ended(now)
+}
+
+// Report takes a load report of the target.
+func (t *LoadTable) Report(id fleet.TargetID, report fleet.LoadReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker(id).Report(report)
+}
+
+// Estimate fills in Load of each candidate. Peers is the number of instances that send to the same targets.
+func (t *LoadTable) Estimate(candidates []routing.Candidate, now time.Time, peers int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range candidates {
+		if tracker, ok := t.trackers[candidates[i].Target]; ok {
+			candidates[i].Load = tracker.Estimate(now, peers)
+		}
+	}
+}
+
+// LoadView is the load of one target for status pages and for the poller.
+type LoadView struct {
+	Report   fleet.LoadReport
+	InFlight int
+}
+
+// View returns what is known of the target.
+func (t *LoadTable) View(id fleet.TargetID) LoadView {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracker, ok := t.trackers[id]
+	if !ok {
+		return LoadView{}
+	}
+	return LoadView{Report: tracker.LastReport(), InFlight: tracker.InFlight()}
+}
+
+// Forget drops targets that are gone. A target with requests in flight stays until they end.
+func (t *LoadTable) Forget(known func(fleet.TargetID) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, tracker := range t.trackers {
+		if !known(id) && tracker.InFlight() == 0 {
+			delete(t.trackers, id)
+		}
+	}
+}
--- a/node/blackboard/targets.go
+++ b/node/blackboard/targets.go
@@ -26,6 +26,8 @@
 type targetSnapshot struct {
 	byID map[fleet.TargetID]*TargetEntry
 	all  []*TargetEntry // ordered by ID
+	// revision rises with every change, so that derived data can be cached.
+	revision uint64
 }
 
 func newTargetTable(n *notifier) *TargetTable {
@@ -39,6 +41,11 @@
 	return t.snapshot.Load().all
 }
 
+// Revision returns a number that rises with every change of the table.
+func (t *TargetTable) Revision() uint64 {
+	return t.snapshot.Load().revision
+}
+
 // Get returns one target.
 func (t *TargetTable) Get(id fleet.TargetID) (*TargetEntry, bool) {
 	e, ok := t.snapshot.Load().byID[id]
@@ -83,7 +90,10 @@
 // store builds the next snapshot; t.mu is held.
 func (t *TargetTable) store(put []TargetEntry, remove []fleet.TargetID) {
 	current := t.snapshot.Load()
-	next := &targetSnapshot{byID: make(map[fleet.TargetID]*TargetEntry, len(current.byID)+len(put))}
+	next := &targetSnapshot{
+		byID:     make(map[fleet.TargetID]*TargetEntry, len(current.byID)+len(put)),
+		revision: current.revision + 1,
+	}
 	for id, e := range current.byID {
 		next.byID[id] = e
 	}
--- /dev/null
+++ b/node/entry/resolve.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"eelgrassproxy.example/api/caller"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routing"
+	"eelgrassproxy.example/node/problem"
+	"eelgrassproxy.example/node/request"
+)
+
+// inference is what chat completions and completions have in common.
+type inference struct {
+	model  string
+	path   string
+	stream bool
+	prompt []byte
+	encode func(model string) ([]byte, error) // body with the engine's name of the model
+}
+
+// headers are the optional headers of a request.
+type headers struct {
+	requestID      string
+	idempotencyKey string
+	timeout        time.Duration // 0 when the caller stated none
+}
+
+func headersOf(requestID, idempotencyKey caller.OptString, timeoutMs caller.OptInt64) headers {
+	return headers{
+		requestID:      requestID.Or(""),
+		idempotencyKey: idempotencyKey.Or(""),
+		timeout:        time.Duration(timeoutMs.Or(0)) * time.Millisecond,
+	}
+}
+
+func (h *Handler) infer(ctx context.Context, in inference, head headers, w http.ResponseWriter) error {
+	s := sessionOf(ctx)
+	model, err := s.bundle.Model(s.caller, in.model)
+	if err != nil {
+		return resolveProblem(err, in.model)
+	}
+	r := h.newRequest(s, head)
+	r.Kind = fleet.KindEngine
+	r.Model = model
+	r.Path = in.path
+	r.Stream = in.stream
+	r.Prefix = routing.PrefixOf(model.Base+"@"+model.Version, in.prompt)
+	r.Body, err = in.encode(engineModel(model))
+	if err != nil {
+		return problem.NotRun(problem.CodeInvalidRequest, "request body cannot be encoded: %v", err)
+	}
+	return h.dispatch(ctx, r, w)
+}
+
+// engineModel is the name by which engines know the model: the adapter, or the base with its version.
+func engineModel(m *bundle.Model) string {
+	if m.Adapter != "" {
+		return m.Adapter
+	}
+	return m.Base + "@" + m.Version
+}
+
+func (h *Handler) newRequest(s session, head headers) *request.Request {
+	id := head.requestID
+	if id == "" {
+		id = ulid.Make().String()
+	}
+	timeout := head.timeout
+	if timeout == 0 {
+		timeout = time.Duration(s.bundle.Limits().FirstTokenTimeoutMs) * time.Millisecond
+	}
+	return &request.Request{
+		ID:             fleet.RequestID(id),
+		Caller:         s.caller,
+		Bundle:         s.bundle,
+		IdempotencyKey: head.idempotencyKey,
+		Attempt:        s.attempt,
+		Deadline:       time.Now().Add(timeout),
+	}
+}
+
+func resolveProblem(err error, name string) error {
+	switch {
+	case errors.Is(err, bundle.ErrNotAllowed):
+		return problem.NotRun(problem.CodeNotAllowed, "caller may not use %q", name)
+	case errors.Is(err, bundle.ErrUnknownModel), errors.Is(err, bundle.ErrUnknownService):
+		return problem.NotRun(problem.CodeNotFound, "%q is not in the bundle in force", name)
+	default:
+		return problem.NotRun(problem.CodeInternal, "resolve %q: %v", name, err)
+	}
+}
+
+// chatPrompt joins the messages' raw content; its start decides the preferred targets.
+func chatPrompt(req *caller.ChatCompletionRequest) []byte {
+	var prompt []byte
+	for _, m := range req.Messages {
+		prompt = append(prompt, m.Role...)
+		prompt = append(prompt, m.Content...)
+	}
+	return prompt
+}
+
+// requestIDOf returns the caller's request id for errors found before the request was decoded.
+func requestIDOf(r *http.Request) fleet.RequestID {
+	return fleet.RequestID(r.Header.Get("X-Request-Id"))
+}
--- /dev/null
+++ b/node/entry/server.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/api/caller"
+	"eelgrassproxy.example/core/limits"
+	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/problem"
+)
+
+// Bounds of the callers' listener.
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 30 * time.Second // a caller that sends its body more slowly is cut off
+	idleTimeout       = 2 * time.Minute
+)
+
+// Options of the listener.
+type Options struct {
+	MaxBodyBytes int64
+	MaxInFlight  int // requests held at once, from their header to the end of their answer
+}
+
+// NewServer returns the HTTP server of the callers' listener.
+func NewServer(handler *Handler, o Options) (*http.Server, error) {
+	generated, err := caller.NewServer(handler, handler, authenticator{board: handler.board}, caller.WithErrorHandler(writeError))
+	if err != nil {
+		return nil, err
+	}
+	return &http.Server{
+		Handler:           bound(generated, o),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}, nil
+}
+
+// bound refuses requests over the number held at once and limits the size and the time of bodies.
+func bound(next http.Handler, o Options) http.Handler {
+	slots := make(chan struct{}, o.MaxInFlight)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			problem.NotRun(problem.CodeOverloaded, "instance holds %d requests already", o.MaxInFlight).After(time.Second).Write(w, requestIDOf(r))
+			return
+		}
+		defer func() { <-slots }()
+		r.Body = http.MaxBytesReader(w, r.Body, o.MaxBodyBytes)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+		ctx := context.WithValue(r.Context(), attemptKey{}, limits.ParseAttempt(r.Header.Get(limits.RetryAttemptHeader)))
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+type attemptKey struct{}
+
+// authenticator checks API keys against the bundle in force.
+type authenticator struct{ board *blackboard.Board }
+
+var _ caller.SecurityHandler = authenticator{}
+
+// HandleBearer implements caller.SecurityHandler.
+func (a authenticator) HandleBearer(ctx context.Context, _ caller.OperationName, t caller.Bearer) (context.Context, error) {
+	active := a.board.Bundle.Current()
+	if active == nil {
+		return ctx, problem.NotRun(problem.CodeNotReady, "no bundle is in force yet").After(time.Second)
+	}
+	resolved, ok := active.Authenticate(t.Token)
+	if !ok {
+		return ctx, problem.NotRun(problem.CodeUnauthorized, "API key is not known")
+	}
+	attempt, _ := ctx.Value(attemptKey{}).(int)
+	return context.WithValue(ctx, sessionKey{}, session{bundle: active, caller: resolved, attempt: attempt}), nil
+}
+
+// writeError converts errors of decoding, authentication and dispatch into the caller API's form. Everything that fails before the
+// dispatcher was called was not run.
+func writeError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	toProblem(err).Write(w, requestIDOf(r))
+}
+
+func toProblem(err error) *problem.Error {
+	var p *problem.Error
+	if errors.As(err, &p) {
+		return p
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return problem.NotRun(problem.CodeBodyTooLarge, "body exceeds %d bytes", tooLarge.Limit)
+	}
+	var security *ogenerrors.SecurityError
+	if errors.As(err, &security) || errors.Is(err, ogenerrors.ErrSecurityRequirementIsNotSatisfied) {
+		return problem.NotRun(problem.CodeUnauthorized, "a bearer token is required")
+	}
+	var params *ogenerrors.DecodeParamsError
+	var body *ogenerrors.DecodeRequestError
+	if errors.As(err, &params) || errors.As(err, &body) {
+		return problem.NotRun(problem.CodeInvalidRequest, "%v", err)
+	}
+	klog.ErrorS(err, "Request failed with an error of no known kind")
+	return problem.MayHaveRun(problem.CodeInternal, "internal error")
+}
--- /dev/null
+++ b/node/request/request.go
@@ -0,0 +1,65 @@
+// Package request defines one caller's request on its way through an instance.
+package request
+
+import (
+	"time"
+
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routing"
+)
+
+// Request is an authenticated request whose model or service was resolved. It is immutable.
+type Request struct {
+	ID             fleet.RequestID
+	Caller         *bundle.ResolvedCaller
+	Bundle         *bundle.Active // bundle in force when the request arrived; the request keeps it to its end
+	Kind           fleet.TargetKind
+	Model          *bundle.Model     // for an engine
+	Service        *bundle.Service   // for a plain service
+	Operation      *bundle.Operation // for a plain service
+	Path           string            // operation of the engine API or of the service
+	Body           []byte            // JSON as sent to the target
+	Stream         bool              // the caller asked for a stream of events
+	IdempotencyKey string
+	Attempt        int       // retries made before this instance got the request
+	Deadline       time.Time // by which the caller expects the first byte
+	Prefix         routing.Prefix
+}
+
+// Idempotent tells whether the request may run more than once.
+func (r *Request) Idempotent() bool {
+	return r.Operation == nil || r.Operation.Idempotent
+}
+
+// Pool names the set of targets that can serve the request.
+func (r *Request) Pool() PoolKey {
+	if r.Kind == fleet.KindService {
+		return PoolKey{Kind: r.Kind, Service: r.Service.Name}
+	}
+	return PoolKey{Kind: r.Kind, Base: r.Model.Base, Version: r.Model.Version}
+}
+
+// MaxRunning is how many requests one target of the pool serves well at once.
+func (r *Request) MaxRunning() int {
+	if r.Kind == fleet.KindService {
+		return r.Service.MaxRunning
+	}
+	return r.Model.MaxRunning
+}
+
+// PoolKey identifies the targets of one model version or of one service.
+type PoolKey struct {
+	Kind    fleet.TargetKind
+	Service string
+	Base    string
+	Version string
+}
+
+// String returns the key as logs and metrics show it.
+func (k PoolKey) String() string {
+	if k.Kind == fleet.KindService {
+		return k.Service
+	}
+	return k.Base + "@" + k.Version
+}
