Add bundle parsing, validation, sections, signatures and deltas

Cause: the bundle package held only its document types. Change: strict YAML parsing, validation with field paths, content-addressed sections, signed manifests, an index for the request path, deltas that recompute only changed sections, and the generation rule. Conclusion: a receiver can verify a bundle from any source.

--- a/core/bundle/active.go
+++ b/core/bundle/active.go
@@ -1,15 +1,140 @@
 package bundle
 
-import "eelgrassproxy.example/core/fleet"
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"eelgrassproxy.example/core/fleet"
+)
 
 // Active is a verified bundle indexed for the request path. It is immutable and safe for concurrent use.
 type Active struct {
-	document *Document
-	manifest SignedManifest
+	manifest Manifest
+	signed   SignedManifest
+	digest   string
+	sections Sections
+	catalog  *catalog
+	callers  callerIndex
+}
+
+// Activate verifies a signed bundle, validates its contents and builds the index.
+func Activate(signed SignedManifest, sections Sections, verifier Verifier) (*Active, error) {
+	manifest, err := verifier.Verify(signed)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := Assemble(manifest, sections)
+	if err != nil {
+		return nil, err
+	}
+	if err := doc.Validate(); err != nil {
+		return nil, err
+	}
+	a := &Active{
+		manifest: manifest,
+		signed:   signed,
+		digest:   digestOf(signed.Manifest),
+		sections: sections.named(manifest),
+		catalog:  newCatalog(doc, nil),
+	}
+	builder := &indexBuilder{}
+	for _, c := range doc.Callers {
+		if err := builder.add(c, a.catalog.groups); err != nil {
+			return nil, err
+		}
+	}
+	a.callers = builder.index
+	return a, nil
+}
+
+// named returns the sections that the manifest names.
+func (s Sections) named(manifest Manifest) Sections {
+	out := make(Sections, len(manifest.Sections))
+	for _, digest := range manifest.Sections {
+		out[digest] = s[digest]
+	}
+	return out
 }
 
 // Generation returns the bundle's generation.
-func (a *Active) Generation() fleet.Generation { return a.document.Generation }
+func (a *Active) Generation() fleet.Generation { return a.manifest.Generation }
+
+// Manifest returns the signed manifest, for peers that ask for it. It is shared and must not be changed.
+func (a *Active) Manifest() SignedManifest { return a.signed }
+
+// Digest returns the hexadecimal SHA-256 of the manifest bytes.
+func (a *Active) Digest() string { return a.digest }
+
+// Section returns the canonical JSON of a section of this bundle. The bytes are shared and must not be changed.
+func (a *Active) Section(digest string) ([]byte, bool) {
+	data, ok := a.sections[digest]
+	return data, ok
+}
+
+// Authenticate returns the caller whose API key this is. Disabled callers are refused.
+func (a *Active) Authenticate(apiKey string) (*ResolvedCaller, bool) {
+	digest := keyDigest(sha256.Sum256([]byte(apiKey)))
+	caller := a.callers.lookup(digest)
+	if caller == nil || caller.Disabled {
+		return nil, false
+	}
+	return caller, true
+}
+
+// CallerCount returns the number of callers, disabled ones included.
+func (a *Active) CallerCount() int { return a.callers.count }
+
+// Model returns the model of that name for the caller, ErrUnknownModel or ErrNotAllowed. The caller may come from an older
+// generation; the rights are those of this one.
+func (a *Active) Model(caller *ResolvedCaller, name string) (*Model, error) {
+	model, exists := a.catalog.models[name]
+	if !exists {
+		return nil, ErrUnknownModel
+	}
+	group := a.catalog.groups[caller.Group.Name]
+	if group == nil || group.models[name] == nil {
+		return nil, ErrNotAllowed
+	}
+	return model, nil
+}
+
+// Models returns the models that the caller may use, ordered by name. The slice is shared and must not be changed.
+func (a *Active) Models(caller *ResolvedCaller) []Model {
+	group := a.catalog.groups[caller.Group.Name]
+	if group == nil {
+		return nil
+	}
+	return group.modelList
+}
+
+// Service returns a service and one of its operations for the caller, or ErrUnknownService, ErrUnknownOperation or ErrNotAllowed.
+func (a *Active) Service(caller *ResolvedCaller, name, operation string) (*Service, *Operation, error) {
+	found, exists := a.catalog.services[name]
+	if !exists {
+		return nil, nil, ErrUnknownService
+	}
+	group := a.catalog.groups[caller.Group.Name]
+	if group == nil || group.services[name] == nil {
+		return nil, nil, ErrNotAllowed
+	}
+	op, exists := found.operations[operation]
+	if !exists {
+		return nil, nil, ErrUnknownOperation
+	}
+	return &found.Service, op, nil
+}
+
+// Limits returns the fleet-wide limits with defaults applied.
+func (a *Active) Limits() Limits { return a.catalog.limits }
+
+// Topology returns the regions of the failure domains. Its map is shared and must not be changed.
+func (a *Active) Topology() fleet.Topology { return a.catalog.topology }
+
+// Link returns the bounds of the link between regions.
+func (a *Active) Link() Link { return a.catalog.link }
+
+// Placement returns the wished replicas, ordered by base and version. The slice is shared and must not be changed.
+func (a *Active) Placement() []Placement { return a.catalog.placement }
 
-// Manifest returns the signed manifest, for peers that ask for it.
-func (a *Active) Manifest() SignedManifest { return a.manifest }
+// String names the bundle in logs.
+func (a *Active) String() string { return fmt.Sprintf("bundle %d (%s)", a.Generation(), a.digest[:12]) }
--- /dev/null
+++ b/core/bundle/active_test.go
@@ -0,0 +1,145 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against digests that depend on the order in which operators write entries: two operators could not sign one bundle.
+func TestSplitGivesEqualDocumentsEqualDigestsAndAssembleInvertsIt(t *testing.T) {
+	doc := testDocument(600)
+	manifest, sections, err := Split(doc)
+	require.NoError(t, err)
+	other, _, err := Split(shuffled(doc, rand.New(rand.NewPCG(1, 2))))
+	require.NoError(t, err)
+	assert.Equal(t, string(manifest.Bytes()), string(other.Bytes()))
+	parsed, err := ParseManifest(manifest.Bytes())
+	require.NoError(t, err)
+	back, err := Assemble(parsed, sections)
+	require.NoError(t, err)
+	assert.Equal(t, doc.normalized(), back.normalized())
+}
+
+// Guards against putting in force what too few operators signed.
+func TestVerifyCountsDistinctKnownOperators(t *testing.T) {
+	manifest, _, err := Split(testDocument(1))
+	require.NoError(t, err)
+	stranger := signBy(manifest, "anna", "mallory")
+	forged := signBy(manifest, "anna", "bert")
+	forged.Signatures[1].Signature = forged.Signatures[0].Signature
+	spare := signBy(manifest, "anna", "mallory", "carla")
+	undomained := signBy(manifest, "anna")
+	undomained.Signatures = append(undomained.Signatures,
+		Signature{Operator: "bert", Signature: ed25519.Sign(testKey("bert"), manifest.Bytes())})
+	cases := []struct {
+		name   string
+		signed SignedManifest
+		want   []error
+	}{
+		{"two operators are enough", signBy(manifest, "carla", "anna"), nil},
+		{"an unknown operator beside enough known ones is ignored", spare, nil},
+		{"one operator is too few", signBy(manifest, "anna"), []error{ErrNotEnoughSignatures}},
+		{"one operator twice is too few", signBy(manifest, "anna", "anna"), []error{ErrNotEnoughSignatures}},
+		{"an unknown operator does not count", stranger, []error{ErrNotEnoughSignatures, ErrUnknownOperator}},
+		{"a signature of another operator is refused", forged, []error{ErrBadSignature}},
+		{"a signature without the domain prefix is refused", undomained, []error{ErrBadSignature}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := testVerifier().Verify(c.signed)
+			if c.want == nil {
+				require.NoError(t, err)
+				assert.Equal(t, manifest, got)
+			}
+			for _, want := range c.want {
+				require.ErrorIs(t, err, want)
+			}
+		})
+	}
+	_, err = Verifier{}.Verify(signBy(manifest, "anna"))
+	require.ErrorIs(t, err, ErrBadVerifier)
+}
+
+// Guards against a tampered manifest or section being put in force.
+func TestActivateRefusesTamperedBundles(t *testing.T) {
+	manifest, sections, err := Split(testDocument(20))
+	require.NoError(t, err)
+	signed := signBy(manifest, "anna", "bert")
+	higher := manifest.clone()
+	higher.Generation = 9
+	_, err = Activate(SignedManifest{Manifest: higher.Bytes(), Signatures: signed.Signatures}, sections, testVerifier())
+	require.ErrorIs(t, err, ErrBadSignature)
+	for name, digest := range manifest.Sections {
+		genuine := sections[digest]
+		sections[digest] = append([]byte(" "), genuine...)
+		_, err = Activate(signed, sections, testVerifier())
+		require.ErrorIs(t, err, ErrDigestMismatch, name)
+		delete(sections, digest)
+		_, err = Activate(signed, sections, testVerifier())
+		require.ErrorIs(t, err, ErrMissingSection, name)
+		sections[digest] = genuine
+	}
+}
+
+// Guards against callers that get in with a wrong key, while disabled, or to models and services of other groups.
+func TestActiveResolvesCallersAndTheirRights(t *testing.T) {
+	doc := testDocument(10)
+	doc.Callers[1].Disabled = true
+	active := activate(t, doc)
+	caller, ok := active.Authenticate(apiKeyOf(0))
+	require.True(t, ok)
+	assert.Equal(t, doc.Callers[0].ID, caller.ID)
+	assert.Equal(t, DefaultGroupWeight, caller.Group.Weight)
+	_, ok = active.Authenticate(apiKeyOf(1))
+	assert.False(t, ok, "disabled")
+	_, ok = active.Authenticate("")
+	assert.False(t, ok, "empty key")
+	_, ok = active.Authenticate(doc.Callers[0].KeySHA256)
+	assert.False(t, ok, "the digest is not the key")
+
+	model, err := active.Model(caller, "safety")
+	require.NoError(t, err)
+	assert.Equal(t, "assist", model.Base)
+	_, err = active.Model(caller, "nothing")
+	require.ErrorIs(t, err, ErrUnknownModel)
+	_, op, err := active.Service(caller, "quotes", "look-up")
+	require.NoError(t, err)
+	assert.True(t, op.Idempotent)
+	_, _, err = active.Service(caller, "quotes", "nothing")
+	require.ErrorIs(t, err, ErrUnknownOperation)
+
+	trial, ok := active.Authenticate(apiKeyOf(4))
+	require.True(t, ok)
+	_, err = active.Model(trial, "safety")
+	require.ErrorIs(t, err, ErrNotAllowed)
+	_, _, err = active.Service(trial, "quotes", "look-up")
+	require.ErrorIs(t, err, ErrNotAllowed)
+	assert.Len(t, active.Models(trial), 1)
+	assert.Equal(t, int64(DefaultProgressTimeoutMs), active.Limits().ProgressTimeoutMs)
+	allocations := testing.AllocsPerRun(100, func() { active.Authenticate(apiKeyOf(0)[:20]) })
+	assert.LessOrEqual(t, allocations, 4.0)
+}
+
+// Guards against a generation that reverts, and against accepting what was only heard of.
+func TestTrackerAcceptsOnlyHigherGenerations(t *testing.T) {
+	tracker := &Tracker{}
+	doc := testDocument(1)
+	doc.Generation = 5
+	five := activate(t, doc)
+	require.NoError(t, tracker.Accept(five))
+	require.ErrorIs(t, tracker.Accept(five), ErrNotNewer)
+	doc.Generation = 4
+	require.ErrorIs(t, tracker.Accept(activate(t, doc)), ErrNotNewer)
+	assert.False(t, tracker.Heard(5))
+	assert.False(t, tracker.Behind())
+	assert.True(t, tracker.Heard(8))
+	assert.True(t, tracker.Behind())
+	assert.Equal(t, five.Generation(), tracker.Accepted())
+	doc.Generation = 8
+	require.NoError(t, tracker.Accept(activate(t, doc)))
+	assert.False(t, tracker.Behind())
+}
--- /dev/null
+++ b/core/bundle/advance.go
@@ -0,0 +1,98 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Advance returns the next bundle from this one and a delta. It recomputes the digests of the changed sections, checks the delta's
+// signatures over the resulting manifest and shares everything that did not change. This bundle stays as it is.
+func (a *Active) Advance(delta Delta, verifier Verifier) (*Active, error) {
+	result, err := apply(a.manifest, a.sections, delta)
+	if err != nil {
+		return nil, err
+	}
+	signed := SignedManifest{Manifest: result.manifest.Bytes(), Signatures: delta.Signatures}
+	if _, err := verifier.Verify(signed); err != nil {
+		return nil, err
+	}
+	next := &Active{
+		manifest: result.manifest,
+		signed:   signed,
+		digest:   digestOf(signed.Manifest),
+		sections: result.sections,
+		catalog:  a.catalog,
+	}
+	if delta.changesCatalog() {
+		if err := next.rebuildCatalog(a.catalog); err != nil {
+			return nil, err
+		}
+	}
+	if err := next.advanceCallers(a, result, delta); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// changesCatalog tells whether any section but the callers' changes.
+func (d *Delta) changesCatalog() bool {
+	lists := d.Models.IsZero() && d.Services.IsZero() && d.Placement.IsZero() && d.Groups.IsZero()
+	return d.Topology != nil || d.Limits != nil || !lists
+}
+
+// rebuildCatalog decodes, validates and indexes the single sections; they are small.
+func (a *Active) rebuildCatalog(previous *catalog) error {
+	doc := &Document{Generation: a.manifest.Generation}
+	for _, name := range singleSections {
+		if err := json.Unmarshal(a.sections[a.manifest.Sections[name]], sectionField(doc, name)); err != nil {
+			return eris.Wrapf(ErrBadSection, "decode section %q: %v", name, err)
+		}
+	}
+	if err := doc.Validate(); err != nil {
+		return err
+	}
+	a.catalog = newCatalog(doc, previous)
+	return nil
+}
+
+// advanceCallers builds the caller index from the older one.
+func (a *Active) advanceCallers(older *Active, result *applied, delta Delta) error {
+	if err := validateUpserts(delta.Callers.Upserts, a.catalog); err != nil {
+		return err
+	}
+	builder := &indexBuilder{index: older.callers}
+	for _, c := range result.replaced {
+		if err := builder.remove(c); err != nil {
+			return err
+		}
+	}
+	if a.catalog != older.catalog {
+		if err := builder.rebind(a.catalog.groups); err != nil {
+			return err
+		}
+	}
+	for _, c := range delta.Callers.Upserts {
+		if err := builder.add(c, a.catalog.groups); err != nil {
+			return err
+		}
+	}
+	a.callers = builder.index
+	return nil
+}
+
+// validateUpserts checks the changed callers by themselves; a key that another caller has is found by the index.
+func validateUpserts(callers []Caller, c *catalog) error {
+	groups := make(map[string]bool, len(c.groups))
+	for name := range c.groups {
+		groups[name] = true
+	}
+	v := &validator{}
+	ids := map[string]bool{}
+	for i := range callers {
+		v.unique(fmt.Sprintf("callers[%d].id", i), string(callers[i].ID), ids)
+		v.caller(&callers[i], i, groups)
+	}
+	return v.err()
+}
--- /dev/null
+++ b/core/bundle/apply.go
@@ -0,0 +1,148 @@
+package bundle
+
+import (
+	"maps"
+
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// applied is the outcome of a delta before its signatures are checked.
+type applied struct {
+	manifest Manifest
+	sections Sections // named by manifest only
+	replaced []Caller // callers that the delta changed or removed, as they were
+	doc      Document // the single sections that changed; the others are empty
+}
+
+// Apply returns sections and manifest after a delta. Only changed sections are decoded and encoded. The caller checks the
+// signatures of the delta against the manifest.
+func Apply(manifest Manifest, sections Sections, delta Delta) (Sections, Manifest, error) {
+	result, err := apply(manifest, sections, delta)
+	if err != nil {
+		return nil, Manifest{}, err
+	}
+	return result.sections, result.manifest, nil
+}
+
+func apply(manifest Manifest, sections Sections, delta Delta) (*applied, error) {
+	if delta.From != manifest.Generation || delta.To <= delta.From {
+		return nil, eris.Wrapf(ErrWrongBase, "delta from %d to %d, in force %d", delta.From, delta.To, manifest.Generation)
+	}
+	out := &applied{manifest: manifest.clone(), sections: maps.Clone(sections)}
+	out.manifest.Generation = delta.To
+	if err := out.applySingles(delta); err != nil {
+		return nil, err
+	}
+	if err := out.applyCallers(delta.Callers); err != nil {
+		return nil, err
+	}
+	out.dropUnnamed()
+	return out, nil
+}
+
+// applySingles rewrites the changed sections other than the callers'.
+func (r *applied) applySingles(delta Delta) error {
+	doc := &r.doc
+	if delta.Topology != nil {
+		doc.Topology = *delta.Topology
+	}
+	if delta.Limits != nil {
+		doc.Limits = *delta.Limits
+	}
+	steps := []struct {
+		name    string
+		changed bool
+		replace bool // the delta holds the whole section
+		change  func()
+	}{
+		{SectionTopology, delta.Topology != nil, true, func() {}},
+		{SectionLimits, delta.Limits != nil, true, func() {}},
+		{SectionModels, !delta.Models.IsZero(), false, func() { doc.Models = delta.Models.applyTo(doc.Models, modelKey) }},
+		{SectionServices, !delta.Services.IsZero(), false, func() { doc.Services = delta.Services.applyTo(doc.Services, serviceKey) }},
+		{SectionPlacement, !delta.Placement.IsZero(), false, func() { doc.Placement = delta.Placement.applyTo(doc.Placement, Placement.key) }},
+		{SectionGroups, !delta.Groups.IsZero(), false, func() { doc.Groups = delta.Groups.applyTo(doc.Groups, groupKey) }},
+	}
+	for _, step := range steps {
+		if !step.changed {
+			continue
+		}
+		if !step.replace {
+			if err := assembleSingle(doc, r.manifest, r.sections, step.name); err != nil {
+				return err
+			}
+		}
+		step.change()
+	}
+	normal := doc.normalized()
+	for _, step := range steps {
+		if !step.changed {
+			continue
+		}
+		if err := addSection(r.manifest, r.sections, step.name, sectionField(normal, step.name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyCallers rewrites the caller sections that the change touches.
+func (r *applied) applyCallers(change Change[Caller]) error {
+	bySection := map[int]*Change[Caller]{}
+	part := func(c Caller) *Change[Caller] {
+		n := callerSection(c.ID)
+		if bySection[n] == nil {
+			bySection[n] = &Change[Caller]{}
+		}
+		return bySection[n]
+	}
+	for _, c := range change.Upserts {
+		p := part(c)
+		p.Upserts = append(p.Upserts, c)
+	}
+	for _, id := range change.Removals {
+		p := part(Caller{ID: fleet.CallerID(id)})
+		p.Removals = append(p.Removals, id)
+	}
+	for n, p := range bySection {
+		if err := r.applyCallerSection(n, *p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *applied) applyCallerSection(n int, change Change[Caller]) error {
+	callers, err := callersOf(r.manifest, r.sections, n)
+	if err != nil {
+		return err
+	}
+	touched := map[string]bool{}
+	for _, id := range change.Removals {
+		touched[id] = true
+	}
+	for _, c := range change.Upserts {
+		touched[callerKey(c)] = true
+	}
+	for _, c := range callers {
+		if touched[callerKey(c)] {
+			r.replaced = append(r.replaced, c)
+		}
+	}
+	name := callerSectionName(n)
+	rest := change.applyTo(callers, callerKey)
+	if len(rest) == 0 {
+		delete(r.manifest.Sections, name)
+		return nil
+	}
+	return addSection(r.manifest, r.sections, name, callersWire(rest))
+}
+
+// dropUnnamed removes sections that the new manifest no longer names.
+func (r *applied) dropUnnamed() {
+	named := make(map[string]bool, len(r.manifest.Sections))
+	for _, digest := range r.manifest.Sections {
+		named[digest] = true
+	}
+	maps.DeleteFunc(r.sections, func(digest string, _ []byte) bool { return !named[digest] })
+}
--- /dev/null
+++ b/core/bundle/callers.go
@@ -0,0 +1,106 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"maps"
+
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// keyDigest is the SHA-256 of an API key.
+type keyDigest [sha256.Size]byte
+
+// ResolvedCaller is a caller with its group. It is shared and must not be changed.
+type ResolvedCaller struct {
+	ID        fleet.CallerID
+	Group     *Group // with defaults applied
+	Disabled  bool
+	keySHA256 keyDigest
+}
+
+// callerIndex finds callers by key digest. It is split by the first byte of the digest, so that one changed caller copies 1/256 of
+// the entries and the rest is shared between generations. Maps are never changed once the index is in an Active.
+type callerIndex struct {
+	shards [256]map[keyDigest]*ResolvedCaller
+	count  int
+}
+
+// lookup returns the caller with the digest, or nil.
+func (x *callerIndex) lookup(digest keyDigest) *ResolvedCaller {
+	found := x.shards[digest[0]][digest]
+	if found == nil || subtle.ConstantTimeCompare(found.keySHA256[:], digest[:]) != 1 {
+		return nil
+	}
+	return found
+}
+
+// indexBuilder changes a copy of an index; it copies each map once, before its first change.
+type indexBuilder struct {
+	index  callerIndex
+	copied [256]bool
+}
+
+func (b *indexBuilder) shard(n byte) map[keyDigest]*ResolvedCaller {
+	if !b.copied[n] {
+		b.copied[n] = true
+		b.index.shards[n] = maps.Clone(b.index.shards[n])
+	}
+	if b.index.shards[n] == nil {
+		b.index.shards[n] = map[keyDigest]*ResolvedCaller{}
+	}
+	return b.index.shards[n]
+}
+
+// remove takes out the entry of a caller as it was in the older generation.
+func (b *indexBuilder) remove(old Caller) error {
+	digest, err := parseKeyDigest(old.KeySHA256)
+	if err != nil {
+		return err
+	}
+	shard := b.shard(digest[0])
+	if _, ok := shard[digest]; ok {
+		delete(shard, digest)
+		b.index.count--
+	}
+	return nil
+}
+
+// add puts in a caller. The group must exist and the key must be free.
+func (b *indexBuilder) add(c Caller, groups map[string]*access) error {
+	digest, err := parseKeyDigest(c.KeySHA256)
+	if err != nil {
+		return eris.Wrapf(err, "caller %q", c.ID)
+	}
+	group, ok := groups[c.Group]
+	if !ok {
+		return eris.Wrapf(ErrUnknownReference, "caller %q names group %q", c.ID, c.Group)
+	}
+	shard := b.shard(digest[0])
+	if other, used := shard[digest]; used {
+		return eris.Wrapf(ErrDuplicate, "callers %q and %q have the same key", other.ID, c.ID)
+	}
+	shard[digest] = &ResolvedCaller{ID: c.ID, Group: group.group, Disabled: c.Disabled, keySHA256: digest}
+	b.index.count++
+	return nil
+}
+
+// rebind points callers at the groups of a new catalog. Callers of groups that kept their address are shared.
+func (b *indexBuilder) rebind(groups map[string]*access) error {
+	for n := range b.index.shards {
+		for digest, c := range b.index.shards[n] {
+			next, ok := groups[c.Group.Name]
+			if !ok {
+				return eris.Wrapf(ErrUnknownReference, "caller %q names group %q", c.ID, c.Group.Name)
+			}
+			if next.group == c.Group {
+				continue
+			}
+			moved := *c
+			moved.Group = next.group
+			b.shard(byte(n))[digest] = &moved
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/bundle/catalog.go
@@ -0,0 +1,109 @@
+package bundle
+
+import (
+	"reflect"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// catalog indexes everything but the callers. It is immutable once built.
+type catalog struct {
+	limits    Limits
+	topology  fleet.Topology
+	link      Link
+	placement []Placement
+	models    map[string]*Model
+	services  map[string]*service
+	groups    map[string]*access
+}
+
+// service is a Service with its operations by name.
+type service struct {
+	Service
+	operations map[string]*Operation
+}
+
+// access is a group with what its callers may use.
+type access struct {
+	group     *Group
+	models    map[string]*Model
+	modelList []Model // ordered by name
+	services  map[string]*service
+}
+
+// newCatalog indexes the single sections of a normalized document. Groups equal to those of previous keep their address, so that
+// callers of unchanged groups need no new entry; previous may be nil.
+func newCatalog(doc *Document, previous *catalog) *catalog {
+	c := &catalog{
+		limits:    doc.Limits.WithDefaults(),
+		topology:  doc.Topology.index(),
+		link:      doc.Topology.Link,
+		placement: doc.Placement,
+		models:    make(map[string]*Model, len(doc.Models)),
+		services:  make(map[string]*service, len(doc.Services)),
+		groups:    make(map[string]*access, len(doc.Groups)),
+	}
+	for i := range doc.Models {
+		c.models[doc.Models[i].Name] = &doc.Models[i]
+	}
+	for i := range doc.Services {
+		c.services[doc.Services[i].Name] = newService(&doc.Services[i])
+	}
+	for i := range doc.Groups {
+		group := withGroupDefaults(doc.Groups[i])
+		c.groups[group.Name] = c.newAccess(previous.reuse(group))
+	}
+	return c
+}
+
+// index returns the topology in the form that routing uses.
+func (t Topology) index() fleet.Topology {
+	out := fleet.Topology{RegionOf: map[fleet.FailureDomain]fleet.Region{}}
+	for _, r := range t.Regions {
+		for _, fd := range r.FailureDomains {
+			out.RegionOf[fd] = r.Name
+		}
+	}
+	return out
+}
+
+func newService(s *Service) *service {
+	out := &service{Service: *s, operations: make(map[string]*Operation, len(s.Operations))}
+	for i := range s.Operations {
+		out.operations[s.Operations[i].Name] = &s.Operations[i]
+	}
+	return out
+}
+
+func withGroupDefaults(g Group) *Group {
+	orDefault(&g.Weight, DefaultGroupWeight)
+	return &g
+}
+
+// reuse returns the previous group of the same name if nothing in it changed, otherwise the new one.
+func (c *catalog) reuse(group *Group) *Group {
+	if c == nil {
+		return group
+	}
+	if old := c.groups[group.Name]; old != nil && reflect.DeepEqual(old.group, group) {
+		return old.group
+	}
+	return group
+}
+
+func (c *catalog) newAccess(group *Group) *access {
+	out := &access{
+		group:    group,
+		models:   make(map[string]*Model, len(group.Models)),
+		services: make(map[string]*service, len(group.Services)),
+	}
+	for _, name := range group.Models {
+		model := c.models[name]
+		out.models[name] = model
+		out.modelList = append(out.modelList, *model)
+	}
+	for _, name := range group.Services {
+		out.services[name] = c.services[name]
+	}
+	return out
+}
--- /dev/null
+++ b/core/bundle/validate.go
@@ -0,0 +1,156 @@
+package bundle
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// Upper bounds of numbers in a document. They are far above any sensible value and catch slips such as a wrong unit.
+const (
+	maxGeneration        = 1 << 53        // exact in every JSON implementation
+	maxTimeoutMs         = 24 * 3600_000  // ms, one day
+	maxPercent           = 100            // percent
+	maxHarmPercent       = 1_000          // percent
+	maxLinkBytesPerSec   = 1 << 40        // bytes/s, 1 TiB/s
+	maxMaxRunning        = 100_000        // requests on one replica
+	maxReplicas          = 1_000_000      // replicas
+	maxRequestsPerSecond = 1_000_000_000. // requests/s
+	maxBurst             = 1_000_000_000  // requests
+	maxWeight            = 1_000_000      // share
+	maxNameBytes         = 128            // bytes
+	maxShownProblems     = 20             // problems in an error text; all are in ValidationError.Problems
+)
+
+// Problem is one broken rule.
+type Problem struct {
+	Path    string // path of the field, for example groups[2].models[0]
+	Err     error  // one of the sentinel errors of this package
+	Message string
+}
+
+// Error returns path and message.
+func (p Problem) Error() string { return p.Path + ": " + p.Message }
+
+// Unwrap returns the sentinel error.
+func (p Problem) Unwrap() error { return p.Err }
+
+// ValidationError holds every problem of a document. errors.Is finds ErrInvalidDocument and the sentinel of each problem.
+type ValidationError struct {
+	Problems []Problem
+}
+
+// Error returns the first problems, one a line, and the number of the others.
+func (e *ValidationError) Error() string {
+	lines := []string{fmt.Sprintf("bundle document has %d problems", len(e.Problems))}
+	for i, p := range e.Problems {
+		if i == maxShownProblems {
+			lines = append(lines, fmt.Sprintf("... and %d more", len(e.Problems)-i))
+			break
+		}
+		lines = append(lines, p.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns ErrInvalidDocument and every problem.
+func (e *ValidationError) Unwrap() []error {
+	errs := []error{ErrInvalidDocument}
+	for _, p := range e.Problems {
+		errs = append(errs, p)
+	}
+	return errs
+}
+
+// Validate checks the whole document and returns a *ValidationError with every problem, or nil.
+func (d *Document) Validate() error {
+	v := &validator{}
+	v.between("generation", float64(d.Generation), 1, maxGeneration)
+	v.topology(&d.Topology)
+	v.limits(&d.Limits)
+	models := v.models(d.Models)
+	services := v.services(d.Services)
+	v.placements(d.Placement)
+	groups := v.groups(d.Groups, models, services)
+	v.callers(d.Callers, groups)
+	return v.err()
+}
+
+// validator collects problems.
+type validator struct {
+	problems []Problem
+}
+
+func (v *validator) err() error {
+	if len(v.problems) == 0 {
+		return nil
+	}
+	return &ValidationError{Problems: v.problems}
+}
+
+func (v *validator) add(path string, sentinel error, format string, args ...any) {
+	v.problems = append(v.problems, Problem{Path: path, Err: sentinel, Message: fmt.Sprintf(format, args...)})
+}
+
+// between requires low <= value <= high.
+func (v *validator) between(path string, value, low, high float64) {
+	if math.IsNaN(value) || value < low || value > high {
+		v.add(path, ErrOutOfRange, "%v is not between %v and %v", value, low, high)
+	}
+}
+
+// name requires a printable name without spaces of bounded length.
+func (v *validator) name(path, name string) {
+	if name == "" {
+		v.add(path, ErrMissingValue, "is empty")
+		return
+	}
+	if len(name) > maxNameBytes {
+		v.add(path, ErrOutOfRange, "is longer than %d bytes", maxNameBytes)
+	}
+	if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd }) {
+		v.add(path, ErrOutOfRange, "%q contains a space, a control character or invalid UTF-8", name)
+	}
+}
+
+// unique records the name and reports whether it was already there.
+func (v *validator) unique(path, name string, seen map[string]bool) {
+	if seen[name] {
+		v.add(path, ErrDuplicate, "%q occurs more than once", name)
+	}
+	seen[name] = true
+}
+
+func (v *validator) topology(t *Topology) {
+	regions := map[string]bool{}
+	regionOf := map[fleet.FailureDomain]fleet.Region{}
+	for i, r := range t.Regions {
+		path := fmt.Sprintf("topology.regions[%d]", i)
+		v.name(path+".name", string(r.Name))
+		v.unique(path+".name", string(r.Name), regions)
+		for j, fd := range r.FailureDomains {
+			v.failureDomain(fmt.Sprintf("%s.failure_domains[%d]", path, j), fd, r.Name, regionOf)
+		}
+	}
+	v.between("topology.link.bytes_per_second", float64(t.Link.BytesPerSecond), 0, maxLinkBytesPerSec)
+	v.between("topology.link.online_reserve_percent", float64(t.Link.OnlineReservePercent), 0, maxPercent)
+}
+
+func (v *validator) failureDomain(path string, fd fleet.FailureDomain, region fleet.Region, regionOf map[fleet.FailureDomain]fleet.Region) {
+	v.name(path, string(fd))
+	if other, known := regionOf[fd]; known {
+		v.add(path, ErrDuplicate, "failure domain %q is already in region %q", fd, other)
+		return
+	}
+	regionOf[fd] = region
+}
+
+func (v *validator) limits(l *Limits) {
+	v.between("limits.first_token_timeout_ms", float64(l.FirstTokenTimeoutMs), 0, maxTimeoutMs)
+	v.between("limits.progress_timeout_ms", float64(l.ProgressTimeoutMs), 0, maxTimeoutMs)
+	v.between("limits.queue_timeout_ms", float64(l.QueueTimeoutMs), 0, maxTimeoutMs)
+	v.between("limits.retry_budget_percent", float64(l.RetryBudgetPercent), 0, maxPercent)
+	v.between("limits.batch_harm_percent", float64(l.BatchHarmPercent), 0, maxHarmPercent)
+}
--- /dev/null
+++ b/core/bundle/yaml.go
@@ -0,0 +1,138 @@
+package bundle
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxDocumentBytes bounds a YAML document. 44,000 callers take about 6 MB.
+	MaxDocumentBytes = 16 << 20
+	// maxYAMLNesting bounds brackets that are open at once and sequence dashes on one line. The document itself needs 4; the
+	// parser recurses for each level.
+	maxYAMLNesting = 16
+)
+
+// ParseError says where a YAML document cannot be read.
+type ParseError struct {
+	Source  string // file name as given to ParseYAML
+	Line    int    // from 1; 0 if unknown
+	Column  int    // from 1; 0 if unknown
+	Field   string // name of the field on that line, empty if unknown
+	Message string
+}
+
+// Error returns "file:line:column: field name: message".
+func (e *ParseError) Error() string {
+	at := e.Source
+	if e.Line > 0 {
+		at = fmt.Sprintf("%s:%d:%d", e.Source, e.Line, e.Column)
+	}
+	if e.Field != "" {
+		return fmt.Sprintf("%s: field %q: %s", at, e.Field, e.Message)
+	}
+	return at + ": " + e.Message
+}
+
+// ParseYAML reads one document strictly: unknown and repeated fields, anchors, aliases and further documents are errors.
+// The source names the file in errors, which are a *ParseError or ErrDocumentTooLarge. The result is not validated.
+func ParseYAML(data []byte, source string) (*Document, error) {
+	if len(data) > MaxDocumentBytes {
+		return nil, eris.Wrapf(ErrDocumentTooLarge, "%s has %d bytes, at most %d are allowed", source, len(data), MaxDocumentBytes)
+	}
+	node, err := parseTree(data, source)
+	if err != nil {
+		return nil, err
+	}
+	doc := &Document{}
+	decoder := yaml.NewDecoder(bytes.NewReader(nil), yaml.Strict())
+	if err := decoder.DecodeFromNode(node, doc); err != nil {
+		return nil, parseError(err, source)
+	}
+	return doc, nil
+}
+
+// parseTree returns the root of the only YAML document in data.
+func parseTree(data []byte, source string) (ast.Node, error) {
+	tokens := lexer.Tokenize(string(data))
+	if err := checkTokens(tokens, source); err != nil {
+		return nil, err
+	}
+	file, err := parser.Parse(tokens, 0)
+	if err != nil {
+		return nil, parseError(err, source)
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, &ParseError{Source: source, Message: fmt.Sprintf("has %d YAML documents, want one", len(file.Docs))}
+	}
+	body := file.Docs[0].Body
+	if body.Type() != ast.MappingType {
+		return nil, &ParseError{Source: source, Line: 1, Column: 1, Message: "the document is not a mapping of fields"}
+	}
+	return body, nil
+}
+
+// checkTokens refuses what a bundle does not need and what would let a small document cost much memory or stack.
+func checkTokens(tokens token.Tokens, source string) error {
+	open, dashes, line := 0, 0, 0
+	for _, t := range tokens {
+		if t.Position.Line != line {
+			line, dashes = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.AnchorType, token.AliasType, token.MergeKeyType:
+			return tokenError(t, source, "anchors, aliases and merge keys are not supported")
+		case token.MappingKeyType, token.TagType, token.DirectiveType:
+			return tokenError(t, source, "explicit keys, tags and directives are not supported")
+		case token.SequenceStartType, token.MappingStartType:
+			open++
+		case token.SequenceEndType, token.MappingEndType:
+			open--
+		case token.SequenceEntryType:
+			dashes++
+		}
+		if open > maxYAMLNesting || dashes > maxYAMLNesting {
+			return tokenError(t, source, "is nested too deeply")
+		}
+	}
+	return nil
+}
+
+func parseError(err error, source string) error {
+	var detailed yaml.Error
+	if errors.As(err, &detailed) && detailed.GetToken() != nil {
+		return tokenError(detailed.GetToken(), source, detailed.GetMessage())
+	}
+	return &ParseError{Source: source, Message: err.Error()}
+}
+
+func tokenError(t *token.Token, source, message string) error {
+	return &ParseError{
+		Source:  source,
+		Line:    t.Position.Line,
+		Column:  t.Position.Column,
+		Field:   fieldOf(t),
+		Message: message,
+	}
+}
+
+// fieldOf returns the nearest key at or before the token: the token itself if a colon follows, otherwise the key of its value.
+func fieldOf(t *token.Token) string {
+	if t.Next != nil && t.Next.Type == token.MappingValueType {
+		return t.Value
+	}
+	for at := t; at != nil; at = at.Prev {
+		if at.Type == token.MappingValueType && at.Prev != nil {
+			return at.Prev.Value
+		}
+	}
+	return ""
+}
