--- /dev/null
+++ b/core/membership/entrypoints.go
@@ -0,0 +1,89 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/rendezvous"
+)
+
+const (
+	// spreadSlot is how long the order of entrypoints stays the same. At the design size an instance answers about 12
+	// entrypoint requests per second (44,000 callers, 10 s TTL, 370 instances), so that most answers differ.
+	spreadSlot = 10 * time.Millisecond
+	// idleWeight is the load that counts like none. Loads are heard with the probes and are up to minutes old in a large
+	// fleet, so that small differences mean nothing.
+	idleWeight = 8
+)
+
+// Entrypoints returns the addresses for a caller, best first: alive members by distance, suspected ones after all of them,
+// draining and dead ones not at all, nor those whose caller address is unknown. Within a distance the order is a draw weighted
+// by load (requests in flight): a member with less load is more likely to be first, and the draw changes with every spreadSlot,
+// so that the callers of a failure domain do not all get the same first address.
+func Entrypoints(members []fleet.Member, topology fleet.Topology, caller fleet.FailureDomain, now time.Time) []fleet.Member {
+	type ranked struct {
+		member   fleet.Member
+		distance fleet.Distance
+		draw     float64
+	}
+	slot := strconv.FormatInt(now.UnixNano()/int64(spreadSlot), 10)
+	key := string(caller) + "/" + slot
+	var candidates []ranked
+	for _, m := range members {
+		if m.State > fleet.MemberSuspect || m.CallerAddress == "" {
+			continue
+		}
+		candidates = append(candidates, ranked{
+			member:   m,
+			distance: topology.Distance(caller, m.FailureDomain),
+			draw:     weightedDraw(key, m),
+		})
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.member.State, b.member.State),
+			cmp.Compare(a.distance, b.distance),
+			cmp.Compare(a.draw, b.draw),
+			cmp.Compare(a.member.ID, b.member.ID),
+		)
+	})
+	ordered := make([]fleet.Member, len(candidates))
+	for i, c := range candidates {
+		ordered[i] = c.member
+	}
+	return ordered
+}
+
+// weightedDraw is weighted rendezvous hashing: the smallest value of -ln(u)/weight wins with probability proportional to weight.
+func weightedDraw(key string, m fleet.Member) float64 {
+	const mantissa = 53 // bits of a float64 mantissa
+	u := (float64(rendezvous.Score(key, string(m.ID))>>(64-mantissa)) + 1) / (1 << mantissa)
+	return -math.Log(u) * float64(idleWeight+max(0, m.InFlight))
+}
+
+// watchersKey is the rendezvous key of the choice of watchers.
+const watchersKey = "store-watchers"
+
+// Watchers returns the instances that watch the store, perRegion of each region, ordered by ID. Only alive members are chosen,
+// so that a suspected watcher is replaced at once. Members whose region is unknown form a region of their own.
+func Watchers(members []fleet.Member, topology fleet.Topology, perRegion int) []fleet.InstanceID {
+	byRegion := map[fleet.Region][]string{}
+	for _, m := range members {
+		if m.State == fleet.MemberAlive {
+			region := topology.RegionOf[m.FailureDomain]
+			byRegion[region] = append(byRegion[region], string(m.ID))
+		}
+	}
+	var watchers []fleet.InstanceID
+	for _, ids := range byRegion {
+		for _, id := range rendezvous.Rendezvous(watchersKey, ids, perRegion) {
+			watchers = append(watchers, fleet.InstanceID(id))
+		}
+	}
+	slices.Sort(watchers)
+	return watchers
+}
--- /dev/null
+++ b/core/membership/merge.go
@@ -0,0 +1,151 @@
+package membership
+
+import (
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// overrides reports whether an update replaces what is known: a higher incarnation always does, an equal one if its state is
+// later in the order alive, suspect, draining, dead.
+func overrides(u Update, known fleet.Member) bool {
+	if u.Incarnation != known.Incarnation {
+		return u.Incarnation > known.Incarnation
+	}
+	return u.State > known.State
+}
+
+// apply takes in one update and, if it is news and spread is set, queues it for the others.
+func (d *Detector) apply(now time.Time, u Update, spread bool) {
+	if u.ID == d.self.ID {
+		d.refute(u)
+		return
+	}
+	r, ok := d.records[u.ID]
+	if !ok {
+		d.add(now, u, spread)
+		return
+	}
+	if !overrides(u, r.member) {
+		fillAddresses(&r.member, u)
+		return
+	}
+	d.set(now, r, u)
+	if spread {
+		d.queue.addMember(updateOf(r.member))
+	}
+}
+
+// refute raises this instance's incarnation above a claim that it is suspected, dead or of another life, and spreads that.
+// Incarnations are unix milliseconds at start, so that the next life of this instance still starts higher.
+func (d *Detector) refute(u Update) {
+	stale := u.Incarnation < d.self.Incarnation
+	agrees := u.Incarnation == d.self.Incarnation && u.State <= d.self.State && u.State != fleet.MemberSuspect
+	if stale || agrees {
+		return
+	}
+	d.self.Incarnation = u.Incarnation + 1
+	d.queue.addMember(d.selfUpdate())
+}
+
+// add creates a record. A dead member is remembered too, so that a stale update cannot bring it in as alive.
+func (d *Detector) add(now time.Time, u Update, spread bool) {
+	r := &record{member: fleet.Member{ID: u.ID}, incarnatedAt: now, changedAt: now}
+	d.records[u.ID] = r
+	fillAddresses(&r.member, u)
+	r.member.Incarnation = u.Incarnation
+	r.member.State = u.State
+	d.startSuspicion(now, r)
+	d.insertInRound(u.ID)
+	d.noteChange(Change{ID: u.ID, Incarnation: u.Incarnation, To: u.State})
+	if spread {
+		d.queue.addMember(updateOf(r.member))
+	}
+}
+
+// set replaces state, incarnation and the addresses that the update carries.
+func (d *Detector) set(now time.Time, r *record, u Update) {
+	from := r.member.State
+	if u.Incarnation > r.member.Incarnation {
+		r.incarnatedAt = now
+		r.told = 0
+		replaceAddresses(&r.member, u)
+	}
+	fillAddresses(&r.member, u)
+	r.member.Incarnation = u.Incarnation
+	r.member.State = u.State
+	r.suspectUntil = time.Time{}
+	d.startSuspicion(now, r)
+	if from == u.State {
+		return
+	}
+	r.changedAt = now
+	delete(d.indirect, u.ID)
+	if from == fleet.MemberDead {
+		d.insertInRound(u.ID)
+	}
+	d.noteChange(Change{ID: u.ID, Incarnation: u.Incarnation, From: from, To: u.State, Known: true})
+}
+
+func (d *Detector) startSuspicion(now time.Time, r *record) {
+	if r.member.State == fleet.MemberSuspect {
+		r.suspectUntil = now.Add(d.options.suspicionTimeout(d.size()))
+	}
+}
+
+func (d *Detector) noteChange(c Change) {
+	if len(d.events.Changes) < maxPendingChanges {
+		d.events.Changes = append(d.events.Changes, c)
+	}
+}
+
+// replaceAddresses takes the addresses of a new life.
+func replaceAddresses(m *fleet.Member, u Update) {
+	if u.PeerAddress != "" {
+		m.PeerAddress = u.PeerAddress
+	}
+	if u.CallerAddress != "" {
+		m.CallerAddress = u.CallerAddress
+	}
+	if u.FailureDomain != "" {
+		m.FailureDomain = u.FailureDomain
+	}
+}
+
+// fillAddresses completes what is unknown. An update of an older life does not qualify.
+func fillAddresses(m *fleet.Member, u Update) {
+	if u.Incarnation < m.Incarnation {
+		return
+	}
+	setIfZero(&m.PeerAddress, u.PeerAddress)
+	setIfZero(&m.CallerAddress, u.CallerAddress)
+	setIfZero(&m.FailureDomain, u.FailureDomain)
+}
+
+func setIfZero[T ~string](field *T, value T) {
+	if *field == "" {
+		*field = value
+	}
+}
+
+// TargetLeaving tells the detector that this instance learned, from a 503 or from the list, that a target is leaving, so that
+// the peers hear of it.
+func (d *Detector) TargetLeaving(now time.Time, id fleet.TargetID) {
+	d.targetLeaving(now, id)
+}
+
+func (d *Detector) targetLeaving(now time.Time, id fleet.TargetID) {
+	if _, known := d.leaving[id]; known {
+		return
+	}
+	d.leaving[id] = now
+	u := TargetUpdate{ID: id, State: fleet.TargetLeaving}
+	d.queue.addTarget(u)
+	d.events.Targets = append(d.events.Targets, u)
+}
+
+// ForgetTarget drops what is known of a target that is gone or that started a new life under its ID.
+func (d *Detector) ForgetTarget(id fleet.TargetID) {
+	delete(d.leaving, id)
+	d.queue.dropTarget(id)
+}
--- /dev/null
+++ b/core/membership/message.go
@@ -0,0 +1,147 @@
+package membership
+
+import (
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// outgoing builds a probe to a known member.
+func (d *Detector) outgoing(id fleet.InstanceID) Outgoing {
+	r := d.records[id]
+	return Outgoing{To: id, Address: r.member.PeerAddress, Probe: d.message(r, false)}
+}
+
+// message builds a probe or acknowledgement for the member of r. It always carries, beside the queued updates,
+//   - this instance's own record, if the receiver may not have it or if this instance is draining: a receiver then never
+//     mistakes a draining sender for an alive one;
+//   - the receiver's own record if it is suspected or dead here, so that it can refute.
+func (d *Detector) message(r *record, introduce bool) Probe {
+	p := Probe{
+		From:        d.self.ID,
+		Incarnation: d.self.Incarnation,
+		Generation:  d.self.Generation,
+		InFlight:    d.self.InFlight,
+	}
+	var added []fleet.InstanceID
+	if r == nil || r.told != d.self.Incarnation || d.self.State == fleet.MemberDraining {
+		p.Updates = append(p.Updates, d.selfUpdate())
+		added = append(added, d.self.ID)
+	}
+	if r != nil && (r.member.State == fleet.MemberSuspect || r.member.State == fleet.MemberDead) {
+		p.Updates = append(p.Updates, updateOf(r.member))
+		added = append(added, r.member.ID)
+	}
+	limit := d.options.UpdatesPerMessage - len(p.Updates)
+	members, targets := d.queue.take(limit, d.options.retransmits(d.size()), added...)
+	p.Updates = append(p.Updates, members...)
+	p.Targets = targets
+	if introduce {
+		p.Updates = append(p.Updates, d.introduction(p.Updates)...)
+	}
+	return p
+}
+
+// introduction returns random members with addresses for an instance that has just started and may know nobody.
+func (d *Detector) introduction(already []Update) []Update {
+	var updates []Update
+	known := map[fleet.InstanceID]bool{}
+	for _, u := range already {
+		known[u.ID] = true
+	}
+	for _, id := range d.randomMembers(d.options.IntroductionUpdates, "") {
+		if !known[id] {
+			updates = append(updates, updateOf(d.records[id].member))
+		}
+	}
+	return updates
+}
+
+func (d *Detector) selfUpdate() Update { return updateOf(d.self) }
+
+// updateOf omits the addresses of suspected and dead members: nobody connects to them for the first time.
+func updateOf(m fleet.Member) Update {
+	u := Update{ID: m.ID, State: m.State, Incarnation: m.Incarnation}
+	if m.State == fleet.MemberAlive || m.State == fleet.MemberDraining {
+		u.PeerAddress = m.PeerAddress
+		u.CallerAddress = m.CallerAddress
+		u.FailureDomain = m.FailureDomain
+	}
+	return u
+}
+
+// HandleProbe takes in a peer's probe and returns the acknowledgement. A probe that names this instance as its sender is
+// acknowledged without effect.
+func (d *Detector) HandleProbe(now time.Time, p Probe) Probe {
+	d.start(now)
+	if p.From == d.self.ID {
+		return Probe{From: d.self.ID, Incarnation: d.self.Incarnation, Generation: d.self.Generation}
+	}
+	before, known := d.records[p.From]
+	isNew := !known || before.member.Incarnation < p.Incarnation
+	d.merge(now, p)
+	r := d.records[p.From]
+	ack := d.message(r, isNew)
+	if r != nil {
+		r.told = d.self.Incarnation
+	}
+	return ack
+}
+
+// HandleAck takes in the acknowledgement of a probe sent to from. It reports false, and changes nothing, if another instance
+// answered at that address; the probe then counts as failed.
+func (d *Detector) HandleAck(now time.Time, from fleet.InstanceID, ack Probe) bool {
+	if ack.From != from || from == d.self.ID {
+		return false
+	}
+	incarnation := d.self.Incarnation
+	d.merge(now, ack)
+	delete(d.indirect, from)
+	if r, ok := d.records[from]; ok && incarnation == d.self.Incarnation {
+		r.told = incarnation
+	}
+	return true
+}
+
+// merge applies what a message says. The updates come first: they carry the sender's own state if it is draining.
+func (d *Detector) merge(now time.Time, p Probe) {
+	for _, u := range p.Updates {
+		d.apply(now, u, true)
+	}
+	for _, t := range p.Targets {
+		if t.State == fleet.TargetLeaving {
+			d.targetLeaving(now, t.ID)
+		}
+	}
+	d.heard(now, p)
+}
+
+// heard records direct contact. A higher incarnation proves that the sender is alive. At the same incarnation a suspected or
+// dead sender has to refute first, so that every instance comes to the same view.
+func (d *Detector) heard(now time.Time, p Probe) {
+	r, ok := d.records[p.From]
+	if !ok {
+		return
+	}
+	if p.Incarnation > r.member.Incarnation {
+		d.apply(now, Update{ID: p.From, State: fleet.MemberAlive, Incarnation: p.Incarnation}, true)
+	}
+	if p.Incarnation < r.member.Incarnation {
+		return
+	}
+	r.heardAt = now
+	r.member.Generation = p.Generation
+	r.member.InFlight = p.InFlight
+	if r.member.State == fleet.MemberDraining {
+		r.suspectUntil = time.Time{}
+	}
+	d.noteGeneration(r.member)
+}
+
+func (d *Detector) noteGeneration(m fleet.Member) {
+	if m.Generation <= d.self.Generation || m.Generation <= d.highest {
+		return
+	}
+	d.highest = m.Generation
+	d.events.Generation = &GenerationHint{Generation: m.Generation, Peer: m.ID, Address: m.PeerAddress}
+}
--- /dev/null
+++ b/core/membership/probing.go
@@ -0,0 +1,196 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// HandleProbeFailed takes in that a probe to id got no answer in time and returns the indirect probes to try.
+func (d *Detector) HandleProbeFailed(now time.Time, id fleet.InstanceID) []IndirectRequest {
+	r, ok := d.records[id]
+	if !ok || r.member.State == fleet.MemberDead || d.paused(now) {
+		return nil
+	}
+	if _, pending := d.indirect[id]; pending {
+		return nil
+	}
+	relays := d.randomMembers(d.options.IndirectProbes, id)
+	if len(relays) == 0 {
+		d.suspect(now, r)
+		return nil
+	}
+	d.indirect[id] = &pendingIndirect{waiting: len(relays), expires: now.Add(d.options.IndirectTimeout)}
+	requests := make([]IndirectRequest, 0, len(relays))
+	for _, relay := range relays {
+		requests = append(requests, IndirectRequest{
+			Relay:          relay,
+			RelayAddress:   d.records[relay].member.PeerAddress,
+			Subject:        id,
+			SubjectAddress: r.member.PeerAddress,
+		})
+	}
+	return requests
+}
+
+// HandleIndirectResult takes in one relay's answer about subject. When every relay failed, subject becomes suspected. incarnation
+// is 0 if the relay did not learn it.
+func (d *Detector) HandleIndirectResult(now time.Time, subject fleet.InstanceID, reached bool, incarnation uint64) {
+	r, ok := d.records[subject]
+	pending, waiting := d.indirect[subject]
+	if !ok || !waiting {
+		return
+	}
+	if reached {
+		delete(d.indirect, subject)
+		d.reachedIndirectly(now, r, incarnation)
+		return
+	}
+	pending.waiting--
+	if pending.waiting > 0 {
+		return
+	}
+	delete(d.indirect, subject)
+	if !d.paused(now) {
+		d.suspect(now, r)
+	}
+}
+
+func (d *Detector) reachedIndirectly(now time.Time, r *record, incarnation uint64) {
+	if incarnation >= r.member.Incarnation && r.member.State == fleet.MemberDraining {
+		r.suspectUntil = time.Time{}
+	}
+	if incarnation > r.member.Incarnation && r.member.State != fleet.MemberDraining {
+		d.apply(now, Update{ID: r.member.ID, State: fleet.MemberAlive, Incarnation: incarnation}, true)
+	}
+}
+
+// suspect starts suspicion. A draining member keeps its state, which overrides suspicion: only the timeout runs, and direct
+// contact ends it.
+func (d *Detector) suspect(now time.Time, r *record) {
+	switch r.member.State {
+	case fleet.MemberAlive:
+		d.apply(now, Update{ID: r.member.ID, State: fleet.MemberSuspect, Incarnation: r.member.Incarnation}, true)
+	case fleet.MemberDraining:
+		if r.suspectUntil.IsZero() {
+			r.suspectUntil = now.Add(d.options.suspicionTimeout(d.size()))
+		}
+	}
+}
+
+// paused reports whether this instance did not tick for so long that a failed probe says nothing about the peer.
+func (d *Detector) paused(now time.Time) bool {
+	return now.Sub(d.lastTick) > pauseIntervals*d.options.ProbeInterval
+}
+
+func (d *Detector) expireIndirect(now time.Time) {
+	for _, id := range sortedKeys(d.indirect) {
+		if now.Before(d.indirect[id].expires) {
+			continue
+		}
+		delete(d.indirect, id)
+		if r, ok := d.records[id]; ok {
+			d.suspect(now, r)
+		}
+	}
+}
+
+func (d *Detector) expireSuspicions(now time.Time) {
+	for _, id := range sortedKeys(d.records) {
+		r := d.records[id]
+		if r.suspectUntil.IsZero() || now.Before(r.suspectUntil) {
+			continue
+		}
+		d.apply(now, Update{ID: id, State: fleet.MemberDead, Incarnation: r.member.Incarnation}, true)
+	}
+}
+
+// forget drops dead members after their retention unless the list still says that they live: those are probed until the list
+// drops them, because a parted region looks dead. Leaving targets are forgotten after the same time.
+func (d *Detector) forget(now time.Time) {
+	for id, r := range d.records {
+		expired := r.member.State == fleet.MemberDead && now.Sub(r.changedAt) > d.options.DeadRetention
+		if expired && r.listState != ListLive && r.listState != ListLeaving {
+			delete(d.records, id)
+		}
+	}
+	for id, since := range d.leaving {
+		if now.Sub(since) > d.options.DeadRetention {
+			delete(d.leaving, id)
+		}
+	}
+}
+
+// probeable members take part in the regular rounds.
+func probeable(r *record) bool {
+	return r.member.State != fleet.MemberDead && r.member.PeerAddress != ""
+}
+
+// worthReviving members are dead here although nothing says that they are gone for good.
+func worthReviving(r *record) bool {
+	return r.member.State == fleet.MemberDead && r.member.PeerAddress != "" && r.listState != ListGone
+}
+
+// nextInRound returns the next eligible member of a shuffled round and starts a new round at its end.
+func (d *Detector) nextInRound(order *[]fleet.InstanceID, eligible func(*record) bool) (fleet.InstanceID, bool) {
+	for range 2 {
+		for len(*order) > 0 {
+			id := (*order)[0]
+			*order = (*order)[1:]
+			if r, ok := d.records[id]; ok && eligible(r) {
+				return id, true
+			}
+		}
+		*order = d.shuffled(eligible)
+	}
+	return "", false
+}
+
+// insertInRound places a new member at a random position of the current round, as in the SWIM paper.
+func (d *Detector) insertInRound(id fleet.InstanceID) {
+	if len(d.order) == 0 || slices.Contains(d.order, id) {
+		return
+	}
+	d.order = slices.Insert(d.order, d.rng.IntN(len(d.order)+1), id)
+}
+
+func (d *Detector) unconfirmedDraining() (fleet.InstanceID, bool) {
+	for _, id := range sortedKeys(d.records) {
+		r := d.records[id]
+		if r.member.State == fleet.MemberDraining && !r.suspectUntil.IsZero() && probeable(r) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// randomMembers returns up to k alive members other than except.
+func (d *Detector) randomMembers(k int, except fleet.InstanceID) []fleet.InstanceID {
+	ids := d.shuffled(func(r *record) bool {
+		return r.member.State == fleet.MemberAlive && r.member.PeerAddress != "" && r.member.ID != except
+	})
+	return ids[:min(k, len(ids))]
+}
+
+func (d *Detector) shuffled(eligible func(*record) bool) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, id := range sortedKeys(d.records) {
+		if eligible(d.records[id]) {
+			ids = append(ids, id)
+		}
+	}
+	d.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+// sortedKeys makes every run with the same seed the same.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/core/membership/queue.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// updateQueue holds the updates that are still to be spread. Exactly one of the fields member and target of an item is set. A
+// newer update replaces the older one of the same member or target.
+type updateQueue struct {
+	members map[fleet.InstanceID]*queued
+	targets map[fleet.TargetID]*queued
+	next    uint64
+}
+
+type queued struct {
+	member *Update
+	target *TargetUpdate
+	sent   int
+	order  uint64
+}
+
+func newUpdateQueue() updateQueue {
+	return updateQueue{members: map[fleet.InstanceID]*queued{}, targets: map[fleet.TargetID]*queued{}}
+}
+
+func (q *updateQueue) addMember(u Update) {
+	q.next++
+	q.members[u.ID] = &queued{member: &u, order: q.next}
+}
+
+func (q *updateQueue) addTarget(u TargetUpdate) {
+	q.next++
+	q.targets[u.ID] = &queued{target: &u, order: q.next}
+}
+
+func (q *updateQueue) dropTarget(id fleet.TargetID) { delete(q.targets, id) }
+
+// take returns up to limit updates, the least sent and then the newest first, and drops those that were sent often enough.
+// The updates about skip are left out, because the caller has added them already.
+func (q *updateQueue) take(limit, retransmits int, skip ...fleet.InstanceID) ([]Update, []TargetUpdate) {
+	if limit <= 0 || len(q.members)+len(q.targets) == 0 {
+		return nil, nil
+	}
+	pending := make([]*queued, 0, len(q.members)+len(q.targets))
+	for id, item := range q.members {
+		if !slices.Contains(skip, id) {
+			pending = append(pending, item)
+		}
+	}
+	for _, item := range q.targets {
+		pending = append(pending, item)
+	}
+	slices.SortFunc(pending, func(a, b *queued) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
+	})
+	var members []Update
+	var targets []TargetUpdate
+	for _, item := range pending[:min(limit, len(pending))] {
+		item.sent++
+		if item.member != nil {
+			members = append(members, *item.member)
+		} else {
+			targets = append(targets, *item.target)
+		}
+		q.dropExhausted(item, retransmits)
+	}
+	return members, targets
+}
+
+func (q *updateQueue) dropExhausted(item *queued, retransmits int) {
+	if item.sent < retransmits {
+		return
+	}
+	if item.member != nil {
+		delete(q.members, item.member.ID)
+	} else {
+		delete(q.targets, item.target.ID)
+	}
+}
