--- /dev/null
+++ b/node/dispatch/claimed.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	coreclaims "eelgrassproxy.example/core/claims"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/claims"
+	"eelgrassproxy.example/node/decisionlog"
+	"eelgrassproxy.example/node/problem"
+	"eelgrassproxy.example/node/request"
+)
+
+// headerReplayed marks an answer that was recorded for an earlier request with the same key.
+const headerReplayed = "X-Idempotent-Replay"
+
+// runClaimed claims the request's key, so that it runs at most once over all instances and resends, and records its answer.
+func (d *Dispatcher) runClaimed(ctx context.Context, r *request.Request, w http.ResponseWriter) error {
+	waiting, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	result, err := d.Claims.Acquire(waiting, claimRequest(r))
+	if err != nil {
+		return d.unclaimed(ctx, r, w, err)
+	}
+	d.log(r, decisionlog.Entry{Kind: decisionlog.KindClaim, Reason: claimReasons[result.Kind]})
+	switch result.Kind {
+	case claims.Run:
+		return d.runHolding(ctx, r, w, result.Claim)
+	case claims.Replay:
+		return replay(w, result.Answer)
+	case claims.Unknown:
+		return problem.MayHaveRun(problem.CodeOutcomeUnknown, "an earlier request with this Idempotency-Key may have run; it is not run again")
+	case claims.Mismatch:
+		return problem.NotRun(problem.CodeKeyMismatch, "Idempotency-Key was used for another request")
+	default:
+		return problem.MayHaveRun(problem.CodeInProgress, "a request with this Idempotency-Key is still running").After(result.RetryAfter)
+	}
+}
+
+var claimReasons = map[claims.Kind]string{
+	claims.Run:        "claimed",
+	claims.Replay:     "first answer replayed",
+	claims.Unknown:    "outcome unknown",
+	claims.Mismatch:   "key used for another request",
+	claims.InProgress: "in progress elsewhere",
+}
+
+func claimRequest(r *request.Request) claims.Request {
+	operation := r.Pool().String() + "/" + r.Path
+	return claims.Request{
+		Caller:         r.Caller.ID,
+		IdempotencyKey: r.IdempotencyKey,
+		Operation:      operation,
+		Digest:         coreclaims.Digest(operation, r.Body),
+	}
+}
+
+// unclaimed handles a claim that could not be recorded. A request that may run twice goes on without one: during an outage of the
+// store a late answer harms its caller more than a second run would.
+func (d *Dispatcher) unclaimed(ctx context.Context, r *request.Request, w http.ResponseWriter, cause error) error {
+	if !r.Idempotent() {
+		d.log(r, decisionlog.Entry{Kind: decisionlog.KindClaim, Reason: "refused: " + cause.Error()})
+		return problem.NotRun(problem.CodeStoreUnavailable, "the request cannot be claimed and was not run: %v", cause).After(time.Second)
+	}
+	d.log(r, decisionlog.Entry{Kind: decisionlog.KindClaim, Reason: "run without a claim: " + cause.Error()})
+	_, err := d.execute(ctx, r, w)
+	return err
+}
+
+// runHolding runs the request under its claim and records the outcome.
+func (d *Dispatcher) runHolding(ctx context.Context, r *request.Request, w http.ResponseWriter, claim *claims.Claim) error {
+	recorder := newRecorder(w, r.Stream)
+	if !r.Idempotent() {
+		// Runs to its end although the caller may leave, so that a resend finds the answer.
+		ctx = context.WithoutCancel(ctx)
+	}
+	fate, err := d.execute(ctx, r, recorder)
+	if err := d.record(ctx, r, claim, fate, recorder); err != nil {
+		klog.ErrorS(err, "Outcome of a claimed request was not recorded", "request", r.ID)
+	}
+	if err != nil {
+		return err
+	}
+	return recorder.deliver()
+}
+
+func (d *Dispatcher) record(ctx context.Context, r *request.Request, claim *claims.Claim, f fate, recorder *recorder) error {
+	switch {
+	case f == fateAnswered:
+		err := d.Claims.Complete(ctx, claim, recorder.answer())
+		if errors.Is(err, coreclaims.ErrAnswerTooLarge) {
+			return d.Claims.Complete(ctx, claim, recorder.digestOnly())
+		}
+		return err
+	case f == fateNotRun, r.Idempotent():
+		return d.Claims.Release(ctx, claim)
+	default:
+		return d.Claims.Abandon(ctx, claim)
+	}
+}
+
+func replay(w http.ResponseWriter, answer coreclaims.Answer) error {
+	if answer.BulkDigest != "" {
+		return problem.MayHaveRun(problem.CodeAnswerNotKept, "the request ran once; its answer was too large to keep (SHA-256 %s)", answer.BulkDigest)
+	}
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.Header().Set(headerReplayed, "true")
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	return nil
+}
+
+// LivenessFrom tells from the membership table whether the process of an instance still runs.
+func LivenessFrom(members interface {
+	Get(fleet.InstanceID) (fleet.Member, bool)
+}) coreclaims.LivenessFunc {
+	return func(id fleet.InstanceID, incarnation uint64) coreclaims.Liveness {
+		member, ok := members.Get(id)
+		switch {
+		case !ok:
+			return coreclaims.Uncertain
+		case member.State == fleet.MemberDead:
+			return coreclaims.Dead
+		case member.Started != 0 && incarnation != 0 && member.Started != incarnation:
+			return coreclaims.Dead
+		case member.State == fleet.MemberSuspect:
+			return coreclaims.Uncertain
+		default:
+			return coreclaims.Alive
+		}
+	}
+}
--- /dev/null
+++ b/node/dispatch/execution.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routing"
+	"eelgrassproxy.example/node/admission"
+	"eelgrassproxy.example/node/decisionlog"
+	"eelgrassproxy.example/node/problem"
+	"eelgrassproxy.example/node/request"
+)
+
+// fate says what is certain about a request after its execution.
+type fate int
+
+const (
+	fateNotRun   fate = iota // no target ran any part of it
+	fateAnswered             // the whole answer was written
+	fateUnknown              // a target may have run it
+)
+
+// execution is the state of one request over its attempts.
+type execution struct {
+	dispatcher *Dispatcher
+	request    *request.Request
+	writer     http.ResponseWriter
+	route      routing.Request
+	ticket     *admission.Ticket
+	attempt    int  // attempts begun by this instance
+	mayHaveRun bool // an attempt may have run at a target
+	started    bool // a byte of the answer was written to the caller
+}
+
+// execute runs the request over as many attempts as allowed. The error is nil when the answer was written, or when it was begun and
+// its end told the caller that it is incomplete.
+func (d *Dispatcher) execute(ctx context.Context, r *request.Request, w http.ResponseWriter) (fate, error) {
+	x := &execution{dispatcher: d, request: r, writer: w, route: d.routeRequest(r)}
+	ticket, err := d.gates.Enter(ctx, r, x.pressure)
+	if err != nil {
+		d.log(r, decisionlog.Entry{Kind: decisionlog.KindAdmission, Reason: err.Error()})
+		return fateNotRun, err
+	}
+	defer ticket.Done()
+	x.ticket = ticket
+	err = x.run(ctx)
+	return x.fate(err), err
+}
+
+func (d *Dispatcher) routeRequest(r *request.Request) routing.Request {
+	route := routing.Request{ID: r.ID, Kind: r.Kind, FailureDomain: d.FailureDomain, Prefix: r.Prefix}
+	if r.Kind == fleet.KindService {
+		route.Service = r.Service.Name
+		return route
+	}
+	route.Base, route.Version, route.Adapter = r.Model.Base, r.Model.Version, r.Model.Adapter
+	return route
+}
+
+// pressure estimates the load of the request's pool for admission.
+func (x *execution) pressure() admission.Pressure {
+	return x.dispatcher.Pools.Pressure(x.request, &x.route, time.Now())
+}
+
+func (x *execution) fate(err error) fate {
+	var p *problem.Error
+	switch {
+	case err == nil:
+		return fateAnswered
+	case errors.As(err, &p) && p.NotRun:
+		return fateNotRun
+	default:
+		return fateUnknown
+	}
+}
+
+// run makes attempts until one answers or no further one is allowed.
+func (x *execution) run(ctx context.Context) error {
+	for {
+		target, err := x.choose()
+		if err != nil {
+			return err
+		}
+		failure := x.try(ctx, target)
+		if failure == nil {
+			return nil
+		}
+		x.mayHaveRun = x.mayHaveRun || failure.mayHaveRun
+		if x.started {
+			return x.endIncomplete(failure)
+		}
+		if err := x.retryOrFail(ctx, failure); err != nil {
+			return err
+		}
+	}
+}
+
+// choose routes the next attempt.
+func (x *execution) choose() (*routing.Candidate, error) {
+	d := x.dispatcher
+	now := time.Now()
+	candidates := d.Pools.Candidates(x.request, &x.route, now)
+	d.mu.Lock()
+	decision := d.Router.Decide(&x.route, candidates, d.random)
+	d.mu.Unlock()
+	entry := decisionlog.Entry{
+		Kind:       decisionlog.KindRoute,
+		Attempt:    x.attempt,
+		Reason:     string(decision.Reason),
+		Candidates: decision.Candidates,
+	}
+	if decision.Chosen != nil {
+		entry.Target = decision.Chosen.Target
+	}
+	d.log(x.request, entry)
+	if decision.Chosen == nil {
+		return nil, x.noTarget()
+	}
+	x.route.Excluded = append(x.route.Excluded, decision.Chosen.Target)
+	return decision.Chosen, nil
+}
+
+func (x *execution) noTarget() error {
+	message := fmt.Sprintf("no usable target is left for %s after %d attempts", x.request.Pool(), x.attempt)
+	if x.mayHaveRun {
+		return problem.MayHaveRun(problem.CodeOutcomeUnknown, "%s; an earlier attempt may have run", message)
+	}
+	return problem.NotRun(problem.CodeNoTarget, "%s", message).After(time.Second)
+}
+
+// retryOrFail returns nil if another attempt may be made.
+func (x *execution) retryOrFail(ctx context.Context, f *failure) error {
+	x.attempt++
+	reason := x.whyNoRetry(ctx, f)
+	if reason == "" && !x.mayRetry(f) {
+		reason = "retry budget or attempts used up"
+	}
+	entry := decisionlog.Entry{Kind: decisionlog.KindRetry, Attempt: x.attempt, Target: f.target, Reason: "retry after: " + f.Error()}
+	if reason != "" {
+		entry.Reason = "no retry, " + reason + ", after: " + f.Error()
+	}
+	x.dispatcher.log(x.request, entry)
+	if reason == "" {
+		return nil
+	}
+	return x.fail(f)
+}
+
+// maxAttempts bounds the attempts of a request at this instance that certainly did not run.
+const maxAttempts = 4
+
+// mayRetry takes a retry from the budget. An attempt that was not run put no work on a target, so that repeating it elsewhere cannot
+// multiply load; only the number of such attempts is bounded.
+func (x *execution) mayRetry(f *failure) bool {
+	if !f.mayHaveRun {
+		return x.attempt < maxAttempts
+	}
+	return x.dispatcher.tryRetry(x.request.Attempt + x.attempt - 1)
+}
+
+func (x *execution) whyNoRetry(ctx context.Context, f *failure) string {
+	switch {
+	case f.final != nil:
+		return "the target's answer is final"
+	case ctx.Err() != nil:
+		return "the caller has gone"
+	case f.mayHaveRun && !x.request.Idempotent():
+		return "the request is not idempotent and may have run"
+	case !time.Now().Before(x.request.Deadline):
+		return "the deadline has passed"
+	default:
+		return ""
+	}
+}
+
+// fail turns the last failure into the caller's error.
+func (x *execution) fail(f *failure) error {
+	switch {
+	case f.final != nil:
+		return f.final
+	case !x.mayHaveRun:
+		return problem.NotRun(problem.CodeNoTarget, "no target took the request: %v", f.cause).After(time.Second)
+	case f.deadline:
+		return problem.MayHaveRun(problem.CodeDeadline, "no answer came before the deadline")
+	default:
+		return problem.MayHaveRun(problem.CodeOutcomeUnknown, "the request may have run, its answer was lost: %v", f.cause)
+	}
+}
--- /dev/null
+++ b/node/dispatch/recorder.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"net/http"
+
+	"eelgrassproxy.example/core/claims"
+)
+
+// recorder keeps a copy of an answer for its claim. An answer in one piece is held back until deliver, so that it is recorded before
+// the caller sees it; the events of a stream pass at once.
+type recorder struct {
+	http.ResponseWriter
+	passes bool
+	status int
+	body   bytes.Buffer // at most claims.MaxAnswerBody+1 bytes if the answer passes
+	digest hash.Hash
+}
+
+func newRecorder(w http.ResponseWriter, passes bool) *recorder {
+	return &recorder{ResponseWriter: w, passes: passes, digest: sha256.New()}
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+	if r.passes {
+		r.ResponseWriter.WriteHeader(status)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) {
+	r.digest.Write(p)
+	if !r.passes {
+		return r.body.Write(p)
+	}
+	room := claims.MaxAnswerBody + 1 - r.body.Len()
+	r.body.Write(p[:min(len(p), max(room, 0))])
+	return r.ResponseWriter.Write(p)
+}
+
+// deliver writes an answer that was held back.
+func (r *recorder) deliver() error {
+	if r.passes {
+		return nil
+	}
+	r.ResponseWriter.WriteHeader(r.status)
+	// A caller that has gone does not change the outcome; a resend gets the recorded answer.
+	_, _ = r.ResponseWriter.Write(r.body.Bytes())
+	return nil
+}
+
+func (r *recorder) answer() claims.Answer {
+	return claims.Answer{Status: r.status, ContentType: r.Header().Get("Content-Type"), Body: r.body.Bytes()}
+}
+
+// digestOnly records that the request ran and what its answer was, without the answer.
+func (r *recorder) digestOnly() claims.Answer {
+	return claims.Answer{Status: r.status, ContentType: r.Header().Get("Content-Type"), BulkDigest: hex.EncodeToString(r.digest.Sum(nil))}
+}
--- /dev/null
+++ b/node/dispatch/whole.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/stream"
+)
+
+// upstream is a target's successful answer.
+type upstream struct {
+	header http.Header
+	body   io.ReadCloser
+	stream bool
+	load   *fleet.LoadReport
+}
+
+// relayWhole reads the whole answer, checks that it is the one to this request, and only then writes it.
+func (a *attempt) relayWhole(ctx context.Context, answer *upstream) *failure {
+	limit := a.dispatcher.MaxAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(answer.body, limit+1))
+	if err != nil {
+		return a.failed(ctx, fmt.Errorf("read answer: %w", err))
+	}
+	if int64(len(body)) > limit {
+		return a.failed(ctx, fmt.Errorf("answer exceeds %d bytes", limit))
+	}
+	if err := stream.CheckAnswer(a.upstreamID, answer.header, body); err != nil {
+		return a.failed(ctx, err)
+	}
+	a.firstByteCame()
+	a.execution.started = true
+	header := a.writer.Header()
+	header.Set("Content-Type", answer.header.Get("Content-Type"))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	a.writer.WriteHeader(http.StatusOK)
+	// A caller that has gone does not change the outcome: the target ran the request.
+	_, _ = a.writer.Write(body)
+	return nil
+}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -13,6 +13,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/routing"
+	"eelgrassproxy.example/node/admission"
 	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/request"
 )
@@ -71,6 +72,19 @@
 	return candidates
 }
 
+// Pressure returns the capacity of the request's pool and the load on it, both over the targets that may be used.
+func (p *Pools) Pressure(r *request.Request, req *routing.Request, now time.Time) admission.Pressure {
+	pressure := admission.Pressure{Sharers: p.sharers()}
+	for _, c := range p.Candidates(r, req, now) {
+		if c.CircuitOpen || c.State != fleet.TargetLive || c.Residency == routing.ModelLoading {
+			continue
+		}
+		pressure.Capacity += float64(c.MaxRunning)
+		pressure.Load += c.Load
+	}
+	return pressure
+}
+
 // sharers is the number of instances that send to the same targets: those that serve.
 func (p *Pools) sharers() int {
 	serving := 0
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -33,6 +33,7 @@
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeIncompleteAnswer Code = "incomplete_answer"
+	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeTargetRejected   Code = "target_rejected"
 	CodeInternal         Code = "internal"
 )
@@ -54,6 +55,7 @@
 	CodeDeadline:         http.StatusGatewayTimeout,
 	CodeOutcomeUnknown:   http.StatusBadGateway,
 	CodeIncompleteAnswer: http.StatusBadGateway,
+	CodeAnswerNotKept:    http.StatusConflict,
 	CodeTargetRejected:   http.StatusBadGateway,
 	CodeInternal:         http.StatusInternalServerError,
 }
