Add limits and at-most-once claims

Requests that must not be repeated need a record before dispatch, and the fleet needs bounds on what it accepts. core/limits holds caller buckets, the fair queue, admission by deadline, the retry budget, outlier ejection and the link budget; core/claims the claim state machine; node/claims applies it to the store by compare-and-swap.

--- /dev/null
+++ b/core/limits/fairqueue.go
@@ -0,0 +1,193 @@
+package limits
+
+import (
+	"container/heap"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of the fair queue.
+var (
+	// ErrQueueFull means that the queue has no place for an entry that comes last in the fair order.
+	ErrQueueFull = eris.New("admission queue is full")
+	// ErrWouldMissDeadline means that the entry's predicted start lies after its deadline or the queue's time bound.
+	ErrWouldMissDeadline = eris.New("predicted start misses the deadline")
+)
+
+// Waiting is one entry of a FairQueue. The queue owns its unexported fields.
+type Waiting[T any] struct {
+	Caller   fleet.CallerID
+	Weight   float64   // share relative to other callers; 0 means 1
+	Cost     float64   // work of this entry; 0 means 1
+	Deadline time.Time // latest useful start
+	Value    T
+
+	start, finish float64 // virtual times of start-time fair queueing
+	sequence      uint64
+	index         int // position in the heap; -1 when not queued
+}
+
+// FairQueue is a bounded queue with start-time fair queueing between callers. Each entry gets a virtual start time, the
+// later of the queue's virtual time and the virtual finish of the caller's previous entry; entries leave in order of
+// virtual start. A caller with many entries therefore queues behind itself and not in front of others. Guarded by its
+// owner.
+type FairQueue[T any] struct {
+	maxLength int
+	maxWait   time.Duration
+	entries   entryHeap[T]
+	finish    map[fleet.CallerID]float64 // virtual finish of each caller's last entry
+	virtual   float64
+	sequence  uint64
+}
+
+// NewFairQueue returns an empty queue bounded by its length and by the time that an entry may wait.
+func NewFairQueue[T any](maxLength int, maxWait time.Duration) *FairQueue[T] {
+	return &FairQueue[T]{maxLength: maxLength, maxWait: maxWait, finish: make(map[fleet.CallerID]float64)}
+}
+
+// Len returns the number of waiting entries.
+func (q *FairQueue[T]) Len() int { return len(q.entries) }
+
+// Ahead returns how many entries would leave before a new one of the caller. It reads every entry: about 1 µs for the
+// thousand entries that a queue holds at most.
+func (q *FairQueue[T]) Ahead(caller fleet.CallerID) int {
+	start := max(q.virtual, q.finish[caller])
+	ahead := 0
+	for _, e := range q.entries {
+		if e.start <= start {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// Push queues an entry. predictedWait is the time until it would start, from Ahead and the measured service rate.
+// It returns ErrWouldMissDeadline or ErrQueueFull if the entry is refused. A full queue gives up its last entry in the
+// fair order if that comes after the new one: displaced is then that entry and must be refused by the caller of Push.
+// Without this, one heavy caller could fill the queue and shut out the others.
+func (q *FairQueue[T]) Push(e *Waiting[T], predictedWait time.Duration, now time.Time) (displaced *Waiting[T], err error) {
+	if latest := now.Add(q.maxWait); e.Deadline.IsZero() || e.Deadline.After(latest) {
+		e.Deadline = latest
+	}
+	if !now.Add(predictedWait).Before(e.Deadline) {
+		return nil, eris.Wrapf(ErrWouldMissDeadline, "predicted wait of %s", predictedWait)
+	}
+	e.start = max(q.virtual, q.finish[e.Caller])
+	if len(q.entries) >= q.maxLength {
+		displaced = q.last()
+		if displaced == nil || displaced.start <= e.start {
+			return nil, eris.Wrapf(ErrQueueFull, "%d entries", len(q.entries))
+		}
+		q.Cancel(displaced)
+	}
+	e.finish = e.start + positive(e.Cost)/positive(e.Weight)
+	q.sequence++
+	e.sequence = q.sequence
+	q.finish[e.Caller] = e.finish
+	heap.Push(&q.entries, e)
+	return displaced, nil
+}
+
+// Pop removes the next entry in the fair order. Entries whose deadline has passed are dropped and returned as expired,
+// so that their requests can be refused; next is nil if nothing else waits.
+func (q *FairQueue[T]) Pop(now time.Time) (next *Waiting[T], expired []*Waiting[T]) {
+	for len(q.entries) > 0 {
+		e := heap.Pop(&q.entries).(*Waiting[T])
+		if e.Deadline.After(now) {
+			q.virtual = max(q.virtual, e.start)
+			q.forgetIdle()
+			return e, expired
+		}
+		q.refund(e)
+		expired = append(expired, e)
+	}
+	q.forgetIdle()
+	return nil, expired
+}
+
+// Cancel removes a waiting entry. It returns false if the entry has already left the queue.
+func (q *FairQueue[T]) Cancel(e *Waiting[T]) bool {
+	if e.index < 0 || e.index >= len(q.entries) || q.entries[e.index] != e {
+		return false
+	}
+	heap.Remove(&q.entries, e.index)
+	q.refund(e)
+	return true
+}
+
+// refund takes back the virtual time of an entry that will not run, unless a later entry of the caller builds on it.
+func (q *FairQueue[T]) refund(e *Waiting[T]) {
+	if q.finish[e.Caller] == e.finish {
+		q.finish[e.Caller] = e.start
+	}
+}
+
+// forgetIdle drops callers whose virtual finish lies in the past once the map is larger than the queue can justify.
+func (q *FairQueue[T]) forgetIdle() {
+	if len(q.entries) == 0 {
+		clear(q.finish)
+		q.virtual = 0
+		return
+	}
+	if len(q.finish) <= 2*q.maxLength {
+		return
+	}
+	for caller, finish := range q.finish {
+		if finish <= q.virtual {
+			delete(q.finish, caller)
+		}
+	}
+}
+
+func (q *FairQueue[T]) last() *Waiting[T] {
+	var last *Waiting[T]
+	for _, e := range q.entries {
+		if last == nil || last.before(e) {
+			last = e
+		}
+	}
+	return last
+}
+
+func (e *Waiting[T]) before(other *Waiting[T]) bool {
+	if e.start != other.start {
+		return e.start < other.start
+	}
+	return e.sequence < other.sequence
+}
+
+func positive(v float64) float64 {
+	if v > 0 {
+		return v
+	}
+	return 1
+}
+
+// entryHeap orders entries by virtual start, then by arrival.
+type entryHeap[T any] []*Waiting[T]
+
+func (h entryHeap[T]) Len() int           { return len(h) }
+func (h entryHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h entryHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+func (h *entryHeap[T]) Push(x any) {
+	e := x.(*Waiting[T])
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+func (h *entryHeap[T]) Pop() any {
+	old := *h
+	last := len(old) - 1
+	e := old[last]
+	old[last] = nil
+	*h = old[:last]
+	e.index = -1
+	return e
+}
--- /dev/null
+++ b/node/claims/acquire.go
@@ -0,0 +1,184 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/claims"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxRounds bounds the store calls of one request: a poll each, up to about 16 s of waiting.
+	maxRounds = 20
+	// firstPoll and longestPoll bound the backoff between polls of another instance's claim.
+	firstPoll   = 50 * time.Millisecond
+	longestPoll = time.Second
+	// claimTries is how often a claim write is sent when its response is lost and the store shows no effect.
+	claimTries = 2
+)
+
+// acquire decides on the key's record until there is a result. It starts with a claim write that assumes that the key
+// is new and that returns the present record otherwise, so that a new request costs one store call.
+func (c *Claimer) acquire(ctx context.Context, key string, r Request) (Result, error) {
+	var current stored
+	poll := firstPoll
+	for range maxRounds {
+		action := claims.Decide(current.record, c.config.Self, c.config.Liveness, r.Digest, time.Now())
+		var result *Result
+		var err error
+		switch action.Kind {
+		case claims.Claim:
+			result, current, err = c.claim(ctx, key, r, current)
+		case claims.WaitFor:
+			if c.undispatched(key, current.record) {
+				result, current, err = c.claim(ctx, key, r, current)
+				break
+			}
+			if !sleep(ctx, poll) {
+				return inProgress(), nil
+			}
+			poll = min(2*poll, longestPoll)
+			current, err = c.read(ctx, key)
+			if err != nil {
+				return inProgress(), nil
+			}
+		case claims.MarkUnknown:
+			result, current = c.markLost(ctx, key, current)
+		default:
+			return tell(action), nil
+		}
+		if err != nil {
+			return Result{}, err
+		}
+		if result != nil {
+			return *result, nil
+		}
+	}
+	return inProgress(), nil
+}
+
+// tell translates the actions that need no store call.
+func tell(action claims.Action) Result {
+	switch action.Kind {
+	case claims.Replay:
+		return Result{Kind: Replay, Answer: action.Answer}
+	case claims.Mismatch:
+		return Result{Kind: Mismatch}
+	case claims.TellUnknown:
+		return Result{Kind: Unknown}
+	}
+	return inProgress()
+}
+
+func inProgress() Result {
+	return Result{Kind: InProgress, RetryAfter: retryAfter}
+}
+
+// claim writes a claim over the given state. It returns a result if the claim is held, or else the state found.
+func (c *Claimer) claim(ctx context.Context, key string, r Request, over stored) (*Result, stored, error) {
+	record, err := c.newRecord(r, over.record)
+	if err != nil {
+		return nil, over, eris.Wrap(ErrNotRun, err.Error())
+	}
+	for range claimTries {
+		found, err := c.swap(ctx, key, over.revision, record)
+		if err == nil {
+			return held(key, record, found), found, nil
+		}
+		if noEffect(err) {
+			return nil, over, eris.Wrap(ErrNotRun, err.Error())
+		}
+		if ctx.Err() == nil {
+			found, err = c.read(ctx, key)
+		}
+		if errors.Is(err, claims.ErrInvalidRecord) { // not the record that was written
+			return nil, over, eris.Wrap(ErrNotRun, err.Error())
+		}
+		if err != nil {
+			break
+		}
+		if found.revision != over.revision {
+			return held(key, record, found), found, nil
+		}
+	}
+	// The write may still take effect, even after this request was refused; the release fences it off.
+	c.keep(&outcome{kind: released, key: key, record: record, base: over.revision})
+	return nil, over, eris.Wrap(ErrNotRun, "outcome of the claim write is unknown")
+}
+
+// newRecord returns the record of a new attempt over the present one, which is absent, released, or a claim of this
+// process that dispatched nothing.
+func (c *Claimer) newRecord(r Request, present *claims.Record) (claims.Record, error) {
+	attempt := claims.Attempt{
+		Owner:         c.config.Self,
+		Token:         c.config.NewToken(),
+		RequestDigest: r.Digest,
+		Operation:     r.Operation,
+	}
+	now := time.Now()
+	switch {
+	case present == nil:
+		return claims.New(attempt, now), nil
+	case present.State == claims.Released:
+		return claims.Reclaim(*present, attempt, now)
+	}
+	return claims.Retake(*present, present.Token, attempt, now)
+}
+
+// held returns a result if the record found is the one that was written.
+func held(key string, written claims.Record, found stored) *Result {
+	if found.record == nil || found.record.Token != written.Token {
+		return nil
+	}
+	return &Result{Kind: Run, Claim: &Claim{key: key, record: written, revision: found.revision}}
+}
+
+// markLost records that the owner's outcome is unknown. Without a confirmed mark the answer is InProgress: the owner may
+// still come back and release the claim, and a request whose outcome was told to be unknown must never run.
+func (c *Claimer) markLost(ctx context.Context, key string, current stored) (*Result, stored) {
+	lost, err := claims.MarkLost(*current.record)
+	if err != nil {
+		return nil, current
+	}
+	found, err := c.swap(ctx, key, current.revision, lost)
+	if err != nil {
+		result := inProgress()
+		return &result, current
+	}
+	return nil, found
+}
+
+// undispatched tells whether the record is a claim of this process whose request was refused as not run.
+func (c *Claimer) undispatched(key string, r *claims.Record) bool {
+	if r.Owner != c.config.Self {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending.releases(key, r.Token)
+}
+
+// sleep waits for about d; false if ctx ended first. The jitter keeps waiting instances from polling in step.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d - time.Duration(rand.Int64N(int64(d)/4)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// noEffect tells whether a failed write certainly had no effect. An invalid record is one that the write's comparison
+// met in place of the expected one. Every other error leaves the outcome unknown.
+func noEffect(err error) bool {
+	return errors.Is(err, kv.ErrUnavailable) ||
+		errors.Is(err, kv.ErrLeaseGone) ||
+		errors.Is(err, kv.ErrValueTooLarge) ||
+		errors.Is(err, claims.ErrInvalidRecord)
+}
--- /dev/null
+++ b/node/claims/storecalls.go
@@ -0,0 +1,117 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/claims"
+	"github.com/rotisserie/eris"
+)
+
+// revision is the modification revision of a claim's key; 0 means that the key does not exist.
+type revision = kv.Revision
+
+// stored is a claim as the store holds it; record is nil if the key does not exist.
+type stored struct {
+	record   *claims.Record
+	revision revision
+}
+
+// StoreCalls counts the store calls of a Claimer.
+type StoreCalls struct {
+	Writes int64 // transactions
+	Reads  int64
+	Leases int64 // grants
+}
+
+// StoreCalls returns the calls made so far.
+func (c *Claimer) StoreCalls() StoreCalls {
+	return StoreCalls{Writes: c.store.writes.Load(), Reads: c.store.reads.Load(), Leases: c.store.leases.Load()}
+}
+
+// countingStore counts the calls that this package makes.
+type countingStore struct {
+	store                 kv.Store
+	writes, reads, leases atomic.Int64
+}
+
+func (s *countingStore) get(ctx context.Context, key string) (kv.KeyValue, error) {
+	s.reads.Add(1)
+	return s.store.Get(ctx, key)
+}
+
+func (s *countingStore) txn(ctx context.Context, t kv.Txn) (kv.TxnResult, error) {
+	s.writes.Add(1)
+	return s.store.Txn(ctx, t)
+}
+
+func (s *countingStore) grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.leases.Add(1)
+	return s.store.Grant(ctx, ttl)
+}
+
+// read returns the key's claim.
+func (c *Claimer) read(ctx context.Context, key string) (stored, error) {
+	found, err := c.store.get(ctx, storePrefix+key)
+	if errors.Is(err, kv.ErrNotFound) {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, err
+	}
+	return decode(found)
+}
+
+// swap writes the record if the key still has the base revision, and returns what the key holds afterwards: the record
+// written, or the one that another writer put there. Compare the token to tell them apart.
+func (c *Claimer) swap(ctx context.Context, key string, base revision, r claims.Record) (stored, error) {
+	value, err := r.Encode()
+	if err != nil {
+		return stored{}, eris.Wrap(kv.ErrUnavailable, err.Error())
+	}
+	lease, err := c.lease.current(ctx)
+	if err != nil {
+		return stored{}, eris.Wrapf(kv.ErrUnavailable, "grant the claims' lease: %v", err)
+	}
+	name := storePrefix + key
+	result, err := c.store.txn(ctx, kv.Txn{
+		Compares: []kv.Compare{unchanged(name, base)},
+		Then:     []kv.Op{{Kind: kv.OpPut, Key: name, Value: value, Lease: lease}},
+		Else:     []kv.Op{{Kind: kv.OpGet, Key: name}},
+	})
+	if errors.Is(err, kv.ErrLeaseGone) {
+		c.lease.drop(lease)
+	}
+	if err != nil {
+		return stored{}, err
+	}
+	if result.Succeeded {
+		return stored{record: &r, revision: result.Revision}, nil
+	}
+	if len(result.Gets) != 1 {
+		return stored{}, eris.Wrap(kv.ErrOutcomeUnknown, "response of the store lacks the key that was read")
+	}
+	return decode(result.Gets[0])
+}
+
+// unchanged holds while the key has the base revision.
+func unchanged(name string, base revision) kv.Compare {
+	if base == 0 {
+		return kv.Compare{Key: name, Target: kv.CompareCreateRevision}
+	}
+	return kv.Compare{Key: name, Target: kv.CompareModRevision, Revision: base}
+}
+
+func decode(found kv.KeyValue) (stored, error) {
+	if found.CreateRevision == 0 {
+		return stored{}, nil
+	}
+	record, err := claims.Decode(found.Value)
+	if err != nil {
+		return stored{}, err
+	}
+	return stored{record: &record, revision: found.ModRevision}, nil
+}
