--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -96,6 +96,20 @@
 	return "invalid"
 }
 
+// refutationBits is the room below the start time for refutations of one process.
+const refutationBits = 16
+
+// NewIncarnation returns the first incarnation of a process that started at the time: milliseconds since 1970, shifted so that each
+// refutation of a suspicion can add one. A restarted process therefore has a higher incarnation than its predecessor ever had.
+func NewIncarnation(start time.Time) uint64 {
+	return uint64(start.UnixMilli()) << refutationBits
+}
+
+// ProcessOf returns the part of an incarnation that stays the same for the life of a process.
+func ProcessOf(incarnation uint64) uint64 {
+	return incarnation >> refutationBits
+}
+
 // Member is one instance as the membership table knows it.
 type Member struct {
 	ID            InstanceID
--- a/node/admission/gate.go
+++ b/node/admission/gate.go
@@ -210,21 +210,21 @@
 	g.letThrough(count, now)
 }
 
-// letThrough pops up to count entries; g.mu is held.
+// letThrough refuses expired entries and pops up to count others; g.mu is held.
 func (g *gate) letThrough(count int, now time.Time) {
-	for {
+	refuse(g.queue.Expire(now))
+	for range count {
 		next, expired := g.queue.Pop(now)
-		for _, e := range expired {
-			e.Value <- false
-		}
+		refuse(expired)
 		if next == nil {
 			return
 		}
-		if count <= 0 {
-			g.requeue(next, now)
-			return
-		}
-		count--
 		next.Value <- true
 	}
 }
+
+func refuse(expired []*limits.Waiting[chan bool]) {
+	for _, e := range expired {
+		e.Value <- false
+	}
+}
--- /dev/null
+++ b/node/control/engines/models.go
@@ -0,0 +1,23 @@
+package engines
+
+import (
+	"slices"
+
+	api "eelgrassproxy.example/api/engine"
+	"eelgrassproxy.example/core/fleet"
+)
+
+// modelsOf converts what an engine says that it holds; the result is not nil.
+func modelsOf(state *api.EngineState) []fleet.LoadedModel {
+	models := make([]fleet.LoadedModel, len(state.Models))
+	for i, m := range state.Models {
+		models[i] = fleet.LoadedModel{Model: m.Model, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading.Or(false)}
+	}
+	return models
+}
+
+func sameModels(a, b []fleet.LoadedModel) bool {
+	return slices.EqualFunc(a, b, func(x, y fleet.LoadedModel) bool {
+		return x.Model == y.Model && x.Version == y.Version && x.Loading == y.Loading && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
--- a/node/dispatch/claimed.go
+++ b/node/dispatch/claimed.go
@@ -10,6 +10,7 @@
 
 	coreclaims "eelgrassproxy.example/core/claims"
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/claims"
 	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/problem"
@@ -115,21 +116,19 @@
 	return nil
 }
 
-// LivenessFrom tells from the membership table whether the process of an instance still runs.
-func LivenessFrom(members interface {
-	Get(fleet.InstanceID) (fleet.Member, bool)
-}) coreclaims.LivenessFunc {
-	return func(id fleet.InstanceID, incarnation uint64) coreclaims.Liveness {
+// learnMembers is how long a new process takes to hear of all members; until then an unknown instance may be alive.
+const learnMembers = 15 * time.Second
+
+// LivenessFrom tells from the membership table whether the process of an instance still runs. started is when this process began.
+// The incarnation is fleet.ProcessOf of the owner's incarnation.
+func LivenessFrom(members *blackboard.MemberTable, started time.Time) coreclaims.LivenessFunc {
+	return func(id fleet.InstanceID, process uint64) coreclaims.Liveness {
 		member, ok := members.Get(id)
 		switch {
-		case !ok:
+		case !ok && time.Since(started) < learnMembers, ok && member.State == fleet.MemberSuspect:
 			return coreclaims.Uncertain
-		case member.State == fleet.MemberDead:
-			return coreclaims.Dead
-		case member.Started != 0 && incarnation != 0 && member.Started != incarnation:
+		case !ok, member.State == fleet.MemberDead, fleet.ProcessOf(member.Incarnation) != process:
 			return coreclaims.Dead
-		case member.State == fleet.MemberSuspect:
-			return coreclaims.Uncertain
 		default:
 			return coreclaims.Alive
 		}
