--- a/adapters/engine/exchange.go
+++ b/adapters/engine/exchange.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"eelgrassproxy.example/adapters/httpcall"
 )
 
@@ -13,7 +14,7 @@
 const maxControlAnswer = 64 << 20
 
 // errAnswerTooLarge ends the reading of an answer beyond maxControlAnswer.
-var errAnswerTooLarge = errors.New("answer of the engine is larger than 64 MiB")
+var errAnswerTooLarge = eris.New("answer of the engine is larger than 64 MiB")
 
 // call records what happened to one call, since the generated client hides the HTTP response.
 type call struct {
