Add the store layout of bundles and the roll by compare-and-swap

Cause: operators race each other and responses of the store get lost. Change: keys and values under /eelgrass/bundle/, and a roll that compares the head's revision, reads back after a lost response, and names the generation in force on a conflict. Conclusion: a roll takes effect at most once and a resend is a success.

--- /dev/null
+++ b/core/bundle/store/store.go
@@ -0,0 +1,113 @@
+// Package store lays a bundle out as keys and JSON values of the platform's store. It does no I/O.
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// Keys and prefixes.
+const (
+	HeadKey        = "/eelgrass/bundle/head"
+	manifestPrefix = "/eelgrass/bundle/manifests/"
+	sectionPrefix  = "/eelgrass/bundle/sections/"
+	deltaPrefix    = "/eelgrass/bundle/deltas/"
+)
+
+// MaxValueBytes is the largest value that the store takes; adapters/kv states the same number.
+const MaxValueBytes = 1 << 20
+
+// Errors of this layer. Callers compare with errors.Is.
+var (
+	// ErrValueTooLarge means that a value exceeds MaxValueBytes.
+	ErrValueTooLarge = eris.New("bundle value exceeds the store's limit")
+	// ErrMalformed means that a value read from the store cannot be decoded.
+	ErrMalformed = eris.New("bundle value in the store is malformed")
+)
+
+// Head names the generation in force.
+type Head struct {
+	Generation fleet.Generation `json:"generation"`
+	Manifest   string           `json:"manifest"` // hexadecimal SHA-256 of the manifest bytes
+}
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
+// ManifestKey returns the key of a signed manifest. The number is padded, so that a listing is in order.
+func ManifestKey(generation fleet.Generation) string {
+	return fmt.Sprintf("%s%020d", manifestPrefix, generation)
+}
+
+// ManifestPrefix returns the prefix of all signed manifests.
+func ManifestPrefix() string { return manifestPrefix }
+
+// SectionKey returns the key of a section.
+func SectionKey(digest string) string { return sectionPrefix + digest }
+
+// DeltaKey returns the key of the delta that leads to the generation.
+func DeltaKey(to fleet.Generation) string { return fmt.Sprintf("%s%020d", deltaPrefix, to) }
+
+// EncodeHead returns the entry of the head for a manifest.
+func EncodeHead(manifest bundle.Manifest) (Entry, error) {
+	return encode(HeadKey, Head{Generation: manifest.Generation, Manifest: manifest.Digest()})
+}
+
+// DecodeHead is the inverse of EncodeHead.
+func DecodeHead(value []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(value, &head); err != nil {
+		return Head{}, eris.Wrapf(ErrMalformed, "head: %v", err)
+	}
+	return head, nil
+}
+
+// EncodeManifest returns the entry of a signed manifest.
+func EncodeManifest(generation fleet.Generation, signed bundle.SignedManifest) (Entry, error) {
+	return encode(ManifestKey(generation), signed)
+}
+
+// DecodeManifest is the inverse of EncodeManifest. The signatures are not checked.
+func DecodeManifest(value []byte) (bundle.SignedManifest, error) {
+	var signed bundle.SignedManifest
+	if err := json.Unmarshal(value, &signed); err != nil {
+		return bundle.SignedManifest{}, eris.Wrapf(ErrMalformed, "manifest: %v", err)
+	}
+	return signed, nil
+}
+
+// EncodeSection returns the entry of a section; its value is the section's bytes.
+func EncodeSection(digest string, data []byte) (Entry, error) {
+	return bounded(SectionKey(digest), data)
+}
+
+// EncodeDelta returns the entry of a delta.
+func EncodeDelta(delta bundle.Delta) (Entry, error) {
+	value, err := bundle.EncodeDelta(delta)
+	if err != nil {
+		return Entry{}, err
+	}
+	return bounded(DeltaKey(delta.To), value)
+}
+
+func encode(key string, value any) (Entry, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return Entry{}, eris.Wrapf(ErrMalformed, "encode %s: %v", key, err)
+	}
+	return bounded(key, encoded)
+}
+
+func bounded(key string, value []byte) (Entry, error) {
+	if len(value) > MaxValueBytes {
+		return Entry{}, eris.Wrapf(ErrValueTooLarge, "%s: %d bytes, at most %d are allowed", key, len(value), MaxValueBytes)
+	}
+	return Entry{Key: key, Value: value}, nil
+}
--- /dev/null
+++ b/core/bundle/store/store_test.go
@@ -0,0 +1,32 @@
+package store
+
+import (
+	"testing"
+
+	"eelgrassproxy.example/core/bundle"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a layout that cannot be read back, values that the store refuses, and listings out of order.
+func TestEntriesReadBackAndAreBounded(t *testing.T) {
+	manifest := bundle.Manifest{Generation: 7, Sections: map[string]string{"limits": "ab"}}
+	head, err := EncodeHead(manifest)
+	require.NoError(t, err)
+	got, err := DecodeHead(head.Value)
+	require.NoError(t, err)
+	assert.Equal(t, Head{Generation: 7, Manifest: manifest.Digest()}, got)
+
+	signed := bundle.SignedManifest{Manifest: manifest.Bytes(), Signatures: []bundle.Signature{{Operator: "anna", Signature: []byte{1}}}}
+	entry, err := EncodeManifest(7, signed)
+	require.NoError(t, err)
+	back, err := DecodeManifest(entry.Value)
+	require.NoError(t, err)
+	assert.Equal(t, signed, back)
+
+	_, err = EncodeSection("ab", make([]byte, MaxValueBytes+1))
+	require.ErrorIs(t, err, ErrValueTooLarge)
+	_, err = DecodeHead([]byte("["))
+	require.ErrorIs(t, err, ErrMalformed)
+	assert.Less(t, ManifestKey(9), ManifestKey(10))
+}
--- /dev/null
+++ b/node/control/internal/memkv/memkv.go
@@ -0,0 +1,213 @@
+// Package memkv is a small in-memory kv.Store with injected faults, for the tests of the controllers.
+package memkv
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+)
+
+// Store keeps keys and revisions. It has no leases.
+type Store struct {
+	mu       sync.Mutex // guards all fields
+	items    map[string]kv.KeyValue
+	revision kv.Revision
+	watches  map[chan kv.WatchEvent]string
+	down     bool
+	calls    int
+	before   func(kv.Txn)
+	after    func(kv.Txn) error
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{items: map[string]kv.KeyValue{}, watches: map[chan kv.WatchEvent]string{}}
+}
+
+// SetDown makes every call fail with kv.ErrUnavailable and ends the watches.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	if !down {
+		return
+	}
+	for ch := range s.watches {
+		ch <- kv.WatchEvent{Err: kv.ErrUnavailable}
+		close(ch)
+		delete(s.watches, ch)
+	}
+}
+
+// OnTxn runs before ahead of each transaction, and after behind it; an error of after replaces the response. Both may be nil.
+func (s *Store) OnTxn(before func(kv.Txn), after func(kv.Txn) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before, s.after = before, after
+}
+
+// Calls returns the number of calls so far; a watch counts as one.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.items, key)
+}
+
+// enter counts a call; s.mu is held.
+func (s *Store) enter() error {
+	s.calls++
+	if s.down {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return kv.KeyValue{}, err
+	}
+	item, ok := s.items[key]
+	if !ok {
+		return kv.KeyValue{}, kv.ErrNotFound
+	}
+	return item, nil
+}
+
+// List implements kv.Store.
+func (s *Store) List(_ context.Context, prefix string) (kv.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return kv.Listing{}, err
+	}
+	listing := kv.Listing{Revision: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			listing.Items = append(listing.Items, s.items[key])
+		}
+	}
+	return listing, nil
+}
+
+// Txn implements kv.Store.
+func (s *Store) Txn(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	s.mu.Lock()
+	before, after := s.before, s.after
+	s.mu.Unlock()
+	if before != nil {
+		before(txn)
+	}
+	result, err := s.apply(txn)
+	if err == nil && after != nil {
+		err = after(txn)
+	}
+	return result, err
+}
+
+func (s *Store) apply(txn kv.Txn) (kv.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return kv.TxnResult{}, err
+	}
+	result := kv.TxnResult{Succeeded: true}
+	for _, c := range txn.Compares {
+		result.Succeeded = result.Succeeded && s.holds(c)
+	}
+	ops := txn.Then
+	if !result.Succeeded {
+		ops = txn.Else
+	}
+	if slices.ContainsFunc(ops, func(op kv.Op) bool { return op.Kind != kv.OpGet }) {
+		s.revision++
+	}
+	for _, op := range ops {
+		if op.Kind == kv.OpGet {
+			result.Gets = append(result.Gets, s.items[op.Key])
+			continue
+		}
+		s.write(op)
+	}
+	result.Revision = s.revision
+	return result, nil
+}
+
+func (s *Store) holds(c kv.Compare) bool {
+	item := s.items[c.Key]
+	switch c.Target {
+	case kv.CompareCreateRevision:
+		return item.CreateRevision == c.Revision
+	case kv.CompareModRevision:
+		return item.ModRevision == c.Revision
+	}
+	return bytes.Equal(item.Value, c.Value)
+}
+
+// write applies a put or delete and tells the watches; s.mu is held.
+func (s *Store) write(op kv.Op) {
+	item := s.items[op.Key]
+	if item.CreateRevision == 0 {
+		item = kv.KeyValue{Key: op.Key, CreateRevision: s.revision}
+	}
+	item.Value, item.ModRevision = op.Value, s.revision
+	s.items[op.Key] = item
+	if op.Kind == kv.OpDelete {
+		delete(s.items, op.Key)
+	}
+	for ch, prefix := range s.watches {
+		if strings.HasPrefix(op.Key, prefix) {
+			ch <- kv.WatchEvent{KeyValue: item, Deleted: op.Kind == kv.OpDelete}
+		}
+	}
+}
+
+// Watch implements kv.Store for changes after the call; after must be the current revision or 0.
+func (s *Store) Watch(ctx context.Context, prefix string, _ kv.Revision) (<-chan kv.WatchEvent, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return nil, err
+	}
+	ch := make(chan kv.WatchEvent, 1024)
+	s.watches[ch] = prefix
+	context.AfterFunc(ctx, func() { s.endWatch(ch) })
+	return ch, nil
+}
+
+func (s *Store) endWatch(ch chan kv.WatchEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.watches[ch]; open {
+		close(ch)
+		delete(s.watches, ch)
+	}
+}
+
+// Grant implements kv.Store; leases are not supported.
+func (s *Store) Grant(context.Context, time.Duration) (kv.LeaseID, error) {
+	return 0, kv.ErrUnavailable
+}
+
+// KeepAlive implements kv.Store; leases are not supported.
+func (s *Store) KeepAlive(context.Context, kv.LeaseID) (time.Duration, error) {
+	return 0, kv.ErrLeaseGone
+}
+
+// Revoke implements kv.Store; leases are not supported.
+func (s *Store) Revoke(context.Context, kv.LeaseID) error { return kv.ErrLeaseGone }
--- /dev/null
+++ b/node/control/roll/roller.go
@@ -0,0 +1,281 @@
+package roll
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// roller is one roll.
+type roller struct {
+	store    kv.Store
+	seen     fleet.Generation
+	manifest bundle.Manifest
+	signed   bundle.SignedManifest
+	sections bundle.Sections
+}
+
+// headState is the head with the revision to compare; both are zero before the first roll.
+type headState struct {
+	head     store.Head
+	revision kv.Revision
+}
+
+func (r *roller) readHead(ctx context.Context) (headState, error) {
+	item, err := r.store.Get(ctx, store.HeadKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return headState{}, nil
+	}
+	if err != nil {
+		return headState{}, err
+	}
+	head, err := store.DecodeHead(item.Value)
+	return headState{head: head, revision: item.ModRevision}, err
+}
+
+// rolledOrConflict tells whether this roll took effect earlier. A manifest is written only together with its head, so that an
+// identical manifest under its generation proves it even if a later roll has replaced the head.
+func (r *roller) rolledOrConflict(ctx context.Context, current headState) error {
+	conflict := &ConflictError{Seen: r.seen, InForce: current.head.Generation, Digest: current.head.Manifest}
+	if current.head.Generation < r.manifest.Generation {
+		return conflict
+	}
+	item, err := r.store.Get(ctx, store.ManifestKey(r.manifest.Generation))
+	if errors.Is(err, kv.ErrNotFound) {
+		return conflict
+	}
+	if err != nil {
+		return translate(err, "read the manifest")
+	}
+	stored, err := store.DecodeManifest(item.Value)
+	if err == nil && slices.Equal(stored.Manifest, r.signed.Manifest) {
+		return nil
+	}
+	return conflict
+}
+
+// prepare writes what does not fit in the head transaction and returns the operations of that transaction. Sections are addressed
+// by content, so that they do no harm if the roll then loses.
+func (r *roller) prepare(ctx context.Context, current headState) ([]kv.Op, error) {
+	old, err := r.oldManifest(ctx, current)
+	if err != nil {
+		return nil, err
+	}
+	final, err := r.headOps(ctx, old)
+	if err != nil {
+		return nil, err
+	}
+	batches, err := r.sectionBatches(old, final)
+	if err != nil {
+		return nil, err
+	}
+	last := len(batches) - 1
+	for _, ops := range batches[:last] {
+		// Repeating such a write has no further effect, so that a lost response needs no read-back.
+		if err := r.writeSections(ctx, ops); err != nil {
+			return nil, err
+		}
+	}
+	return batches[last], nil
+}
+
+func (r *roller) writeSections(ctx context.Context, ops []kv.Op) error {
+	var err error
+	for range maxAttempts {
+		_, err = r.store.Txn(ctx, kv.Txn{Then: ops})
+		if !errors.Is(err, kv.ErrOutcomeUnknown) {
+			break
+		}
+	}
+	if errors.Is(err, kv.ErrOutcomeUnknown) {
+		return eris.Wrapf(ErrUnavailable, "write sections: %v", err) // the head was not touched
+	}
+	if err != nil {
+		return translate(err, "write sections")
+	}
+	return nil
+}
+
+// oldManifest returns the manifest in force, or one without sections before the first roll.
+func (r *roller) oldManifest(ctx context.Context, current headState) (bundle.Manifest, error) {
+	if current.revision == 0 {
+		return bundle.Manifest{}, nil
+	}
+	item, err := r.store.Get(ctx, store.ManifestKey(current.head.Generation))
+	if err != nil {
+		return bundle.Manifest{}, translate(err, "read the manifest in force")
+	}
+	stored, err := store.DecodeManifest(item.Value)
+	if err != nil {
+		return bundle.Manifest{}, translate(err, "read the manifest in force")
+	}
+	return bundle.ParseManifest(stored.Manifest)
+}
+
+// headOps returns the writes of manifest, head and delta. A delta that is too large is left out; receivers then fetch sections.
+func (r *roller) headOps(ctx context.Context, old bundle.Manifest) ([]kv.Op, error) {
+	manifest, err := store.EncodeManifest(r.manifest.Generation, r.signed)
+	if err != nil {
+		return nil, translate(err, "encode the manifest")
+	}
+	head, err := store.EncodeHead(r.manifest)
+	if err != nil {
+		return nil, translate(err, "encode the head")
+	}
+	ops := []kv.Op{put(manifest), put(head)}
+	delta, err := r.delta(ctx, old)
+	if err != nil {
+		return nil, err
+	}
+	if delta.From == 0 {
+		return ops, nil
+	}
+	if entry, err := store.EncodeDelta(delta); err == nil {
+		ops = append(ops, put(entry))
+	}
+	return ops, nil
+}
+
+// delta computes the change since the manifest in force, or the zero delta if there is no base to compute it from. It reads only
+// the old sections that changed.
+func (r *roller) delta(ctx context.Context, old bundle.Manifest) (bundle.Delta, error) {
+	if old.Generation == 0 {
+		return bundle.Delta{}, nil
+	}
+	sections := bundle.Sections{}
+	for _, name := range bundle.ChangedSections(old, r.manifest) {
+		digest := old.Sections[name]
+		if digest == "" {
+			continue
+		}
+		item, err := r.store.Get(ctx, store.SectionKey(digest))
+		if errors.Is(err, kv.ErrNotFound) {
+			return bundle.Delta{}, nil // receivers fetch sections instead
+		}
+		if err != nil {
+			return bundle.Delta{}, translate(err, fmt.Sprintf("read section %s", name))
+		}
+		sections[digest] = item.Value
+	}
+	delta, err := bundle.DiffSections(old, r.manifest, sections, r.sections)
+	delta.Signatures = r.signed.Signatures
+	return delta, err
+}
+
+// sectionBatches spreads the new sections over transactions within the bounds; the last one also holds the final operations.
+func (r *roller) sectionBatches(old bundle.Manifest, final []kv.Op) ([][]kv.Op, error) {
+	batch, size := slices.Clone(final), opBytes(final)
+	var batches [][]kv.Op
+	var pending []kv.Op
+	pendingSize := 0
+	for _, name := range bundle.ChangedSections(old, r.manifest) {
+		digest := r.manifest.Sections[name]
+		if digest == "" {
+			continue
+		}
+		entry, err := store.EncodeSection(digest, r.sections[digest])
+		if err != nil {
+			return nil, translate(err, "encode section "+name)
+		}
+		if len(batch) < maxTxnOps && size+len(entry.Value) <= maxTxnBytes {
+			batch, size = append(batch, put(entry)), size+len(entry.Value)
+			continue
+		}
+		if len(pending) > 0 && (len(pending) == maxTxnOps || pendingSize+len(entry.Value) > maxTxnBytes) {
+			batches, pending, pendingSize = append(batches, pending), nil, 0
+		}
+		pending, pendingSize = append(pending, put(entry)), pendingSize+len(entry.Value)
+	}
+	if len(pending) > 0 {
+		batches = append(batches, pending)
+	}
+	return append(batches, batch), nil
+}
+
+func put(entry store.Entry) kv.Op { return kv.Op{Kind: kv.OpPut, Key: entry.Key, Value: entry.Value} }
+
+func opBytes(ops []kv.Op) int {
+	total := 0
+	for _, op := range ops {
+		total += len(op.Value)
+	}
+	return total
+}
+
+// commit runs the head transaction. After a lost response it reads back: the transaction compares the head's revision, so that it
+// takes effect at most once however often it is sent.
+func (r *roller) commit(ctx context.Context, current headState, ops []kv.Op) error {
+	txn := kv.Txn{
+		Compares: []kv.Compare{headCompare(current)},
+		Then:     ops,
+		Else:     []kv.Op{{Kind: kv.OpGet, Key: store.HeadKey}},
+	}
+	var uncertain error // an earlier attempt that may still take effect
+	for range maxAttempts {
+		result, err := r.store.Txn(ctx, txn)
+		if err == nil && result.Succeeded {
+			return nil
+		}
+		if err == nil {
+			return r.lost(ctx, result)
+		}
+		if !errors.Is(err, kv.ErrOutcomeUnknown) {
+			return certain(uncertain, translate(err, "write the head"))
+		}
+		uncertain = err
+		now, err := r.readHead(ctx)
+		if err != nil {
+			return eris.Wrapf(ErrOutcomeUnknown, "read back the head: %v", err)
+		}
+		if now.revision != current.revision {
+			return r.afterChange(ctx, now)
+		}
+	}
+	return eris.Wrapf(ErrOutcomeUnknown, "%d attempts: %v", maxAttempts, uncertain)
+}
+
+// certain returns err unless an earlier attempt may still take effect, which makes the outcome unknown.
+func certain(uncertain, err error) error {
+	if uncertain == nil {
+		return err
+	}
+	return eris.Wrapf(ErrOutcomeUnknown, "%v, then %v", uncertain, err)
+}
+
+// lost handles a failed comparison: another roll won, or an earlier attempt of this one.
+func (r *roller) lost(ctx context.Context, result kv.TxnResult) error {
+	if len(result.Gets) != 1 {
+		return eris.Wrapf(ErrConflict, "the store returned no head")
+	}
+	head, err := store.DecodeHead(result.Gets[0].Value)
+	if err != nil {
+		return errors.Join(ErrConflict, err)
+	}
+	return r.afterChange(ctx, headState{head: head, revision: result.Gets[0].ModRevision})
+}
+
+// afterChange decides who changed the head while the outcome of the transaction was unknown or after it lost.
+func (r *roller) afterChange(ctx context.Context, now headState) error {
+	if now.head.Generation == r.manifest.Generation && now.head.Manifest == r.manifest.Digest() {
+		return nil
+	}
+	err := r.rolledOrConflict(ctx, now)
+	if err == nil || errors.Is(err, ErrConflict) {
+		return err
+	}
+	return eris.Wrapf(ErrOutcomeUnknown, "read back the manifest: %v", err)
+}
+
+func headCompare(current headState) kv.Compare {
+	if current.revision == 0 {
+		return kv.Compare{Key: store.HeadKey, Target: kv.CompareCreateRevision}
+	}
+	return kv.Compare{Key: store.HeadKey, Target: kv.CompareModRevision, Revision: current.revision}
+}
