--- a/node/admission/gate.go
+++ b/node/admission/gate.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/node/problem"
 	"eelgrassproxy.example/node/request"
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -93,13 +93,13 @@
 		if err != nil {
 			return nil, err
 		}
-		return &upstream{header: answer.Header, body: answer.Body}, nil
+		return &upstream{status: answer.Status, header: answer.Header, body: answer.Body}, nil
 	}
 	answer, err := d.Engines.Start(ctx, a.target.Address, engine.Request{ID: a.upstreamID, Path: enginePath(a.request.Path), Body: a.request.Body})
 	if err != nil {
 		return nil, err
 	}
-	return &upstream{header: answer.Header, body: answer.Body, stream: answer.Stream, load: answer.Load}, nil
+	return &upstream{status: answer.Status, header: answer.Header, body: answer.Body, stream: answer.Stream, load: answer.Load}, nil
 }
 
 func enginePath(path string) engine.Path {
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -111,7 +111,7 @@
 	}
 	limit := limits.CallerLimit{Rate: group.RequestsPerSecond, Burst: float64(group.Burst)}
 	taken := d.Callers.Take(r.Caller.ID, limit, 1, now)
-	if taken.OK {
+	if taken.Allowed {
 		return nil
 	}
 	d.log(r, decisionlog.Entry{Kind: decisionlog.KindAdmission, Reason: "caller's rate limit"})
--- a/node/dispatch/whole.go
+++ b/node/dispatch/whole.go
@@ -13,6 +13,7 @@
 
 // upstream is a target's successful answer.
 type upstream struct {
+	status int
 	header http.Header
 	body   io.ReadCloser
 	stream bool
@@ -37,7 +38,7 @@
 	header := a.writer.Header()
 	header.Set("Content-Type", answer.header.Get("Content-Type"))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	a.writer.WriteHeader(http.StatusOK)
+	a.writer.WriteHeader(answer.status)
 	// A caller that has gone does not change the outcome: the target ran the request.
 	_, _ = a.writer.Write(body)
 	return nil
--- a/node/entry/handler.go
+++ b/node/entry/handler.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return resolveProblem(err, params.Service+"/"+params.Operation)
 	}
-	r := h.newRequest(s, headersOf(params.XRequestID, params.IdempotencyKey, params.XRequestTimeoutMs))
+	r := h.newRequest(s, headersOf(params.XRequestID, params.IdempotencyKey, params.XRequestTimeoutMs), false)
 	r.Kind = fleet.KindService
 	r.Service, r.Operation = service, operation
 	r.Path = operation.Name
--- a/node/entry/resolve.go
+++ b/node/entry/resolve.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return resolveProblem(err, in.model)
 	}
-	r := h.newRequest(s, head)
+	r := h.newRequest(s, head, in.stream)
 	r.Kind = fleet.KindEngine
 	r.Model = model
 	r.Path = in.path
@@ -67,22 +67,33 @@
 	return m.Base + "@" + m.Version
 }
 
-func (h *Handler) newRequest(s session, head headers) *request.Request {
+// wholeAnswerTimeout is the default for answers in one piece: 1,000 tokens at 60 ms each.
+const wholeAnswerTimeout = time.Minute
+
+func (h *Handler) newRequest(s session, head headers, stream bool) *request.Request {
 	id := head.requestID
 	if id == "" {
 		id = ulid.Make().String()
 	}
-	timeout := head.timeout
-	if timeout == 0 {
-		timeout = time.Duration(s.bundle.Limits().FirstTokenTimeoutMs) * time.Millisecond
-	}
 	return &request.Request{
 		ID:             fleet.RequestID(id),
 		Caller:         s.caller,
 		Bundle:         s.bundle,
 		IdempotencyKey: head.idempotencyKey,
 		Attempt:        s.attempt,
-		Deadline:       time.Now().Add(timeout),
+		Deadline:       time.Now().Add(h.timeout(s, head, stream)),
+	}
+}
+
+// timeout is the caller's own or the default. An answer in one piece has its first byte only when all of it is there.
+func (h *Handler) timeout(s session, head headers, stream bool) time.Duration {
+	switch {
+	case head.timeout > 0:
+		return head.timeout
+	case stream:
+		return time.Duration(s.bundle.Limits().FirstTokenTimeoutMs) * time.Millisecond
+	default:
+		return wholeAnswerTimeout
 	}
 }
 
