--- a/adapters/engine/client_test.go
+++ b/adapters/engine/client_test.go
@@ -25,6 +25,7 @@
 	network *memnet.Network
 	engine  *standin.Engine
 	client  *engine.Client
+	ctx     context.Context // ends with the test, which closes all answers
 }
 
 // run calls the test in a bubble of virtual time.
@@ -32,7 +33,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := standin.New(options)
 		defer e.Close()
-		b := bench{network: memnet.New(), engine: e}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := bench{network: memnet.New(), engine: e, ctx: ctx}
 		stop := serve(t, b.network, address, e)
 		defer stop()
 		client := httpcall.NewClient(b.network.DialContext("10.0.1.1"))
@@ -67,7 +70,7 @@
 	// Guards against a client that buffers the answer: the first event must arrive long before the last.
 	run(t, options(), func(t *testing.T, b bench) {
 		start := time.Now()
-		a, err := b.client.Start(context.Background(), address, engine.Request{ID: "r1", Body: chat("which fuse", 50, true)})
+		a, err := b.client.Start(b.ctx, address, engine.Request{ID: "r1", Body: chat("which fuse", 50, true)})
 		require.NoError(t, err)
 		defer a.Body.Close()
 		require.True(t, a.Stream)
--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -12,6 +13,13 @@
 // ErrBroken means that the connection of a stream ended or failed before the end of the stream.
 var ErrBroken = eris.New("connection of the event stream broke")
 
+// Bounds of what Close reads after the end of a stream. What is left then is the last chunk of the HTTP body, a few bytes that
+// the engine sends together with the end of the stream.
+const (
+	drainTimeout = 50 * time.Millisecond
+	drainBytes   = 4 << 10
+)
+
 // Events reads the events of one connection of a stream and checks them with the stream's tracker.
 type Events struct {
 	body    io.ReadCloser
@@ -50,8 +58,20 @@
 // Ready tells whether Next returns without waiting for the connection, so that a flush can wait too.
 func (e *Events) Ready() bool { return e.decoder.Ready() }
 
-// Close closes the connection, or returns it for reuse if the body was read to its end.
-func (e *Events) Close() error { return e.body.Close() }
+// Abort closes the connection. It may be called while Next waits on another goroutine, which then returns ErrBroken.
+func (e *Events) Abort() { _ = e.body.Close() }
+
+// Close ends the reading. After the end of the stream it reads the rest of the body, for at most drainTimeout, so that the
+// connection can be used again.
+func (e *Events) Close() {
+	defer e.body.Close()
+	if !e.tracker.Ended() {
+		return
+	}
+	timer := time.AfterFunc(drainTimeout, e.Abort)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(e.body, drainBytes))
+}
 
 func (e *Events) read() error {
 	buffer := e.decoder.Buffer()
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -24,6 +24,7 @@
 	conns      map[*pair]struct{}
 	refused    map[string]bool
 	delays     map[route]time.Duration
+	dials      map[string]int // connections opened, by the address dialled
 	partitions []partition
 	changed    chan struct{} // closed and replaced when partitions change
 }
@@ -41,6 +42,7 @@
 		conns:     map[*pair]struct{}{},
 		refused:   map[string]bool{},
 		delays:    map[route]time.Duration{},
+		dials:     map[string]int{},
 		changed:   make(chan struct{}),
 	}
 }
@@ -97,6 +99,7 @@
 	p := newPair(n, from, to)
 	p.hold(n.separated(from, to))
 	n.conns[p] = struct{}{}
+	n.dials[to]++
 	return p
 }
 
@@ -142,6 +145,13 @@
 	return l, nil
 }
 
+// Dials returns the number of connections that were opened to the address.
+func (n *Network) Dials(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[address]
+}
+
 func (n *Network) delay(from, to string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
