--- a/core/routing/prefix.go
+++ b/core/routing/prefix.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"eelgrassproxy.example/core/fleet"
@@ -47,21 +45,29 @@
 
 // preferred returns the targets that should hold the prefix, best first, at most affinityWidth of them.
 func preferred(p Prefix, kept []*Candidate) []fleet.TargetID {
-	ordered := slices.Clone(kept)
-	slices.SortFunc(ordered, func(a, b *Candidate) int {
-		ra, rb := rank(p, a), rank(p, b)
-		switch {
-		case ra > rb:
-			return -1
-		case ra < rb:
-			return 1
-		default:
-			return 0
+	var best [affinityWidth]*Candidate
+	var ranks [affinityWidth]uint64
+	for _, c := range kept {
+		insert(&best, &ranks, c, rank(p, c))
+	}
+	ids := make([]fleet.TargetID, 0, affinityWidth)
+	for _, c := range best {
+		if c != nil {
+			ids = append(ids, c.Target)
 		}
-	})
-	ids := make([]fleet.TargetID, min(affinityWidth, len(ordered)))
-	for i := range ids {
-		ids[i] = ordered[i].Target
 	}
 	return ids
 }
+
+// insert keeps the candidate if its rank is among the highest, in falling order.
+func insert(best *[affinityWidth]*Candidate, ranks *[affinityWidth]uint64, c *Candidate, r uint64) {
+	for i := range best {
+		if best[i] == nil || r > ranks[i] {
+			best[i], c = c, best[i]
+			ranks[i], r = r, ranks[i]
+			if c == nil {
+				return
+			}
+		}
+	}
+}
