Add the controller that keeps the newest verified bundle in force

Cause: instances must get each bundle within seconds, also from peers while the store is down, and must never go back. Change: a controller that follows hints of peers and the head in the store, applies deltas, falls back to sections, and starts from peers if needed. Conclusion: only a verified higher generation is put in force.

--- a/core/bundle/canonical.go
+++ b/core/bundle/canonical.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"slices"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // canonicalJSON encodes a value with sorted object keys and no spaces. Encoding cannot fail for the types of a bundle: floats are
@@ -92,3 +94,11 @@
 	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
 	return out
 }
+
+// CheckSection returns ErrDigestMismatch unless the bytes have the digest.
+func CheckSection(digest string, data []byte) error {
+	if digestOf(data) != digest {
+		return eris.Wrapf(ErrDigestMismatch, "section %s", digest)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/control/bundlesync/assisted.go
@@ -0,0 +1,68 @@
+package bundlesync
+
+import (
+	"context"
+	"sync"
+
+	"eelgrassproxy.example/core/bundle"
+)
+
+// maxHelpers bounds the peers that supply sections to a starting instance.
+const maxHelpers = 4
+
+// assistedSource is the store with peers that supply sections. A full fleet of restarted instances would otherwise read 262
+// sections each, about a minute of the store's reads.
+type assistedSource struct {
+	storeSource
+	peers PeerSource
+
+	mu      sync.Mutex // guards the fields below
+	helpers []string   // peers that have not failed yet
+	next    int
+}
+
+// section asks one peer, then the store. A peer that fails is not asked again.
+func (s *assistedSource) section(ctx context.Context, digest string) ([]byte, error) {
+	peer, ok := s.helper()
+	if !ok {
+		return s.storeSource.section(ctx, digest)
+	}
+	data, err := peerSource{peers: s.peers, peer: peer}.section(ctx, digest)
+	if err == nil {
+		err = bundle.CheckSection(digest, data)
+	}
+	if err == nil {
+		return data, nil
+	}
+	s.drop(peer)
+	return s.storeSource.section(ctx, digest)
+}
+
+// helper returns the next peer in turn.
+func (s *assistedSource) helper() (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.helpers) == 0 {
+		return "", false
+	}
+	s.next++
+	return s.helpers[s.next%len(s.helpers)], true
+}
+
+func (s *assistedSource) drop(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []string
+	for _, helper := range s.helpers {
+		if helper != peer {
+			rest = append(rest, helper)
+		}
+	}
+	s.helpers = rest
+}
+
+// assisted returns the store with a random choice of peers.
+func (c *Controller) assisted() *assistedSource {
+	peers := c.somePeers()
+	return &assistedSource{storeSource: storeSource{c.Store}, peers: c.Peers, helpers: peers[:min(len(peers), maxHelpers)]}
+}
--- /dev/null
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -0,0 +1,164 @@
+package bundlesync
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/control/internal/memkv"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an instance that cannot start, starts below what it could have known, or trusts an unsigned peer while the store
+// is down (F4).
+func TestStartWithTheStoreDownTakesTheHighestVerifiableGenerationOfThePeers(t *testing.T) {
+	s, peers := memkv.New(), newPeers()
+	s.SetDown(true)
+	peers.add(t, "five", 5)
+	peers.add(t, "seven", 7)
+	peers.add(t, "unsigned nine", 9).manifest.Signatures = nil
+	eight := peers.add(t, "tampered eight", 8)
+	for digest := range eight.sections {
+		eight.sections[digest] = []byte("[]")
+	}
+	c := newController(s, peers)
+	require.NoError(t, c.Reconcile(t.Context()))
+	assert.Equal(t, fleet.Generation(7), c.Table.Generation())
+}
+
+// Guards against a generation that reverts (I9), whoever claims whatever.
+func TestALowerOrEqualGenerationIsNeverPutInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, peers := memkv.New(), newPeers()
+		for generation := range fleet.Generation(4) {
+			rollTo(t, s, generation+1)
+		}
+		c := newController(s, peers)
+		require.NoError(t, c.Reconcile(t.Context()))
+		require.Equal(t, fleet.Generation(4), c.Table.Generation())
+		inForce := c.Table.Current()
+		old := peers.add(t, "old", 3)
+		peers.add(t, "equal", 4)
+		oldDelta, err := storeSource{s}.delta(t.Context(), 3)
+		require.NoError(t, err)
+		oldDelta.From, oldDelta.To = 4, 99
+		old.deltas = func(fleet.Generation) (bundle.Delta, bool) { return oldDelta, true }
+		c.Hint(99, "old")
+		c.Hint(98, "equal")
+		c.Hint(3, "old")
+		require.Error(t, c.Reconcile(t.Context()))
+		assert.Same(t, inForce, c.Table.Current())
+		assert.True(t, c.Behind(), "the claim was heard")
+
+		older := memkv.New()
+		rollTo(t, older, 1)
+		c.Store = older
+		time.Sleep(2 * pollPeriod)
+		require.NoError(t, c.Reconcile(t.Context()))
+		assert.Same(t, inForce, c.Table.Current())
+	})
+}
+
+// Guards against a tampered section or delta from a peer being put in force, and against giving up although the store has it.
+func TestTamperedPeerDataIsRefusedAndTheStoreAsked(t *testing.T) {
+	s, peers := memkv.New(), newPeers()
+	rollTo(t, s, 1)
+	c := newController(s, peers)
+	require.NoError(t, c.Reconcile(t.Context()))
+	rollTo(t, s, 2)
+	bad := peers.add(t, "bad", 2)
+	for digest := range bad.sections {
+		bad.sections[digest] = append([]byte(" "), bad.sections[digest]...)
+	}
+	forged, err := storeSource{s}.delta(t.Context(), 2)
+	require.NoError(t, err)
+	forged.Callers.Upserts[0].Disabled = true
+	bad.deltas = func(fleet.Generation) (bundle.Delta, bool) { return forged, true }
+	c.Hint(2, "bad")
+	_ = c.Reconcile(t.Context())
+	assert.Equal(t, fleet.Generation(2), c.Table.Generation())
+	want, _ := signed(t, document(2))
+	assert.Equal(t, want, c.Table.Current().Manifest())
+
+	s.SetDown(true)
+	third := peers.add(t, "bad", 3)
+	for digest := range third.sections {
+		third.sections[digest] = []byte("[]")
+	}
+	c.Hint(3, "bad")
+	require.ErrorIs(t, c.Reconcile(t.Context()), bundle.ErrDigestMismatch)
+	assert.Equal(t, fleet.Generation(2), c.Table.Generation())
+}
+
+// Guards against changes that take longer than 3 s or cost whole sections: a watcher takes the delta from the store, the other
+// instance from the watcher, without reading the store.
+func TestAChangeReachesWatcherAndPeerByDelta(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, peers := memkv.New(), newPeers()
+		rollTo(t, s, 1)
+		watcher, other := newController(s, peers), newController(s, peers)
+		watcher.Watcher = func() bool { return true }
+		require.NoError(t, watcher.Reconcile(ctx))
+		require.NoError(t, other.Reconcile(ctx))
+		peers.peers["watcher"] = &fakePeer{deltas: watcher.Delta}
+		go watcher.Run(ctx)
+		go other.Run(ctx)
+		synctest.Wait()
+
+		calls := s.Calls()
+		rollTo(t, s, 2)
+		rollTo(t, s, 3)
+		rolling := s.Calls()
+		synctest.Wait()
+		require.Equal(t, fleet.Generation(3), watcher.Table.Generation())
+		require.Positive(t, rolling-calls)
+		reads := s.Calls()
+		other.Hint(3, "watcher")
+		time.Sleep(hintSpread)
+		synctest.Wait()
+		assert.Equal(t, fleet.Generation(3), other.Table.Generation())
+		assert.Equal(t, reads, s.Calls(), "store calls of the other instance")
+		assert.Equal(t, 2, peers.calls["watcher"], "one call for each delta")
+		want, _ := signed(t, document(3))
+		assert.Equal(t, want, other.Table.Current().Manifest())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a watch that is not renewed after an outage, and against unbounded retries during it.
+func TestTheWatchRecoversAfterAnOutageWithBoundedRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, peers := memkv.New(), newPeers()
+		rollTo(t, s, 1)
+		c := newController(s, peers)
+		c.Watcher = func() bool { return true }
+		require.NoError(t, c.Reconcile(ctx))
+		go c.Run(ctx)
+		go func() {
+			for pause(ctx, time.Second) {
+				_ = c.Reconcile(ctx)
+			}
+		}()
+		synctest.Wait()
+		s.SetDown(true)
+		before := s.Calls()
+		for range 3600 {
+			c.Hint(99, "liar")
+			time.Sleep(time.Second)
+		}
+		assert.Less(t, s.Calls()-before, 600, "store calls in an hour")
+		s.SetDown(false)
+		rollTo(t, s, 2)
+		time.Sleep(2 * maxBackoff)
+		assert.Equal(t, fleet.Generation(2), c.Table.Generation())
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/node/control/bundlesync/watch.go
@@ -0,0 +1,147 @@
+package bundlesync
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle/store"
+	"k8s.io/klog/v2"
+)
+
+// watchCheck is how often an instance looks whether it was chosen as a watcher or no longer is.
+const watchCheck = 5 * time.Second
+
+// watchPurpose labels the watch, so that the store calls of watchers are counted by themselves.
+const watchPurpose = "bundle-watch"
+
+// Run reacts to hints at once and watches the head while this instance is a watcher. It returns when ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { c.followHints(ctx) })
+	group.Go(func() { c.followHead(ctx) })
+	group.Wait()
+}
+
+func (c *Controller) followHints(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		if !pause(ctx, c.spread()) {
+			return
+		}
+		c.pass(ctx)
+	}
+}
+
+// spread returns the delay before a hint is followed.
+func (c *Controller) spread() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.Random.Int64N(int64(hintSpread)))
+}
+
+func (c *Controller) pass(ctx context.Context) {
+	if err := c.Reconcile(ctx); err != nil && ctx.Err() == nil {
+		klog.ErrorS(err, "Bundle pass failed")
+	}
+}
+
+// followHead keeps a watch while this instance is a watcher. A watch that ends is renewed after a growing, jittered wait.
+func (c *Controller) followHead(ctx context.Context) {
+	wait := firstBackoff
+	for ctx.Err() == nil {
+		if !c.Watcher() {
+			wait = firstBackoff
+			pause(ctx, watchCheck)
+			continue
+		}
+		started := time.Now()
+		if err := c.watchHead(ctx); err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("Bundle watch ended", "reason", err.Error())
+		}
+		if time.Since(started) > maxBackoff {
+			wait = firstBackoff
+		}
+		pause(ctx, c.jittered(wait))
+		wait = min(2*wait, maxBackoff)
+	}
+}
+
+func (c *Controller) jittered(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jitter(d)
+}
+
+// watchHead follows the head until the watch ends or this instance is no longer a watcher.
+func (c *Controller) watchHead(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(kv.WithPurpose(ctx, watchPurpose))
+	defer cancel()
+	after, err := c.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	events, err := c.Store.Watch(ctx, store.HeadKey, after)
+	if err != nil {
+		return err
+	}
+	check := time.NewTicker(watchCheck)
+	defer check.Stop()
+	for {
+		select {
+		case event, open := <-events:
+			if !open || event.Err != nil {
+				return event.Err
+			}
+			c.headChanged(ctx, event.KeyValue)
+		case <-check.C:
+			if !c.Watcher() {
+				return nil
+			}
+		}
+	}
+}
+
+// readHead takes note of the head and returns the revision to watch from.
+func (c *Controller) readHead(ctx context.Context) (kv.Revision, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := c.Store.Get(callCtx, store.HeadKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	c.headChanged(ctx, item)
+	return item.ModRevision, nil
+}
+
+func (c *Controller) headChanged(ctx context.Context, item kv.KeyValue) {
+	head, err := store.DecodeHead(item.Value)
+	if err != nil {
+		klog.ErrorS(err, "Bundle head is malformed", "revision", item.ModRevision)
+		return
+	}
+	if c.note(hint{generation: head.Generation}) {
+		c.pass(ctx)
+	}
+}
+
+// pause waits and returns false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
