Serve bundle deltas to peers; take the dialer and TLS of peer calls from outside

Cause: bundlesync fetches deltas from peers, tests run on an in-memory network, and peers may use TLS. Change: getDelta in the peer API, Options for the peer client.

--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -38,22 +39,47 @@
 	meter *Meter
 }
 
+// Options of a Client. The zero value uses the operating system's network without TLS.
+type Options struct {
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	TLS  *tls.Config // nil means plain TCP
+}
+
 // NewClient returns a client that authenticates with token and counts its bytes in meter.
 func NewClient(token string, meter *Meter) (*Client, error) {
+	return NewClientWith(token, meter, Options{})
+}
+
+// NewClientWith returns a client with options.
+func NewClientWith(token string, meter *Meter, o Options) (*Client, error) {
+	dial := o.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         meter.dial(&net.Dialer{Timeout: connectTimeout}),
+		DialContext:         meter.dial(bounded(dial)),
+		TLSClientConfig:     o.TLS,
 		DisableCompression:  true, // saves the header Accept-Encoding; probes are too small to gain
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 		Proxy:               nil, // peers are reached directly whatever the environment says
 	}
-	api, err := peerapi.NewClient("http://peer", bearerSource(token), peerapi.WithClient(&caller{transport: transport}))
+	api, err := peerapi.NewClient("http://peer", bearerSource(token), peerapi.WithClient(&caller{transport: transport, secure: o.TLS != nil}))
 	if err != nil {
 		return nil, eris.Wrap(err, "create the peer client")
 	}
 	return &Client{api: api, http: transport, meter: meter}, nil
 }
 
+// bounded limits the time to open a connection.
+func bounded(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -142,11 +168,15 @@
 // caller sends requests without following redirects, which could carry the token elsewhere, and bounds the responses.
 type caller struct {
 	transport http.RoundTripper
+	secure    bool
 }
 
 // Do implements the client interface of the generated code.
 func (c *caller) Do(r *http.Request) (*http.Response, error) {
 	r.Header["User-Agent"] = nil // omits the header
+	if c.secure {
+		r.URL.Scheme = "https"
+	}
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
--- a/adapters/peer/meter.go
+++ b/adapters/peer/meter.go
@@ -33,9 +33,9 @@
 	return &meteredListener{Listener: l, meter: m}
 }
 
-func (m *Meter) dial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func (m *Meter) dial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/adapters/peer/peer_test.go
+++ b/adapters/peer/peer_test.go
@@ -68,6 +68,7 @@
 			*calls++
 			return []byte(strings.Repeat("x", 200_000)), strings.HasPrefix(digest, "a")
 		},
+		Delta:     func(fleet.Generation) (bundle.Delta, bool) { *calls++; return bundle.Delta{}, false },
 		Decisions: func(fleet.RequestID) []string { *calls++; return nil },
 	}
 }
--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -36,12 +36,14 @@
 	Manifest func() (bundle.SignedManifest, bool)
 	// Section returns a section by digest; false if it is not held.
 	Section func(digest string) ([]byte, bool)
+	// Delta returns the delta that led to a recent generation; false if it is not held.
+	Delta func(to fleet.Generation) (bundle.Delta, bool)
 	// Decisions returns the decision log lines of a request, oldest first.
 	Decisions func(request fleet.RequestID) []string
 }
 
 func (h Handlers) complete() bool {
-	return h.Probe != nil && h.ProbeIndirect != nil && h.Manifest != nil && h.Section != nil && h.Decisions != nil
+	return h.Probe != nil && h.ProbeIndirect != nil && h.Manifest != nil && h.Section != nil && h.Delta != nil && h.Decisions != nil
 }
 
 // NewHandler returns the HTTP handler of the peers' listener. It accepts the bearer tokens whose SHA-256 digests are given, two
--- a/api/peer/oas_client_gen.go
+++ b/api/peer/oas_client_gen.go
@@ -26,6 +26,10 @@
 	//
 	// GET /peer/v1/decisions/{request_id}
 	GetDecisions(ctx context.Context, params GetDecisionsParams) (*DecisionLines, error)
+	// GetDelta invokes getDelta operation.
+	//
+	// GET /peer/v1/bundle/deltas/{generation}
+	GetDelta(ctx context.Context, params GetDeltaParams) (GetDeltaOK, error)
 	// GetManifest invokes getManifest operation.
 	//
 	// GET /peer/v1/bundle/manifest
@@ -177,6 +181,98 @@
 	return result, nil
 }
 
+// GetDelta invokes getDelta operation.
+//
+// GET /peer/v1/bundle/deltas/{generation}
+func (c *Client) GetDelta(ctx context.Context, params GetDeltaParams) (GetDeltaOK, error) {
+	res, err := c.sendGetDelta(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetDelta(ctx context.Context, params GetDeltaParams) (res GetDeltaOK, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/peer/v1/bundle/deltas/"
+	{
+		// Encode "generation" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "generation",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.Int64ToString(params.Generation))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetDeltaOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetDeltaResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetManifest invokes getManifest operation.
 //
 // GET /peer/v1/bundle/manifest
--- a/api/peer/oas_handlers_gen.go
+++ b/api/peer/oas_handlers_gen.go
@@ -167,6 +167,145 @@
 	}
 }
 
+// handleGetDeltaRequest handles getDelta operation.
+//
+// GET /peer/v1/bundle/deltas/{generation}
+func (s *Server) handleGetDeltaRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetDeltaOperation,
+			ID:   "getDelta",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetDeltaOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetDeltaParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response GetDeltaOK
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetDeltaOperation,
+			OperationSummary: "",
+			OperationID:      "getDelta",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "generation",
+					In:   "path",
+				}: params.Generation,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetDeltaParams
+			Response = GetDeltaOK
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetDeltaParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetDelta(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetDelta(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetDeltaResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetManifestRequest handles getManifest operation.
 //
 // GET /peer/v1/bundle/manifest
--- a/api/peer/oas_operations_gen.go
+++ b/api/peer/oas_operations_gen.go
@@ -7,6 +7,7 @@
 
 const (
 	GetDecisionsOperation  OperationName = "GetDecisions"
+	GetDeltaOperation      OperationName = "GetDelta"
 	GetManifestOperation   OperationName = "GetManifest"
 	GetSectionOperation    OperationName = "GetSection"
 	ProbeOperation         OperationName = "Probe"
--- a/api/peer/oas_parameters_gen.go
+++ b/api/peer/oas_parameters_gen.go
@@ -99,6 +99,90 @@
 	return params, nil
 }
 
+// GetDeltaParams is parameters of getDelta operation.
+type GetDeltaParams struct {
+	// Generation that the delta leads to.
+	Generation int64
+}
+
+func unpackGetDeltaParams(packed middleware.Parameters) (params GetDeltaParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "generation",
+			In:   "path",
+		}
+		params.Generation = packed[key].(int64)
+	}
+	return params
+}
+
+func decodeGetDeltaParams(args [1]string, argsEscaped bool, r *http.Request) (params GetDeltaParams, _ error) {
+	// Decode path: generation.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "generation",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToInt64(val)
+				if err != nil {
+					return err
+				}
+
+				params.Generation = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           1,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(params.Generation)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "generation",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetSectionParams is parameters of getSection operation.
 type GetSectionParams struct {
 	Digest string
--- a/api/peer/oas_response_encoders_gen.go
+++ b/api/peer/oas_response_encoders_gen.go
@@ -24,6 +24,21 @@
 	return nil
 }
 
+func encodeGetDeltaResponse(response GetDeltaOK, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.WriteHeader(200)
+
+	writer := w
+	if closer, ok := response.Data.(io.Closer); ok {
+		defer closer.Close()
+	}
+	if _, err := io.Copy(writer, response); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetManifestResponse(response *SignedManifest, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/peer/oas_router_gen.go
+++ b/api/peer/oas_router_gen.go
@@ -11,19 +11,22 @@
 )
 
 var (
-	rn4AllowedHeaders = map[string]string{
+	rn5AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
+	rn9AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 	rn2AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn10AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn11AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
 )
@@ -91,6 +94,42 @@
 					break
 				}
 				switch elem[0] {
+				case 'd': // Prefix: "deltas/"
+
+					if l := len("deltas/"); len(elem) >= l && elem[0:l] == "deltas/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "generation"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetDeltaRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn5AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
 				case 'm': // Prefix: "manifest"
 
 					if l := len("manifest"); len(elem) >= l && elem[0:l] == "manifest" {
@@ -107,7 +146,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn4AllowedHeaders,
+								allowedHeaders: rn7AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -143,7 +182,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET",
-								allowedHeaders: rn7AllowedHeaders,
+								allowedHeaders: rn9AllowedHeaders,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -205,7 +244,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn8AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -230,7 +269,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn9AllowedHeaders,
+								allowedHeaders: rn11AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -353,6 +392,40 @@
 					break
 				}
 				switch elem[0] {
+				case 'd': // Prefix: "deltas/"
+
+					if l := len("deltas/"); len(elem) >= l && elem[0:l] == "deltas/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "generation"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetDeltaOperation
+							r.summary = ""
+							r.operationID = "getDelta"
+							r.operationGroup = ""
+							r.pathPattern = "/peer/v1/bundle/deltas/{generation}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
 				case 'm': // Prefix: "manifest"
 
 					if l := len("manifest"); len(elem) >= l && elem[0:l] == "manifest" {
--- a/api/peer/oas_schemas_gen.go
+++ b/api/peer/oas_schemas_gen.go
@@ -117,6 +117,20 @@
 	s.Response = val
 }
 
+type GetDeltaOK struct {
+	Data io.Reader
+}
+
+// Read reads data from the Data reader.
+//
+// Kept to satisfy the io.Reader interface.
+func (s GetDeltaOK) Read(p []byte) (n int, err error) {
+	if s.Data == nil {
+		return 0, io.EOF
+	}
+	return s.Data.Read(p)
+}
+
 type GetSectionOK struct {
 	Data io.Reader
 }
--- a/api/peer/oas_security_gen.go
+++ b/api/peer/oas_security_gen.go
@@ -35,6 +35,7 @@
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
 	GetDecisionsOperation:  []string{},
+	GetDeltaOperation:      []string{},
 	GetManifestOperation:   []string{},
 	GetSectionOperation:    []string{},
 	ProbeOperation:         []string{},
--- a/api/peer/oas_server_gen.go
+++ b/api/peer/oas_server_gen.go
@@ -12,6 +12,10 @@
 	//
 	// GET /peer/v1/decisions/{request_id}
 	GetDecisions(ctx context.Context, params GetDecisionsParams) (*DecisionLines, error)
+	// GetDelta implements getDelta operation.
+	//
+	// GET /peer/v1/bundle/deltas/{generation}
+	GetDelta(ctx context.Context, params GetDeltaParams) (GetDeltaOK, error)
 	// GetManifest implements getManifest operation.
 	//
 	// GET /peer/v1/bundle/manifest
