--- /dev/null
+++ b/node/daemon/bundles.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/adapters/peer"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/membership"
+	"eelgrassproxy.example/node/control/bundlesync"
+	"eelgrassproxy.example/node/settings"
+)
+
+// watchersPerRegion is the number of instances of each region that watch the store for new bundles; the others hear of them from
+// peers. Two let one be lost without delay.
+const watchersPerRegion = 2
+
+func verifierOf(b settings.Bundle) (bundle.Verifier, error) {
+	verifier := bundle.Verifier{Keys: make(map[string]ed25519.PublicKey), Required: b.RequiredSignatures}
+	for _, k := range b.TrustedKeys {
+		raw, err := base64.StdEncoding.DecodeString(k.PublicKey)
+		if err != nil {
+			return verifier, eris.Wrapf(err, "public key of operator %q", k.Operator)
+		}
+		verifier.Keys[k.Operator] = raw
+	}
+	return verifier, nil
+}
+
+// watchesStore tells whether this instance is one of its region's watchers. Before a bundle gives the topology, every instance is.
+func (d *Daemon) watchesStore() bool {
+	active := d.board.Bundle.Current()
+	if active == nil {
+		return true
+	}
+	watchers := membership.Watchers(d.board.Members.All(), active.Topology(), watchersPerRegion)
+	return slices.Contains(watchers, d.self.ID)
+}
+
+// peerSource gives bundlesync the peer client with its own errors.
+type peerSource struct{ client *peer.Client }
+
+var _ bundlesync.PeerSource = peerSource{}
+
+// Manifest implements bundlesync.PeerSource.
+func (p peerSource) Manifest(ctx context.Context, address string) (bundle.SignedManifest, error) {
+	return p.client.Manifest(ctx, address)
+}
+
+// Section implements bundlesync.PeerSource.
+func (p peerSource) Section(ctx context.Context, address, digest string) ([]byte, error) {
+	return p.client.Section(ctx, address, digest)
+}
+
+// Delta implements bundlesync.PeerSource.
+func (p peerSource) Delta(ctx context.Context, address string, to fleet.Generation) (bundle.Delta, error) {
+	delta, err := p.client.Delta(ctx, address, to)
+	if errors.Is(err, peer.ErrNotFound) {
+		return delta, eris.Wrap(bundlesync.ErrNoDelta, err.Error())
+	}
+	return delta, err
+}
--- /dev/null
+++ b/node/daemon/listeners.go
@@ -0,0 +1,176 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/adapters/peer"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/entry"
+	"eelgrassproxy.example/node/operations"
+)
+
+// openListeners opens all listeners before anything is served, so that a wrong address stops the start.
+func (d *Daemon) openListeners() (*serverSet, error) {
+	set := &serverSet{}
+	var err error
+	if set.callers, err = d.callersServer(); err != nil {
+		return nil, err
+	}
+	if set.peers, err = d.peersServer(); err != nil {
+		return nil, err
+	}
+	if set.operators, err = d.operatorsServer(); err != nil {
+		return nil, err
+	}
+	listen := d.settings.Listen
+	callersTLS, err := tlsConfig(listen.CallersTLS)
+	if err != nil {
+		return nil, err
+	}
+	peersTLS, err := tlsConfig(listen.PeersTLS)
+	if err != nil {
+		return nil, err
+	}
+	for _, l := range []struct {
+		server  *http.Server
+		address string
+		tls     *tls.Config
+		wrap    func(net.Listener) net.Listener
+	}{
+		{set.callers, listen.Callers, callersTLS, nil},
+		{set.peers, listen.Peers, peersTLS, d.meter.Listen},
+		{set.operators, listen.Operators, nil, nil},
+	} {
+		if err := set.open(d.env, l.server, l.address, l.tls, l.wrap); err != nil {
+			set.close()
+			return nil, err
+		}
+	}
+	return set, nil
+}
+
+func (s *serverSet) open(env Environment, server *http.Server, address string, config *tls.Config, wrap func(net.Listener) net.Listener) error {
+	l, err := env.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	if wrap != nil {
+		l = wrap(l)
+	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	s.run = append(s.run, func() error { return server.Serve(l) })
+	return nil
+}
+
+// serve runs the servers and returns the channel of the first one that fails.
+func (s *serverSet) serve(group *sync.WaitGroup) <-chan error {
+	failed := make(chan error, len(s.run))
+	for _, run := range s.run {
+		group.Go(func() {
+			if err := run(); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	return failed
+}
+
+func (s *serverSet) close() {
+	for _, server := range []*http.Server{s.callers, s.peers, s.operators} {
+		_ = server.Close()
+	}
+}
+
+func (d *Daemon) callersServer() (*http.Server, error) {
+	handler := entry.NewHandler(d.board, d.dispatcher, d.self.FailureDomain, d.settings.Drain.EntrypointTTL)
+	return entry.NewServer(handler, entry.Options{
+		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
+		MaxInFlight:  d.settings.Requests.MaxInFlight,
+	})
+}
+
+func (d *Daemon) peersServer() (*http.Server, error) {
+	handler, err := peer.NewHandler(peer.Handlers{
+		Probe:         d.members.handleProbe,
+		ProbeIndirect: d.members.handleIndirect,
+		Manifest:      d.manifest,
+		Section:       d.section,
+		Delta:         d.bundles.Delta,
+		Decisions:     d.board.Decisions.Find,
+	}, [][sha256.Size]byte{d.peerToken})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: peer.ServerIdleTimeout}, nil
+}
+
+func (d *Daemon) operatorsServer() (*http.Server, error) {
+	handler, err := operations.NewHandler(operations.Parts{
+		Instance:    d.self.ID,
+		Board:       d.board,
+		Store:       d.store,
+		Verifier:    d.verifier,
+		Decisions:   d.peers.Decisions,
+		TokenSHA256: d.settings.Operators.TokenSHA256,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return operations.NewServer(handler, d.Ready, d.metrics)
+}
+
+func (d *Daemon) manifest() (bundle.SignedManifest, bool) {
+	if active := d.board.Bundle.Current(); active != nil {
+		return active.Manifest(), true
+	}
+	return bundle.SignedManifest{}, false
+}
+
+func (d *Daemon) section(digest string) ([]byte, bool) {
+	if active := d.board.Bundle.Current(); active != nil {
+		return active.Section(digest)
+	}
+	return nil, false
+}
+
+// drain takes the instance out of entrypoint answers, keeps serving until the addresses that callers hold have run out, and then waits
+// for the last request.
+func (d *Daemon) drain(servers *serverSet) error {
+	d.drainOnce.Do(func() { close(d.drained) })
+	ctx := context.Background()
+	d.members.drain(ctx)
+	sleep(ctx, d.settings.Drain.EntrypointTTL+drainMargin)
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain.Grace)
+	defer cancel()
+	if err := servers.callers.Shutdown(ctx); err != nil {
+		return eris.Wrap(err, "requests were still running at the end of the drain's grace period")
+	}
+	d.members.leave(ctx)
+	return nil
+}
+
+// drainMargin covers the time in which other instances hear of the drain and may still hand out the address.
+const drainMargin = 3 * time.Second
+
+// peerAddresses returns the peers that may be asked for a bundle.
+func (d *Daemon) peerAddresses() []string {
+	var addresses []string
+	for _, m := range d.board.Members.All() {
+		if m.ID != d.self.ID && m.State != fleet.MemberDead && m.PeerAddress != "" {
+			addresses = append(addresses, m.PeerAddress)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,281 @@
+package fleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/api/platform"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/daemon"
+	"eelgrassproxy.example/node/settings"
+	"eelgrassproxy.example/standin/engine"
+	"eelgrassproxy.example/standin/instancelist"
+	"eelgrassproxy.example/standin/service"
+	"eelgrassproxy.example/standin/store"
+)
+
+// Options of a fleet.
+type Options struct {
+	Deployment Deployment
+	Network    Network
+	Instances  int    // entry instances, spread over the failure domains; 0 means 8
+	Folder     string // folder for the peer token and settings files
+	Engine     func(i int) engine.Options
+	Seed       uint64
+	// Adjust changes the settings of an instance before it starts; nil leaves them.
+	Adjust func(*settings.Settings)
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Options
+	Store     *store.Server
+	List      *instancelist.Server
+	Ledger    *service.Ledger
+	Engines   map[fleet.TargetID]*engine.Engine
+	Services  map[fleet.TargetID]*service.Service
+	Instances []*Instance
+	Addresses map[string]string // address of each part by name
+
+	ctx     context.Context
+	group   sync.WaitGroup
+	mu      sync.Mutex // guards servers
+	servers map[string]*http.Server
+}
+
+// Instance is one entry instance of the fleet.
+type Instance struct {
+	ID       fleet.InstanceID
+	Domain   fleet.FailureDomain
+	Settings *settings.Settings
+	Daemon   *daemon.Daemon
+	stop     context.CancelFunc
+	done     chan struct{}
+	err      error
+}
+
+const (
+	defaultInstances = 8
+	serviceReplicas  = 2
+)
+
+// Start starts the platform's stand-ins, the targets and the instances, and returns when all listeners are open. Stop ends them.
+func Start(o Options) (*Fleet, error) {
+	if o.Instances == 0 {
+		o.Instances = defaultInstances
+	}
+	f := &Fleet{
+		Options:   o,
+		Store:     store.New(store.Options{}),
+		List:      instancelist.New(instancelist.Options{Lag: listLag}),
+		Ledger:    &service.Ledger{},
+		Engines:   make(map[fleet.TargetID]*engine.Engine),
+		Services:  make(map[fleet.TargetID]*service.Service),
+		Addresses: make(map[string]string),
+		ctx:       context.Background(),
+		servers:   make(map[string]*http.Server),
+	}
+	steps := []func() error{f.startPlatform, f.startEngines, f.startServices, f.startInstances}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// serve reserves an address for a part and serves the handler there.
+func (f *Fleet) serve(part string, domain fleet.FailureDomain, handler http.Handler) (string, error) {
+	address, err := f.Network.Address(part, domain)
+	if err != nil {
+		return "", eris.Wrapf(err, "address of %s", part)
+	}
+	l, err := f.Network.Listen("tcp", address)
+	if err != nil {
+		return "", eris.Wrapf(err, "listener of %s", part)
+	}
+	server := &http.Server{Handler: handler}
+	f.mu.Lock()
+	f.servers[part] = server
+	f.Addresses[part] = address
+	f.mu.Unlock()
+	f.group.Go(func() { _ = server.Serve(l) })
+	return address, nil
+}
+
+func (f *Fleet) startPlatform() error {
+	if _, err := f.serve("store", f.Deployment.StoreDomain, f.Store); err != nil {
+		return err
+	}
+	_, err := f.serve("list", f.Deployment.StoreDomain, f.List)
+	return err
+}
+
+func (f *Fleet) startEngines() error {
+	domains := f.Deployment.Domains()
+	for i := range f.Deployment.Replicas {
+		id := fleet.TargetID(fmt.Sprintf("engine-%d", i+1))
+		if err := f.StartEngine(id, domains[i%len(domains)], f.engineOptions(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) engineOptions(i int) engine.Options {
+	options := engine.DefaultOptions()
+	if f.Engine != nil {
+		options = f.Engine(i)
+	}
+	options.MaxRunning = engineMaxRunning
+	options.Seed = f.Seed + uint64(i)
+	options.Models = []engine.Model{{Name: f.Deployment.Model, Version: f.Deployment.Version, Adapters: []string{Adapter}}}
+	return options
+}
+
+// StartEngine starts one engine and lists it.
+func (f *Fleet) StartEngine(id fleet.TargetID, domain fleet.FailureDomain, options engine.Options) error {
+	e := engine.New(options)
+	f.Engines[id] = e
+	address, err := f.serve(string(id), domain, e)
+	if err != nil {
+		return err
+	}
+	f.list(string(id), platform.InstanceKindEngine, "", address, domain)
+	return nil
+}
+
+func (f *Fleet) startServices() error {
+	domains := f.Deployment.Domains()
+	for i := range serviceReplicas {
+		id := fleet.TargetID(fmt.Sprintf("%s-%d", f.Deployment.Service, i+1))
+		s := service.New(serviceTime, f.Ledger)
+		f.Services[id] = s
+		address, err := f.serve(string(id), domains[i%len(domains)], s)
+		if err != nil {
+			return err
+		}
+		f.list(string(id), platform.InstanceKindService, f.Deployment.Service, address, domains[i%len(domains)])
+	}
+	return nil
+}
+
+// list puts a part on the instance list.
+func (f *Fleet) list(id string, kind platform.InstanceKind, name, address string, domain fleet.FailureDomain) {
+	entry := platform.Instance{ID: id, Kind: kind, Address: address, FailureDomain: string(domain), State: platform.InstanceStateLive}
+	if name != "" {
+		entry.Name = platform.NewOptString(name)
+	}
+	f.List.Set(entry)
+}
+
+func (f *Fleet) startInstances() error {
+	domains := f.Deployment.Domains()
+	if err := os.WriteFile(filepath.Join(f.Folder, "peer.token"), []byte(peerToken), 0o600); err != nil {
+		return err
+	}
+	for i := range f.Options.Instances {
+		id := fleet.InstanceID(fmt.Sprintf("instance-%d", i+1))
+		instance := &Instance{ID: id, Domain: domains[i%len(domains)]}
+		s, err := f.settings(instance)
+		if err != nil {
+			return err
+		}
+		instance.Settings = s
+		f.Instances = append(f.Instances, instance)
+		if err := f.Launch(instance); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Launch starts or restarts an instance.
+func (f *Fleet) Launch(i *Instance) error {
+	d, err := daemon.New(i.Settings, daemon.Environment{
+		Listen: f.Network.Listen,
+		Dial:   f.Network.Dial(string(i.ID)),
+		Seed:   f.Seed + uint64(len(i.ID)),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	i.Daemon, i.stop, i.done = d, stop, make(chan struct{})
+	f.list(string(i.ID), platform.InstanceKindEntry, "", i.Settings.Listen.Peers, i.Domain)
+	f.group.Go(func() {
+		defer close(i.done)
+		i.err = d.Run(ctx)
+	})
+	return nil
+}
+
+// Drain asks the instance to shut down gracefully, as SIGTERM does.
+func (i *Instance) Drain() { i.stop() }
+
+// Wait returns when the instance has shut down.
+func (i *Instance) Wait() error {
+	<-i.done
+	return i.err
+}
+
+// Crash ends an instance without a drain, as SIGKILL does.
+func (i *Instance) Crash() error {
+	i.Daemon.Kill()
+	return i.Wait()
+}
+
+// StopTarget ends a target like a crash: its listener and connections close.
+func (f *Fleet) StopTarget(id fleet.TargetID) {
+	f.mu.Lock()
+	server := f.servers[string(id)]
+	f.mu.Unlock()
+	_ = server.Close()
+	if e := f.Engines[id]; e != nil {
+		e.Close()
+	}
+}
+
+// Stop ends everything at once.
+func (f *Fleet) Stop() {
+	for _, i := range f.Instances {
+		if i.Daemon != nil {
+			i.Daemon.Kill()
+		}
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	f.Store.Close()
+	f.mu.Lock()
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+	f.mu.Unlock()
+	f.group.Wait()
+}
+
+// PublicKey returns the sample operator's public key in the form of the settings.
+func PublicKey() string {
+	return base64.StdEncoding.EncodeToString(OperatorKey().Public().(ed25519.PublicKey))
+}
+
+// Signed returns the document's manifest signed by the sample operator, with its sections.
+func Signed(doc *bundle.Document) (bundle.SignedManifest, bundle.Sections, error) {
+	manifest, sections, err := bundle.Split(doc)
+	if err != nil {
+		return bundle.SignedManifest{}, nil, err
+	}
+	raw := manifest.Bytes()
+	return bundle.SignedManifest{Manifest: raw, Signatures: []bundle.Signature{bundle.Sign(raw, Operator, OperatorKey())}}, sections, nil
+}
