--- /dev/null
+++ b/standin/fleet/roll.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/api/operator"
+	"eelgrassproxy.example/core/bundle"
+)
+
+// operatorToken is the bearer token of the sample operator.
+type operatorToken struct{}
+
+// Bearer implements the generated security source.
+func (operatorToken) Bearer(context.Context, operator.OperationName, *operator.Client) (operator.Bearer, error) {
+	return operator.Bearer{Token: OperatorToken}, nil
+}
+
+// HTTPClient returns a client that dials as the named part.
+func (f *Fleet) HTTPClient(part string) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: f.Network.Dial(part), DisableCompression: true}}
+}
+
+// Operator returns a client of the instance's operators' listener.
+func (f *Fleet) Operator(i *Instance) (*operator.Client, error) {
+	return operator.NewClient("http://"+i.Settings.Listen.Operators, operatorToken{}, operator.WithClient(f.HTTPClient("operator")))
+}
+
+// Roll signs the document as the sample operator and rolls it through the first instance, from the generation before it.
+func (f *Fleet) Roll(ctx context.Context, doc *bundle.Document) error {
+	client, err := f.Operator(f.Instances[0])
+	if err != nil {
+		return err
+	}
+	signed, _, err := Signed(doc)
+	if err != nil {
+		return err
+	}
+	text, err := yaml.Marshal(doc)
+	if err != nil {
+		return eris.Wrap(err, "encode bundle")
+	}
+	_, err = client.RollBundle(ctx, &operator.RollRequest{
+		SeenGeneration: int64(doc.Generation - 1),
+		Document:       string(text),
+		Signatures:     []operator.Signature{{Operator: signed.Signatures[0].Operator, Signature: signed.Signatures[0].Signature}},
+	})
+	return err
+}
+
+// readyPoll is how often AwaitReady looks at the instances.
+const readyPoll = 20 * time.Millisecond
+
+// AwaitReady returns when every instance has a bundle in force and knows its engines and peers.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	for {
+		if f.ready() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "fleet did not become ready")
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (f *Fleet) ready() bool {
+	for _, i := range f.Instances {
+		board := i.Daemon.Board()
+		if i.Daemon.Ready() != nil || len(board.Members.All()) < len(f.Instances) {
+			return false
+		}
+		known := 0
+		for _, t := range board.Targets.All() {
+			if t.Models != nil || t.Service != "" {
+				known++
+			}
+		}
+		if known < len(f.Engines)+len(f.Services) {
+			return false
+		}
+	}
+	return true
+}
