--- a/adapters/engine/control_test.go
+++ b/adapters/engine/control_test.go
@@ -70,13 +70,13 @@
 		defer serve(t, b.network, otherAddress, other)()
 
 		cold := firstToken(t, b, address, "r1", prompt)
-		warm := firstToken(t, b, address, "r2", prompt)
+		warm := firstToken(t, b, address, "r2", prompt+strings.Repeat("other ", 16))
 		require.Greater(t, cold, 160*time.Millisecond)
 		require.Less(t, warm, 15*time.Millisecond)
 
 		events, err := b.client.CacheEvents(b.ctx, address, 0)
 		require.NoError(t, err)
-		require.Len(t, events.Events, 100)
+		require.Len(t, events.Events, 101)
 		var blocks []string
 		for _, e := range events.Events {
 			blocks = append(blocks, e.Block)
@@ -85,7 +85,7 @@
 		require.NoError(t, err)
 		held, err := b.client.ImportKV(b.ctx, otherAddress, exported)
 		require.NoError(t, err)
-		require.Equal(t, 100, held)
+		require.Equal(t, 101, held)
 		require.Less(t, firstToken(t, b, otherAddress, "r3", prompt), 15*time.Millisecond)
 	})
 }
--- a/adapters/engine/stream_test.go
+++ b/adapters/engine/stream_test.go
@@ -132,6 +132,7 @@
 		require.Equal(t, stream.End, verdict)
 		_, _, err = collect(long)
 		require.ErrorIs(t, err, engine.ErrBroken)
+		require.NotErrorIs(t, err, stream.ErrTruncated) // the connection breaks off instead of ending
 		require.Equal(t, 1, b.engine.Cancelled())
 		_, err = b.client.Resume(b.ctx, address, "long", 0)
 		require.ErrorIs(t, err, engine.ErrUnknownStream)
@@ -160,3 +161,24 @@
 		require.Equal(t, 50*time.Millisecond, time.Since(start))
 	})
 }
+
+func TestKnownRequestIDRunsAgainUnlessDeduplicated(t *testing.T) {
+	// Guards against a stand-in that hides a client's second run of a request, and against streams that are kept forever.
+	for _, dedupe := range []bool{false, true} {
+		o := options()
+		o.DedupeRequestIDs = dedupe
+		run(t, o, func(t *testing.T, b bench) {
+			var answers [2][]string
+			for i := range answers {
+				answers[i], _, _ = collect(b.start(t, stream.NewTracker("r1"), engine.Request{ID: "r1", Body: chat("x", 3, true)}))
+			}
+			require.Len(t, answers[0], 4)
+			require.Equal(t, answers[0][:3], answers[1][:3])
+			require.Equal(t, map[bool]int{false: 2, true: 1}[dedupe], b.engine.Runs("r1"))
+			require.Equal(t, map[bool]int{false: 6, true: 3}[dedupe], b.engine.Tokens())
+			time.Sleep(o.StreamRetention + time.Second)
+			_, err := b.client.Resume(b.ctx, address, "r1", 0)
+			require.ErrorIs(t, err, engine.ErrUnknownStream)
+		})
+	}
+}
--- a/adapters/httpcall/sender_test.go
+++ b/adapters/httpcall/sender_test.go
@@ -85,16 +85,18 @@
 
 func TestRedirectIsNotFollowed(t *testing.T) {
 	// Guards against a target that has the request sent a second time elsewhere.
-	sent := 0
-	sender := httpcall.NewSender(&http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
-		sent++
-		h := http.Header{"Location": {"http://10.0.0.9/"}}
-		return &http.Response{StatusCode: http.StatusTemporaryRedirect, Header: h, Body: http.NoBody, Request: r}, nil
-	})})
-	response, err := sender.Do(post(t, "{}"))
-	require.NoError(t, err)
-	require.ErrorIs(t, httpcall.Success(response), httpcall.ErrFailed)
-	require.Equal(t, 1, sent)
+	for _, code := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		sent := 0
+		sender := httpcall.NewSender(&http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+			sent++
+			h := http.Header{"Location": {"http://10.0.0.9/"}}
+			return &http.Response{StatusCode: code, Header: h, Body: http.NoBody, Request: r}, nil
+		})})
+		response, err := sender.Do(post(t, "{}"))
+		require.NoError(t, err)
+		require.ErrorIs(t, httpcall.Success(response), httpcall.ErrFailed)
+		require.Equal(t, 1, sent)
+	}
 }
 
 func TestNotSentNeedsEvidence(t *testing.T) {
--- a/core/stream/tracker_test.go
+++ b/core/stream/tracker_test.go
@@ -24,7 +24,9 @@
 		{"events in order up to the end", []step{{"a/r/0", "x", stream.InOrder}, {"a/r/1", "[DONE]", stream.End}}, 2, true},
 		{"an event seen before is a duplicate", []step{{"a/r/0", "x", stream.InOrder}, {"a/r/0", "x", stream.Duplicate}}, 1, false},
 		{"a missing event is a gap, even before the end", []step{{"a/r/1", "[DONE]", stream.Gap}}, 0, false},
-		{"an event of another request is foreign", []step{{"a/r2/0", "x", stream.Foreign}, {"a/r/0", "x", stream.InOrder}}, 1, false},
+		{"an event of another request is foreign", []step{
+			{"a/r2/0", "x", stream.Foreign}, {"a/s/0", "x", stream.Foreign}, {"a/r/0", "x", stream.InOrder},
+		}, 1, false},
 		{"an end of another request is no end", []step{{"b/0", "[DONE]", stream.Foreign}}, 0, false},
 		{"an end without an id is no end", []step{{"", "[DONE]", stream.Foreign}}, 0, false},
 		{"a sequence has one form only", []step{
