--- /dev/null
+++ b/core/batch/bulk.go
@@ -0,0 +1,12 @@
+// Package batch holds the state machines of jobs and chunks, the ownership of shards, the order of work and the limit of batch requests
+// in flight at each target.
+package batch
+
+import "eelgrassproxy.example/core/fleet"
+
+// BlobRef names a blob and the two disk holders that stored it.
+type BlobRef struct {
+	Digest  string             `json:"digest"` // hexadecimal SHA-256 of the content
+	Bytes   int64              `json:"bytes"`
+	Holders []fleet.InstanceID `json:"holders"`
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -118,6 +118,7 @@
 	PeerAddress   string // IP number and port of the peers' listener
 	CallerAddress string // IP number and port of the callers' listener
 	FailureDomain FailureDomain
+	HasDisk       bool       // holds bulk data
 	Generation    Generation // bundle generation last heard of
 	InFlight      int        // requests in flight last heard of
 }
