Add whole-session scenarios and seeded jitter

Cause: golden sessions need the same order each run. Change: seeds for the workers' jitter and the admission queue; the scenarios of the online path.

--- a/node/admission/gate.go
+++ b/node/admission/gate.go
@@ -33,13 +33,14 @@
 
 // Gates holds one gate for each pool. It is safe for concurrent use.
 type Gates struct {
+	seed  uint64
 	mu    sync.Mutex // guards gates; taken before a gate's own mutex
 	gates map[request.PoolKey]*gate
 }
 
-// New returns gates without waiting requests.
-func New() *Gates {
-	return &Gates{gates: make(map[request.PoolKey]*gate)}
+// New returns gates without waiting requests. The seed decides who takes the fraction of a free place.
+func New(seed uint64) *Gates {
+	return &Gates{seed: seed, gates: make(map[request.PoolKey]*gate)}
 }
 
 // Ticket is the right to dispatch one request. Done must be called once.
@@ -61,7 +62,11 @@
 	found, ok := g.gates[key]
 	if !ok {
 		wait := time.Duration(r.Bundle.Limits().QueueTimeoutMs) * time.Millisecond
-		found = &gate{queue: limits.NewFairQueue[chan bool](queueLength, wait), maxWait: wait}
+		found = &gate{
+			queue:   limits.NewFairQueue[chan bool](queueLength, wait),
+			maxWait: wait,
+			random:  rand.New(rand.NewPCG(g.seed, uint64(len(g.gates)))),
+		}
 		g.gates[key] = found
 	}
 	return found
@@ -73,6 +78,7 @@
 	queue    *limits.FairQueue[chan bool]
 	maxWait  time.Duration
 	rate     limits.ServiceRate
+	random   *rand.Rand
 	lastPump time.Time
 	pressure PressureFunc // of the latest request; estimates are per pool
 }
@@ -203,7 +209,7 @@
 	current := g.pressure()
 	share := (current.Capacity*headroom - current.Load) / float64(max(current.Sharers, 1))
 	count := int(share)
-	if rand.Float64() < share-float64(count) {
+	if g.random.Float64() < share-float64(count) {
 		count++
 	}
 	g.letThrough(count, now)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -184,7 +184,7 @@
 		Addresses: d.peerAddresses,
 		Random:    rand.New(rand.NewPCG(d.env.Seed, 1)),
 	})
-	d.workers = workers.NewPool(d.board, d.settings.Workers)
+	d.workers = workers.NewPool(d.board, d.settings.Workers, d.env.Seed)
 	d.workers.Register(d.bundles, workers.Schedule{Every: time.Second})
 	d.workers.Register(d.claims.Controller(), workers.Schedule{Every: time.Second})
 	d.workers.Register(engines.New(d.board, d.engines, d.pools.Used), workers.Schedule{
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -59,7 +59,7 @@
 func New(parts Parts) *Dispatcher {
 	return &Dispatcher{
 		Parts:   parts,
-		gates:   admission.New(),
+		gates:   admission.New(parts.Seed),
 		metrics: newMetrics(parts.Metrics),
 		random:  rand.New(rand.NewPCG(parts.Seed, 0)),
 		retries: limits.NewRetryBudget(limits.DefaultRetryPolicy()),
--- a/node/workers/workers.go
+++ b/node/workers/workers.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
-	"eelgrassproxy.example/node/blackboard"
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/node/blackboard"
 )
 
 // Controller compares the desired with the observed state and acts on the difference.
@@ -29,6 +31,7 @@
 // Pool runs registered controllers. Register before Run.
 type Pool struct {
 	size  int
+	seed  uint64
 	board *blackboard.Board
 	tasks []*task
 	ready chan *task
@@ -44,9 +47,9 @@
 	again      bool // triggered while running
 }
 
-// NewPool returns a pool of size workers over the board.
-func NewPool(board *blackboard.Board, size int) *Pool {
-	return &Pool{size: size, board: board}
+// NewPool returns a pool of size workers over the board. The seed decides the jitter of the periods.
+func NewPool(board *blackboard.Board, size int, seed uint64) *Pool {
+	return &Pool{size: size, seed: seed, board: board}
 }
 
 // Register adds a controller.
@@ -76,8 +79,9 @@
 	if t.schedule.Every <= 0 {
 		return
 	}
+	random := rand.New(rand.NewPCG(p.seed, xxhash.Sum64String(t.controller.Name())))
 	for {
-		timer := time.NewTimer(jitter(t.schedule.Every))
+		timer := time.NewTimer(jitter(t.schedule.Every, random))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -88,12 +92,13 @@
 	}
 }
 
-func jitter(d time.Duration) time.Duration {
+// jitter changes d by up to a twentieth either way.
+func jitter(d time.Duration, random *rand.Rand) time.Duration {
 	spread := int64(d) / 10
 	if spread == 0 {
 		return d
 	}
-	return d - time.Duration(spread/2) + time.Duration(rand.Int64N(spread))
+	return d - time.Duration(spread/2) + time.Duration(random.Int64N(spread))
 }
 
 // trigger queues the task unless it is queued already. The channel has a slot for every task, so that the send never blocks.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -31,6 +31,8 @@
 	Folder     string // folder for the peer token and settings files
 	Engine     func(i int) engine.Options
 	Seed       uint64
+	// Observe sees every request that reaches a target, before it is handled; nil ignores them.
+	Observe func(part string, r *http.Request)
 	// Adjust changes the settings of an instance before it starts; nil leaves them.
 	Adjust func(*settings.Settings)
 }
@@ -104,7 +106,7 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "listener of %s", part)
 	}
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: f.observed(part, handler)}
 	f.mu.Lock()
 	f.servers[part] = server
 	f.Addresses[part] = address
@@ -113,6 +115,16 @@
 	return address, nil
 }
 
+func (f *Fleet) observed(part string, handler http.Handler) http.Handler {
+	if f.Observe == nil {
+		return handler
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.Observe(part, r)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (f *Fleet) startPlatform() error {
 	if _, err := f.serve("store", f.Deployment.StoreDomain, f.Store); err != nil {
 		return err
--- /dev/null
+++ b/standin/sessions/sessions_test.go
@@ -0,0 +1,244 @@
+package sessions
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	corefleet "eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/standin/fleet"
+	"eelgrassproxy.example/standin/service"
+)
+
+// scenario is one whole session. play returns the requests whose decisions belong into the golden file.
+type scenario struct {
+	name   string
+	guards string // the failure that the session guards against
+	adjust func(*fleet.Options)
+	play   func(s *session) []string
+}
+
+// Each session runs the real instances over an in-memory network on virtual time and is compared with its golden file
+// (go test ./standin/sessions -update rewrites them).
+func TestSessions(t *testing.T) {
+	for _, c := range append(goodPath(), faults()...) {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSession(t, c.adjust)
+				requests := c.play(s)
+				goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, c.name, s.golden(requests...))
+				s.fleet.Stop()
+				s.client.CloseIdleConnections()
+			})
+		})
+	}
+}
+
+func goodPath() []scenario {
+	return []scenario{
+		{
+			name:   "stream",
+			guards: "an answer that is not streamed event by event, in order and with the caller's request id",
+			play: func(s *session) []string {
+				a := s.send(chat(0, "first", true, 3), nil)
+				require.Equal(s.t, 200, a.status)
+				require.Contains(s.t, a.body, "[DONE]")
+				return []string{"first"}
+			},
+		},
+		{
+			name:   "whole-answer",
+			guards: "an answer in one piece that is not the target's",
+			play: func(s *session) []string {
+				a := s.send(chat(1, "whole", false, 3), nil)
+				require.Equal(s.t, 200, a.status)
+				return []string{"whole"}
+			},
+		},
+		{
+			name:   "unknown-model-and-key",
+			guards: "requests that reach a target although the bundle does not allow them",
+			play: func(s *session) []string {
+				r := chat(0, "nope", true, 3)
+				r.body = strings.Replace(r.body, "bench-assist", "other", 1)
+				require.Equal(s.t, 404, s.send(r, nil).status)
+				r = chat(0, "stranger", true, 3)
+				r.apiKey = "unknown"
+				require.Equal(s.t, 401, s.send(r, nil).status)
+				require.Equal(s.t, 400, s.send(issue(0, "no-key", ""), nil).status)
+				require.Empty(s.t, s.fleet.Ledger.Executions())
+				return nil
+			},
+		},
+		{
+			name:   "service-once",
+			guards: "a resend, at the same or another instance, that runs a non-idempotent operation again",
+			play: func(s *session) []string {
+				require.Equal(s.t, 200, s.send(issue(0, "q1", "k1"), nil).status)
+				require.Equal(s.t, 200, s.send(issue(0, "q2", "k1"), nil).status)
+				require.Equal(s.t, 200, s.send(issue(2, "q3", "k1"), nil).status)
+				changed := issue(1, "q4", "k1")
+				changed.body = `{"lamp":"steel"}`
+				require.Equal(s.t, 422, s.send(changed, nil).status)
+				require.Equal(s.t, 1, s.fleet.Ledger.OfKey("k1"))
+				return []string{"q1", "q2", "q3", "q4"}
+			},
+		},
+	}
+}
+
+func faults() []scenario {
+	return []scenario{
+		{
+			name:   "silent-connection",
+			guards: "a stream that hangs, loses or repeats events when its connection goes silent",
+			play: func(s *session) []string {
+				a := s.send(chat(0, "quiet", true, 8), func(n int) {
+					if n == 2 {
+						s.network.Silence(s.fleet.Addresses[string(s.servedBy("quiet"))])
+						s.note("connections of the target go silent")
+					}
+				})
+				requireWhole(s.t, a, 8)
+				return []string{"quiet"}
+			},
+		},
+		{
+			name:   "target-lost-before-answer",
+			guards: "a request that fails although another target can run it",
+			play: func(s *session) []string {
+				victim := s.preferred("lost")
+				s.fleet.StopTarget(victim)
+				s.note("%s is lost", victim)
+				requireWhole(s.t, s.send(chat(0, "lost", true, 3), nil), 3)
+				return []string{"lost"}
+			},
+		},
+		{
+			name:   "target-lost-mid-stream",
+			guards: "an incomplete answer that ends as if it were whole",
+			play: func(s *session) []string {
+				a := s.send(chat(0, "half", true, 8), func(n int) {
+					if n == 2 {
+						victim := s.servedBy("half")
+						s.fleet.StopTarget(victim)
+						s.note("%s is lost", victim)
+					}
+				})
+				require.NotContains(s.t, a.body, "[DONE]")
+				require.Contains(s.t, a.body, "event: error")
+				return []string{"half"}
+			},
+		},
+		{
+			name:   "target-leaving",
+			guards: "new work for a leaving target, or a false answer for the request that found it leaving",
+			play: func(s *session) []string {
+				victim := s.preferred("moved")
+				s.fleet.Engines[victim].Leaving(true)
+				s.note("%s says that it is leaving", victim)
+				requireWhole(s.t, s.send(chat(0, "moved", true, 3), nil), 3)
+				time.Sleep(3 * time.Second)
+				for _, i := range s.fleet.Instances {
+					entry, ok := i.Daemon.Board().Targets.Get(victim)
+					require.True(s.t, ok)
+					require.Equal(s.t, corefleet.TargetLeaving, entry.State, "%s has not heard that the target is leaving", i.ID)
+				}
+				return []string{"moved"}
+			},
+		},
+		{
+			name:   "service-answer-lost",
+			guards: "a second run of an operation whose first answer was lost, or a false not-run",
+			play: func(s *session) []string {
+				for _, replica := range s.fleet.Services {
+					replica.Inject(service.AnswerLost)
+				}
+				first := s.send(issue(0, "b1", "k2"), nil)
+				require.Equal(s.t, 502, first.status)
+				require.Contains(s.t, first.body, `"not_run":false`)
+				again := s.send(issue(1, "b2", "k2"), nil)
+				require.Contains(s.t, again.body, "outcome_unknown")
+				require.Equal(s.t, 1, s.fleet.Ledger.OfKey("k2"))
+				return []string{"b1", "b2"}
+			},
+		},
+		{
+			name:   "store-down",
+			guards: "online answers that stop with the store, and calls that run without a claim",
+			play: func(s *session) []string {
+				s.fleet.Store.Down(true)
+				s.note("store goes down")
+				refused := s.send(issue(0, "d1", "k3"), nil)
+				require.Equal(s.t, 503, refused.status)
+				require.Contains(s.t, refused.body, `"not_run":true`)
+				require.Zero(s.t, s.fleet.Ledger.OfKey("k3"))
+				requireWhole(s.t, s.send(chat(1, "online", true, 3), nil), 3)
+				s.fleet.Store.Down(false)
+				s.note("store comes back")
+				time.Sleep(3 * time.Second)
+				require.Equal(s.t, 200, s.send(issue(0, "d2", "k3"), nil).status)
+				require.Equal(s.t, 1, s.fleet.Ledger.OfKey("k3"))
+				return []string{"d1", "online", "d2"}
+			},
+		},
+		{
+			name:   "claim-answer-lost",
+			guards: "a claim whose write took effect unseen and that blocks or doubles the request",
+			play: func(s *session) []string {
+				s.fleet.Store.LoseAnswers(1)
+				s.note("store loses the answer of the next write")
+				require.Equal(s.t, 200, s.send(issue(0, "c1", "k4"), nil).status)
+				require.Equal(s.t, 200, s.send(issue(1, "c2", "k4"), nil).status)
+				require.Equal(s.t, 1, s.fleet.Ledger.OfKey("k4"))
+				return []string{"c1", "c2"}
+			},
+		},
+		{
+			name:   "instance-lost-after-claim",
+			guards: "a second run after the loss of the instance that ran the first",
+			play: func(s *session) []string {
+				done := make(chan answer)
+				go func() { done <- s.send(issue(0, "i1", "k5"), nil) }()
+				s.awaitExecutions(1)
+				require.NoError(s.t, s.fleet.Instances[0].Crash())
+				s.note("instance-1 is lost")
+				require.Error(s.t, (<-done).err)
+				time.Sleep(20 * time.Second)
+				again := s.send(issue(1, "i2", "k5"), nil)
+				require.Contains(s.t, again.body, "outcome_unknown")
+				require.Equal(s.t, 1, s.fleet.Ledger.OfKey("k5"))
+				return []string{"i2"}
+			},
+		},
+		{
+			name:   "drain-during-stream",
+			guards: "a graceful shutdown that cuts off a request, or that is not announced",
+			play: func(s *session) []string {
+				a := s.send(chat(0, "drain", true, 1500), func(n int) {
+					if n == 2 {
+						s.fleet.Instances[0].Drain()
+						s.note("instance-1 is asked to shut down")
+					}
+				})
+				require.Equal(s.t, 1502, strings.Count(a.body, "data: "))
+				require.Contains(s.t, a.body, "[DONE]")
+				require.NoError(s.t, s.fleet.Instances[0].Wait())
+				s.events = s.events[:2] // the answer's 1,500 events do not belong into the golden file
+				return nil
+			},
+		},
+	}
+}
+
+// requireWhole checks that a stream has the given number of tokens, a usage event and its end, without hole or repeat.
+func requireWhole(t *testing.T, a answer, tokens int) {
+	t.Helper()
+	require.Equal(t, 200, a.status)
+	require.Contains(t, a.body, "data: [DONE]")
+	require.Equal(t, tokens, strings.Count(a.body, `"content":`), a.body)
+}
