--- a/cmd/eelgrassctl/democmd/democmd.go
+++ b/cmd/eelgrassctl/democmd/democmd.go
@@ -98,11 +98,11 @@
 	fmt.Fprintf(out, `The %s sample fleet runs: %d instances, %d engines, settings and log in %s
 
 Stream an answer:
-  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'X-Request-Id: first' \
+  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'X-Request-Id: first' -H 'Content-Type: application/json' \
     -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which plug fits a two-core flex?"}]}'
 
 Call a service operation that runs at most once:
-  curl http://%s/v1/services/%s/%s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: quote-1' -d '{"lamp":"brass"}'
+  curl http://%s/v1/services/%s/%s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: quote-1' -H 'Content-Type: application/json' -d '{"lamp":"brass"}'
 
 Ask which instances to use:
   curl http://%s/v1/entrypoints -H 'Authorization: Bearer %s'
--- a/cmd/eelgrassctl/main.go
+++ b/cmd/eelgrassctl/main.go
@@ -14,7 +14,6 @@
 	"eelgrassproxy.example/cmd/eelgrassctl/bundlecmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/democmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/operatorcmd"
-	"eelgrassproxy.example/cmd/eelgrassctl/standincmd"
 	"eelgrassproxy.example/node/version"
 )
 
@@ -58,8 +57,6 @@
 		return operatorcmd.Explain(ctx, args[1:], stdout, stderr)
 	case "demo":
 		return democmd.Run(ctx, args[1:], stdout, stderr)
-	case "standin":
-		return standincmd.Run(ctx, args[1:], stdout, stderr)
 	case "version", "-version", "--version":
 		fmt.Fprintln(stdout, "eelgrassctl", version.String())
 		return exitOK
