Make claims hold against lost responses and test them on virtual time

A resend may reach any instance, store responses get lost, and owners are lost or paused; a key must still run at most once. A property test draws schedules of two or three instances with resends, outages, lost and delayed store responses, losses, pauses and replacements, and checks that a key runs at most once, that a resend gets the first answer or none, that no key runs after its outcome was told to be unknown, and that everything settles once the store is healthy.

It found one fault: a claim write with unknown outcome followed by a refused second try was forgotten, so that the first write could still land and leave the key in progress for as long as the instance lived. writeClaim now remembers any unconfirmed try, and the release fences it off.

--- /dev/null
+++ b/core/claims/claims_test.go
@@ -0,0 +1,113 @@
+package claims
+
+import (
+	"testing"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	now  = time.Unix(1_700_000_000, 0).UTC()
+	self = Owner{Instance: "self", Incarnation: 7}
+)
+
+func recordOf(state State, owner Owner) *Record {
+	r := New(Attempt{Owner: owner, Token: "t", RequestDigest: "d", Operation: "op"}, now)
+	r.State = state
+	if state == Done {
+		r.Answer = &Answer{Status: 200, Body: []byte("first")}
+	}
+	return &r
+}
+
+// Guards against a second run, against a false verdict on an instance that is only suspected, and against waiting for
+// one that is gone.
+func TestDecisionFollowsFromTheRecordAndTheOwnersLiveness(t *testing.T) {
+	other := Owner{Instance: "other", Incarnation: 1}
+	cases := map[string]struct {
+		record   *Record
+		liveness Liveness
+		digest   string
+		at       time.Time
+		want     ActionKind
+	}{
+		"a new key is claimed":                               {nil, Dead, "d", now, Claim},
+		"a released key is claimed again":                    {recordOf(Released, other), Dead, "d", now, Claim},
+		"a recorded answer is replayed":                      {recordOf(Done, other), Dead, "d", now, Replay},
+		"an unknown outcome stays unknown":                   {recordOf(Unknown, other), Alive, "d", now, TellUnknown},
+		"a live owner is waited for":                         {recordOf(Claimed, other), Alive, "d", now, WaitFor},
+		"a suspected owner is waited for":                    {recordOf(Claimed, other), Uncertain, "d", now, WaitFor},
+		"a dead owner's claim is marked unknown":             {recordOf(Claimed, other), Dead, "d", now, MarkUnknown},
+		"this process is alive to itself":                    {recordOf(Claimed, self), Dead, "d", now, WaitFor},
+		"another incarnation of this instance is lost":       {recordOf(Claimed, Owner{"self", 6}), Alive, "d", now, MarkUnknown},
+		"another request under the key is a mismatch":        {recordOf(Done, other), Alive, "x", now, Mismatch},
+		"a mismatch counts for a released key as well":       {recordOf(Released, other), Alive, "x", now, Mismatch},
+		"a claim older than any request is not waited for":   {recordOf(Claimed, other), Alive, "d", now.Add(longestRun + 1), TellInProgress},
+		"a dead owner's old claim is marked unknown as well": {recordOf(Claimed, other), Dead, "d", now.Add(time.Hour), MarkUnknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			isAlive := func(fleet.InstanceID, uint64) Liveness { return tc.liveness }
+			require.Equal(t, tc.want, Decide(tc.record, self, isAlive, tc.digest, tc.at).Kind)
+		})
+	}
+}
+
+// Guards against transitions that forget an answer, revive an unknown request or touch another attempt's claim.
+func TestTransitionsKeepFinalStatesAndForeignClaims(t *testing.T) {
+	complete := func(r Record, token string) (Record, error) { return Complete(r, token, Answer{Status: 201}) }
+	reclaim := func(r Record, _ string) (Record, error) { return Reclaim(r, Attempt{Token: "t2"}, now) }
+	retake := func(r Record, token string) (Record, error) { return Retake(r, token, Attempt{Token: "t2"}, now) }
+	markLost := func(r Record, _ string) (Record, error) { return MarkLost(r) }
+	steps := map[string]struct {
+		step func(Record, string) (Record, error)
+		want map[State]State // "" for ErrTransition
+	}{
+		"complete": {complete, map[State]State{Claimed: Done, Done: Done, Unknown: Done, Released: ""}},
+		"release":  {Release, map[State]State{Claimed: Released, Released: Released, Unknown: "", Done: ""}},
+		"abandon":  {Abandon, map[State]State{Claimed: Unknown, Unknown: Unknown, Released: "", Done: ""}},
+		"mark":     {markLost, map[State]State{Claimed: Unknown, Unknown: Unknown, Released: "", Done: ""}},
+		"reclaim":  {reclaim, map[State]State{Released: Claimed, Claimed: "", Unknown: "", Done: ""}},
+		"retake":   {retake, map[State]State{Claimed: Claimed, Released: "", Unknown: "", Done: ""}},
+	}
+	for name, tc := range steps {
+		for from, want := range tc.want {
+			next, err := tc.step(*recordOf(from, self), "t")
+			if want == "" {
+				require.ErrorIs(t, err, ErrTransition, "%s from %s", name, from)
+				continue
+			}
+			require.NoError(t, err)
+			require.Equal(t, want, next.State, "%s from %s", name, from)
+		}
+	}
+	for _, step := range []func(Record, string) (Record, error){complete, Release, Abandon, retake} {
+		_, err := step(*recordOf(Claimed, self), "other token")
+		require.ErrorIs(t, err, ErrNotOwner)
+	}
+	again, err := complete(*recordOf(Done, self), "t")
+	require.NoError(t, err)
+	require.Equal(t, "first", string(again.Answer.Body))
+	_, err = Complete(*recordOf(Claimed, self), "t", Answer{Body: make([]byte, MaxAnswerBody+1)})
+	require.ErrorIs(t, err, ErrAnswerTooLarge)
+}
+
+// Guards against a record that reads back differently, and against a broken one that passes for a claim.
+func TestRecordsRoundTripAndBrokenOnesAreRefused(t *testing.T) {
+	for _, state := range []State{Claimed, Done, Released, Unknown} {
+		want := *recordOf(state, self)
+		value, err := want.Encode()
+		require.NoError(t, err)
+		got, err := Decode(value)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	for _, broken := range []string{``, `{}`, `{"state":"done"}`, `{"state":"other"}`, `[]`} {
+		_, err := Decode([]byte(broken))
+		require.ErrorIs(t, err, ErrInvalidRecord, broken)
+	}
+	require.NotEqual(t, Key("ab", "c"), Key("a", "bc"))
+	require.Len(t, Key("a", "b"), 64)
+}
--- a/node/claims/acquire.go
+++ b/node/claims/acquire.go
@@ -28,24 +28,17 @@
 	poll := firstPoll
 	for range maxRounds {
 		action := claims.Decide(current.record, c.config.Self, c.config.Liveness, r.Digest, time.Now())
+		if action.Kind == claims.WaitFor && c.undispatched(key, current.record) {
+			action.Kind = claims.Claim
+		}
 		var result *Result
 		var err error
 		switch action.Kind {
 		case claims.Claim:
 			result, current, err = c.claim(ctx, key, r, current)
 		case claims.WaitFor:
-			if c.undispatched(key, current.record) {
-				result, current, err = c.claim(ctx, key, r, current)
-				break
-			}
-			if !sleep(ctx, poll) {
-				return inProgress(), nil
-			}
+			result, current = c.poll(ctx, key, poll)
 			poll = min(2*poll, longestPoll)
-			current, err = c.read(ctx, key)
-			if err != nil {
-				return inProgress(), nil
-			}
 		case claims.MarkUnknown:
 			result, current = c.markLost(ctx, key, current)
 		default:
@@ -61,6 +54,20 @@
 	return inProgress(), nil
 }
 
+// poll waits and reads the claim again. The result is InProgress if the request's time is up or the store fails: an
+// attempt may be running, thus the refusal must not say that the request was not run.
+func (c *Claimer) poll(ctx context.Context, key string, wait time.Duration) (*Result, stored) {
+	result := inProgress()
+	if !sleep(ctx, wait) {
+		return &result, stored{}
+	}
+	found, err := c.read(ctx, key)
+	if err != nil {
+		return &result, stored{}
+	}
+	return nil, found
+}
+
 // tell translates the actions that need no store call.
 func tell(action claims.Action) Result {
 	switch action.Kind {
@@ -84,30 +91,41 @@
 	if err != nil {
 		return nil, over, eris.Wrap(ErrNotRun, err.Error())
 	}
+	found, unconfirmed, err := c.writeClaim(ctx, key, record, over)
+	if err == nil {
+		return held(key, record, found), found, nil
+	}
+	if unconfirmed {
+		// The write may still take effect after this request was refused; the release fences it off.
+		c.keep(&outcome{kind: released, key: key, record: record, base: over.revision})
+	}
+	return nil, over, eris.Wrap(ErrNotRun, err.Error())
+}
+
+// writeClaim sends the claim write and, when its response is lost, reads it back. While the store shows no effect, the
+// write is sent once more: its comparison lets only one of the two take effect. With an error, unconfirmed tells that
+// one of them still may.
+func (c *Claimer) writeClaim(ctx context.Context, key string, record claims.Record, over stored) (
+	found stored, unconfirmed bool, err error,
+) {
 	for range claimTries {
-		found, err := c.swap(ctx, key, over.revision, record)
-		if err == nil {
-			return held(key, record, found), found, nil
+		found, err = c.swap(ctx, key, over.revision, record)
+		if err == nil || noEffect(err) {
+			return found, unconfirmed, err
 		}
-		if noEffect(err) {
-			return nil, over, eris.Wrap(ErrNotRun, err.Error())
+		unconfirmed = true
+		if ctx.Err() != nil {
+			return found, unconfirmed, err
 		}
-		if ctx.Err() == nil {
-			found, err = c.read(ctx, key)
-		}
-		if errors.Is(err, claims.ErrInvalidRecord) { // not the record that was written
-			return nil, over, eris.Wrap(ErrNotRun, err.Error())
-		}
-		if err != nil {
-			break
+		readBack, readErr := c.read(ctx, key)
+		if readErr != nil {
+			return found, unconfirmed, err
 		}
-		if found.revision != over.revision {
-			return held(key, record, found), found, nil
+		if readBack.revision != over.revision {
+			return readBack, false, nil
 		}
 	}
-	// The write may still take effect, even after this request was refused; the release fences it off.
-	c.keep(&outcome{kind: released, key: key, record: record, base: over.revision})
-	return nil, over, eris.Wrap(ErrNotRun, "outcome of the claim write is unknown")
+	return found, unconfirmed, err
 }
 
 // newRecord returns the record of a new attempt over the present one, which is absent, released, or a claim of this
--- /dev/null
+++ b/node/claims/property_test.go
@@ -0,0 +1,205 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/core/claims"
+	"eelgrassproxy.example/core/fleet"
+)
+
+// detection is the time after which the world takes a silent process for dead; half of it makes it uncertain.
+const detection = 2 * time.Second
+
+// process is one incarnation of an instance.
+type process struct {
+	world   *world
+	self    claims.Owner
+	claimer *Claimer
+	ctx     context.Context
+	kill    context.CancelFunc
+	silent  time.Time     // start of the loss or the pause
+	resumed chan struct{} // closed unless paused
+}
+
+// world runs a schedule on virtual time and collects what must not happen.
+type world struct {
+	schedule    schedule
+	bypass      bool // dispatches without claim, to show that the checks notice
+	store       *memStore
+	mu          sync.Mutex // guards the fields below
+	processes   []*process
+	incarnation uint64
+	executions  map[int]int    // by key
+	answers     map[int]string // first answer handed out, by key
+	toldUnknown map[int]bool   // by key
+	violations  []string
+}
+
+// gate holds a paused process up and ends a lost one. The store and the target pass through it before and after calls.
+func (p *process) gate() error {
+	p.world.mu.Lock()
+	resumed := p.resumed
+	p.world.mu.Unlock()
+	select {
+	case <-resumed:
+	case <-p.ctx.Done():
+	}
+	return p.ctx.Err()
+}
+
+// gatedStore is a process's way to the store.
+type gatedStore struct {
+	*memStore
+	process *process
+}
+
+func (w *world) start(instance int) {
+	w.incarnation++
+	p := &process{world: w, resumed: make(chan struct{})}
+	close(p.resumed)
+	p.self = claims.Owner{Instance: fleet.InstanceID(fmt.Sprint("i", instance)), Incarnation: w.incarnation}
+	p.ctx, p.kill = context.WithCancel(context.Background())
+	p.claimer = New(&gatedStore{memStore: w.store, process: p}, Config{Self: p.self, Liveness: w.liveness})
+	w.processes[instance] = p
+	go func() {
+		for p.ctx.Err() == nil {
+			_ = p.claimer.Controller().Reconcile(p.ctx)
+			sleep(p.ctx, ReconcileEvery)
+		}
+	}()
+}
+
+func (w *world) liveness(instance fleet.InstanceID, incarnation uint64) claims.Liveness {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.processes {
+		if p.self != (claims.Owner{Instance: instance, Incarnation: incarnation}) {
+			continue
+		}
+		switch {
+		case p.silent.IsZero():
+			return claims.Alive
+		case time.Since(p.silent) < detection/2:
+			return claims.Alive
+		case time.Since(p.silent) < detection:
+			return claims.Uncertain
+		}
+	}
+	return claims.Dead
+}
+
+func (w *world) hit(e event) {
+	time.Sleep(e.At)
+	w.mu.Lock()
+	p := w.processes[e.Instance]
+	if !p.silent.IsZero() {
+		w.mu.Unlock()
+		return
+	}
+	p.silent = time.Now()
+	if e.Kind == 1 {
+		resumed := make(chan struct{})
+		p.resumed = resumed
+		w.mu.Unlock()
+		time.Sleep(e.For)
+		w.mu.Lock()
+		p.silent = time.Time{}
+		close(resumed)
+		w.mu.Unlock()
+		return
+	}
+	p.kill()
+	if e.Kind == 2 {
+		w.start(e.Instance)
+	}
+	w.mu.Unlock()
+}
+
+// serve is one request from its arrival to its answer, as node/dispatch does it.
+func (w *world) serve(s send) {
+	time.Sleep(s.At)
+	w.mu.Lock()
+	p := w.processes[s.Instance]
+	w.mu.Unlock()
+	if p.gate() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, s.Patience)
+	defer cancel()
+	request := Request{Caller: "caller", IdempotencyKey: fmt.Sprint(s.Key), Digest: fmt.Sprint("body", s.Body)}
+	w.mu.Lock()
+	toldUnknown := w.toldUnknown[s.Key]
+	w.mu.Unlock()
+	result, err := Result{Kind: Run}, error(nil)
+	if !w.bypass {
+		result, err = p.claimer.Acquire(ctx, request)
+	}
+	if p.gate() != nil {
+		return
+	}
+	if err != nil {
+		w.mu.Lock()
+		w.check(errors.Is(err, ErrNotRun), "refusal without the not-run mark: %v", err)
+		w.mu.Unlock()
+		return
+	}
+	switch result.Kind {
+	case Replay:
+		w.handOut(s.Key, string(result.Answer.Body))
+	case Unknown:
+		w.mu.Lock()
+		w.toldUnknown[s.Key] = true
+		w.mu.Unlock()
+	case Run:
+		w.mu.Lock()
+		w.check(!toldUnknown, "key %d is run after its outcome was told to be unknown", s.Key)
+		w.mu.Unlock()
+		w.run(p, s, result.Claim)
+	}
+}
+
+func (w *world) run(p *process, s send, claim *Claim) {
+	if s.End == 1 {
+		if !w.bypass {
+			_ = p.claimer.Release(p.ctx, claim)
+		}
+		return
+	}
+	w.mu.Lock()
+	w.executions[s.Key]++
+	answer := fmt.Sprintf("answer %d of key %d, body %d", w.executions[s.Key], s.Key, s.Body)
+	w.check(w.executions[s.Key] == 1, "key %d ran %d times", s.Key, w.executions[s.Key])
+	w.mu.Unlock()
+	time.Sleep(s.Run)
+	if p.gate() != nil || w.bypass {
+		return
+	}
+	if s.End == 2 {
+		_ = p.claimer.Abandon(p.ctx, claim)
+		return
+	}
+	err := p.claimer.Complete(p.ctx, claim, claims.Answer{Status: 200, Body: []byte(answer)})
+	if p.gate() == nil && err == nil {
+		w.handOut(s.Key, answer)
+	}
+}
+
+func (w *world) handOut(key int, answer string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answers[key] == "" {
+		w.answers[key] = answer
+	}
+	w.check(w.answers[key] == answer, "key %d got %q after %q", key, answer, w.answers[key])
+}
+
+// check records a violation; w.mu is held.
+func (w *world) check(ok bool, format string, args ...any) {
+	if !ok {
+		w.violations = append(w.violations, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/node/claims/store_test.go
@@ -0,0 +1,156 @@
+package claims
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+)
+
+// memStore is a store in memory with faults. Its calls take time, so that those of several instances interleave.
+type memStore struct {
+	kv.Store // nil: methods that claims do not use
+	mu       sync.Mutex
+	rng      *rand.Rand
+	revision kv.Revision
+	items    map[string]kv.KeyValue
+	outages  []window
+	faults   float64 // share of transactions with a fault
+	healthy  bool    // no more faults or outages
+	started  time.Time
+	ttls     []time.Duration // of granted leases
+	failNext bool            // the next transaction takes effect, then the store is down for a second
+}
+
+type window struct{ from, to time.Duration }
+
+// storeLatency is the longest time that a call takes in either direction.
+const storeLatency = 20 * time.Millisecond
+
+func newMemStore(seed uint64) *memStore {
+	return &memStore{rng: rand.New(rand.NewPCG(seed, 1)), items: map[string]kv.KeyValue{}, started: time.Now()}
+}
+
+func (s *memStore) draw() (there, back time.Duration, fault float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	there = time.Duration(s.rng.Int64N(int64(storeLatency)))
+	back = time.Duration(s.rng.Int64N(int64(storeLatency)))
+	fault = 1.0
+	if !s.healthy && s.faults > 0 {
+		fault = s.rng.Float64() / s.faults
+	}
+	return there, back, fault
+}
+
+func (s *memStore) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.started)
+	for _, w := range s.outages {
+		if !s.healthy && now >= w.from && now < w.to {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *memStore) heal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthy = true
+}
+
+func (s *memStore) Get(_ context.Context, key string) (kv.KeyValue, error) {
+	there, back, fault := s.draw()
+	time.Sleep(there)
+	if s.down() || fault < 0.5 {
+		return kv.KeyValue{}, kv.ErrUnavailable
+	}
+	s.mu.Lock()
+	found, ok := s.items[key]
+	s.mu.Unlock()
+	time.Sleep(back)
+	if !ok {
+		return kv.KeyValue{}, kv.ErrNotFound
+	}
+	return found, nil
+}
+
+// Txn fails in four ways: without effect, with its effect but without its response, lost on the way, and delayed so that
+// its effect comes after the failure was reported.
+func (s *memStore) Txn(_ context.Context, t kv.Txn) (kv.TxnResult, error) {
+	there, back, fault := s.draw()
+	time.Sleep(there)
+	switch {
+	case s.down() || fault < 0.2:
+		return kv.TxnResult{}, kv.ErrUnavailable
+	case fault < 0.4:
+		return kv.TxnResult{}, kv.ErrOutcomeUnknown
+	case fault < 0.6:
+		time.AfterFunc(200*back, func() { s.apply(t) })
+		return kv.TxnResult{}, kv.ErrOutcomeUnknown
+	}
+	result := s.apply(t)
+	if s.failNext {
+		s.failNext = false
+		now := time.Since(s.started)
+		s.outages = append(s.outages, window{now, now + time.Second})
+	}
+	time.Sleep(back)
+	if fault < 1 || s.down() {
+		return kv.TxnResult{}, kv.ErrOutcomeUnknown
+	}
+	return result, nil
+}
+
+func (s *memStore) apply(t kv.Txn) kv.TxnResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := kv.TxnResult{Succeeded: true}
+	for _, compare := range t.Compares {
+		item := s.items[compare.Key]
+		property := item.ModRevision
+		if compare.Target == kv.CompareCreateRevision {
+			property = item.CreateRevision
+		}
+		result.Succeeded = result.Succeeded && property == compare.Revision
+	}
+	ops := t.Else
+	if result.Succeeded {
+		ops = t.Then
+	}
+	for _, op := range ops {
+		if op.Kind == kv.OpGet {
+			result.Gets = append(result.Gets, s.items[op.Key])
+			continue
+		}
+		s.put(op)
+	}
+	result.Revision = s.revision
+	return result
+}
+
+func (s *memStore) put(op kv.Op) {
+	s.revision++
+	item := s.items[op.Key]
+	if item.CreateRevision == 0 {
+		item.CreateRevision = s.revision
+	}
+	item.Key, item.Value, item.Lease, item.ModRevision = op.Key, op.Value, op.Lease, s.revision
+	s.items[op.Key] = item
+}
+
+func (s *memStore) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	there, _, _ := s.draw()
+	time.Sleep(there)
+	if s.down() {
+		return 0, kv.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ttls = append(s.ttls, ttl)
+	return kv.LeaseID(len(s.ttls)), nil
+}
