--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -36,8 +37,10 @@
 	Router     *routing.Router // of every instance; nil means the default
 	// Observe sees every request that reaches a target, before it is handled; nil ignores them.
 	Observe func(part string, r *http.Request)
-	// Adjust changes the settings of an instance before it starts; nil leaves them.
-	Adjust func(*settings.Settings)
+	// EntrypointTTL is how long callers keep an address; 0 means the settings' default.
+	EntrypointTTL time.Duration
+	// Launcher starts an instance in place of Launch, such as in a process of its own; nil runs it in this process.
+	Launcher func(*Instance) error
 }
 
 // Fleet is a running fleet.
@@ -62,6 +65,7 @@
 	ID       fleet.InstanceID
 	Domain   fleet.FailureDomain
 	Settings *settings.Settings
+	File     string // settings file
 	Daemon   *daemon.Daemon
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -78,6 +82,9 @@
 	if o.Instances == 0 {
 		o.Instances = defaultInstances
 	}
+	if o.EntrypointTTL == 0 {
+		o.EntrypointTTL = settings.DefaultEntrypointTTL
+	}
 	f := &Fleet{
 		Options:   o,
 		Store:     store.New(store.Options{}),
@@ -208,7 +215,12 @@
 		}
 		instance.Settings = s
 		f.Instances = append(f.Instances, instance)
-		if err := f.Launch(instance); err != nil {
+		f.list(string(id), platform.InstanceKindEntry, "", s.Listen.Peers, instance.Domain)
+		launch := f.Launch
+		if f.Launcher != nil {
+			launch = f.Launcher
+		}
+		if err := launch(instance); err != nil {
 			return err
 		}
 	}
@@ -231,7 +243,6 @@
 	}
 	ctx, stop := context.WithCancel(f.ctx)
 	i.Daemon, i.stop, i.done = d, stop, make(chan struct{})
-	f.list(string(i.ID), platform.InstanceKindEntry, "", i.Settings.Listen.Peers, i.Domain)
 	f.group.Go(func() {
 		defer close(i.done)
 		i.err = d.Run(ctx)
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -44,6 +44,18 @@
 	return address, nil
 }
 
+// Release closes a reserved address, so that another process can open it.
+func (n *Loopback) Release(address string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.reserved[address]
+	if !ok {
+		return nil
+	}
+	delete(n.reserved, address)
+	return l.Close()
+}
+
 // Listen implements Network.
 func (n *Loopback) Listen(network, address string) (net.Listener, error) {
 	n.mu.Lock()
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -39,6 +39,8 @@
   trusted_keys:
     - operator: {{.Operator}}
       public_key: {{.PublicKey}}
+drain:
+  entrypoint_ttl: {{.EntrypointTTL}}
 `))
 
 // settings writes the instance's settings file and reads it back as the instance would.
@@ -49,6 +51,7 @@
 		"TokenFile":     filepath.Join(f.Folder, "peer.token"),
 		"OperatorToken": digest(OperatorToken),
 		"Operator":      Operator, "PublicKey": PublicKey(),
+		"EntrypointTTL": f.EntrypointTTL,
 	}
 	for _, listener := range []string{"Callers", "Peers", "Operators"} {
 		address, err := f.Network.Address(string(i.ID), i.Domain)
@@ -65,9 +68,6 @@
 	if err := os.WriteFile(file, text.Bytes(), 0o600); err != nil {
 		return nil, err
 	}
-	s, err := settings.Load(file)
-	if err == nil && f.Adjust != nil {
-		f.Adjust(s)
-	}
-	return s, err
+	i.File = file
+	return settings.Load(file)
 }
