Hedge late streams of idempotent requests; make upstream ids unique

Cause: a request waited for one slow path although other targets were idle, and two requests with one id in the same microsecond could share an upstream id, as could ids over 160 bytes be refused by engines. Upstream ids have the process and a sequence.

--- a/node/admission/gate.go
+++ b/node/admission/gate.go
@@ -233,3 +233,10 @@
 		e.Value <- false
 	}
 }
+
+// UsualFirstToken returns the time to first token that few answers of the pool exceed; 0 while it is not known.
+func (t *Ticket) UsualFirstToken() time.Duration {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	return t.gate.rate.FirstToken()
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -161,6 +161,7 @@
 	})
 	d.dispatcher = dispatch.New(dispatch.Parts{
 		Instance:       d.self.ID,
+		Process:        fleet.ProcessOf(d.self.Incarnation),
 		FailureDomain:  d.self.FailureDomain,
 		Board:          d.board,
 		Pools:          d.pools,
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -26,6 +26,7 @@
 	cause      error
 	mayHaveRun bool
 	deadline   bool
+	lost       bool           // another attempt answered first
 	final      *problem.Error // the target's own verdict on the request, which another target would repeat
 }
 
@@ -35,36 +36,55 @@
 // attempt is one try of a request at one target.
 type attempt struct {
 	*execution
+	number     int // attempts begun before this one
 	target     *routing.Candidate
 	upstreamID string // unique for each attempt, so that answers of another attempt are told apart
 	started    time.Time
 	firstByte  time.Duration // 0 until the first byte of the answer came
+	abort      context.CancelCauseFunc
 }
 
-// try sends the request to the target and relays its answer. It returns nil when the whole answer was written.
-func (x *execution) try(ctx context.Context, target *routing.Candidate) *failure {
-	d := x.dispatcher
+// begin claims the target and registers the attempt. It returns nil if the target's circuit opened meanwhile.
+func (x *execution) begin(ctx context.Context, target *routing.Candidate) (context.Context, *attempt) {
 	now := time.Now()
-	if !d.Pools.Begin(x.request.Pool(), target.Target, now) {
-		return &failure{target: target.Target, cause: errors.New("circuit opened before dispatch")}
+	if !x.dispatcher.Pools.Begin(x.request.Pool(), target.Target, now) {
+		return ctx, nil
 	}
 	a := &attempt{
 		execution:  x,
+		number:     x.attempt,
 		target:     target,
-		upstreamID: fmt.Sprintf("%s.%s.%d.%d", x.request.ID, d.Instance, now.UnixMicro(), x.attempt),
+		upstreamID: x.dispatcher.upstreamID(x.request.ID),
 		started:    now,
 	}
-	d.Board.Loads.Started(target.Target, now)
+	ctx, a.abort = context.WithCancelCause(ctx)
+	x.mu.Lock()
+	x.rivals = append(x.rivals, a)
+	x.mu.Unlock()
+	x.dispatcher.Board.Loads.Started(target.Target, now)
+	return ctx, a
+}
+
+// maxIDPrefix bounds the part of a caller's request id that is kept in upstream ids, which engines limit to 160 bytes.
+const maxIDPrefix = 64
+
+// upstreamID returns an id that no other attempt of any instance has: the process is unique for each start of an instance.
+func (d *Dispatcher) upstreamID(request fleet.RequestID) string {
+	prefix := string(request[:min(len(request), maxIDPrefix)])
+	return fmt.Sprintf("%s.%s.%x.%d", prefix, d.Instance, d.Process, d.sequence.Add(1))
+}
+
+// try sends the request to the target and relays its answer. It returns nil when the whole answer was written.
+func (a *attempt) try(ctx context.Context) *failure {
+	defer a.abort(nil)
 	failed := a.run(ctx)
-	d.Board.Loads.Ended(target.Target, time.Now())
+	a.dispatcher.Board.Loads.Ended(a.target.Target, time.Now())
 	a.observe(ctx, failed)
 	return failed
 }
 
 func (a *attempt) run(ctx context.Context) *failure {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	deadline := time.AfterFunc(time.Until(a.request.Deadline), func() { cancel(errDeadline) })
+	deadline := time.AfterFunc(time.Until(a.request.Deadline), func() { a.abort(errDeadline) })
 	defer deadline.Stop()
 	answer, err := a.send(ctx)
 	if err != nil {
@@ -113,6 +133,7 @@
 func (a *attempt) failed(ctx context.Context, err error) *failure {
 	f := &failure{target: a.target.Target, cause: err, mayHaveRun: true}
 	f.deadline = errors.Is(context.Cause(ctx), errDeadline)
+	f.lost = errors.Is(context.Cause(ctx), errLost)
 	switch {
 	case errors.Is(err, httpcall.ErrLeaving):
 		f.mayHaveRun = false
@@ -178,7 +199,7 @@
 	switch {
 	case f == nil:
 		d.Pools.Observe(key, a.target.Target, limits.Outcome{Latency: a.firstByte}, time.Now())
-	case ctx.Err() != nil, f.final != nil, errors.Is(f.cause, httpcall.ErrLeaving):
+	case f.lost, ctx.Err() != nil && !f.deadline, f.final != nil, errors.Is(f.cause, httpcall.ErrLeaving):
 		d.Pools.Unobserved(key, a.target.Target)
 	default:
 		d.Pools.Observe(key, a.target.Target, limits.Outcome{Failed: true, Latency: a.firstByte}, time.Now())
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -28,6 +29,7 @@
 // Parts are what a Dispatcher works with.
 type Parts struct {
 	Instance       fleet.InstanceID
+	Process        uint64 // fleet.ProcessOf the instance's incarnation
 	FailureDomain  fleet.FailureDomain
 	Board          *blackboard.Board
 	Pools          *pools.Pools
@@ -47,8 +49,9 @@
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
 	Parts
-	gates   *admission.Gates
-	metrics metrics
+	gates    *admission.Gates
+	metrics  metrics
+	sequence atomic.Uint64 // of upstream ids
 
 	mu      sync.Mutex // guards random and retries; a leaf
 	random  *rand.Rand
--- a/node/dispatch/events.go
+++ b/node/dispatch/events.go
@@ -42,7 +42,8 @@
 	out      *http.ResponseController
 	buffer   []byte // encoded events not yet written
 	progress time.Duration
-	resumes  int // in a row without a new event
+	resumes  int  // in a row without a new event
+	began    bool // a byte of the answer was written
 	callerID string
 }
 
@@ -62,7 +63,7 @@
 		if r.tracker.Ended() {
 			return nil
 		}
-		if errors.Is(err, errCallerGone) {
+		if errors.Is(err, errCallerGone) || errors.Is(err, errLost) {
 			return r.failed(ctx, err)
 		}
 		answer, err = r.resume(ctx, err)
@@ -141,9 +142,12 @@
 	if len(r.buffer) == 0 {
 		return nil
 	}
-	if !r.execution.started {
+	if !r.began {
+		if !r.win() {
+			return errLost
+		}
+		r.began = true
 		r.firstByteCame()
-		r.execution.started = true
 		r.writer.Header().Set("Content-Type", "text/event-stream")
 		r.writer.Header().Set("Cache-Control", "no-store")
 		r.writer.WriteHeader(http.StatusOK)
@@ -163,7 +167,7 @@
 		r.resumes++
 		r.dispatcher.log(r.request, decisionlog.Entry{
 			Kind:    decisionlog.KindResume,
-			Attempt: r.execution.attempt,
+			Attempt: r.number,
 			Target:  r.target.Target,
 			Reason:  fmt.Sprintf("resume from event %d after: %v", r.tracker.Next(), cause),
 		})
--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -33,7 +34,11 @@
 	ticket     *admission.Ticket
 	attempt    int  // attempts begun by this instance
 	mayHaveRun bool // an attempt may have run at a target
-	started    bool // a byte of the answer was written to the caller
+
+	// mu guards the fields below, which concurrent attempts share; a leaf.
+	mu     sync.Mutex
+	winner *attempt // the attempt that writes the answer, from its first byte on
+	rivals []*attempt
 }
 
 // execute runs the request over as many attempts as allowed. The error is nil when the answer was written, or when it was begun and
@@ -85,12 +90,11 @@
 		if err != nil {
 			return err
 		}
-		failure := x.try(ctx, target)
+		failure := x.race(ctx, target)
 		if failure == nil {
 			return nil
 		}
-		x.mayHaveRun = x.mayHaveRun || failure.mayHaveRun
-		if x.started {
+		if x.answerBegun() {
 			return x.endIncomplete(failure)
 		}
 		if err := x.retryOrFail(ctx, failure); err != nil {
--- a/node/dispatch/whole.go
+++ b/node/dispatch/whole.go
@@ -33,8 +33,10 @@
 	if err := stream.CheckAnswer(a.upstreamID, answer.header, body); err != nil {
 		return a.failed(ctx, err)
 	}
+	if !a.win() {
+		return a.failed(ctx, errLost)
+	}
 	a.firstByteCame()
-	a.execution.started = true
 	header := a.writer.Header()
 	header.Set("Content-Type", answer.header.Get("Content-Type"))
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -152,6 +152,23 @@
 				return []string{"moved"}
 			},
 		},
+		{
+			name:   "slow-target-hedged",
+			guards: "an online answer that waits for one slow path although another target is idle",
+			play: func(s *session) []string {
+				for _, id := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
+					requireWhole(s.t, s.do(chat(0, id, true, 2), nil), 2)
+				}
+				victim := s.preferred("slow")
+				address := s.fleet.Addresses[string(victim)]
+				s.network.Delay("instance-1", address, 800*time.Millisecond)
+				s.note("the path from instance-1 to %s becomes slow", victim)
+				started := time.Now()
+				requireWhole(s.t, s.send(chat(0, "slow", true, 3), nil), 3)
+				require.Less(s.t, time.Since(started), 400*time.Millisecond)
+				return []string{"slow"}
+			},
+		},
 		{
 			name:   "service-answer-lost",
 			guards: "a second run of an operation whose first answer was lost, or a false not-run",
