--- a/api/platform/oas_json_gen.go
+++ b/api/platform/oas_json_gen.go
@@ -425,6 +425,127 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Event) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Event) encodeFields(e *jx.Encoder) {
+	{
+		if s.Type.Set {
+			e.FieldStart("type")
+			s.Type.Encode(e)
+		}
+	}
+	{
+		if s.Kv.Set {
+			e.FieldStart("kv")
+			s.Kv.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfEvent = [2]string{
+	0: "type",
+	1: "kv",
+}
+
+// Decode decodes Event from json.
+func (s *Event) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Event to nil")
+	}
+	s.setDefaults()
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "type":
+			if err := func() error {
+				s.Type.Reset()
+				if err := s.Type.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"type\"")
+			}
+		case "kv":
+			if err := func() error {
+				s.Kv.Reset()
+				if err := s.Kv.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kv\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Event")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Event) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Event) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes EventType as json.
+func (s EventType) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes EventType from json.
+func (s *EventType) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode EventType to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch EventType(v) {
+	case EventTypePUT:
+		*s = EventTypePUT
+	case EventTypeDELETE:
+		*s = EventTypeDELETE
+	default:
+		*s = EventType(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s EventType) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *EventType) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Header) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1679,6 +1800,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes EventType as json.
+func (o OptEventType) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Str(string(o.Value))
+}
+
+// Decode decodes EventType from json.
+func (o *OptEventType) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptEventType to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptEventType) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptEventType) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes Header as json.
 func (o OptHeader) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1747,6 +1901,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes KeyValue as json.
+func (o OptKeyValue) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes KeyValue from json.
+func (o *OptKeyValue) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptKeyValue to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptKeyValue) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptKeyValue) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes PutRequest as json.
 func (o OptPutRequest) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1947,6 +2134,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes WatchResponse as json.
+func (o OptWatchResponse) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes WatchResponse from json.
+func (o *OptWatchResponse) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptWatchResponse to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptWatchResponse) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptWatchResponse) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *PutRequest) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3182,44 +3402,65 @@
 	return s.Decode(d)
 }
 
-// Encode encodes WatchOKApplicationJSON as json.
-func (s WatchOKApplicationJSON) Encode(e *jx.Encoder) {
-	unwrapped := jx.Raw(s)
+// Encode implements json.Marshaler.
+func (s *WatchEnvelope) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
 
-	if len(unwrapped) != 0 {
-		e.Raw(unwrapped)
+// encodeFields encodes fields.
+func (s *WatchEnvelope) encodeFields(e *jx.Encoder) {
+	{
+		if s.Result.Set {
+			e.FieldStart("result")
+			s.Result.Encode(e)
+		}
 	}
 }
 
-// Decode decodes WatchOKApplicationJSON from json.
-func (s *WatchOKApplicationJSON) Decode(d *jx.Decoder) error {
+var jsonFieldsNameOfWatchEnvelope = [1]string{
+	0: "result",
+}
+
+// Decode decodes WatchEnvelope from json.
+func (s *WatchEnvelope) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode WatchOKApplicationJSON to nil")
+		return errors.New("invalid: unable to decode WatchEnvelope to nil")
 	}
-	var unwrapped jx.Raw
-	if err := func() error {
-		v, err := d.RawAppend(nil)
-		unwrapped = jx.Raw(v)
-		if err != nil {
-			return err
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "result":
+			if err := func() error {
+				s.Result.Reset()
+				if err := s.Result.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"result\"")
+			}
+		default:
+			return d.Skip()
 		}
 		return nil
-	}(); err != nil {
-		return errors.Wrap(err, "alias")
+	}); err != nil {
+		return errors.Wrap(err, "decode WatchEnvelope")
 	}
-	*s = WatchOKApplicationJSON(unwrapped)
+
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s WatchOKApplicationJSON) MarshalJSON() ([]byte, error) {
+func (s *WatchEnvelope) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *WatchOKApplicationJSON) UnmarshalJSON(data []byte) error {
+func (s *WatchEnvelope) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -3318,6 +3559,165 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *WatchResponse) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WatchResponse) encodeFields(e *jx.Encoder) {
+	{
+		if s.Header.Set {
+			e.FieldStart("header")
+			s.Header.Encode(e)
+		}
+	}
+	{
+		if s.Created.Set {
+			e.FieldStart("created")
+			s.Created.Encode(e)
+		}
+	}
+	{
+		if s.Canceled.Set {
+			e.FieldStart("canceled")
+			s.Canceled.Encode(e)
+		}
+	}
+	{
+		if s.CompactRevision.Set {
+			e.FieldStart("compact_revision")
+			s.CompactRevision.Encode(e)
+		}
+	}
+	{
+		if s.CancelReason.Set {
+			e.FieldStart("cancel_reason")
+			s.CancelReason.Encode(e)
+		}
+	}
+	{
+		if s.Events != nil {
+			e.FieldStart("events")
+			e.ArrStart()
+			for _, elem := range s.Events {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
+}
+
+var jsonFieldsNameOfWatchResponse = [6]string{
+	0: "header",
+	1: "created",
+	2: "canceled",
+	3: "compact_revision",
+	4: "cancel_reason",
+	5: "events",
+}
+
+// Decode decodes WatchResponse from json.
+func (s *WatchResponse) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WatchResponse to nil")
+	}
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "header":
+			if err := func() error {
+				s.Header.Reset()
+				if err := s.Header.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"header\"")
+			}
+		case "created":
+			if err := func() error {
+				s.Created.Reset()
+				if err := s.Created.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"created\"")
+			}
+		case "canceled":
+			if err := func() error {
+				s.Canceled.Reset()
+				if err := s.Canceled.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"canceled\"")
+			}
+		case "compact_revision":
+			if err := func() error {
+				s.CompactRevision.Reset()
+				if err := s.CompactRevision.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"compact_revision\"")
+			}
+		case "cancel_reason":
+			if err := func() error {
+				s.CancelReason.Reset()
+				if err := s.CancelReason.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cancel_reason\"")
+			}
+		case "events":
+			if err := func() error {
+				s.Events = make([]Event, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Event
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Events = append(s.Events, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"events\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WatchResponse")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WatchResponse) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WatchResponse) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Weights) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/platform/oas_schemas_gen.go
+++ b/api/platform/oas_schemas_gen.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
-	"github.com/go-faster/jx"
 )
 
 // Ref: #/components/schemas/Compare
@@ -278,6 +277,73 @@
 func (*ErrorStatusCode) rangeRes()          {}
 func (*ErrorStatusCode) txnRes()            {}
 
+// Ref: #/components/schemas/Event
+type Event struct {
+	Type OptEventType `json:"type"`
+	Kv   OptKeyValue  `json:"kv"`
+}
+
+// GetType returns the value of Type.
+func (s *Event) GetType() OptEventType {
+	return s.Type
+}
+
+// GetKv returns the value of Kv.
+func (s *Event) GetKv() OptKeyValue {
+	return s.Kv
+}
+
+// SetType sets the value of Type.
+func (s *Event) SetType(val OptEventType) {
+	s.Type = val
+}
+
+// SetKv sets the value of Kv.
+func (s *Event) SetKv(val OptKeyValue) {
+	s.Kv = val
+}
+
+type EventType string
+
+const (
+	EventTypePUT    EventType = "PUT"
+	EventTypeDELETE EventType = "DELETE"
+)
+
+// AllValues returns all EventType values.
+func (EventType) AllValues() []EventType {
+	return []EventType{
+		EventTypePUT,
+		EventTypeDELETE,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s EventType) MarshalText() ([]byte, error) {
+	switch s {
+	case EventTypePUT:
+		return []byte(s), nil
+	case EventTypeDELETE:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *EventType) UnmarshalText(data []byte) error {
+	switch EventType(data) {
+	case EventTypePUT:
+		*s = EventTypePUT
+		return nil
+	case EventTypeDELETE:
+		*s = EventTypeDELETE
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Header
 type Header struct {
 	Revision OptString `json:"revision"`
@@ -848,6 +914,52 @@
 	return d
 }
 
+// NewOptEventType returns new OptEventType with value set to v.
+func NewOptEventType(v EventType) OptEventType {
+	return OptEventType{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptEventType is optional EventType.
+type OptEventType struct {
+	Value EventType
+	Set   bool
+}
+
+// IsSet returns true if OptEventType was set.
+func (o OptEventType) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptEventType) Reset() {
+	var v EventType
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptEventType) SetTo(v EventType) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptEventType) Get() (v EventType, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptEventType) Or(d EventType) EventType {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptHeader returns new OptHeader with value set to v.
 func NewOptHeader(v Header) OptHeader {
 	return OptHeader{
@@ -986,6 +1098,52 @@
 	return d
 }
 
+// NewOptKeyValue returns new OptKeyValue with value set to v.
+func NewOptKeyValue(v KeyValue) OptKeyValue {
+	return OptKeyValue{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptKeyValue is optional KeyValue.
+type OptKeyValue struct {
+	Value KeyValue
+	Set   bool
+}
+
+// IsSet returns true if OptKeyValue was set.
+func (o OptKeyValue) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptKeyValue) Reset() {
+	var v KeyValue
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptKeyValue) SetTo(v KeyValue) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptKeyValue) Get() (v KeyValue, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptKeyValue) Or(d KeyValue) KeyValue {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptPutRequest returns new OptPutRequest with value set to v.
 func NewOptPutRequest(v PutRequest) OptPutRequest {
 	return OptPutRequest{
@@ -1262,6 +1420,52 @@
 	return d
 }
 
+// NewOptWatchResponse returns new OptWatchResponse with value set to v.
+func NewOptWatchResponse(v WatchResponse) OptWatchResponse {
+	return OptWatchResponse{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptWatchResponse is optional WatchResponse.
+type OptWatchResponse struct {
+	Value WatchResponse
+	Set   bool
+}
+
+// IsSet returns true if OptWatchResponse was set.
+func (o OptWatchResponse) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptWatchResponse) Reset() {
+	var v WatchResponse
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptWatchResponse) SetTo(v WatchResponse) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptWatchResponse) Get() (v WatchResponse, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptWatchResponse) Or(d WatchResponse) WatchResponse {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // Ref: #/components/schemas/PutRequest
 type PutRequest struct {
 	Key   []byte    `json:"key"`
@@ -1682,7 +1886,20 @@
 	s.ProgressNotify = val
 }
 
-type WatchOKApplicationJSON jx.Raw
+// Ref: #/components/schemas/WatchEnvelope
+type WatchEnvelope struct {
+	Result OptWatchResponse `json:"result"`
+}
+
+// GetResult returns the value of Result.
+func (s *WatchEnvelope) GetResult() OptWatchResponse {
+	return s.Result
+}
+
+// SetResult sets the value of Result.
+func (s *WatchEnvelope) SetResult(val OptWatchResponse) {
+	s.Result = val
+}
 
 // WatchOKRawApplicationJSON represents raw HTTP response for Watch application/json.
 type WatchOKRawApplicationJSON struct {
@@ -1716,6 +1933,76 @@
 	s.CreateRequest = val
 }
 
+// Ref: #/components/schemas/WatchResponse
+type WatchResponse struct {
+	Header          OptHeader `json:"header"`
+	Created         OptBool   `json:"created"`
+	Canceled        OptBool   `json:"canceled"`
+	CompactRevision OptString `json:"compact_revision"`
+	CancelReason    OptString `json:"cancel_reason"`
+	Events          []Event   `json:"events"`
+}
+
+// GetHeader returns the value of Header.
+func (s *WatchResponse) GetHeader() OptHeader {
+	return s.Header
+}
+
+// GetCreated returns the value of Created.
+func (s *WatchResponse) GetCreated() OptBool {
+	return s.Created
+}
+
+// GetCanceled returns the value of Canceled.
+func (s *WatchResponse) GetCanceled() OptBool {
+	return s.Canceled
+}
+
+// GetCompactRevision returns the value of CompactRevision.
+func (s *WatchResponse) GetCompactRevision() OptString {
+	return s.CompactRevision
+}
+
+// GetCancelReason returns the value of CancelReason.
+func (s *WatchResponse) GetCancelReason() OptString {
+	return s.CancelReason
+}
+
+// GetEvents returns the value of Events.
+func (s *WatchResponse) GetEvents() []Event {
+	return s.Events
+}
+
+// SetHeader sets the value of Header.
+func (s *WatchResponse) SetHeader(val OptHeader) {
+	s.Header = val
+}
+
+// SetCreated sets the value of Created.
+func (s *WatchResponse) SetCreated(val OptBool) {
+	s.Created = val
+}
+
+// SetCanceled sets the value of Canceled.
+func (s *WatchResponse) SetCanceled(val OptBool) {
+	s.Canceled = val
+}
+
+// SetCompactRevision sets the value of CompactRevision.
+func (s *WatchResponse) SetCompactRevision(val OptString) {
+	s.CompactRevision = val
+}
+
+// SetCancelReason sets the value of CancelReason.
+func (s *WatchResponse) SetCancelReason(val OptString) {
+	s.CancelReason = val
+}
+
+// SetEvents sets the value of Events.
+func (s *WatchResponse) SetEvents(val []Event) {
+	s.Events = val
+}
+
 // Ref: #/components/schemas/Weights
 type Weights struct {
 	Bytes int64 `json:"bytes"`
--- a/api/platform/oas_validators_gen.go
+++ b/api/platform/oas_validators_gen.go
@@ -82,6 +82,47 @@
 	}
 }
 
+func (s *Event) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Type.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "type",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s EventType) Validate() error {
+	switch s {
+	case "PUT":
+		return nil
+	case "DELETE":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Instance) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -218,3 +259,70 @@
 	}
 	return nil
 }
+
+func (s *WatchEnvelope) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Result.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "result",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WatchResponse) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.Events {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "events",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
