Add the lease holder, the instance list client and the remaining platform fakes

An instance paused past its lease must not act, and controllers need the changes of the lagging instance list. core/lease.Holder counts validity from before the request was sent, on both clocks; adapters/instancelist polls for changes; standin/instancelist and standin/weights fake the two services. A store answer without a revision is now invalid, so that an empty JSON object no longer reads as a missing key; the test of failed calls showed that.

--- /dev/null
+++ b/adapters/instancelist/client_test.go
@@ -0,0 +1,62 @@
+package instancelist_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/instancelist"
+	"eelgrassproxy.example/api/platform"
+	"eelgrassproxy.example/core/fleet"
+	fake "eelgrassproxy.example/standin/instancelist"
+)
+
+// direct calls a handler without a connection, so that the lag runs on virtual time.
+type direct struct{ handler http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// Guards against changes that are missed, repeated or misfiled between polls, and against an outage taken for an empty list.
+func TestChangesSinceTheLastPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := fake.New(fake.Options{Lag: 2 * time.Second})
+		client, err := instancelist.NewClient("http://list", &http.Client{Transport: direct{list}}, 0)
+		require.NoError(t, err)
+		list.Set(platform.Instance{ID: "e", Kind: "entry", Address: "10.0.0.1:1", FailureDomain: "a", State: "live"})
+		list.Set(platform.Instance{ID: "m", Kind: "engine", Address: "10.0.0.2:1", FailureDomain: "b", State: "live"})
+		early, err := client.Changes(t.Context(), 0)
+		require.NoError(t, err)
+		assert.Equal(t, instancelist.Changes{}, early)
+
+		time.Sleep(2 * time.Second)
+		first, err := client.Changes(t.Context(), early.Revision)
+		require.NoError(t, err)
+		engine := fleet.Target{ID: "m", Kind: fleet.KindEngine, Address: "10.0.0.2:1", FailureDomain: "b", State: fleet.TargetLive}
+		assert.Equal(t, []fleet.Target{engine}, first.Targets)
+		assert.Equal(t, []instancelist.EntryInstance{{ID: "e", PeerAddress: "10.0.0.1:1", FailureDomain: "a"}}, first.Entries)
+
+		list.Remove("e")
+		engineLeaves := platform.Instance{ID: "m", Kind: "engine", Address: "10.0.0.2:1", FailureDomain: "b", State: "leaving"}
+		list.Set(engineLeaves)
+		time.Sleep(2 * time.Second)
+		second, err := client.Changes(t.Context(), first.Revision)
+		require.NoError(t, err)
+		engine.State = fleet.TargetLeaving
+		assert.Equal(t, instancelist.Changes{
+			Revision: 4, Targets: []fleet.Target{engine}, RemovedInstances: []fleet.InstanceID{"e"},
+		}, second)
+
+		list.Down(true)
+		_, err = client.Changes(t.Context(), second.Revision)
+		require.ErrorIs(t, err, instancelist.ErrUnavailable)
+	})
+}
--- a/adapters/kv/client.go
+++ b/adapters/kv/client.go
@@ -67,14 +67,14 @@
 func (c *Client) Get(ctx context.Context, key string) (KeyValue, error) {
 	res, err := call(ctx, c, operation{name: "range"}, func(ctx context.Context) (platform.RangeRes, error) {
 		return c.api.Range(ctx, &platform.RangeRequest{Key: []byte(key)})
-	}, func(res *platform.RangeResponse) ([]KeyValue, error) { return keyValues(res.Kvs) })
+	}, listing)
 	if err != nil {
 		return KeyValue{}, err
 	}
-	if len(res) == 0 {
+	if len(res.Items) == 0 {
 		return KeyValue{}, eris.Wrapf(ErrNotFound, "key %q", key)
 	}
-	return res[0], nil
+	return res.Items[0], nil
 }
 
 // List implements Store.
--- a/adapters/kv/client_test.go
+++ b/adapters/kv/client_test.go
@@ -71,8 +71,6 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, `{"succeeded":`)
 	})
-	hang := store.New(store.Options{})
-	hang.Hang(true)
 	tests := []struct {
 		name    string
 		handler http.Handler
@@ -86,13 +84,19 @@
 		{"the answer is not JSON", answer(200, "application/json", "<html>"), kv.ErrOutcomeUnknown},
 		{"the answer lacks results", answer(200, "application/json", `{"succeeded":true}`), kv.ErrOutcomeUnknown},
 		{"the answer is cut", cutAnswer, kv.ErrOutcomeUnknown},
-		{"no answer comes in time", hang, kv.ErrOutcomeUnknown},
+		{"no answer comes in time", nil, kv.ErrOutcomeUnknown},
 		{"the lease is gone", answer(404, "application/json", `{"code":5,"message":"etcdserver: requested lease not found"}`), kv.ErrLeaseGone},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client := serve(t, test.handler, kv.Options{})
+				handler := test.handler
+				if handler == nil {
+					hang := store.New(store.Options{}) // its channels must belong to the bubble
+					hang.Hang(true)
+					handler = hang
+				}
+				client := serve(t, handler, kv.Options{})
 				_, err := client.Txn(t.Context(), put("k", "v", 0))
 				require.ErrorIs(t, err, test.want)
 				_, err = client.Get(t.Context(), "k")
@@ -106,14 +110,17 @@
 
 // Guards against an unknown outcome when no connection came about, also after the call's time is up.
 func TestWriteWithoutConnectionHadNoEffect(t *testing.T) {
-	dials := map[string]func(context.Context, string, string) (net.Conn, error){
-		"refused":   func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed },
-		"no answer": func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() },
-	}
-	for name, dial := range dials {
+	for name, refused := range map[string]bool{"refused": true, "no answer": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				transport := &http.Transport{DialContext: dial}
+				ended := make(chan struct{}) // the transport goes on dialing after the call has ended
+				defer close(ended)
+				transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+					if !refused {
+						<-ended
+					}
+					return nil, net.ErrClosed
+				}}
 				client, err := kv.NewClient("http://store", &http.Client{Transport: transport}, kv.Options{})
 				require.NoError(t, err)
 				start := time.Now()
--- a/adapters/kv/convert.go
+++ b/adapters/kv/convert.go
@@ -47,8 +47,13 @@
 	return strconv.FormatInt(int64(id), 10)
 }
 
+// headerRevision reads the revision that each answer carries. It is required: otherwise any empty JSON object would pass for the
+// statement that a key does not exist.
 func headerRevision(wire platform.OptHeader) (Revision, error) {
 	n, err := parseNumber(wire.Value.Revision)
+	if err == nil && n <= 0 {
+		err = eris.New("answer without a revision")
+	}
 	return Revision(n), err
 }
 
--- /dev/null
+++ b/core/lease/holder_test.go
@@ -0,0 +1,55 @@
+package lease_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"eelgrassproxy.example/core/lease"
+)
+
+const (
+	ttl    = 9 * time.Second
+	margin = time.Second
+)
+
+// Guards against a holder that was paused past expiry and acts on its first check after waking (fault F6).
+func TestPausedHolderMayNotAct(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := lease.NewHolder(margin)
+		h.Granted(time.Now(), ttl)
+		assert.True(t, h.MayAct(time.Now()))
+		time.Sleep(ttl - margin - 1)
+		assert.True(t, h.MayAct(time.Now()))
+		time.Sleep(1)
+		assert.False(t, h.MayAct(time.Now()), "the margin is reached before the store's expiry")
+	})
+}
+
+// Guards against trust in a monotonic clock that stood still during a suspension.
+func TestSuspendedHolderMayNotAct(t *testing.T) {
+	h := lease.NewHolder(margin)
+	start := time.Now()
+	h.Granted(start, ttl)
+	assert.False(t, h.MayAct(start.Round(0).Add(ttl)))
+}
+
+// Guards against validity counted from the answer instead of the request, and against answers out of order.
+func TestValidityCountsFromTheRequest(t *testing.T) {
+	h := lease.NewHolder(margin)
+	start := time.Now()
+	h.Renewed(start, ttl)
+	assert.False(t, h.MayAct(start), "a renewal without a lease")
+	h.Granted(start, ttl)
+	assert.Equal(t, ttl/3, h.NextRenewal(start))
+	h.Renewed(start.Add(3*time.Second), ttl)
+	h.Renewed(start.Add(2*time.Second), ttl)
+	assert.Equal(t, 3*time.Second+ttl-margin, h.Remaining(start))
+	h.RenewalFailed(start.Add(6 * time.Second))
+	assert.Equal(t, 7*time.Second, h.NextRenewal(start))
+	h.Lost()
+	h.Renewed(start.Add(4*time.Second), ttl)
+	assert.False(t, h.MayAct(start.Add(4*time.Second)), "an answer to the lost lease")
+}
