--- a/adapters/instancelist/client_test.go
+++ b/adapters/instancelist/client_test.go
@@ -33,6 +33,9 @@
 		require.NoError(t, err)
 		list.Set(platform.Instance{ID: "e", Kind: "entry", Address: "10.0.0.1:1", FailureDomain: "a", State: "live"})
 		list.Set(platform.Instance{ID: "m", Kind: "engine", Address: "10.0.0.2:1", FailureDomain: "b", State: "live"})
+		list.Set(platform.Instance{
+			ID: "s", Kind: "service", Name: platform.NewOptString("quotes"), Address: "10.0.0.3:1", FailureDomain: "a", State: "live",
+		})
 		early, err := client.Changes(t.Context(), 0)
 		require.NoError(t, err)
 		assert.Equal(t, instancelist.Changes{}, early)
@@ -41,7 +44,10 @@
 		first, err := client.Changes(t.Context(), early.Revision)
 		require.NoError(t, err)
 		engine := fleet.Target{ID: "m", Kind: fleet.KindEngine, Address: "10.0.0.2:1", FailureDomain: "b", State: fleet.TargetLive}
-		assert.Equal(t, []fleet.Target{engine}, first.Targets)
+		service := fleet.Target{
+			ID: "s", Kind: fleet.KindService, Service: "quotes", Address: "10.0.0.3:1", FailureDomain: "a", State: fleet.TargetLive,
+		}
+		assert.Equal(t, []fleet.Target{engine, service}, first.Targets)
 		assert.Equal(t, []instancelist.EntryInstance{{ID: "e", PeerAddress: "10.0.0.1:1", FailureDomain: "a"}}, first.Entries)
 
 		list.Remove("e")
@@ -52,7 +58,7 @@
 		require.NoError(t, err)
 		engine.State = fleet.TargetLeaving
 		assert.Equal(t, instancelist.Changes{
-			Revision: 4, Targets: []fleet.Target{engine}, RemovedInstances: []fleet.InstanceID{"e"},
+			Revision: 5, Targets: []fleet.Target{engine}, RemovedInstances: []fleet.InstanceID{"e"},
 		}, second)
 
 		list.Down(true)
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -44,6 +44,12 @@
 	return true
 }
 
+func (f *faults) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
 // wait blocks for the delay, or aborts the call when the client leaves.
 func wait(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -34,6 +34,9 @@
 	h.mu.Lock()
 	revision, cut := h.state.revision, h.cut
 	h.mu.Unlock()
+	if h.faults.isDown() {
+		panic(http.ErrAbortHandler) // Down may have cut the watches just before this one was known
+	}
 	if next == 0 {
 		next = revision + 1
 	}
