Test the failure detector in whole fleets over virtual time

Cause: crash, pause, drain and partition show only with many detectors. Change: a driver loop in the tests of adapters/peer runs up to 370 detectors with 1 % loss. It showed that the news of a whole fleet's start (370 joins in every queue) starved the news of losses and drains; joins are now sent after everything else. Before that change the crash, pause and drain tests failed at 370 instances.

--- a/adapters/peer/fleet_test.go
+++ b/adapters/peer/fleet_test.go
@@ -31,6 +31,7 @@
 type fleetNode struct {
 	detector      *membership.Detector
 	member        fleet.Member
+	hinted        fleet.Generation
 	life          int // rises with each restart; ends the ticks of the former life
 	down, paused  bool
 	bytes         int // sent and received
@@ -145,6 +146,9 @@
 
 func (d *driver) report(n *fleetNode) {
 	events := n.detector.TakeEvents()
+	if events.Generation != nil {
+		n.hinted = events.Generation.Generation
+	}
 	if d.changed == nil {
 		return
 	}
@@ -224,10 +228,8 @@
 
 // state returns what observer thinks of id.
 func (d *driver) state(observer *fleetNode, id fleet.InstanceID) fleet.MemberState {
-	for _, m := range observer.detector.Members(d.now) {
-		if m.ID == id {
-			return m.State
-		}
+	if m, ok := observer.detector.Member(id, d.now); ok {
+		return m.State
 	}
 	return fleet.MemberDead
 }
--- a/adapters/peer/peer_test.go
+++ b/adapters/peer/peer_test.go
@@ -31,7 +31,7 @@
 }
 
 // serve runs a peer server on a loopback listener and returns its address and the meter of its connections.
-func serve(t *testing.T, handlers Handlers) (address string, meter *Meter) {
+func serve(t testing.TB, handlers Handlers) (address string, meter *Meter) {
 	t.Helper()
 	handler, err := NewHandler(handlers, [][sha256.Size]byte{sha256.Sum256([]byte("old")), sha256.Sum256([]byte(testToken))})
 	require.NoError(t, err)
@@ -44,7 +44,7 @@
 	return listener.Addr().String(), meter
 }
 
-func clientWith(t *testing.T, token string) *Client {
+func clientWith(t testing.TB, token string) *Client {
 	t.Helper()
 	client, err := NewClient(token, NewMeter(tally.NoopScope))
 	require.NoError(t, err)
--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -60,7 +60,7 @@
 		leaving:  map[fleet.TargetID]time.Time{},
 		indirect: map[fleet.InstanceID]*pendingIndirect{},
 	}
-	d.queue.addMember(d.selfUpdate())
+	d.queue.addJoin(d.selfUpdate())
 	return d
 }
 
@@ -137,16 +137,29 @@
 	}
 	members = append(members, self)
 	for _, r := range d.records {
-		m := r.member
-		if m.State < fleet.MemberDraining && d.listLeaves(r.listState, r.incarnatedAt, now) {
-			m.State = fleet.MemberDraining
-		}
-		members = append(members, m)
+		members = append(members, d.shown(r, now))
 	}
 	slices.SortFunc(members, func(a, b fleet.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return members
 }
 
+// Member returns one other remembered member.
+func (d *Detector) Member(id fleet.InstanceID, now time.Time) (fleet.Member, bool) {
+	r, ok := d.records[id]
+	if !ok {
+		return fleet.Member{}, false
+	}
+	return d.shown(r, now), true
+}
+
+func (d *Detector) shown(r *record, now time.Time) fleet.Member {
+	m := r.member
+	if m.State < fleet.MemberDraining && d.listLeaves(r.listState, r.incarnatedAt, now) {
+		m.State = fleet.MemberDraining
+	}
+	return m
+}
+
 // TakeEvents returns and clears what happened since the last call.
 func (d *Detector) TakeEvents() Events {
 	events := d.events
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -30,9 +30,18 @@
 		fillAddresses(&r.member, u)
 		return
 	}
+	join := r.member.Incarnation == 0 && u.State == fleet.MemberAlive
 	d.set(now, r, u)
-	if spread {
-		d.queue.addMember(updateOf(r.member))
+	d.spread(r.member, spread, join)
+}
+
+func (d *Detector) spread(m fleet.Member, spread, join bool) {
+	switch {
+	case !spread:
+	case join:
+		d.queue.addJoin(updateOf(m))
+	default:
+		d.queue.addMember(updateOf(m))
 	}
 }
 
@@ -58,9 +67,7 @@
 	d.startSuspicion(now, r)
 	d.insertInRound(u.ID)
 	d.noteChange(Change{ID: u.ID, Incarnation: u.Incarnation, To: u.State})
-	if spread {
-		d.queue.addMember(updateOf(r.member))
-	}
+	d.spread(r.member, spread, u.State == fleet.MemberAlive)
 }
 
 // set replaces state, incarnation and the addresses that the update carries.
--- a/core/membership/probing.go
+++ b/core/membership/probing.go
@@ -98,12 +98,8 @@
 }
 
 func (d *Detector) expireSuspicions(now time.Time) {
-	for _, id := range sortedKeys(d.records) {
-		r := d.records[id]
-		if r.suspectUntil.IsZero() || now.Before(r.suspectUntil) {
-			continue
-		}
-		d.apply(now, Update{ID: id, State: fleet.MemberDead, Incarnation: r.member.Incarnation}, true)
+	for _, id := range d.matching(func(r *record) bool { return !r.suspectUntil.IsZero() && !now.Before(r.suspectUntil) }) {
+		d.apply(now, Update{ID: id, State: fleet.MemberDead, Incarnation: d.records[id].member.Incarnation}, true)
 	}
 }
 
@@ -157,13 +153,13 @@
 }
 
 func (d *Detector) unconfirmedDraining() (fleet.InstanceID, bool) {
-	for _, id := range sortedKeys(d.records) {
-		r := d.records[id]
-		if r.member.State == fleet.MemberDraining && !r.suspectUntil.IsZero() && probeable(r) {
-			return id, true
-		}
+	ids := d.matching(func(r *record) bool {
+		return r.member.State == fleet.MemberDraining && !r.suspectUntil.IsZero() && probeable(r)
+	})
+	if len(ids) == 0 {
+		return "", false
 	}
-	return "", false
+	return ids[0], true
 }
 
 // randomMembers returns up to k alive members other than except.
@@ -175,17 +171,23 @@
 }
 
 func (d *Detector) shuffled(eligible func(*record) bool) []fleet.InstanceID {
+	ids := d.matching(eligible)
+	d.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+// matching returns the members that match, in a fixed order, so that every run with the same seed is the same.
+func (d *Detector) matching(match func(*record) bool) []fleet.InstanceID {
 	var ids []fleet.InstanceID
-	for _, id := range sortedKeys(d.records) {
-		if eligible(d.records[id]) {
+	for id, r := range d.records {
+		if match(r) {
 			ids = append(ids, id)
 		}
 	}
-	d.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	slices.Sort(ids)
 	return ids
 }
 
-// sortedKeys makes every run with the same seed the same.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- a/core/membership/queue.go
+++ b/core/membership/queue.go
@@ -20,6 +20,7 @@
 	target *TargetUpdate
 	sent   int
 	order  uint64
+	join   bool // news of a first incarnation; sent after everything else
 }
 
 func newUpdateQueue() updateQueue {
@@ -31,6 +32,13 @@
 	q.members[u.ID] = &queued{member: &u, order: q.next}
 }
 
+// addJoin queues the news of a member's first incarnation. When a whole fleet starts, these fill the messages for minutes, while
+// every pair of members also introduces itself directly; news of losses and drains must not wait behind them.
+func (q *updateQueue) addJoin(u Update) {
+	q.next++
+	q.members[u.ID] = &queued{member: &u, order: q.next, join: true}
+}
+
 func (q *updateQueue) addTarget(u TargetUpdate) {
 	q.next++
 	q.targets[u.ID] = &queued{target: &u, order: q.next}
@@ -38,7 +46,17 @@
 
 func (q *updateQueue) dropTarget(id fleet.TargetID) { delete(q.targets, id) }
 
-// take returns up to limit updates, the least sent and then the newest first, and drops those that were sent often enough.
+func joinsLast(a, b *queued) int {
+	switch {
+	case a.join == b.join:
+		return 0
+	case a.join:
+		return 1
+	}
+	return -1
+}
+
+// take returns up to limit updates, joins last, the least sent and then the newest first, and drops those that were sent often enough.
 // The updates about skip are left out, because the caller has added them already.
 func (q *updateQueue) take(limit, retransmits int, skip ...fleet.InstanceID) ([]Update, []TargetUpdate) {
 	if limit <= 0 || len(q.members)+len(q.targets) == 0 {
@@ -54,7 +72,7 @@
 		pending = append(pending, item)
 	}
 	slices.SortFunc(pending, func(a, b *queued) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
+		return cmp.Or(joinsLast(a, b), cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
 	})
 	var members []Update
 	var targets []TargetUpdate
