Add the membership controllers

Cause: the detector needs a driver, a record in the store, and the instance list. Change: node/control/membership has the prober, the registrar and the list poller over a View that guards the detector; Drain tells several peers at once. Peer updates about a target's former life are ignored after the list showed a new one.

--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -16,7 +16,7 @@
 	self    fleet.Member
 	records map[fleet.InstanceID]*record // without self
 	queue   updateQueue
-	leaving map[fleet.TargetID]time.Time // targets known to be leaving, with the time of the news
+	leaving map[fleet.TargetID]leavingTarget
 
 	selfListState ListState
 	started       time.Time // first call with a time; zero before
@@ -41,6 +41,13 @@
 	told         uint64 // own incarnation that this member is known to have received with addresses
 }
 
+// leavingTarget is a target known to be leaving. over is set when a new life of the target was seen: updates from peers are then
+// stale and ignored until the entry is forgotten.
+type leavingTarget struct {
+	since time.Time
+	over  bool
+}
+
 // pendingIndirect counts the relays whose answer is missing.
 type pendingIndirect struct {
 	waiting int
@@ -57,7 +64,7 @@
 		self:     self,
 		records:  map[fleet.InstanceID]*record{},
 		queue:    newUpdateQueue(),
-		leaving:  map[fleet.TargetID]time.Time{},
+		leaving:  map[fleet.TargetID]leavingTarget{},
 		indirect: map[fleet.InstanceID]*pendingIndirect{},
 	}
 	d.queue.addJoin(d.selfUpdate())
@@ -79,7 +86,7 @@
 	d.expireIndirect(now)
 	d.expireSuspicions(now)
 	d.forget(now)
-	if now.Sub(d.lastProbe) < d.options.ProbeInterval {
+	if now.Sub(d.lastProbe) < d.options.ProbeInterval*probeDuePercent/100 {
 		return nil
 	}
 	d.lastProbe = now
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -138,21 +138,38 @@
 // TargetLeaving tells the detector that this instance learned, from a 503 or from the list, that a target is leaving, so that
 // the peers hear of it.
 func (d *Detector) TargetLeaving(now time.Time, id fleet.TargetID) {
-	d.targetLeaving(now, id)
+	if known, ok := d.leaving[id]; ok && !known.over {
+		return
+	}
+	d.spreadLeaving(now, id)
 }
 
-func (d *Detector) targetLeaving(now time.Time, id fleet.TargetID) {
+// targetLeavingFromPeer ignores what is known or was known before the target's present life.
+func (d *Detector) targetLeavingFromPeer(now time.Time, id fleet.TargetID) {
 	if _, known := d.leaving[id]; known {
 		return
 	}
-	d.leaving[id] = now
+	d.spreadLeaving(now, id)
+}
+
+func (d *Detector) spreadLeaving(now time.Time, id fleet.TargetID) {
+	d.leaving[id] = leavingTarget{since: now}
 	u := TargetUpdate{ID: id, State: fleet.TargetLeaving}
 	d.queue.addTarget(u)
 	d.events.Targets = append(d.events.Targets, u)
 }
 
-// ForgetTarget drops what is known of a target that is gone or that started a new life under its ID.
-func (d *Detector) ForgetTarget(id fleet.TargetID) {
-	delete(d.leaving, id)
+// TargetReturned tells the detector that a target is gone or started a new life under its ID. Updates of peers that still call
+// it leaving are ignored for DeadRetention; until then only this instance's own observation marks it leaving again.
+func (d *Detector) TargetReturned(now time.Time, id fleet.TargetID) {
+	if _, known := d.leaving[id]; known {
+		d.leaving[id] = leavingTarget{since: now, over: true}
+	}
 	d.queue.dropTarget(id)
 }
+
+// TargetIsLeaving reports whether the target is known to be leaving, also if the instance list does not show the target yet.
+func (d *Detector) TargetIsLeaving(id fleet.TargetID) bool {
+	known, ok := d.leaving[id]
+	return ok && !known.over
+}
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -12,6 +12,15 @@
 	return Outgoing{To: id, Address: r.member.PeerAddress, Probe: d.message(r, false)}
 }
 
+// ProbeOf returns a probe to a member on behalf of another instance; false if the member or its address is unknown.
+func (d *Detector) ProbeOf(id fleet.InstanceID) (Outgoing, bool) {
+	r, ok := d.records[id]
+	if !ok || r.member.PeerAddress == "" {
+		return Outgoing{}, false
+	}
+	return d.outgoing(id), true
+}
+
 // message builds a probe or acknowledgement for the member of r. It always carries, beside the queued updates,
 //   - this instance's own record, if the receiver may not have it or if this instance is draining: a receiver then never
 //     mistakes a draining sender for an alive one;
@@ -110,7 +119,7 @@
 	}
 	for _, t := range p.Targets {
 		if t.State == fleet.TargetLeaving {
-			d.targetLeaving(now, t.ID)
+			d.targetLeavingFromPeer(now, t.ID)
 		}
 	}
 	d.heard(now, p)
--- a/core/membership/options.go
+++ b/core/membership/options.go
@@ -39,6 +39,10 @@
 // not count against its peers.
 const pauseIntervals = 3
 
+// probeDuePercent is the share of ProbeInterval after which a tick may probe again. The worker pool jitters its periods by a
+// tenth; with 100 % every early tick would skip a whole interval.
+const probeDuePercent = 90
+
 // maxPendingChanges bounds the events kept for an owner that does not take them.
 const maxPendingChanges = 4096
 
--- a/core/membership/probing.go
+++ b/core/membership/probing.go
@@ -112,8 +112,8 @@
 			delete(d.records, id)
 		}
 	}
-	for id, since := range d.leaving {
-		if now.Sub(since) > d.options.DeadRetention {
+	for id, known := range d.leaving {
+		if now.Sub(known.since) > d.options.DeadRetention {
 			delete(d.leaving, id)
 		}
 	}
--- /dev/null
+++ b/node/control/membership/membership_test.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/adapters/peer"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/membership"
+	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/workers"
+)
+
+// network connects probers by address; a cut address answers nothing until the client's timeout.
+type network struct {
+	mu      sync.Mutex
+	probers map[string]*Prober
+	cut     map[string]bool
+}
+
+func (n *network) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+func (n *network) at(address string) *Prober {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[address] {
+		return nil
+	}
+	return n.probers[address]
+}
+
+// end is one instance's access to the network.
+type end struct {
+	network *network
+	address string
+}
+
+func (e end) reach(ctx context.Context, address string) (*Prober, error) {
+	if to := e.network.at(address); to != nil && e.network.at(e.address) != nil {
+		return to, nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(peer.ProbeTimeout):
+	}
+	return nil, peer.ErrTimeout
+}
+
+func (e end) Probe(ctx context.Context, address string, p membership.Probe) (membership.Probe, error) {
+	to, err := e.reach(ctx, address)
+	if err != nil {
+		return membership.Probe{}, err
+	}
+	return to.HandleProbe(ctx, p), nil
+}
+
+func (e end) ProbeIndirect(ctx context.Context, _ fleet.InstanceID, r membership.IndirectRequest) (peer.IndirectResult, error) {
+	to, err := e.reach(ctx, r.RelayAddress)
+	if err != nil {
+		return peer.IndirectResult{}, err
+	}
+	return to.HandleIndirect(ctx, r.Subject, r.SubjectAddress), nil
+}
+
+// staticList returns the same changes once.
+type staticList struct{ changes Changes }
+
+func (l *staticList) Changes(_ context.Context, since int64) (Changes, error) {
+	if since >= l.changes.Revision {
+		return Changes{Revision: l.changes.Revision}, nil
+	}
+	return l.changes, nil
+}
+
+type node struct {
+	member    fleet.Member
+	board     *blackboard.Board
+	view      *View
+	prober    *Prober
+	poller    *Poller
+	registrar *Registrar
+}
+
+func newNode(i int, net *network, list ListSource, store kv.Store) *node {
+	m := fleet.Member{
+		ID: fleet.InstanceID(fmt.Sprintf("i%d", i)), Incarnation: uint64(time.Now().UnixMilli()), FailureDomain: "a",
+		PeerAddress: fmt.Sprintf("127.0.0.1:%d", 7000+i), CallerAddress: fmt.Sprintf("127.0.0.1:%d", 8000+i),
+	}
+	n := &node{member: m, board: blackboard.New()}
+	n.view = NewView(m, membership.Options{}, rand.New(rand.NewPCG(uint64(i), 1)), n.board, nil)
+	n.prober = NewProber(n.view, end{net, m.PeerAddress}, func() int { return 0 })
+	n.poller = NewPoller(n.view, list)
+	n.registrar = NewRegistrar(n.view, store)
+	net.probers[m.PeerAddress] = n.prober
+	return n
+}
+
+// runFleet runs n instances with every controller on real worker pools.
+func runFleet(t *testing.T, n int, store kv.Store, check func(nodes []*node, net *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &network{probers: map[string]*Prober{}, cut: map[string]bool{}}
+		list := &staticList{changes: Changes{Revision: 1}}
+		var nodes []*node
+		for i := range n {
+			nodes = append(nodes, newNode(i, net, list, store))
+			m := nodes[i].member
+			list.changes.Instances = append(list.changes.Instances, membership.ListEntry{
+				ID: m.ID, State: membership.ListLive, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for _, node := range nodes {
+			pool := workers.NewPool(node.board, 3)
+			pool.Register(node.prober, workers.Schedule{Every: ProbePeriod, On: []blackboard.Topic{blackboard.TopicBundle}})
+			pool.Register(node.poller, workers.Schedule{Every: ListPeriod})
+			pool.Register(node.registrar, workers.Schedule{Every: RegisterPeriod})
+			group.Go(func() { pool.Run(ctx) })
+		}
+		check(nodes, net)
+		cancel()
+		group.Wait()
+		for _, node := range nodes {
+			node.prober.Wait()
+		}
+	})
+}
+
+// states returns what the boards of the other nodes say of id.
+func states(nodes []*node, id fleet.InstanceID) map[fleet.MemberState]int {
+	seen := map[fleet.MemberState]int{}
+	for _, n := range nodes {
+		if m, ok := n.board.Members.Get(id); ok && n.member.ID != id {
+			seen[m.State]++
+		}
+	}
+	return seen
+}
+
+// Guards against live instances that vanish with the store, and against records that are not restored when it is back.
+func TestStoreOutageRemovesNoLiveMember(t *testing.T) {
+	store := newFakeStore()
+	runFleet(t, 4, store, func(nodes []*node, _ *network) {
+		time.Sleep(20 * time.Second)
+		require.Len(t, store.keys(), 4)
+		store.setDown(true)
+		time.Sleep(5 * time.Minute)
+		assert.Empty(t, store.keys(), "the leases expired")
+		for _, n := range nodes {
+			assert.Equal(t, map[fleet.MemberState]int{fleet.MemberAlive: 3}, states(nodes, n.member.ID))
+		}
+		store.setDown(false)
+		time.Sleep(2 * lastBackoff)
+		assert.Len(t, store.keys(), 4)
+		require.NoError(t, nodes[0].registrar.Close(context.Background()))
+		assert.Len(t, store.keys(), 3, "shutdown removes the record at once")
+	})
+}
+
+// Guards against lost instances that callers are sent to, and against healed ones that stay out.
+func TestBoardsFollowALostInstanceAndItsReturn(t *testing.T) {
+	runFleet(t, 5, newFakeStore(), func(nodes []*node, net *network) {
+		time.Sleep(20 * time.Second)
+		net.setCut(nodes[2].member.PeerAddress, true)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, map[fleet.MemberState]int{fleet.MemberDead: 4}, states(nodes, "i2"))
+		net.setCut(nodes[2].member.PeerAddress, false)
+		time.Sleep(30 * time.Second)
+		for _, n := range nodes {
+			assert.Equal(t, map[fleet.MemberState]int{fleet.MemberAlive: 4}, states(nodes, n.member.ID))
+		}
+	})
+}
+
+// Guards against a drain that waits for the next probe, and against a board that offers a draining instance again.
+func TestDrainReachesSeveralPeersAtOnce(t *testing.T) {
+	store := newFakeStore()
+	runFleet(t, 5, store, func(nodes []*node, _ *network) {
+		time.Sleep(20 * time.Second)
+		nodes[1].prober.Drain(t.Context())
+		synctest.Wait()
+		assert.Equal(t, map[fleet.MemberState]int{fleet.MemberDraining: 4}, states(nodes, "i1"))
+		assert.True(t, nodes[1].view.Draining())
+		time.Sleep(time.Minute)
+		assert.Equal(t, map[fleet.MemberState]int{fleet.MemberDraining: 4}, states(nodes, "i1"))
+		m, err := DecodeRecord(store.value(MembersPrefix + "i1"))
+		require.NoError(t, err)
+		assert.Equal(t, fleet.MemberDraining, m.State)
+	})
+}
+
+// Guards against a paused former life that replaces the record of the present one when it wakes.
+func TestFormerLifeDoesNotReplaceTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, net := newFakeStore(), &network{probers: map[string]*Prober{}}
+		former := newNode(1, net, &staticList{}, store)
+		require.NoError(t, former.registrar.Reconcile(t.Context()))
+		time.Sleep(time.Minute)
+		present := newNode(1, net, &staticList{}, store)
+		require.NoError(t, present.registrar.Reconcile(t.Context()))
+		assert.ErrorIs(t, former.registrar.Reconcile(t.Context()), ErrSuperseded)
+		m, err := DecodeRecord(store.value(MembersPrefix + "i1"))
+		require.NoError(t, err)
+		assert.Equal(t, present.member.Incarnation, m.Incarnation)
+	})
+}
+
+// Guards against new work for a leaving target because the list lags, and against targets that stay leaving in their next life.
+func TestTargetStaysLeavingUntilTheListShowsANewLife(t *testing.T) {
+	live := func(address string) TargetChange {
+		return TargetChange{Target: fleet.Target{ID: "t1", Kind: fleet.KindEngine, Address: address, State: fleet.TargetLive}}
+	}
+	listedLeaving := live("x")
+	listedLeaving.Target.State = fleet.TargetLeaving
+	fromPeer := membership.Probe{From: "i9", Targets: []membership.TargetUpdate{{ID: "t1", State: fleet.TargetLeaving}}}
+	cases := map[string]struct {
+		change TargetChange
+		want   fleet.TargetState
+	}{
+		"the list still says live":                    {live("x"), fleet.TargetLeaving},
+		"the list says live at another address":       {live("y"), fleet.TargetLive},
+		"the list says leaving":                       {listedLeaving, fleet.TargetLeaving},
+		"the list says gone, and a stale peer speaks": {TargetChange{Target: fleet.Target{ID: "t1"}, Gone: true}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(1, &network{probers: map[string]*Prober{}}, &staticList{}, nil)
+			n.poller.apply(Changes{Targets: []TargetChange{live("x")}})
+			n.prober.HandleProbe(t.Context(), fromPeer)
+			n.poller.apply(Changes{Targets: []TargetChange{c.change}})
+			n.prober.HandleProbe(t.Context(), fromPeer)
+			entry, ok := n.board.Targets.Get("t1")
+			require.Equal(t, c.want != "", ok)
+			if ok {
+				assert.Equal(t, c.want, entry.State)
+			}
+			n.poller.apply(Changes{Targets: []TargetChange{listedLeaving}})
+			n.poller.apply(Changes{Targets: []TargetChange{live("x")}})
+			entry, _ = n.board.Targets.Get("t1")
+			assert.Equal(t, fleet.TargetLive, entry.State, "live after the list said leaving is a new life")
+		})
+	}
+	t.Run("a peer knows that the target leaves before the list shows it", func(t *testing.T) {
+		n := newNode(1, &network{probers: map[string]*Prober{}}, &staticList{}, nil)
+		n.prober.HandleProbe(t.Context(), fromPeer)
+		n.poller.apply(Changes{Targets: []TargetChange{live("x")}})
+		entry, ok := n.board.Targets.Get("t1")
+		require.True(t, ok)
+		assert.Equal(t, fleet.TargetLeaving, entry.State)
+	})
+}
--- /dev/null
+++ b/node/control/membership/record.go
@@ -0,0 +1,60 @@
+package membership
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// MembersPrefix is the prefix of the membership records in the store.
+const MembersPrefix = "/eelgrass/members/"
+
+// ErrBadRecord means that a membership record in the store cannot be read.
+var ErrBadRecord = eris.New("membership record is malformed")
+
+// record is the JSON form of a membership record.
+type record struct {
+	Instance      fleet.InstanceID    `json:"instance"`
+	Incarnation   uint64              `json:"incarnation"`
+	Draining      bool                `json:"draining,omitempty"`
+	PeerAddress   string              `json:"peer_address"`
+	CallerAddress string              `json:"caller_address"`
+	FailureDomain fleet.FailureDomain `json:"failure_domain"`
+}
+
+// EncodeRecord returns the value kept under MembersPrefix and the instance's ID.
+func EncodeRecord(m fleet.Member) ([]byte, error) {
+	return json.Marshal(record{
+		Instance:      m.ID,
+		Incarnation:   m.Incarnation,
+		Draining:      m.State == fleet.MemberDraining,
+		PeerAddress:   m.PeerAddress,
+		CallerAddress: m.CallerAddress,
+		FailureDomain: m.FailureDomain,
+	})
+}
+
+// DecodeRecord reads a membership record or fails with ErrBadRecord.
+func DecodeRecord(value []byte) (fleet.Member, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fleet.Member{}, eris.Wrap(ErrBadRecord, err.Error())
+	}
+	if r.Instance == "" {
+		return fleet.Member{}, eris.Wrap(ErrBadRecord, "it names no instance")
+	}
+	state := fleet.MemberAlive
+	if r.Draining {
+		state = fleet.MemberDraining
+	}
+	return fleet.Member{
+		ID:            r.Instance,
+		Incarnation:   r.Incarnation,
+		State:         state,
+		PeerAddress:   r.PeerAddress,
+		CallerAddress: r.CallerAddress,
+		FailureDomain: r.FailureDomain,
+	}, nil
+}
--- /dev/null
+++ b/node/control/membership/view.go
@@ -0,0 +1,89 @@
+// Package membership keeps this instance's view of the fleet: it drives the failure detector, answers peers' probes, keeps this
+// instance's record in the store and follows the instance list.
+//
+// Lock order: View.publishing, then the mutex of the detector, which is released before any table of the blackboard is touched.
+// Neither is taken while a table lock is held, and neither is held across I/O.
+package membership
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/membership"
+	"eelgrassproxy.example/node/blackboard"
+)
+
+// View is the failure detector shared by the controllers and the peer server. All methods are safe for concurrent use.
+type View struct {
+	publishing      sync.Mutex // keeps published tables in the order of the views they show
+	mu              sync.Mutex // guards detector
+	detector        *membership.Detector
+	board           *blackboard.Board
+	generationHeard func(membership.GenerationHint)
+}
+
+// NewView returns a view of self that publishes to the board. generationHeard is called with each higher bundle generation and
+// the peer that has it; it must not block and may be nil.
+func NewView(self fleet.Member, options membership.Options, rng *rand.Rand, board *blackboard.Board,
+	generationHeard func(membership.GenerationHint)) *View {
+	return &View{
+		detector:        membership.New(self, options, rng),
+		board:           board,
+		generationHeard: generationHeard,
+	}
+}
+
+// Draining reports whether this instance is leaving.
+func (v *View) Draining() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.detector.DrainingSelf(time.Now())
+}
+
+// TargetLeaving marks a target leaving, here and soon at the peers, after the target itself said so.
+func (v *View) TargetLeaving(id fleet.TargetID) {
+	v.update(func(d *membership.Detector, now time.Time) { d.TargetLeaving(now, id) })
+}
+
+// update runs change on the detector and publishes what came of it.
+func (v *View) update(change func(*membership.Detector, time.Time)) {
+	hint := v.updateTables(change)
+	if hint != nil && v.generationHeard != nil {
+		v.generationHeard(*hint)
+	}
+}
+
+func (v *View) updateTables(change func(*membership.Detector, time.Time)) *membership.GenerationHint {
+	v.publishing.Lock()
+	defer v.publishing.Unlock()
+	members, events := v.locked(change)
+	v.board.Members.Replace(members)
+	for _, t := range events.Targets {
+		v.board.Targets.Change(t.ID, markLeaving)
+	}
+	return events.Generation
+}
+
+func (v *View) locked(change func(*membership.Detector, time.Time)) ([]fleet.Member, membership.Events) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	change(v.detector, now)
+	return v.detector.Members(now), v.detector.TakeEvents()
+}
+
+func (v *View) self() fleet.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.detector.Self()
+}
+
+func markLeaving(e *blackboard.TargetEntry) bool {
+	if e.State == fleet.TargetLeaving {
+		return false
+	}
+	e.State = fleet.TargetLeaving
+	return true
+}
