Make building a message cheaper and measure whole fleets

Cause: sorting the whole update queue for each message was the largest cost while hundreds of joins were queued. Change: a message selects its few updates without sorting; the fleet size is counted as states change.

--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -15,6 +15,7 @@
 	rng     *rand.Rand
 	self    fleet.Member
 	records map[fleet.InstanceID]*record // without self
+	taking  int                          // records that are not dead
 	queue   updateQueue
 	leaving map[fleet.TargetID]leavingTarget
 
@@ -196,12 +197,11 @@
 }
 
 // size counts the members that take part, self included.
-func (d *Detector) size() int {
-	n := 1
-	for _, r := range d.records {
-		if r.member.State != fleet.MemberDead {
-			n++
-		}
+func (d *Detector) size() int { return 1 + d.taking }
+
+// countPart keeps taking up to date when a member's state changes.
+func (d *Detector) countPart(state fleet.MemberState, by int) {
+	if state != fleet.MemberDead {
+		d.taking += by
 	}
-	return n
 }
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -64,6 +64,7 @@
 	fillAddresses(&r.member, u)
 	r.member.Incarnation = u.Incarnation
 	r.member.State = u.State
+	d.countPart(u.State, 1)
 	d.startSuspicion(now, r)
 	d.insertInRound(u.ID)
 	d.noteChange(Change{ID: u.ID, Incarnation: u.Incarnation, To: u.State})
@@ -81,6 +82,8 @@
 	fillAddresses(&r.member, u)
 	r.member.Incarnation = u.Incarnation
 	r.member.State = u.State
+	d.countPart(from, -1)
+	d.countPart(u.State, 1)
 	r.suspectUntil = time.Time{}
 	d.startSuspicion(now, r)
 	if from == u.State {
--- a/core/membership/queue.go
+++ b/core/membership/queue.go
@@ -46,6 +46,21 @@
 
 func (q *updateQueue) dropTarget(id fleet.TargetID) { delete(q.targets, id) }
 
+// insertBest keeps the first limit items in sending order. Queues of hundreds of items after the start of a whole fleet made
+// sorting them all the largest cost of a message.
+func insertBest(best []*queued, item *queued, limit int) []*queued {
+	if len(best) == limit && sendingOrder(item, best[limit-1]) > 0 {
+		return best
+	}
+	at, _ := slices.BinarySearchFunc(best, item, sendingOrder)
+	best = slices.Insert(best, at, item)
+	return best[:min(limit, len(best))]
+}
+
+func sendingOrder(a, b *queued) int {
+	return cmp.Or(joinsLast(a, b), cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
+}
+
 func joinsLast(a, b *queued) int {
 	switch {
 	case a.join == b.join:
@@ -62,21 +77,18 @@
 	if limit <= 0 || len(q.members)+len(q.targets) == 0 {
 		return nil, nil
 	}
-	pending := make([]*queued, 0, len(q.members)+len(q.targets))
+	best := make([]*queued, 0, limit+1)
 	for id, item := range q.members {
 		if !slices.Contains(skip, id) {
-			pending = append(pending, item)
+			best = insertBest(best, item, limit)
 		}
 	}
 	for _, item := range q.targets {
-		pending = append(pending, item)
+		best = insertBest(best, item, limit)
 	}
-	slices.SortFunc(pending, func(a, b *queued) int {
-		return cmp.Or(joinsLast(a, b), cmp.Compare(a.sent, b.sent), cmp.Compare(b.order, a.order))
-	})
 	var members []Update
 	var targets []TargetUpdate
-	for _, item := range pending[:min(limit, len(pending))] {
+	for _, item := range best {
 		item.sent++
 		if item.member != nil {
 			members = append(members, *item.member)
