--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -15,8 +15,9 @@
 	rng     *rand.Rand
 	self    fleet.Member
 	records map[fleet.InstanceID]*record // without self
+	taking  int                          // records that are not dead
 	queue   updateQueue
-	leaving map[fleet.TargetID]time.Time // targets known to be leaving, with the time of the news
+	leaving map[fleet.TargetID]leavingTarget
 
 	selfListState ListState
 	started       time.Time // first call with a time; zero before
@@ -41,6 +42,13 @@
 	told         uint64 // own incarnation that this member is known to have received with addresses
 }
 
+// leavingTarget is a target known to be leaving. over is set when a new life of the target was seen: updates from peers are then
+// stale and ignored until the entry is forgotten.
+type leavingTarget struct {
+	since time.Time
+	over  bool
+}
+
 // pendingIndirect counts the relays whose answer is missing.
 type pendingIndirect struct {
 	waiting int
@@ -57,10 +65,10 @@
 		self:     self,
 		records:  map[fleet.InstanceID]*record{},
 		queue:    newUpdateQueue(),
-		leaving:  map[fleet.TargetID]time.Time{},
+		leaving:  map[fleet.TargetID]leavingTarget{},
 		indirect: map[fleet.InstanceID]*pendingIndirect{},
 	}
-	d.queue.addMember(d.selfUpdate())
+	d.queue.addJoin(d.selfUpdate())
 	return d
 }
 
@@ -79,7 +87,7 @@
 	d.expireIndirect(now)
 	d.expireSuspicions(now)
 	d.forget(now)
-	if now.Sub(d.lastProbe) < d.options.ProbeInterval {
+	if now.Sub(d.lastProbe) < d.options.ProbeInterval*probeDuePercent/100 {
 		return nil
 	}
 	d.lastProbe = now
@@ -137,16 +145,29 @@
 	}
 	members = append(members, self)
 	for _, r := range d.records {
-		m := r.member
-		if m.State < fleet.MemberDraining && d.listLeaves(r.listState, r.incarnatedAt, now) {
-			m.State = fleet.MemberDraining
-		}
-		members = append(members, m)
+		members = append(members, d.shown(r, now))
 	}
 	slices.SortFunc(members, func(a, b fleet.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return members
 }
 
+// Member returns one other remembered member.
+func (d *Detector) Member(id fleet.InstanceID, now time.Time) (fleet.Member, bool) {
+	r, ok := d.records[id]
+	if !ok {
+		return fleet.Member{}, false
+	}
+	return d.shown(r, now), true
+}
+
+func (d *Detector) shown(r *record, now time.Time) fleet.Member {
+	m := r.member
+	if m.State < fleet.MemberDraining && d.listLeaves(r.listState, r.incarnatedAt, now) {
+		m.State = fleet.MemberDraining
+	}
+	return m
+}
+
 // TakeEvents returns and clears what happened since the last call.
 func (d *Detector) TakeEvents() Events {
 	events := d.events
@@ -176,12 +197,11 @@
 }
 
 // size counts the members that take part, self included.
-func (d *Detector) size() int {
-	n := 1
-	for _, r := range d.records {
-		if r.member.State != fleet.MemberDead {
-			n++
-		}
+func (d *Detector) size() int { return 1 + d.taking }
+
+// countPart keeps taking up to date when a member's state changes.
+func (d *Detector) countPart(state fleet.MemberState, by int) {
+	if state != fleet.MemberDead {
+		d.taking += by
 	}
-	return n
 }
