Carry blobs between instances

PUT, GET and info of blobs have their own bound of 64 MiB; every other call of the peers' listener keeps 64 KiB. An instance without a disk answers 404, a full one 507.

--- a/adapters/peer/errors.go
+++ b/adapters/peer/errors.go
@@ -27,6 +27,10 @@
 	ErrMalformed = eris.New("peer message is malformed")
 	// ErrRefused means that the peer answered with any other error.
 	ErrRefused = eris.New("peer refused the call")
+	// ErrFull means that the peer's disk has no room.
+	ErrFull = eris.New("peer's disk is full")
+	// ErrDigest means that the content of a blob does not have the stated digest.
+	ErrDigest = eris.New("content does not have the stated digest")
 	// ErrMessageTooLarge means that a response exceeds its limit.
 	ErrMessageTooLarge = eris.New("peer message exceeds its size limit")
 )
@@ -66,6 +70,8 @@
 		return ErrUnauthorized
 	case http.StatusNotFound:
 		return ErrNotFound
+	case http.StatusInsufficientStorage:
+		return ErrFull
 	}
 	return ErrRefused
 }
--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -23,10 +23,10 @@
 // connection that the server is closing.
 const ServerIdleTimeout = 2 * idleTimeout
 
-// maxRequestBody bounds what a peer may send in one call.
+// maxRequestBody bounds what a peer may send in one call, blobs excepted.
 const maxRequestBody = 64 << 10
 
-// Handlers are what the server needs of its instance. All fields are required.
+// Handlers are what the server needs of its instance. All fields but Blobs are required.
 type Handlers struct {
 	// Probe takes in a probe and returns the acknowledgement.
 	Probe func(ctx context.Context, p membership.Probe) membership.Probe
@@ -40,10 +40,13 @@
 	Delta func(to fleet.Generation) (bundle.Delta, bool)
 	// Decisions returns the decision log lines of a request, oldest first.
 	Decisions func(request fleet.RequestID) []string
+	// Blobs is empty on an instance without a disk.
+	Blobs BlobHandlers
 }
 
 func (h Handlers) complete() bool {
-	return h.Probe != nil && h.ProbeIndirect != nil && h.Manifest != nil && h.Section != nil && h.Delta != nil && h.Decisions != nil
+	return h.Probe != nil && h.ProbeIndirect != nil && h.Manifest != nil && h.Section != nil && h.Delta != nil && h.Decisions != nil &&
+		h.Blobs.consistent()
 }
 
 // NewHandler returns the HTTP handler of the peers' listener. It accepts the bearer tokens whose SHA-256 digests are given, two
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create the peer server")
 	}
-	return http.MaxBytesHandler(withoutDate(server), maxRequestBody), nil
+	return boundBody(withoutDate(server)), nil
 }
 
 // withoutDate omits the header Date, 37 bytes of each acknowledgement that no peer reads.
@@ -157,6 +160,10 @@
 		return http.StatusRequestEntityTooLarge, "too_large", "request body exceeds the limit"
 	case errors.Is(err, ErrNotFound):
 		return http.StatusNotFound, "not_found", err.Error()
+	case errors.Is(err, ErrFull):
+		return http.StatusInsufficientStorage, "full", "disk is full"
+	case errors.Is(err, ErrDigest):
+		return http.StatusBadRequest, "digest_mismatch", err.Error()
 	case errors.Is(err, ErrMalformed), errors.As(err, &decode), errors.As(err, &params):
 		return http.StatusBadRequest, "malformed", err.Error()
 	}
