Add the bulk store that keeps blobs on two disks

Put offers a blob to alive disk holders in rendezvous order, inside the region first, and succeeds only when two of different failure domains acknowledged; a holder that refuses or does not answer is replaced by the next one. Get checks the digest of every copy. Repair replaces a holder that is gone for two minutes, or gives a blob back to one that lacks it, at a limited rate. The collector removes old blobs that no record names. adapters/detach lends memory to writes that may be given up.

Tests seen failing: with a placement that ignores failure domains, or that returns one holder, TestOneHolderIsNotEnough; without fallback TestAnotherHolderTakesTheBlob; without the digest check TestContentIsCheckedAfterItsTravel; without the size check or the repair delay the repair tests; without the limiter TestRepairsAreLimitedInBytesPerSecond; without inUse the collection test.

--- a/adapters/peer/blobs.go
+++ b/adapters/peer/blobs.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"eelgrassproxy.example/adapters/detach"
 	peerapi "eelgrassproxy.example/api/peer"
 )
 
@@ -52,8 +51,8 @@
 func (c *Client) PutBlob(ctx context.Context, address, digest string, content []byte) error {
 	ctx, cancel := prepare(ctx, address, BlobTimeout(int64(len(content))), maxControlResponse)
 	defer cancel()
-	body := &detachable{content: content}
-	defer body.detach()
+	body := detach.NewReader(content)
+	defer body.Detach()
 	return translate(c.api.PutBlob(ctx, peerapi.PutBlobReq{Data: body}, peerapi.PutBlobParams{Digest: digest}))
 }
 
@@ -86,37 +85,6 @@
 	return wire.Bytes, nil
 }
 
-// detachable is a request body that the transport can no longer read after detach. The transport may otherwise read on after an
-// early response, while the caller fills the memory anew.
-type detachable struct {
-	mu      sync.Mutex // guards content
-	content []byte
-	gone    bool
-}
-
-var errDetached = errors.New("request body is no longer available")
-
-// Read implements io.Reader.
-func (d *detachable) Read(p []byte) (int, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.gone {
-		return 0, errDetached
-	}
-	if len(d.content) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, d.content)
-	d.content = d.content[n:]
-	return n, nil
-}
-
-func (d *detachable) detach() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.content, d.gone = nil, true
-}
-
 // boundBody limits the size of request bodies, and the time to receive a blob.
 func boundBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/adapters/peer/blobs_test.go
+++ b/adapters/peer/blobs_test.go
@@ -83,14 +83,3 @@
 	stranger := clientWith(t, "wrong")
 	assert.ErrorIs(t, stranger.PutBlob(t.Context(), fullAddress, blobDigest, []byte("x")), ErrUnauthorized)
 }
-
-// Guards against a transport that reads memory which its owner fills anew.
-func TestABodyIsNotReadAfterTheCall(t *testing.T) {
-	body := &detachable{content: []byte("content")}
-	buffer := make([]byte, 3)
-	_, err := body.Read(buffer)
-	require.NoError(t, err)
-	body.detach()
-	_, err = body.Read(buffer)
-	assert.ErrorIs(t, err, errDetached)
-}
--- /dev/null
+++ b/node/bulk/bulk_test.go
@@ -0,0 +1,371 @@
+package bulk
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/disk"
+	"eelgrassproxy.example/adapters/peer"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
+)
+
+// world is a set of instances with disks. It stands in for the network between them: calls reach the real handlers of the other
+// instance's disk unless the instance is lost or silent.
+type world struct {
+	t       *testing.T
+	board   *blackboard.Board
+	members []fleet.Member
+	folders map[fleet.InstanceID]string
+	disks   map[fleet.InstanceID]*disk.Store
+	lost    map[fleet.InstanceID]bool
+	silent  map[fleet.InstanceID]bool
+	garbled map[fleet.InstanceID]bool // its responses are damaged on the way
+}
+
+var topology = fleet.Topology{RegionOf: map[fleet.FailureDomain]fleet.Region{
+	"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b", "c1": "c",
+}}
+
+// newWorld starts one instance with a disk for each name; the name without its last letter is the failure domain.
+func newWorld(t *testing.T, names ...fleet.InstanceID) *world {
+	w := &world{
+		t: t, board: blackboard.New(), folders: map[fleet.InstanceID]string{}, disks: map[fleet.InstanceID]*disk.Store{},
+		lost: map[fleet.InstanceID]bool{}, silent: map[fleet.InstanceID]bool{},
+		garbled: map[fleet.InstanceID]bool{},
+	}
+	for _, name := range names {
+		w.folders[name] = t.TempDir()
+		w.open(name, disk.Options{})
+		domain := fleet.FailureDomain(name[:len(name)-1])
+		w.members = append(w.members, fleet.Member{ID: name, PeerAddress: string(name), FailureDomain: domain, HasDisk: true})
+	}
+	w.board.Members.Replace(w.members)
+	return w
+}
+
+func (w *world) open(id fleet.InstanceID, o disk.Options) {
+	d, err := disk.Open(w.folders[id], o)
+	require.NoError(w.t, err)
+	w.disks[id] = d
+}
+
+func (w *world) store(self fleet.InstanceID) *Store {
+	return New(Config{
+		Self: self, FailureDomain: fleet.FailureDomain(self[:len(self)-1]), Board: w.board,
+		Topology: func() fleet.Topology { return topology }, Disk: w.disks[self], Peers: w,
+	})
+}
+
+// setState changes what the membership table says of an instance.
+func (w *world) setState(id fleet.InstanceID, state fleet.MemberState) {
+	members := append([]fleet.Member{}, w.members...)
+	for i := range members {
+		if members[i].ID == id {
+			members[i].State = state
+		}
+	}
+	w.members = members
+	w.board.Members.Replace(members)
+}
+
+func (w *world) reach(ctx context.Context, address string) (peer.BlobHandlers, error) {
+	id := fleet.InstanceID(address)
+	if w.silent[id] {
+		ctx, cancel := context.WithTimeout(ctx, peer.FetchTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return peer.BlobHandlers{}, peer.ErrTimeout
+	}
+	if w.lost[id] {
+		return peer.BlobHandlers{}, peer.ErrUnreachable
+	}
+	if w.disks[id] == nil {
+		return peer.BlobHandlers{}, peer.ErrNotFound
+	}
+	return Handlers(w.disks[id]), nil
+}
+
+func (w *world) PutBlob(ctx context.Context, address, digest string, content []byte) error {
+	h, err := w.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	return h.Put(ctx, digest, bytes.NewReader(content))
+}
+
+func (w *world) GetBlob(ctx context.Context, address, digest string, size int64) ([]byte, error) {
+	h, err := w.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	content, err := h.Get(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = content.(io.Closer).Close() }()
+	if w.garbled[fleet.InstanceID(address)] {
+		return make([]byte, size), nil
+	}
+	return io.ReadAll(io.LimitReader(content, size))
+}
+
+func (w *world) BlobInfo(ctx context.Context, address, digest string) (int64, error) {
+	h, err := w.reach(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	return h.Info(ctx, digest)
+}
+
+// file returns the path of a blob at an instance.
+func (w *world) file(id fleet.InstanceID, digest string) string {
+	return filepath.Join(w.folders[id], digest[:2], digest[2:4], digest)
+}
+
+var data = bytes.Repeat([]byte(`{"custom_id":"1"}`+"\n"), 1000)
+
+func put(t *testing.T, s *Store) batch.BlobRef {
+	t.Helper()
+	ref, err := s.Put(t.Context(), data)
+	require.NoError(t, err)
+	require.Len(t, ref.Holders, 2)
+	return ref
+}
+
+// Guards against two copies that one failure destroys, and against needless bytes on the region link.
+func TestHoldersStandInTwoFailureDomainsOfTheRegionIfPossible(t *testing.T) {
+	cases := map[string]struct {
+		instances []fleet.InstanceID
+		want      []fleet.InstanceID
+	}{
+		"the region has two domains":             {[]fleet.InstanceID{"a1x", "a1y", "a2x", "b1x", "c1x"}, nil},
+		"the region has one domain with holders": {[]fleet.InstanceID{"a1x", "a1y", "b1x"}, []fleet.InstanceID{"b1x"}},
+		"the region has no holder":               {[]fleet.InstanceID{"b1x", "c1x"}, []fleet.InstanceID{"b1x", "c1x"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, c.instances...)
+			ref := put(t, w.store("a1z"))
+			if c.want != nil {
+				assert.Subset(t, ref.Holders, c.want)
+				return
+			}
+			assert.Contains(t, ref.Holders, fleet.InstanceID("a2x"))
+			assert.NotSubset(t, []fleet.InstanceID{"a2x", "b1x", "c1x"}, ref.Holders, "the other one is of domain a1")
+		})
+	}
+}
+
+// Guards against acknowledged data that dies with one instance.
+func TestAnAcknowledgedBlobSurvivesTheLossOfEitherHolder(t *testing.T) {
+	for lost := range 2 {
+		w := newWorld(t, "a1x", "a2x", "a3x")
+		ref := put(t, w.store("a1x"))
+		w.lost[ref.Holders[lost]] = true
+		w.setState(ref.Holders[lost], fleet.MemberDead)
+		content, err := w.store("b1z").Get(t.Context(), ref)
+		require.NoError(t, err)
+		assert.Equal(t, data, content)
+	}
+}
+
+// Guards against an acknowledgement with one copy.
+func TestOneHolderIsNotEnough(t *testing.T) {
+	cases := map[string]func(*world){
+		"the only other holder is lost":           func(w *world) { w.lost["a2x"] = true },
+		"the only other holder is full":           func(w *world) { w.open("a2x", disk.Options{QuotaBytes: 10}) },
+		"the only other holder is dead":           func(w *world) { w.setState("a2x", fleet.MemberDead) },
+		"the only other holder has lost its disk": func(w *world) { w.disks["a2x"] = nil },
+		"both holders stand in the same failure domain": func(w *world) {
+			w.members[1].FailureDomain = "a1"
+			w.board.Members.Replace(w.members)
+		},
+	}
+	for name, harm := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "a1x", "a2x")
+			harm(w)
+			ref, err := w.store("a1x").Put(t.Context(), data)
+			assert.ErrorIs(t, err, ErrNoHolders)
+			assert.Empty(t, ref)
+		})
+	}
+}
+
+// Guards against uploads that fail because one disk is full, lost or silent while others have room.
+func TestAnotherHolderTakesTheBlob(t *testing.T) {
+	cases := map[string]func(*world, fleet.InstanceID){
+		"a full disk":   func(w *world, id fleet.InstanceID) { w.open(id, disk.Options{QuotaBytes: 10}) },
+		"a lost holder": func(w *world, id fleet.InstanceID) { w.lost[id] = true },
+		"a silent one":  func(w *world, id fleet.InstanceID) { w.silent[id] = true },
+	}
+	for name, harm := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, "a1x", "a1y", "a2x", "a3x", "b1x")
+				first := put(t, w.store("c1z"))
+				for _, id := range first.Holders {
+					harm(w, id)
+				}
+				start := time.Now()
+				ref := put(t, w.store("c1z"))
+				assert.NotContains(t, ref.Holders, first.Holders[0])
+				assert.NotContains(t, ref.Holders, first.Holders[1])
+				assert.LessOrEqual(t, time.Since(start), 2*peer.FetchTimeout)
+				content, err := w.store("c1z").Get(t.Context(), ref)
+				require.NoError(t, err)
+				assert.Equal(t, data, content)
+			})
+		})
+	}
+}
+
+// Guards against corrupt content that is returned or that stays the only copy.
+func TestACorruptCopyIsNeverReturnedAndIsRepaired(t *testing.T) {
+	damage := map[string]func(name string) error{
+		"a torn file":    func(name string) error { return os.Truncate(name, 100) },
+		"a changed byte": func(name string) error { return os.WriteFile(name, append([]byte{'X'}, data[1:]...), 0o600) },
+		"a lost file":    os.Remove,
+	}
+	for name, spoil := range damage {
+		for victim := range 2 {
+			for _, reader := range []fleet.InstanceID{"a1x", "a2x", "b1z"} {
+				t.Run(name, func(t *testing.T) {
+					w := newWorld(t, "a1x", "a2x")
+					ref := put(t, w.store("a1x"))
+					require.NoError(t, spoil(w.file(ref.Holders[victim], ref.Digest)))
+					content, err := w.store(reader).Get(t.Context(), ref)
+					require.NoError(t, err)
+					assert.Equal(t, data, content)
+					if name == "a changed byte" {
+						_, _ = w.disks[ref.Holders[victim]].Get(ref.Digest) // only a read finds it, and the reader may have used the other copy
+					}
+					repaired, changed, err := w.store("b1z").Repair(t.Context(), ref)
+					require.NoError(t, err)
+					assert.False(t, changed, "the holder got its copy back")
+					assert.Equal(t, ref.Digest, repaired.Digest)
+					restored, err := w.disks[ref.Holders[victim]].Get(ref.Digest)
+					require.NoError(t, err)
+					assert.Equal(t, data, restored)
+				})
+			}
+		}
+	}
+}
+
+// Guards against content that was damaged after the holder checked it.
+func TestContentIsCheckedAfterItsTravel(t *testing.T) {
+	w := newWorld(t, "a1x", "a2x")
+	ref := put(t, w.store("a1x"))
+	w.garbled[ref.Holders[0]] = true
+	content, err := w.store("b1z").Get(t.Context(), ref)
+	require.NoError(t, err)
+	assert.Equal(t, data, content)
+	w.garbled[ref.Holders[1]] = true
+	_, err = w.store("b1z").Get(t.Context(), ref)
+	assert.ErrorIs(t, err, ErrUnavailable)
+}
+
+// Guards against blobs that stay on one disk for good, and against copies made for an instance that only restarts.
+func TestALostHolderIsReplacedAfterTheRepairDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a1x", "a2x", "a3x", "b1x")
+		s := w.store("b1x")
+		ref := put(t, w.store("a1x"))
+		lost, kept := ref.Holders[0], ref.Holders[1]
+		repair := func() (batch.BlobRef, bool) {
+			next, changed, err := s.Repair(t.Context(), ref)
+			require.NoError(t, err)
+			return next, changed
+		}
+		w.lost[lost] = true
+		_, changed := repair()
+		assert.False(t, changed, "unreachable, but not dead")
+		w.setState(lost, fleet.MemberDead)
+		_, changed = repair()
+		assert.False(t, changed, "dead for a moment")
+		time.Sleep(defaultRepairDelay - time.Second)
+		_, changed = repair()
+		assert.False(t, changed, "dead for less than the delay")
+		time.Sleep(time.Second)
+		next, changed := repair()
+		require.True(t, changed)
+		assert.Contains(t, next.Holders, kept)
+		assert.NotContains(t, next.Holders, lost)
+		assert.NotContains(t, next.Holders, fleet.InstanceID("b1x"), "the copy stays in the region")
+		w.lost[kept] = true
+		content, err := s.Get(t.Context(), next)
+		require.NoError(t, err)
+		assert.Equal(t, data, content)
+	})
+}
+
+// Guards against repairs that fill the region link.
+func TestRepairsAreLimitedInBytesPerSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a1x", "a2x")
+		s := w.store("b1z")
+		s.config.RepairBytesPerSecond = len(data) / 10
+		s = New(s.config)
+		ref := put(t, s)
+		require.NoError(t, os.Remove(w.file(ref.Holders[0], ref.Digest)))
+		start := time.Now()
+		_, _, err := s.Repair(t.Context(), ref)
+		require.NoError(t, err)
+		assert.InDelta(t, 9*time.Second, time.Since(start), float64(time.Second), "the first second's worth is a burst")
+	})
+}
+
+// Guards against "lost for good" while a holder may come back, and the reverse.
+func TestAMissingBlobIsToldFromAnUnreachableOne(t *testing.T) {
+	w := newWorld(t, "a1x", "a2x", "a3x")
+	s := w.store("b1z")
+	ref := put(t, s)
+	for _, id := range ref.Holders {
+		require.NoError(t, os.Remove(w.file(id, ref.Digest)))
+	}
+	_, err := s.Get(t.Context(), ref)
+	assert.ErrorIs(t, err, ErrNotFound)
+	w.lost[ref.Holders[0]] = true
+	_, err = s.Get(t.Context(), ref)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	w.setState(ref.Holders[0], fleet.MemberDead)
+	_, err = s.Get(t.Context(), ref)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	_, err = s.Get(t.Context(), batch.BlobRef{Digest: "../x", Bytes: 1})
+	assert.ErrorIs(t, err, ErrInvalid)
+	assert.False(t, errors.Is(err, ErrNotFound))
+}
+
+// Guards against collected blobs that a record names or that were just written.
+func TestOnlyOldBlobsWithoutARecordAreCollected(t *testing.T) {
+	w := newWorld(t, "a1x")
+	d := w.disks["a1x"]
+	digests := map[string]string{}
+	ages := map[string]time.Duration{"old": 8 * 24 * time.Hour, "old and named": 8 * 24 * time.Hour, "young": 6 * 24 * time.Hour}
+	for name, age := range ages {
+		digest := disk.Digest([]byte(name))
+		require.NoError(t, d.Put(digest, bytes.NewReader([]byte(name))))
+		written := time.Now().Add(-age)
+		require.NoError(t, os.Chtimes(w.file("a1x", digest), written, written))
+		digests[name] = digest
+	}
+	c := NewCollector(d, 0, func(digest string) bool { return digest == digests["old and named"] })
+	require.NoError(t, c.Reconcile(t.Context()))
+	assert.False(t, d.Has(digests["old"]))
+	assert.True(t, d.Has(digests["old and named"]))
+	assert.True(t, d.Has(digests["young"]))
+	assert.Equal(t, MinRetention, NewCollector(d, time.Minute, nil).retention)
+}
--- /dev/null
+++ b/node/bulk/errors.go
@@ -0,0 +1,61 @@
+package bulk
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"eelgrassproxy.example/adapters/disk"
+	"eelgrassproxy.example/adapters/peer"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of this layer. Callers compare with errors.Is.
+var (
+	// ErrNoHolders means that fewer disks than needed took the blob. Nothing is acknowledged.
+	ErrNoHolders = eris.New("too few disk holders in different failure domains took the blob")
+	// ErrNotFound means that every instance with a disk answered and none has the blob intact.
+	ErrNotFound = eris.New("no disk holder has the blob")
+	// ErrUnavailable means that no copy could be read now; an instance that may have one did not answer.
+	ErrUnavailable = eris.New("no disk holder of the blob can be reached")
+	// ErrInvalid means that a blob is too large or a reference is malformed.
+	ErrInvalid = eris.New("blob or its reference is invalid")
+)
+
+// Handlers returns the server side of the peers' blob calls; without a disk they are empty and every call is answered with 404.
+func Handlers(d *disk.Store) peer.BlobHandlers {
+	if d == nil {
+		return peer.BlobHandlers{}
+	}
+	return peer.BlobHandlers{
+		Put: func(_ context.Context, digest string, content io.Reader) error {
+			return toPeer(d.Put(digest, content))
+		},
+		Get: func(_ context.Context, digest string) (io.Reader, error) {
+			content, _, err := d.Reader(digest)
+			if err != nil {
+				return nil, toPeer(err) // a nil io.ReadCloser must not become a non-nil io.Reader
+			}
+			return content, nil
+		},
+		Info: func(_ context.Context, digest string) (int64, error) {
+			info, err := d.Stat(digest)
+			return info.Bytes, toPeer(err)
+		},
+	}
+}
+
+// toPeer turns an error of the disk into one of the peers' calls. A corrupt file was dropped and counts as missing.
+func toPeer(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, disk.ErrNotFound), errors.Is(err, disk.ErrCorrupt):
+		return eris.Wrap(peer.ErrNotFound, err.Error())
+	case errors.Is(err, disk.ErrFull):
+		return eris.Wrap(peer.ErrFull, err.Error())
+	case errors.Is(err, disk.ErrDigest), errors.Is(err, disk.ErrBadDigest):
+		return eris.Wrap(peer.ErrDigest, err.Error())
+	}
+	return err
+}
