Add the files service over the bulk store and the key-value store

An upload is split while it arrives, each chunk goes to two disks before the next is read, and the record is created last. The key names caller and content, so that a repeated upload finds its record, and a lost response of the store is settled by reading it.

--- /dev/null
+++ b/node/files/files.go
@@ -0,0 +1,170 @@
+// Package files keeps the callers' batch files: the content in chunks on the disks of instances, the record in the store.
+package files
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/files"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// storePurpose labels the store calls of this package.
+	storePurpose = "files"
+	// defaultMaxUploads bounds the memory of uploads: each takes up to 8 MiB for a chunk, 1 MiB for a line and about 6 MiB for the
+	// custom_ids, and a node has 128 MiB.
+	defaultMaxUploads = 4
+	// storeAttempts bounds the tries of one change of a record.
+	storeAttempts = 4
+	// storeTimeout bounds the calls that make one change or read of a record.
+	storeTimeout = 5 * time.Second
+)
+
+// Blobs is where content is kept; bulk.Store implements it. Put must not read the data after its return.
+type Blobs interface {
+	Put(ctx context.Context, data []byte) (batch.BlobRef, error)
+	Get(ctx context.Context, ref batch.BlobRef) ([]byte, error)
+}
+
+// Options of a Service.
+type Options struct {
+	MaxBytes   int64 // limit of one file; 0 means files.MaxBytes
+	MaxUploads int   // uploads at once; 0 means 4
+}
+
+// Service keeps files. It is safe for concurrent use. Store calls: an upload costs one write, and one more if the file exists with other
+// holders; Get, Content and List one read; Delete one read and one write.
+type Service struct {
+	store    kv.Store
+	blobs    Blobs
+	maxBytes int64
+	uploads  chan struct{} // one slot for each upload
+}
+
+// New returns a service over the store and the blobs.
+func New(store kv.Store, blobs Blobs, o Options) *Service {
+	if o.MaxBytes == 0 {
+		o.MaxBytes = files.MaxBytes
+	}
+	if o.MaxUploads == 0 {
+		o.MaxUploads = defaultMaxUploads
+	}
+	return &Service{store: store, blobs: blobs, maxBytes: o.MaxBytes, uploads: make(chan struct{}, o.MaxUploads)}
+}
+
+// MaxBytes returns the limit of one file.
+func (s *Service) MaxBytes() int64 { return s.maxBytes }
+
+// Get returns the record of a file, or ErrNotFound, which is also the response for the file of another caller.
+func (s *Service) Get(ctx context.Context, caller fleet.CallerID, id string) (files.Record, error) {
+	stored, err := s.read(ctx, caller, id)
+	return stored.record, err
+}
+
+// stored is a record with its revision in the store.
+type stored struct {
+	record   files.Record
+	revision kv.Revision
+}
+
+func (s *Service) read(ctx context.Context, caller fleet.CallerID, id string) (stored, error) {
+	if !files.ValidID(id) {
+		return stored{}, ErrNotFound
+	}
+	ctx, cancel := storeContext(ctx)
+	defer cancel()
+	found, err := s.store.Get(ctx, files.Key(caller, id))
+	if err != nil {
+		return stored{}, fromStore(err)
+	}
+	record, err := files.Decode(found.Value)
+	return stored{record: record, revision: found.ModRevision}, err
+}
+
+// List returns the caller's files, oldest first.
+func (s *Service) List(ctx context.Context, caller fleet.CallerID) ([]files.Record, error) {
+	ctx, cancel := storeContext(ctx)
+	defer cancel()
+	listing, err := s.store.List(ctx, files.Prefix(caller))
+	if err != nil {
+		return nil, fromStore(err)
+	}
+	records := make([]files.Record, 0, len(listing.Items))
+	for _, item := range listing.Items {
+		record, err := files.Decode(item.Value)
+		if err != nil {
+			return nil, eris.Wrap(err, item.Key)
+		}
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b files.Record) int {
+		return cmp.Or(a.Created.Compare(b.Created), cmp.Compare(a.ID, b.ID))
+	})
+	return records, nil
+}
+
+// Content writes the lines of a file to w, one chunk in memory at a time. If nothing was written yet, the error may be given to the
+// caller; afterwards the response must be cut.
+func (s *Service) Content(ctx context.Context, caller fleet.CallerID, id string, w io.Writer) error {
+	record, err := s.Get(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	for i, chunk := range record.Chunks {
+		data, err := s.blobs.Get(ctx, chunk.Blob)
+		if err != nil {
+			return eris.Wrapf(fromBulk(err), "chunk %d", i)
+		}
+		if _, err := w.Write(data); err != nil {
+			return eris.Wrap(err, "write the content of a file")
+		}
+	}
+	return nil
+}
+
+// Delete removes the record of a file. Jobs that were accepted with the file name its chunks themselves; chunks that no record names
+// are collected later.
+func (s *Service) Delete(ctx context.Context, caller fleet.CallerID, id string) error {
+	key := files.Key(caller, id)
+	var unknown error // of an earlier removal that may have taken effect
+	for range storeAttempts {
+		found, err := s.read(ctx, caller, id)
+		if errors.Is(err, ErrNotFound) && unknown != nil {
+			return nil
+		}
+		if err != nil {
+			return cmp.Or(unknown, err)
+		}
+		condition := kv.Compare{Key: key, Target: kv.CompareModRevision, Revision: found.revision}
+		deleted, err := s.swap(ctx, condition, kv.Op{Kind: kv.OpDelete, Key: key})
+		switch {
+		case deleted:
+			return nil
+		case errors.Is(err, ErrOutcomeUnknown):
+			unknown = err
+		case err != nil:
+			return cmp.Or(unknown, err)
+		}
+	}
+	return cmp.Or(unknown, errChanging)
+}
+
+// swap makes one conditional change and tells whether the condition held.
+func (s *Service) swap(ctx context.Context, condition kv.Compare, change kv.Op) (bool, error) {
+	ctx, cancel := storeContext(ctx)
+	defer cancel()
+	result, err := s.store.Txn(ctx, kv.Txn{Compares: []kv.Compare{condition}, Then: []kv.Op{change}})
+	return err == nil && result.Succeeded, fromStore(err)
+}
+
+func storeContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(kv.WithPurpose(ctx, storePurpose), storeTimeout)
+}
--- /dev/null
+++ b/node/files/upload.go
@@ -0,0 +1,136 @@
+package files
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/files"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/bulk"
+	"github.com/rotisserie/eris"
+)
+
+// UploadTimeout bounds one upload. It leaves half of the collector's shortest retention for the record to name the chunks.
+const UploadTimeout = bulk.MinRetention / 2
+
+// Upload stores the lines that r gives and returns the file's record. It returns only after every chunk is on two disks and the record
+// is in the store; before that nothing is acknowledged. The same content of the same caller is the same file. At most one chunk is in
+// memory. Errors: *files.LineError and files.ErrInvalid for the content, those of this package, and the error of r.
+func (s *Service) Upload(ctx context.Context, caller fleet.CallerID, r io.Reader) (files.Record, error) {
+	select {
+	case s.uploads <- struct{}{}:
+		defer func() { <-s.uploads }()
+	default:
+		return files.Record{}, ErrBusy
+	}
+	ctx, cancel := context.WithTimeout(ctx, UploadTimeout)
+	defer cancel()
+	u := &upload{blobs: s.blobs, splitter: files.NewSplitter(caller, s.maxBytes)}
+	if err := u.store(ctx, r); err != nil {
+		return files.Record{}, err
+	}
+	id, lines, size, err := u.splitter.Finish()
+	if err != nil {
+		return files.Record{}, err
+	}
+	return s.create(ctx, files.Record{ID: id, Caller: caller, Created: time.Unix(time.Now().Unix(), 0).UTC(), Lines: lines, Bytes: size, Chunks: u.chunks})
+}
+
+// upload is one file on its way to the disks.
+type upload struct {
+	blobs    Blobs
+	splitter *files.Splitter
+	chunks   []files.Chunk
+}
+
+// firstLineBuffer is the memory for lines; it grows up to the longest line.
+const firstLineBuffer = 64 << 10
+
+func (u *upload) store(ctx context.Context, r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, firstLineBuffer), files.MaxLineBytes+len("\r\n"))
+	for lines.Scan() {
+		if lines.Err() != nil {
+			break // the line is cut where the reader failed
+		}
+		if err := u.add(ctx, lines.Bytes()); err != nil {
+			return err
+		}
+	}
+	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+		return u.splitter.TooLong()
+	}
+	if lines.Err() != nil {
+		return eris.Wrap(lines.Err(), "read the upload")
+	}
+	return u.flush(ctx)
+}
+
+func (u *upload) add(ctx context.Context, line []byte) error {
+	if !u.splitter.Fits(line) {
+		if err := u.flush(ctx); err != nil {
+			return err
+		}
+	}
+	return u.splitter.Add(line)
+}
+
+// flush stores the lines gathered so far as one chunk.
+func (u *upload) flush(ctx context.Context) error {
+	data, lines := u.splitter.Take()
+	if lines == 0 {
+		return nil
+	}
+	ref, err := u.blobs.Put(ctx, data)
+	if err != nil {
+		return fromBulk(err)
+	}
+	u.chunks = append(u.chunks, files.Chunk{Lines: lines, Blob: ref})
+	return nil
+}
+
+// create writes the record if the file does not exist. The key names the content, so that a record found under it is this file's, also
+// after a write whose outcome is unknown; only its holders may differ, and then the record gets the holders just written to.
+func (s *Service) create(ctx context.Context, record files.Record) (files.Record, error) {
+	key := files.Key(record.Caller, record.ID)
+	absent := kv.Compare{Key: key, Target: kv.CompareCreateRevision}
+	condition := absent
+	var unknown error // of an earlier write that may have taken effect
+	for range storeAttempts {
+		written, err := s.put(ctx, condition, record)
+		switch {
+		case written:
+			return record, nil
+		case errors.Is(err, ErrOutcomeUnknown):
+			unknown = err
+		case err != nil:
+			return files.Record{}, cmp.Or(unknown, err)
+		}
+		found, err := s.read(ctx, record.Caller, record.ID)
+		switch {
+		case err == nil && found.record.SameHolders(record):
+			return found.record, nil
+		case err == nil:
+			record.Created = found.record.Created
+			condition = kv.Compare{Key: key, Target: kv.CompareModRevision, Revision: found.revision}
+		case errors.Is(err, ErrNotFound): // deleted meanwhile, or the write did not take effect
+			condition = absent
+		default:
+			return files.Record{}, cmp.Or(unknown, err)
+		}
+	}
+	return files.Record{}, cmp.Or(unknown, errChanging)
+}
+
+func (s *Service) put(ctx context.Context, condition kv.Compare, record files.Record) (bool, error) {
+	value, err := record.Encode()
+	if err != nil {
+		return false, err
+	}
+	return s.swap(ctx, condition, kv.Op{Kind: kv.OpPut, Key: condition.Key, Value: value})
+}
