Serve the files API to callers

Uploads have their own bounds: the limit of one file instead of that of online bodies, and a time without progress instead of a time for the whole body. The multipart fields may come in any order; an upload ends well only with its last boundary and the purpose batch. Content that cannot be completed is cut. Errors carry stable codes; not_run is false only for an unknown outcome.

Tests seen failing: with the bound of online bodies, without a bound, without the check at the end of the upload or of the purpose, without the cut of incomplete content, with not_run on an unknown outcome, and without the check for a missing service.

--- /dev/null
+++ b/node/entry/files.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"eelgrassproxy.example/api/caller"
+	corefiles "eelgrassproxy.example/core/files"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/files"
+	"eelgrassproxy.example/node/problem"
+)
+
+// Files keeps the callers' batch files; files.Service implements it.
+type Files interface {
+	Upload(ctx context.Context, caller fleet.CallerID, r io.Reader) (corefiles.Record, error)
+	Get(ctx context.Context, caller fleet.CallerID, id string) (corefiles.Record, error)
+	List(ctx context.Context, caller fleet.CallerID) ([]corefiles.Record, error)
+	Content(ctx context.Context, caller fleet.CallerID, id string, w io.Writer) error
+	Delete(ctx context.Context, caller fleet.CallerID, id string) error
+	// MaxBytes is the limit of one file.
+	MaxBytes() int64
+}
+
+var _ Files = (*files.Service)(nil)
+
+// HandlerOption adds an optional part to a Handler.
+type HandlerOption func(*Handler)
+
+// WithFiles serves /v1/files. Without it, these calls are answered with not_ready.
+func WithFiles(f Files) HandlerOption {
+	return func(h *Handler) { h.files = f }
+}
+
+// Constant parts of a file's description.
+const (
+	fileObject   = "file"
+	fileName     = "batch.jsonl"
+	filePurpose  = "batch"
+	fileStatus   = "processed"
+	retryStorage = time.Second // advice when store or disks did not take a file
+)
+
+// CreateFile implements caller.Handler.
+func (h *Handler) CreateFile(ctx context.Context, req *caller.CreateFileReqWithContentType) (caller.CreateFileRes, error) {
+	if h.files == nil {
+		return nil, noFiles()
+	}
+	contentType, _ := ctx.Value(contentTypeKey{}).(string)
+	part, err := openFilePart(req.Content, contentType)
+	if err != nil {
+		return nil, err
+	}
+	record, err := h.files.Upload(ctx, sessionOf(ctx).caller.ID, part)
+	if err != nil {
+		return nil, fileProblem(err)
+	}
+	return fileOf(record), nil
+}
+
+// ListFiles implements caller.Handler.
+func (h *Handler) ListFiles(ctx context.Context) (caller.ListFilesRes, error) {
+	if h.files == nil {
+		return nil, noFiles()
+	}
+	records, err := h.files.List(ctx, sessionOf(ctx).caller.ID)
+	if err != nil {
+		return nil, fileProblem(err)
+	}
+	list := &caller.FileList{Object: "list", Data: make([]caller.File, 0, len(records))}
+	for _, record := range records {
+		list.Data = append(list.Data, *fileOf(record))
+	}
+	return list, nil
+}
+
+// GetFile implements caller.Handler.
+func (h *Handler) GetFile(ctx context.Context, params caller.GetFileParams) (caller.GetFileRes, error) {
+	if h.files == nil {
+		return nil, noFiles()
+	}
+	record, err := h.files.Get(ctx, sessionOf(ctx).caller.ID, params.FileID)
+	if err != nil {
+		return nil, fileProblem(err)
+	}
+	return fileOf(record), nil
+}
+
+// DeleteFile implements caller.Handler.
+func (h *Handler) DeleteFile(ctx context.Context, params caller.DeleteFileParams) (caller.DeleteFileRes, error) {
+	if h.files == nil {
+		return nil, noFiles()
+	}
+	if err := h.files.Delete(ctx, sessionOf(ctx).caller.ID, params.FileID); err != nil {
+		return nil, fileProblem(err)
+	}
+	return &caller.FileDeleted{ID: params.FileID, Object: fileObject, Deleted: true}, nil
+}
+
+// GetFileContent implements caller.RawHandler. A response that cannot be completed is cut, so that it does not look complete.
+func (h *Handler) GetFileContent(ctx context.Context, params caller.GetFileContentParams, w http.ResponseWriter) error {
+	if h.files == nil {
+		return noFiles()
+	}
+	body := &contentWriter{w: w, control: http.NewResponseController(w)}
+	defer body.end()
+	err := h.files.Content(ctx, sessionOf(ctx).caller.ID, params.FileID, body)
+	if err != nil && body.started {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		return fileProblem(err)
+	}
+	return nil
+}
+
+// contentWriter sends the header before the first byte, and gives up on a caller that takes no bytes.
+type contentWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+// Write implements io.Writer.
+func (c *contentWriter) Write(p []byte) (int, error) {
+	if !c.started {
+		c.started = true
+		c.w.Header().Set("Content-Type", "application/octet-stream")
+	}
+	_ = c.control.SetWriteDeadline(time.Now().Add(transferTimeout))
+	return c.w.Write(p)
+}
+
+// end clears the deadline for the next request of the connection.
+func (c *contentWriter) end() { _ = c.control.SetWriteDeadline(time.Time{}) }
+
+func fileOf(r corefiles.Record) *caller.File {
+	return &caller.File{
+		ID: r.ID, Object: fileObject, Bytes: r.Bytes, CreatedAt: r.Created.Unix(), Filename: fileName, Purpose: filePurpose,
+		Status: fileStatus, Lines: int64(r.Lines),
+	}
+}
+
+func noFiles() error {
+	return problem.NotRun(problem.CodeNotReady, "this instance does not serve files")
+}
+
+// fileProblem converts errors of the files service. No target takes part in a call for files; not_run is false only where the call may
+// have taken effect.
+func fileProblem(err error) error {
+	var known *problem.Error
+	var line *corefiles.LineError
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &known), errors.As(err, &tooLarge):
+		return err // found while the upload was read; see toProblem
+	case errors.As(err, &line):
+		return problem.NotRun(problem.CodeInvalidRequest, "%s", line.Error())
+	case errors.Is(err, corefiles.ErrInvalid):
+		return problem.NotRun(problem.CodeInvalidRequest, "%v", err)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return problem.NotRun(problem.CodeInvalidRequest, "the upload ended before its last boundary")
+	case errors.Is(err, files.ErrNotFound):
+		return problem.NotRun(problem.CodeNotFound, "file does not exist")
+	case errors.Is(err, files.ErrBusy):
+		return problem.NotRun(problem.CodeOverloaded, "instance receives as many uploads as it can").After(retryStorage)
+	case errors.Is(err, files.ErrStore):
+		return problem.NotRun(problem.CodeStoreUnavailable, "the record of the file could not be reached").After(retryStorage)
+	case errors.Is(err, files.ErrDisks):
+		return problem.NotRun(problem.CodeStorageUnavailable, "the content of the file could not be reached on two disks").After(retryStorage)
+	case errors.Is(err, files.ErrContentLost):
+		return problem.NotRun(problem.CodeStorageUnavailable, "no copy of a part of the file is left")
+	case errors.Is(err, files.ErrOutcomeUnknown):
+		return problem.MayHaveRun(problem.CodeOutcomeUnknown, "the change may have taken effect; repeating it is safe").After(retryStorage)
+	}
+	return err
+}
+
+type contentTypeKey struct{}
+
+const (
+	filesPath = "/v1/files"
+	// transferTimeout is the longest time without progress of an upload or a download of a file.
+	transferTimeout = 30 * time.Second
+	// multipartBytes is for boundaries and fields around the file of an upload.
+	multipartBytes = 64 << 10
+)
+
+func isUpload(r *http.Request) bool {
+	return r.Method == http.MethodPost && strings.TrimSuffix(r.URL.Path, "/") == filesPath
+}
+
+// boundUpload replaces the bounds of other bodies: an upload may be large and take long, as long as it makes progress.
+func boundUpload(w http.ResponseWriter, r *http.Request, maxFileBytes int64) *http.Request {
+	control := http.NewResponseController(w)
+	r.Body = &progressBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxFileBytes+multipartBytes), control: control}
+	// The generated decoder passes on the media type without its boundary.
+	return r.WithContext(context.WithValue(r.Context(), contentTypeKey{}, r.Header.Get("Content-Type")))
+}
+
+// progressBody gives each read its own deadline.
+type progressBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *progressBody) Read(p []byte) (int, error) {
+	_ = b.control.SetReadDeadline(time.Now().Add(transferTimeout))
+	return b.ReadCloser.Read(p)
+}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	return &http.Server{
-		Handler:           bound(generated, o),
+		Handler:           bound(generated, handler.files, o),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -44,7 +44,7 @@
 }
 
 // bound refuses requests over the number held at once and limits the size and the time of bodies.
-func bound(next http.Handler, o Options) http.Handler {
+func bound(next http.Handler, files Files, o Options) http.Handler {
 	slots := make(chan struct{}, o.MaxInFlight)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -54,8 +54,12 @@
 			return
 		}
 		defer func() { <-slots }()
-		r.Body = http.MaxBytesReader(w, r.Body, o.MaxBodyBytes)
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+		if files != nil && isUpload(r) {
+			r = boundUpload(w, r, files.MaxBytes())
+		} else {
+			r.Body = http.MaxBytesReader(w, r.Body, o.MaxBodyBytes)
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+		}
 		ctx := context.WithValue(r.Context(), attemptKey{}, limits.ParseAttempt(r.Header.Get(limits.RetryAttemptHeader)))
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
--- /dev/null
+++ b/node/entry/upload.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"mime"
+	"mime/multipart"
+
+	"eelgrassproxy.example/node/problem"
+	"github.com/rotisserie/eris"
+)
+
+// Names of the fields of an upload.
+const (
+	purposeField = "purpose"
+	fileField    = "file"
+	// maxFieldBytes bounds the value of a field that is not the file.
+	maxFieldBytes = 256
+)
+
+// filePart reads the file of a multipart upload as it arrives. The fields may come in any order: at the end of the file it reads the
+// fields that follow, so that Read returns io.EOF only for a complete upload with the purpose batch.
+type filePart struct {
+	parts   *multipart.Reader
+	file    *multipart.Part
+	purpose string
+}
+
+// openFilePart reads the fields up to the file.
+func openFilePart(body io.Reader, contentType string) (*filePart, error) {
+	mediaType, params, err := mime.ParseMediaType(contentType)
+	if err != nil || mediaType != "multipart/form-data" || params["boundary"] == "" {
+		return nil, problem.NotRun(problem.CodeInvalidRequest, "Content-Type must be multipart/form-data with a boundary")
+	}
+	p := &filePart{parts: multipart.NewReader(body, params["boundary"])}
+	for {
+		part, err := p.parts.NextPart()
+		if errors.Is(err, io.EOF) {
+			return nil, problem.NotRun(problem.CodeInvalidRequest, "the upload has no field %q", fileField)
+		}
+		if err != nil {
+			return nil, uploadProblem(err)
+		}
+		if part.FormName() == fileField {
+			p.file = part
+			return p, nil
+		}
+		if err := p.field(part); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Read implements io.Reader.
+func (p *filePart) Read(buffer []byte) (int, error) {
+	n, err := p.file.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = p.finish()
+	}
+	return n, err
+}
+
+// finish reads the fields after the file and returns io.EOF if the upload is complete and its purpose is batch.
+func (p *filePart) finish() error {
+	for {
+		part, err := p.parts.NextPart()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if part.FormName() == fileField {
+			return problem.NotRun(problem.CodeInvalidRequest, "the upload has more than one field %q", fileField)
+		}
+		if err := p.field(part); err != nil {
+			return err
+		}
+	}
+	if p.purpose != filePurpose {
+		return problem.NotRun(problem.CodeInvalidRequest, "field %q must be %q", purposeField, filePurpose)
+	}
+	return io.EOF
+}
+
+// field reads a small field and keeps the purpose; other fields are passed over.
+func (p *filePart) field(part *multipart.Part) error {
+	value, err := io.ReadAll(io.LimitReader(part, maxFieldBytes+1))
+	if err != nil {
+		return uploadProblem(err)
+	}
+	if len(value) > maxFieldBytes {
+		return problem.NotRun(problem.CodeInvalidRequest, "field %q has more than %d bytes", part.FormName(), maxFieldBytes)
+	}
+	if part.FormName() == purposeField {
+		p.purpose = string(value)
+	}
+	return nil
+}
+
+// uploadProblem converts an error of reading the upload; see fileProblem for those found within the file.
+func uploadProblem(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fileProblem(err)
+	}
+	return eris.Wrap(err, "read the upload")
+}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -29,35 +29,38 @@
 	CodeOverloaded       Code = "overloaded"
 	CodeNoTarget         Code = "no_target"
 	CodeStoreUnavailable Code = "store_unavailable"
-	CodeNotReady         Code = "not_ready"
-	CodeDeadline         Code = "deadline_exceeded"
-	CodeOutcomeUnknown   Code = "outcome_unknown"
-	CodeIncompleteAnswer Code = "incomplete_answer"
-	CodeAnswerNotKept    Code = "answer_not_kept"
-	CodeTargetRejected   Code = "target_rejected"
-	CodeInternal         Code = "internal"
+	// CodeStorageUnavailable means that the disks for bulk data did not take or give what the request needs.
+	CodeStorageUnavailable Code = "storage_unavailable"
+	CodeNotReady           Code = "not_ready"
+	CodeDeadline           Code = "deadline_exceeded"
+	CodeOutcomeUnknown     Code = "outcome_unknown"
+	CodeIncompleteAnswer   Code = "incomplete_answer"
+	CodeAnswerNotKept      Code = "answer_not_kept"
+	CodeTargetRejected     Code = "target_rejected"
+	CodeInternal           Code = "internal"
 )
 
 var statuses = map[Code]int{
-	CodeInvalidRequest:   http.StatusBadRequest,
-	CodeUnauthorized:     http.StatusUnauthorized,
-	CodeNotAllowed:       http.StatusForbidden,
-	CodeNotFound:         http.StatusNotFound,
-	CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
-	CodeKeyRequired:      http.StatusBadRequest,
-	CodeKeyMismatch:      http.StatusUnprocessableEntity,
-	CodeInProgress:       http.StatusConflict,
-	CodeRateLimited:      http.StatusTooManyRequests,
-	CodeOverloaded:       http.StatusServiceUnavailable,
-	CodeNoTarget:         http.StatusServiceUnavailable,
-	CodeStoreUnavailable: http.StatusServiceUnavailable,
-	CodeNotReady:         http.StatusServiceUnavailable,
-	CodeDeadline:         http.StatusGatewayTimeout,
-	CodeOutcomeUnknown:   http.StatusBadGateway,
-	CodeIncompleteAnswer: http.StatusBadGateway,
-	CodeAnswerNotKept:    http.StatusConflict,
-	CodeTargetRejected:   http.StatusBadGateway,
-	CodeInternal:         http.StatusInternalServerError,
+	CodeInvalidRequest:     http.StatusBadRequest,
+	CodeUnauthorized:       http.StatusUnauthorized,
+	CodeNotAllowed:         http.StatusForbidden,
+	CodeNotFound:           http.StatusNotFound,
+	CodeBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	CodeKeyRequired:        http.StatusBadRequest,
+	CodeKeyMismatch:        http.StatusUnprocessableEntity,
+	CodeInProgress:         http.StatusConflict,
+	CodeRateLimited:        http.StatusTooManyRequests,
+	CodeOverloaded:         http.StatusServiceUnavailable,
+	CodeNoTarget:           http.StatusServiceUnavailable,
+	CodeStoreUnavailable:   http.StatusServiceUnavailable,
+	CodeStorageUnavailable: http.StatusServiceUnavailable,
+	CodeNotReady:           http.StatusServiceUnavailable,
+	CodeDeadline:           http.StatusGatewayTimeout,
+	CodeOutcomeUnknown:     http.StatusBadGateway,
+	CodeIncompleteAnswer:   http.StatusBadGateway,
+	CodeAnswerNotKept:      http.StatusConflict,
+	CodeTargetRejected:     http.StatusBadGateway,
+	CodeInternal:           http.StatusInternalServerError,
 }
 
 // Error is an error for a caller.
