Cut uploads that take too long, and refuse bodies that are no uploads

An upload that takes more than 30 minutes could see its first blobs collected before its record names them, and could hold a slot without end. A malformed multipart body gave an internal error.

Tests seen failing: without the check of the time TestAnUploadThatTakesTooLongIsCut; without the conversion TestABodyThatIsNotMultipartIsRefused answers 500.

--- a/node/entry/files.go
+++ b/node/entry/files.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -164,6 +165,8 @@
 		return problem.NotRun(problem.CodeInvalidRequest, "%v", err)
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return problem.NotRun(problem.CodeInvalidRequest, "the upload ended before its last boundary")
+	case errors.Is(err, files.ErrTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
+		return problem.NotRun(problem.CodeDeadline, "the upload made no progress for %v or took longer than %v", transferTimeout, files.UploadTimeout)
 	case errors.Is(err, files.ErrNotFound):
 		return problem.NotRun(problem.CodeNotFound, "file does not exist")
 	case errors.Is(err, files.ErrBusy):
@@ -197,19 +200,25 @@
 // boundUpload replaces the bounds of other bodies: an upload may be large and take long, as long as it makes progress.
 func boundUpload(w http.ResponseWriter, r *http.Request, maxFileBytes int64) *http.Request {
 	control := http.NewResponseController(w)
-	r.Body = &progressBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxFileBytes+multipartBytes), control: control}
+	body := http.MaxBytesReader(w, r.Body, maxFileBytes+multipartBytes)
+	r.Body = &progressBody{ReadCloser: body, control: control, end: time.Now().Add(files.UploadTimeout)}
 	// The generated decoder passes on the media type without its boundary.
 	return r.WithContext(context.WithValue(r.Context(), contentTypeKey{}, r.Header.Get("Content-Type")))
 }
 
-// progressBody gives each read its own deadline.
+// progressBody gives each read its own deadline, none after the end.
 type progressBody struct {
 	io.ReadCloser
 	control *http.ResponseController
+	end     time.Time
 }
 
 // Read implements io.Reader.
 func (b *progressBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(transferTimeout))
+	deadline := time.Now().Add(transferTimeout)
+	if deadline.After(b.end) {
+		deadline = b.end
+	}
+	_ = b.control.SetReadDeadline(deadline)
 	return b.ReadCloser.Read(p)
 }
--- a/node/entry/files_test.go
+++ b/node/entry/files_test.go
@@ -11,6 +11,7 @@
 	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -187,6 +188,21 @@
 	}
 }
 
+// Guards against internal errors for bodies that are no uploads at all.
+func TestABodyThatIsNotMultipartIsRefused(t *testing.T) {
+	url := serveFiles(t, WithFiles(&oneFile{limit: 4096})) + "/v1/files"
+	for _, body := range []string{"", "garbage", "--b\r\nbroken header\r\n\r\n", "--b\r\nContent-Disposition: form-data; name=\"file\"\r\n\r\nx\r\n--b junk"} {
+		status, response, err := call(t, http.MethodPost, url, "multipart/form-data; boundary=b", apiKey, strings.NewReader(body))
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusBadRequest, status, "%q: %s", body, response)
+	}
+	for _, contentType := range []string{"multipart/form-data", "multipart/mixed; boundary=b", "application/json"} {
+		status, _, err := call(t, http.MethodPost, url, contentType, apiKey, strings.NewReader("{}"))
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusBadRequest, status, contentType)
+	}
+}
+
 // Guards against codes and not_run values that tell a caller the wrong thing.
 func TestErrorsOfFilesHaveTheirCodes(t *testing.T) {
 	cases := []struct {
@@ -199,6 +215,8 @@
 		{&corefiles.LineError{Line: 7, Reason: "custom_id is missing"}, http.StatusBadRequest, "invalid_request", true, "line 7: custom_id is missing"},
 		{eris.Wrap(corefiles.ErrInvalid, "the file has no request"), http.StatusBadRequest, "invalid_request", true, "no request"},
 		{files.ErrNotFound, http.StatusNotFound, "not_found", true, ""},
+		{files.ErrTooSlow, http.StatusGatewayTimeout, "deadline_exceeded", true, ""},
+		{eris.Wrap(os.ErrDeadlineExceeded, "read the upload"), http.StatusGatewayTimeout, "deadline_exceeded", true, ""},
 		{files.ErrBusy, http.StatusServiceUnavailable, "overloaded", true, ""},
 		{eris.Wrap(files.ErrStore, "x"), http.StatusServiceUnavailable, "store_unavailable", true, ""},
 		{eris.Wrap(files.ErrDisks, "x"), http.StatusServiceUnavailable, "storage_unavailable", true, ""},
--- a/node/entry/upload.go
+++ b/node/entry/upload.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"mime/multipart"
+	"net/http"
 
 	"eelgrassproxy.example/node/problem"
 	"github.com/rotisserie/eris"
@@ -68,7 +69,7 @@
 			break
 		}
 		if err != nil {
-			return err
+			return uploadProblem(err)
 		}
 		if part.FormName() == fileField {
 			return problem.NotRun(problem.CodeInvalidRequest, "the upload has more than one field %q", fileField)
@@ -98,10 +99,14 @@
 	return nil
 }
 
-// uploadProblem converts an error of reading the upload; see fileProblem for those found within the file.
+// uploadProblem converts an error of reading the upload's structure. What is not a limit or a deadline is a malformed body, or a lost
+// connection, whose caller reads no response.
 func uploadProblem(err error) error {
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return fileProblem(err)
+	converted := fileProblem(eris.Wrap(err, "read the upload"))
+	var known *problem.Error
+	var tooLarge *http.MaxBytesError
+	if errors.As(converted, &known) || errors.As(converted, &tooLarge) {
+		return converted
 	}
-	return eris.Wrap(err, "read the upload")
+	return problem.NotRun(problem.CodeInvalidRequest, "the upload is not valid multipart/form-data: %v", err)
 }
--- a/node/files/errors.go
+++ b/node/files/errors.go
@@ -14,6 +14,8 @@
 	ErrNotFound = eris.New("file does not exist")
 	// ErrBusy means that this instance receives as many uploads as it has memory for.
 	ErrBusy = eris.New("too many uploads at once")
+	// ErrTooSlow means that an upload took longer than UploadTimeout.
+	ErrTooSlow = eris.New("upload took too long")
 	// ErrStore means that the store did not take or give the record. The call had no effect.
 	ErrStore = eris.New("store did not answer for the record of a file")
 	// ErrOutcomeUnknown means that the call may have taken effect; repeating it is safe.
--- a/node/files/files_test.go
+++ b/node/files/files_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -261,3 +263,23 @@
 	_, err = s.Upload(t.Context(), "c", strings.NewReader(batchText(1)))
 	assert.NoError(t, err)
 }
+
+// Guards against chunks that are collected before their record exists, and against slots held by callers that send a line now and then.
+func TestAnUploadThatTakesTooLongIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		start := time.Now()
+		_, err := New(store, newBlobs(), Options{}).Upload(t.Context(), "c", slow{strings.NewReader(batchText(1000))})
+		assert.ErrorIs(t, err, ErrTooSlow)
+		assert.LessOrEqual(t, time.Since(start), UploadTimeout+time.Minute)
+		assert.Empty(t, store.items)
+	})
+}
+
+// slow gives a line a minute.
+type slow struct{ lines *strings.Reader }
+
+func (s slow) Read(p []byte) (int, error) {
+	time.Sleep(time.Minute)
+	return s.lines.Read(p[:min(len(p), len(batchText(1)))])
+}
--- a/node/files/upload.go
+++ b/node/files/upload.go
@@ -58,6 +58,9 @@
 		if lines.Err() != nil {
 			break // the line is cut where the reader failed
 		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return ErrTooSlow
+		}
 		if err := u.add(ctx, lines.Bytes()); err != nil {
 			return err
 		}
