Add the state machines of jobs and chunks, shard records and the batch order

Owners of shards need records and transitions that are the same at every instance, and a defined order of work.

--- /dev/null
+++ b/core/batch/batch_test.go
@@ -0,0 +1,190 @@
+package batch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 1, 5, 18, 0, 0, 0, time.UTC)
+
+func submission(items int, holderBytes int) Submission {
+	s := Submission{FileID: "file-1", Items: items, Endpoint: "/v1/completions", Window: 24 * time.Hour}
+	holder := fleet.InstanceID(strings.Repeat("h", holderBytes))
+	for n := range chunksOf(items) {
+		s.Chunks = append(s.Chunks, BlobRef{Digest: fmt.Sprintf("%064x", n), Bytes: 1 << 20, Holders: []fleet.InstanceID{holder, holder}})
+	}
+	return s
+}
+
+// Guards against a job of the largest allowed size that the store refuses after its bodies were stored.
+func TestTheLargestJobFitsARecordAndALargerRecordIsRefused(t *testing.T) {
+	job, err := NewJob("caller", submission(MaxItems, 128), start)
+	require.NoError(t, err)
+	value, err := job.Encode()
+	require.NoError(t, err)
+	t.Logf("record of %d items with holder names of 128 bytes: %d bytes", MaxItems, len(value))
+	decoded, err := DecodeJob(value)
+	require.NoError(t, err)
+	require.Equal(t, job, decoded)
+
+	_, err = NewJob("caller", submission(MaxItems+1, 8), start)
+	require.ErrorIs(t, err, ErrInvalidSubmission)
+	huge, err := NewJob("caller", submission(MaxItems, 2000), start)
+	require.NoError(t, err)
+	_, err = huge.Encode()
+	require.ErrorIs(t, err, ErrJobTooLarge)
+}
+
+// Guards against two jobs from one resubmission, and against one job from two submissions.
+func TestTheIDOfAJobDependsOnCallerAndKeyOrContent(t *testing.T) {
+	base := submission(3, 8)
+	keyed := base
+	keyed.IdempotencyKey = "k"
+	other := keyed
+	other.FileID = "file-2"
+	require.Equal(t, JobIDOf("a", keyed), JobIDOf("a", other), "the key alone names the job")
+	require.NotEqual(t, JobIDOf("a", keyed), JobIDOf("b", keyed))
+	require.NotEqual(t, JobIDOf("a", keyed), JobIDOf("a", base))
+	moved := base
+	moved.Window = time.Hour
+	require.NotEqual(t, JobIDOf("a", base), JobIDOf("a", moved))
+	require.NotEqual(t, digestOf("ab", "c"), digestOf("a", "bc"))
+	id := JobIDOf("a", base)
+	require.True(t, id.Valid())
+	require.Equal(t, Shard(0xfe), JobID(strings.Repeat("0", 62)+"fe").Shard())
+	shard, name, ok := ParseShardKey(id.Shard().EpochKey())
+	require.True(t, ok)
+	require.Equal(t, id.Shard(), shard)
+	require.Equal(t, "epoch", name)
+}
+
+// Guards against a second run of a non-repeatable item: a group is claimed only when all earlier items have results.
+func TestAChunkOfNonRepeatableItemsIsClaimedInGroups(t *testing.T) {
+	const size = 40
+	results := &BlobRef{Digest: "d"}
+	first, group, err := Chunk{}.Claim(1, size, nil, Counts{})
+	require.NoError(t, err)
+	require.Equal(t, Range{From: 0, To: GroupItems}, group)
+	require.Equal(t, Range{From: 0, To: GroupItems}, first.Lost())
+
+	_, _, err = first.Claim(2, size, results, Counts{Completed: GroupItems - 1})
+	require.ErrorIs(t, err, ErrTransition)
+	second, group, err := first.Claim(2, size, results, Counts{Completed: GroupItems - 1, Unknown: 1})
+	require.NoError(t, err)
+	require.Equal(t, Range{From: GroupItems, To: size}, group)
+	require.Equal(t, group, second.Lost())
+
+	_, err = second.Record(2, size, *results, Counts{Completed: size - 1})
+	require.ErrorIs(t, err, ErrTransition)
+	final, err := second.Record(2, size, *results, Counts{Completed: size})
+	require.NoError(t, err)
+	_, err = final.Record(2, size, *results, Counts{Completed: size})
+	require.ErrorIs(t, err, ErrTransition, "only the first recorded result exists")
+	_, _, err = final.Claim(2, size, results, Counts{Completed: size})
+	require.ErrorIs(t, err, ErrTransition)
+
+	value, err := second.Encode()
+	require.NoError(t, err)
+	decoded, err := DecodeChunk(value)
+	require.NoError(t, err)
+	require.Equal(t, second, decoded)
+	_, err = DecodeChunk([]byte(`{"state":"other"}`))
+	require.ErrorIs(t, err, ErrInvalidRecord)
+}
+
+// Guards against jobs that finish without all results, or that change after they ended.
+func TestAJobFinishesOnceWithAllResults(t *testing.T) {
+	job, err := NewJob("caller", submission(300, 8), start)
+	require.NoError(t, err)
+	require.Equal(t, []int{256, 44, 0}, []int{job.ItemsIn(0), job.ItemsIn(1), job.ItemsIn(2)})
+	_, err = job.Finish(Counts{Completed: 299}, start)
+	require.ErrorIs(t, err, ErrTransition)
+	done, err := job.Finish(Counts{Completed: 298, Failed: 1, Unknown: 1}, start)
+	require.NoError(t, err)
+	require.Equal(t, JobCompleted, done.State)
+	late, err := job.Finish(Counts{Completed: 299, Expired: 1}, start)
+	require.NoError(t, err)
+	require.Equal(t, JobExpired, late.State)
+	_, err = done.Cancel(start)
+	require.ErrorIs(t, err, ErrTransition)
+	cancelled, err := job.Cancel(start)
+	require.NoError(t, err)
+	again, err := cancelled.Cancel(start.Add(time.Hour))
+	require.NoError(t, err)
+	require.Equal(t, cancelled, again)
+	_, err = cancelled.Finish(Counts{Completed: 300}, start)
+	require.ErrorIs(t, err, ErrTransition)
+}
+
+// Guards against poison items that run for ever and against repeats of items that must not be repeated.
+func TestAttemptsAreBoundedAndOnlyRepeatableItemsRepeat(t *testing.T) {
+	cases := []struct {
+		name       string
+		kind       OutcomeKind
+		repeatable bool
+		ran        int
+		want       ItemStatus
+	}{
+		{"a completed item ends", AttemptCompleted, true, 1, ItemCompleted},
+		{"an invalid item fails at once", AttemptInvalid, true, 1, ItemFailed},
+		{"a failed repeatable item is tried again", AttemptFailed, true, MaxAttempts - 1, ""},
+		{"a poison item fails at the bound", AttemptFailed, true, MaxAttempts, ItemFailed},
+		{"a lost repeatable attempt is tried again", AttemptUnknown, true, 1, ""},
+		{"a failed non-repeatable item is not repeated", AttemptFailed, false, 1, ItemFailed},
+		{"a lost non-repeatable item is unknown", AttemptUnknown, false, 1, ItemUnknown},
+		{"a refusal that says not run does not count", AttemptNotRun, false, 0, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			step := Next(c.kind, c.repeatable, c.ran, 100)
+			require.Equal(t, c.want, step.Final)
+			if c.want == "" {
+				require.Equal(t, longestBackoff, step.Wait)
+			}
+		})
+	}
+}
+
+// Guards against starvation of a small job by a huge one with the same deadline, and against late jobs at risk.
+func TestTheOrderIsByRiskThenDeadlineThenFairness(t *testing.T) {
+	order := NewOrder()
+	candidates := []Candidate{
+		{Job: "huge", Caller: "a", Deadline: start.Add(8 * time.Hour), Remaining: 140_000},
+		{Job: "small", Caller: "b", Deadline: start.Add(8 * time.Hour), Remaining: 1024},
+		{Job: "later", Caller: "c", Deadline: start.Add(10 * time.Hour), Remaining: 10},
+	}
+	started := map[JobID]int{}
+	for range 8 {
+		i := order.Next(candidates, start)
+		order.Started(candidates[i].Caller, ChunkItems)
+		started[candidates[i].Job]++
+	}
+	require.Equal(t, map[JobID]int{"huge": 4, "small": 4}, started)
+
+	candidates[2].Remaining, candidates[2].Rate = 100_000, 1
+	require.True(t, candidates[2].AtRisk(start))
+	require.Equal(t, 2, order.Next(candidates, start))
+	require.Equal(t, -1, order.Next(nil, start))
+}
+
+// Guards against a caller that joins late and is served alone until it has caught up with the history of others.
+func TestAJoiningCallerStartsAtTheLeastServedLevel(t *testing.T) {
+	order := NewOrder()
+	old := Candidate{Job: "old", Caller: "a", Deadline: start.Add(time.Hour), Remaining: 10}
+	joining := Candidate{Job: "new", Caller: "b", Deadline: start.Add(time.Hour), Remaining: 10}
+	order.Next([]Candidate{old}, start)
+	order.Started("a", 100_000)
+	started := map[JobID]int{}
+	for range 10 {
+		both := []Candidate{old, joining}
+		i := order.Next(both, start)
+		order.Started(both[i].Caller, 1)
+		started[both[i].Job]++
+	}
+	require.Equal(t, map[JobID]int{"old": 5, "new": 5}, started)
+}
