Own batch shards by one lease with epochs and hand them over gently

Jobs map to 256 shards, each with one owner at a time. The keeper holds one lease for all shards of an instance, follows the owners by one watch and a listing a minute, acquires free shards in rendezvous order and releases those desired elsewhere, at most 4 a pass and only when no chunk runs. A takeover from an instance that the members believe alive is kept for 5 minutes: with the common hold of 30 s such shards moved to and fro and 12 of 256 were found without an owner. The in-memory store gains leases and moves to node/internal, where node/jobs and node/batch can use it.

--- a/node/control/bundlesync/bundlesync_test.go
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -8,7 +8,7 @@
 
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
-	"eelgrassproxy.example/node/control/internal/memkv"
+	"eelgrassproxy.example/node/internal/memkv"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/node/control/bundlesync/helpers_test.go
+++ b/node/control/bundlesync/helpers_test.go
@@ -14,8 +14,8 @@
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/blackboard"
-	"eelgrassproxy.example/node/control/internal/memkv"
 	"eelgrassproxy.example/node/control/roll"
+	"eelgrassproxy.example/node/internal/memkv"
 	"github.com/stretchr/testify/require"
 )
 
--- /dev/null
+++ b/node/control/shards/keeper_test.go
@@ -0,0 +1,205 @@
+package shards_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/internal/memkv"
+	"github.com/stretchr/testify/require"
+)
+
+// lease is the smallest correct holder: it stops acting a margin before expiry.
+type lease struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (l *lease) Granted(sentAt time.Time, ttl time.Duration) { l.Renewed(sentAt, ttl) }
+func (l *lease) Renewed(sentAt time.Time, ttl time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = sentAt.Add(ttl - 2*time.Second)
+}
+func (l *lease) Lost() { l.Renewed(time.Time{}, 0) }
+func (l *lease) MayAct(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.until)
+}
+
+// node is one instance whose passes the test runs once a second.
+type node struct {
+	keeper *shards.Keeper
+	paused bool
+	busy   bool
+}
+
+type cluster struct {
+	t     *testing.T
+	store *memkv.Store
+	alive []fleet.InstanceID
+	nodes map[fleet.InstanceID]*node
+	order []fleet.InstanceID
+	taken map[batch.Shard]uint64 // highest epoch seen as owned
+}
+
+func newCluster(t *testing.T, ids ...fleet.InstanceID) *cluster {
+	c := &cluster{t: t, store: memkv.New(), nodes: map[fleet.InstanceID]*node{}, taken: map[batch.Shard]uint64{}}
+	for _, id := range ids {
+		c.join(id)
+	}
+	return c
+}
+
+func (c *cluster) join(id fleet.InstanceID) {
+	n := &node{}
+	n.keeper = shards.New(c.store, shards.Config{
+		Self:  id,
+		Alive: func() []fleet.InstanceID { return c.alive },
+		Lease: &lease{},
+		Busy:  func(batch.Shard) bool { return n.busy },
+		Seed:  uint64(len(c.nodes)),
+	})
+	c.nodes[id] = n
+	c.order = append(c.order, id)
+	c.alive = append(c.alive, id)
+}
+
+// run makes passes for the given time and checks after each that no shard has two owners and that epochs never fall.
+func (c *cluster) run(ctx context.Context, d time.Duration) {
+	for range int(d / time.Second) {
+		time.Sleep(time.Second)
+		for _, id := range c.order {
+			if n := c.nodes[id]; !n.paused {
+				_ = n.keeper.Reconcile(ctx)
+			}
+		}
+		synctest.Wait()
+		c.check()
+	}
+}
+
+func (c *cluster) check() {
+	owner := map[batch.Shard]fleet.InstanceID{}
+	for _, id := range c.order {
+		for _, o := range c.nodes[id].keeper.Owned() {
+			require.Empty(c.t, owner[o.Shard], "shard %s has two owners", o.Shard)
+			require.GreaterOrEqual(c.t, o.Epoch, c.taken[o.Shard])
+			owner[o.Shard], c.taken[o.Shard] = id, o.Epoch
+		}
+	}
+}
+
+func (c *cluster) count(id fleet.InstanceID) int { return len(c.nodes[id].keeper.Owned()) }
+
+// Guards against shards without an owner, with two owners, or under the epoch of a former owner after an instance is lost.
+func TestAllShardsAreOwnedOnceAndMoveWhenAnInstanceIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		ctx := t.Context()
+		c.run(ctx, 40*time.Second)
+		require.Equal(t, batch.Shards, c.count("a")+c.count("b")+c.count("c"))
+		before := c.nodes["a"].keeper.Owned()
+		c.nodes["a"].paused = true
+		c.alive = []fleet.InstanceID{"b", "c"}
+		c.run(ctx, 60*time.Second)
+		require.Equal(t, batch.Shards, c.count("b")+c.count("c"))
+		for _, o := range before {
+			require.Greater(t, c.taken[o.Shard], o.Epoch)
+		}
+		c.nodes["a"].paused = false
+		require.Zero(t, c.count("a"), "a woken instance must not act before it has acquired again")
+	})
+}
+
+// Guards against a takeover before the former owner has stopped, when the members still believe the paused instance alive.
+func TestAPausedOwnerStopsBeforeOthersTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b")
+		ctx := t.Context()
+		c.run(ctx, 40*time.Second)
+		owned := c.count("a")
+		c.nodes["a"].paused = true
+		c.run(ctx, 90*time.Second)
+		require.Zero(t, c.count("a"))
+		require.Equal(t, batch.Shards, c.count("b"), "the next in rank takes over after its wait, %d shards", owned)
+	})
+}
+
+// Guards against moving all work at once to an instance that joins, and against handing over a shard with running chunks.
+func TestAJoiningInstanceGetsAFewShardsASecondAndNoBusyOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a")
+		ctx := t.Context()
+		c.run(ctx, 80*time.Second)
+		require.Equal(t, batch.Shards, c.count("a"))
+		c.nodes["a"].busy = true
+		c.join("b")
+		c.run(ctx, 10*time.Second)
+		require.Zero(t, c.count("b"))
+		c.nodes["a"].busy = false
+		for range 30 {
+			had := c.count("b")
+			c.run(ctx, time.Second)
+			require.LessOrEqual(t, c.count("b")-had, 5)
+		}
+		c.run(ctx, 60*time.Second)
+		require.InDelta(t, batch.Shards/2, c.count("b"), 40)
+		require.Equal(t, batch.Shards, c.count("a")+c.count("b"))
+	})
+}
+
+// Guards against a shard that is owned in the store but by nobody in memory, after the response of its acquisition was lost.
+func TestAnAcquisitionWithALostResponseIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a")
+		lost := 0
+		c.store.OnTxn(nil, func(kv.Txn) error {
+			lost++
+			if lost%3 == 0 {
+				return kv.ErrOutcomeUnknown
+			}
+			return nil
+		})
+		c.run(t.Context(), 300*time.Second)
+		require.Equal(t, batch.Shards, c.count("a"))
+		for shard, epoch := range c.taken {
+			require.Equal(t, uint64(1), epoch, "shard %s", shard)
+		}
+	})
+}
+
+// Guards against a burst of calls from all instances at the moment at which the store returns.
+func TestRecoveryAfterAnOutageIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ids := []fleet.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h"}
+		c := newCluster(t, ids...)
+		ctx := t.Context()
+		c.run(ctx, 40*time.Second)
+		c.store.SetDown(true)
+		c.run(ctx, 60*time.Second)
+		for _, id := range ids {
+			require.Zero(t, c.count(id))
+		}
+		c.store.SetDown(false)
+		most, total := 0, 0
+		for range 40 {
+			had := c.store.Calls()
+			c.run(ctx, time.Second)
+			most = max(most, c.store.Calls()-had)
+		}
+		for _, id := range ids {
+			total += c.count(id)
+		}
+		require.Equal(t, batch.Shards, total)
+		require.LessOrEqual(t, most, len(ids)*20, "calls in one second")
+		t.Logf("most calls in one second after the outage: %d by %d instances", most, len(ids))
+	})
+}
--- /dev/null
+++ b/node/control/shards/lease.go
@@ -0,0 +1,78 @@
+package shards
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+)
+
+// keepLease grants the lease, or renews it when that is due. A lease that the store no longer knows takes all shards with it.
+func (k *Keeper) keepLease(ctx context.Context) error {
+	if k.currentLease() == 0 {
+		return k.grant(ctx)
+	}
+	sentAt := time.Now()
+	if sentAt.Before(k.renewAt) && k.mayAct() {
+		return nil
+	}
+	ttl, err := k.store.KeepAlive(ctx, k.currentLease())
+	if errors.Is(err, kv.ErrLeaseGone) {
+		k.mu.Lock()
+		k.forgetLease()
+		k.mu.Unlock()
+		return k.grant(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	k.renewAt = sentAt.Add(renewEvery)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Lease.Renewed(sentAt, ttl)
+	return nil
+}
+
+func (k *Keeper) grant(ctx context.Context) error {
+	sentAt := time.Now()
+	lease, err := k.store.Grant(ctx, LeaseTTL)
+	if err != nil {
+		return err
+	}
+	k.renewAt = sentAt.Add(renewEvery)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Lease.Granted(sentAt, LeaseTTL)
+	k.lease = lease
+	return nil
+}
+
+func (k *Keeper) currentLease() kv.LeaseID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease
+}
+
+func (k *Keeper) mayAct() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease != 0 && k.config.Lease.MayAct(time.Now())
+}
+
+// settle makes the owned shards those that the view shows under the present lease. It also adopts a shard whose acquisition took effect
+// although its response was lost.
+func (k *Keeper) settle(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for shard, entry := range k.view.entries() {
+		held, owns := k.owned[shard]
+		mine := k.lease != 0 && entry.lease == k.lease && entry.owner.Instance == k.config.Self
+		switch {
+		case !mine:
+			delete(k.owned, shard)
+		case !owns || held.epoch != entry.owner.Epoch:
+			k.owned[shard] = ownedShard{epoch: entry.owner.Epoch, keepTo: now.Add(minHold)}
+		}
+	}
+}
--- /dev/null
+++ b/node/control/shards/view.go
@@ -0,0 +1,142 @@
+package shards
+
+import (
+	"context"
+	"iter"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"k8s.io/klog/v2"
+)
+
+// entry is what the store was last seen to hold of one shard. Each revision is that of the last change seen of its key.
+type entry struct {
+	owner         batch.Owner // Instance is empty while nobody owns the shard
+	lease         kv.LeaseID  // of the owner record
+	ownerRevision kv.Revision
+	epoch         uint64
+	epochRevision kv.Revision // 0 while the key does not exist
+	freeSince     time.Time
+}
+
+// view is the state of all shards by one watch and periodic listings.
+type view struct {
+	shards [batch.Shards]entry
+	watch  <-chan kv.WatchEvent // nil while there is none
+	listAt time.Time
+}
+
+// current tells whether changes are being followed.
+func (v *view) current() bool { return v.watch != nil }
+
+func (v *view) entries() iter.Seq2[batch.Shard, *entry] {
+	return func(yield func(batch.Shard, *entry) bool) {
+		for n := range v.shards {
+			if !yield(batch.Shard(n), &v.shards[n]) {
+				return
+			}
+		}
+	}
+}
+
+// follow takes the changes that the watch has delivered and lists all shards when that is due.
+func (k *Keeper) follow(ctx context.Context) error {
+	now := time.Now()
+	if k.view.watch != nil && !k.view.drain(now) {
+		k.view.watch = nil
+		k.view.listAt = now.Add(k.jitter(recoverySpread))
+	}
+	if now.Before(k.view.listAt) {
+		return nil
+	}
+	listing, err := k.store.List(ctx, batch.ShardsPrefix)
+	if err != nil {
+		return err
+	}
+	k.view.replace(listing, now)
+	k.view.listAt = now.Add(listEvery - k.jitter(listEvery/4))
+	if k.view.watch != nil {
+		return nil
+	}
+	k.view.watch, err = k.store.Watch(ctx, batch.ShardsPrefix, listing.Revision)
+	if err != nil {
+		k.view.watch = nil
+		k.view.listAt = now
+	}
+	return err
+}
+
+// drain applies the delivered changes; false if the watch has ended.
+func (v *view) drain(now time.Time) bool {
+	for {
+		select {
+		case event, open := <-v.watch:
+			if !open || event.Err != nil {
+				return false
+			}
+			v.apply(event.KeyValue, event.Deleted, now)
+		default:
+			return true
+		}
+	}
+}
+
+// replace applies a listing: keys that it lacks do not exist at its revision.
+func (v *view) replace(listing kv.Listing, now time.Time) {
+	present := make(map[string]bool, len(listing.Items))
+	for _, item := range listing.Items {
+		present[item.Key] = true
+		v.apply(item, false, now)
+	}
+	for shard := range v.entries() {
+		if key := shard.OwnerKey(); !present[key] {
+			v.apply(kv.KeyValue{Key: key, ModRevision: listing.Revision}, true, now)
+		}
+	}
+}
+
+// apply takes one change unless a later one of the same key is known.
+func (v *view) apply(item kv.KeyValue, deleted bool, now time.Time) {
+	shard, name, ok := batch.ParseShardKey(item.Key)
+	if !ok {
+		return
+	}
+	e := &v.shards[shard]
+	switch name {
+	case "owner":
+		e.applyOwner(item, deleted, now)
+	case "epoch":
+		e.applyEpoch(item)
+	}
+}
+
+func (e *entry) applyOwner(item kv.KeyValue, deleted bool, now time.Time) {
+	if item.ModRevision < e.ownerRevision {
+		return
+	}
+	owner := batch.Owner{}
+	if !deleted {
+		var err error
+		owner, err = batch.DecodeOwner(item.Value)
+		if err != nil {
+			klog.ErrorS(err, "Owner record of a shard cannot be read", "key", item.Key)
+			return
+		}
+	}
+	if owner.Instance == "" && (e.owner.Instance != "" || e.freeSince.IsZero()) {
+		e.freeSince = now
+	}
+	e.owner, e.lease, e.ownerRevision = owner, item.Lease, item.ModRevision
+}
+
+func (e *entry) applyEpoch(item kv.KeyValue) {
+	epoch, err := batch.DecodeEpoch(item.Value)
+	if err != nil {
+		klog.ErrorS(err, "Epoch of a shard cannot be read", "key", item.Key)
+		return
+	}
+	if item.ModRevision > e.epochRevision {
+		e.epoch, e.epochRevision = epoch, item.ModRevision
+	}
+}
--- /dev/null
+++ b/node/internal/memkv/leases.go
@@ -0,0 +1,91 @@
+package memkv
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+)
+
+// lease is one lease with the time at which it ends unless renewed.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Writes returns the number of transactions so far that changed keys.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	s.granted++
+	s.leases[s.granted] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return s.granted, nil
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(_ context.Context, id kv.LeaseID) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	l, ok := s.leases[id]
+	if !ok {
+		return 0, kv.ErrLeaseGone
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return l.ttl, nil
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(_ context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return err
+	}
+	if !s.leased(id) {
+		return kv.ErrLeaseGone
+	}
+	s.end(id)
+	return nil
+}
+
+// leased tells whether a lease exists; s.mu is held.
+func (s *Store) leased(id kv.LeaseID) bool {
+	_, ok := s.leases[id]
+	return ok
+}
+
+// expire ends the leases that were not renewed in time; s.mu is held. It runs at each call, so that no timer is needed.
+func (s *Store) expire(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if !now.Before(s.leases[id].expires) {
+			s.end(id)
+		}
+	}
+}
+
+// end deletes a lease and its keys; s.mu is held.
+func (s *Store) end(id kv.LeaseID) {
+	delete(s.leases, id)
+	s.revision++
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if s.items[key].Lease == id {
+			s.write(kv.Op{Kind: kv.OpDelete, Key: key})
+		}
+	}
+}
--- a/node/control/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -13,7 +13,7 @@
 	"eelgrassproxy.example/adapters/kv"
 )
 
-// Store keeps keys and revisions. It has no leases.
+// Store keeps keys, revisions and leases.
 type Store struct {
 	mu       sync.Mutex // guards all fields
 	items    map[string]kv.KeyValue
@@ -21,13 +21,20 @@
 	watches  map[chan kv.WatchEvent]string
 	down     bool
 	calls    int
+	writes   int
+	leases   map[kv.LeaseID]lease
+	granted  kv.LeaseID // the last one
 	before   func(kv.Txn)
 	after    func(kv.Txn) error
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: map[string]kv.KeyValue{}, watches: map[chan kv.WatchEvent]string{}}
+	return &Store{
+		items:   map[string]kv.KeyValue{},
+		watches: map[chan kv.WatchEvent]string{},
+		leases:  map[kv.LeaseID]lease{},
+	}
 }
 
 // SetDown makes every call fail with kv.ErrUnavailable and ends the watches.
@@ -66,9 +73,10 @@
 	delete(s.items, key)
 }
 
-// enter counts a call; s.mu is held.
+// enter counts a call and ends the leases that have expired; s.mu is held.
 func (s *Store) enter() error {
 	s.calls++
+	s.expire(time.Now())
 	if s.down {
 		return kv.ErrUnavailable
 	}
@@ -134,8 +142,12 @@
 	if !result.Succeeded {
 		ops = txn.Else
 	}
+	if slices.ContainsFunc(ops, func(op kv.Op) bool { return op.Lease != 0 && !s.leased(op.Lease) }) {
+		return kv.TxnResult{}, kv.ErrLeaseGone
+	}
 	if slices.ContainsFunc(ops, func(op kv.Op) bool { return op.Kind != kv.OpGet }) {
 		s.revision++
+		s.writes++
 	}
 	for _, op := range ops {
 		if op.Kind == kv.OpGet {
@@ -165,7 +177,7 @@
 	if item.CreateRevision == 0 {
 		item = kv.KeyValue{Key: op.Key, CreateRevision: s.revision}
 	}
-	item.Value, item.ModRevision = op.Value, s.revision
+	item.Value, item.ModRevision, item.Lease = op.Value, s.revision, op.Lease
 	s.items[op.Key] = item
 	if op.Kind == kv.OpDelete {
 		delete(s.items, op.Key)
@@ -198,16 +210,3 @@
 		delete(s.watches, ch)
 	}
 }
-
-// Grant implements kv.Store; leases are not supported.
-func (s *Store) Grant(context.Context, time.Duration) (kv.LeaseID, error) {
-	return 0, kv.ErrUnavailable
-}
-
-// KeepAlive implements kv.Store; leases are not supported.
-func (s *Store) KeepAlive(context.Context, kv.LeaseID) (time.Duration, error) {
-	return 0, kv.ErrLeaseGone
-}
-
-// Revoke implements kv.Store; leases are not supported.
-func (s *Store) Revoke(context.Context, kv.LeaseID) error { return kv.ErrLeaseGone }
