--- /dev/null
+++ b/node/batch/chunk.go
@@ -0,0 +1,186 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"eelgrassproxy.example/core/batch"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// runChunk gives every item of the chunk a result and stores the results. An error means that the chunk is given up.
+func (r *Runner) runChunk(t *task) error {
+	if err := r.read(t); err != nil {
+		return err
+	}
+	var err error
+	if t.record.Repeatable {
+		err = r.runRepeatable(t)
+	} else {
+		err = r.runClaimed(t)
+	}
+	if err != nil {
+		return err
+	}
+	ref, err := r.storeResults(t)
+	if err != nil {
+		return err
+	}
+	t.final = &final{results: ref, counts: batch.CountResults(t.results)}
+	return nil
+}
+
+// read fetches the bodies of the items, and the results that a former owner stored.
+func (r *Runner) read(t *task) error {
+	if err := r.readLines(t); err != nil {
+		return err
+	}
+	if err := r.readResults(t); err != nil {
+		return err
+	}
+	lost := t.chunk.Lost()
+	for i := lost.From; i < lost.To; i++ {
+		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the instance that ran the item was lost"}))
+	}
+	return nil
+}
+
+// readLines fetches the bodies. After the deadline items end without theirs.
+func (r *Runner) readLines(t *task) error {
+	data, err := r.get(t, t.record.Chunks[t.id.n])
+	if err != nil && !t.late() {
+		return err
+	}
+	t.lines = splitLines(data)
+	if size := t.size(); len(t.lines) != size {
+		klog.InfoS("Chunk of a batch job has a wrong number of lines", "job", t.id.job, "chunk", t.id.n, "lines", len(t.lines), "expected", size)
+		t.lines = append(t.lines, make([][]byte, size)...)[:size]
+	}
+	return nil
+}
+
+// readResults fetches the results that a former owner stored. After the deadline results that cannot be read count as unknown.
+func (r *Runner) readResults(t *task) error {
+	if t.chunk.Covered == 0 {
+		return nil
+	}
+	data, err := r.get(t, *t.chunk.Results)
+	if err == nil {
+		t.results, err = batch.DecodeResults(data)
+	}
+	if err == nil || !t.late() {
+		return err
+	}
+	t.results = nil
+	for i := range t.chunk.Covered {
+		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the stored results were lost"}))
+	}
+	return nil
+}
+
+// late tells whether the job's deadline has passed.
+func (t *task) late() bool { return !time.Now().Before(t.record.Deadline) }
+
+// runRepeatable runs all items together; running one again after a loss is harmless.
+func (r *Runner) runRepeatable(t *task) error {
+	left := r.runItems(t, batch.Range{To: t.size()}, nil)
+	if left != nil {
+		return eris.Wrapf(ErrNotOwner, "chunk %d of job %s", t.id.n, t.id.job)
+	}
+	return t.ctx.Err()
+}
+
+// runClaimed claims the items group by group and runs each group after its claim is written. Items of a group that were not dispatched
+// because the shard's epoch changed are run only after the claim was written again under the new epoch, which proves that no other owner
+// has decided on them.
+func (r *Runner) runClaimed(t *task) error {
+	for len(t.results) < t.size() {
+		group, err := r.claim(t)
+		if err != nil {
+			return err
+		}
+		left := r.runItems(t, group.items, &group.epoch)
+		for left != nil {
+			group.epoch, err = r.claimAgain(t)
+			if err != nil {
+				return err
+			}
+			left = r.runLeft(t, group, left)
+		}
+		if err := t.ctx.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// storeResults puts the results so far into bulk storage, trying again until it succeeds or the task ends.
+func (r *Runner) storeResults(t *task) (batch.BlobRef, error) {
+	data, err := batch.EncodeResults(t.results)
+	if err != nil {
+		return batch.BlobRef{}, err
+	}
+	for {
+		ref, err := r.bulk.Put(t.ctx, data)
+		if err == nil {
+			return ref, nil
+		}
+		klog.ErrorS(err, "Results cannot be stored, trying again", "job", t.id.job, "chunk", t.id.n)
+		if !r.pause(t.ctx) {
+			return batch.BlobRef{}, t.ctx.Err()
+		}
+	}
+}
+
+// getTries bounds the reads of a blob by one task. The chunk is then given up and taken again later, so that a blob whose holders are away
+// does not keep a worker from other jobs.
+const getTries = 3
+
+// get reads a blob.
+func (r *Runner) get(t *task, ref batch.BlobRef) ([]byte, error) {
+	var failed error
+	for range getTries {
+		data, err := r.bulk.Get(t.ctx, ref)
+		if err == nil {
+			return data, nil
+		}
+		failed = err
+		klog.ErrorS(err, "Blob cannot be read", "job", t.id.job, "chunk", t.id.n, "digest", ref.Digest)
+		if !r.pause(t.ctx) {
+			break
+		}
+	}
+	return nil, eris.Wrapf(failed, "chunk %d of job %s", t.id.n, t.id.job)
+}
+
+// pause waits before a call is tried again; false if ctx ended first.
+func (r *Runner) pause(ctx context.Context) bool {
+	return sleep(ctx, time.Duration(r.config.StoreWaitMs)*time.Millisecond)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// size is the number of items of the chunk.
+func (t *task) size() int { return t.record.ItemsIn(t.id.n) }
+
+// splitLines returns the non-empty lines of a blob.
+func splitLines(data []byte) [][]byte {
+	var lines [][]byte
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/node/batch/finish.go
@@ -0,0 +1,148 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// recorded marks a chunk as recorded and finishes its job if it was the last one.
+func (r *Runner) recorded(ctx context.Context, t *task) {
+	if !r.mark(t) {
+		return
+	}
+	if err := r.finish(ctx, t.id.job); err != nil && !errors.Is(err, errNotActing) {
+		klog.ErrorS(err, "Batch job is not finished yet", "job", t.id.job)
+	}
+}
+
+// mark enters a recorded chunk; true if it was the last of its job.
+func (r *Runner) mark(t *task) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tasks, t.id)
+	r.ready.Broadcast()
+	j, ok := r.jobs[t.id.job]
+	if !ok || j.chunks[t.id.n].recorded {
+		return false
+	}
+	j.chunks[t.id.n] = slot{revision: t.revision, recorded: true}
+	j.counts = j.counts.Plus(t.final.counts)
+	j.pending--
+	j.rate.Observe(t.size(), time.Now())
+	return j.pending == 0
+}
+
+// finishAll finishes the jobs whose chunks are all recorded.
+func (r *Runner) finishAll(ctx context.Context) {
+	for _, id := range r.done() {
+		err := r.finish(ctx, id)
+		if err != nil && !errors.Is(err, errNotActing) {
+			klog.ErrorS(err, "Batch job is not finished yet", "job", id)
+		}
+		if errors.Is(err, ErrStore) {
+			return
+		}
+	}
+}
+
+func (r *Runner) done() []batch.JobID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []batch.JobID
+	for id, j := range r.jobs {
+		if j.pending == 0 && !j.stale {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// finish writes the final state of a job whose chunks are all recorded. If the job record was changed by someone else, the job is read
+// again by the next pass.
+func (r *Runner) finish(ctx context.Context, id batch.JobID) error {
+	finished, revision, err := r.final(id)
+	if err != nil {
+		return err
+	}
+	epoch, owned := r.shards.Epoch(id.Shard())
+	if !owned {
+		return eris.Wrapf(errNotActing, "job %s", id)
+	}
+	value, err := finished.Encode()
+	if err != nil {
+		return err
+	}
+	result, err := r.store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{
+			{Key: id.Shard().EpochKey(), Target: kv.CompareValue, Value: batch.EncodeEpoch(epoch)},
+			{Key: id.Key(), Target: kv.CompareModRevision, Revision: revision},
+		},
+		Then: []kv.Op{
+			{Kind: kv.OpPut, Key: id.Key(), Value: value},
+			{Kind: kv.OpDelete, Key: id.OpenKey()},
+		},
+	})
+	if err != nil {
+		return eris.Wrapf(ErrStore, "finish job %s: %v", id, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if result.Succeeded {
+		r.drop(id)
+	} else if j, ok := r.jobs[id]; ok {
+		j.stale = true
+	}
+	return nil
+}
+
+// final returns the finished record of a job with the revision that it replaces.
+func (r *Runner) final(id batch.JobID) (batch.Job, kv.Revision, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[id]
+	if !ok {
+		return batch.Job{}, 0, eris.Wrapf(ErrJobEnded, "job %s", id)
+	}
+	finished, err := j.record.Finish(j.counts, time.Now())
+	return finished, j.revision, err
+}
+
+// saveAll records the chunks that wait for the store. It stops at the first write that the store does not confirm.
+func (r *Runner) saveAll(ctx context.Context) {
+	down := false
+	for _, t := range r.takeUnsaved() {
+		if down {
+			r.keep(t)
+			continue
+		}
+		err := r.save(ctx, t)
+		if !settled(err) {
+			r.keep(t)
+			down = errors.Is(err, ErrStore)
+		}
+	}
+}
+
+// takeUnsaved returns the chunks that wait for the store and empties the list.
+func (r *Runner) takeUnsaved() []*task {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := r.unsaved
+	r.unsaved = nil
+	return waiting
+}
+
+// keep puts a chunk back among those that wait for the store.
+func (r *Runner) keep(t *task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsaved = append(r.unsaved, t)
+}
--- /dev/null
+++ b/node/batch/items.go
@@ -0,0 +1,137 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/core/batch"
+)
+
+// runItems gives the items of the range a result and appends those to t.results. claimed is the epoch under which the items were claimed,
+// nil for repeatable ones. It returns the items that were not dispatched because the shard is not owned (under that epoch); t.results is
+// then left unchanged for the range and the results so far are kept in the returned value.
+func (r *Runner) runItems(t *task, items batch.Range, claimed *uint64) *leftover {
+	results := make([]batch.Result, items.To-items.From)
+	indexes := make([]int, len(results))
+	for i := range indexes {
+		indexes[i] = items.From + i
+	}
+	return r.runSome(t, items, results, indexes, claimed)
+}
+
+// leftover is a group of items of which some have no result.
+type leftover struct {
+	items   batch.Range
+	results []batch.Result // by place in the group
+	missing []int          // indexes within the chunk of items without a result
+}
+
+// runLeft goes on with the items that have no result.
+func (r *Runner) runLeft(t *task, g group, left *leftover) *leftover {
+	return r.runSome(t, left.items, left.results, left.missing, &g.epoch)
+}
+
+func (r *Runner) runSome(t *task, items batch.Range, results []batch.Result, indexes []int, claimed *uint64) *leftover {
+	var mu sync.Mutex // guards missing
+	var missing []int
+	var group sync.WaitGroup
+	slots := make(chan struct{}, r.config.ChunkItems)
+	for _, i := range indexes {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			result, ok := r.runItem(t, i, claimed)
+			if ok {
+				results[i-items.From] = result
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			missing = append(missing, i)
+		})
+	}
+	group.Wait()
+	if len(missing) > 0 {
+		return &leftover{items: items, results: results, missing: missing}
+	}
+	t.results = append(t.results, results...)
+	return nil
+}
+
+// runItem makes attempts until the item has a result. It returns false if the item has none because the task ended or the shard is not
+// owned, and then the last attempt certainly did not run or the item is repeatable.
+func (r *Runner) runItem(t *task, i int, claimed *uint64) (batch.Result, bool) {
+	ctx, cancel := context.WithDeadline(t.ctx, t.record.Deadline)
+	defer cancel()
+	ran := 0
+	last := ItemOutcome{Reason: "the item was not started before the deadline"}
+	for try := 0; ; try++ {
+		if !r.mayDispatch(ctx, t, claimed) {
+			break
+		}
+		last = r.executor.Execute(ctx, t.item(i, try))
+		if last.Kind != batch.AttemptNotRun {
+			ran++
+		}
+		step := batch.Next(last.Kind, t.record.Repeatable, ran, try+1)
+		if step.Final != "" {
+			return t.result(i, step.Final, last), true
+		}
+		if !sleep(ctx, step.Wait) {
+			break
+		}
+	}
+	if t.ctx.Err() == nil && ctx.Err() != nil {
+		return t.result(i, batch.ItemExpired, ItemOutcome{Reason: "deadline reached: " + last.Reason}), true
+	}
+	return batch.Result{}, false
+}
+
+// mayDispatch waits until the shard is owned or gone. Claimed items are dispatched only under the epoch of their claim.
+func (r *Runner) mayDispatch(ctx context.Context, t *task, claimed *uint64) bool {
+	const poll = time.Second
+	shard := t.id.job.Shard()
+	for ctx.Err() == nil && !r.gone(shard) {
+		epoch, owned := r.shards.Epoch(shard)
+		if owned {
+			return claimed == nil || *claimed == epoch
+		}
+		if !sleep(ctx, poll) {
+			return false
+		}
+	}
+	return false
+}
+
+func (t *task) item(i, try int) Item {
+	return Item{
+		Job:        t.id.job,
+		Caller:     t.record.Caller,
+		Endpoint:   t.record.Endpoint,
+		Index:      t.id.n*batch.ChunkItems + i,
+		Try:        try,
+		Line:       t.lines[i],
+		Repeatable: t.record.Repeatable,
+		Deadline:   t.record.Deadline,
+		AtRisk:     t.atRisk,
+	}
+}
+
+// result makes the result of item i of the chunk. A body that is not JSON is recorded as a string.
+func (t *task) result(i int, status batch.ItemStatus, o ItemOutcome) batch.Result {
+	var named struct {
+		CustomID string `json:"custom_id"`
+	}
+	_ = json.Unmarshal(t.lines[i], &named) // a line without a custom_id is named by its index
+	body := json.RawMessage(o.Body)
+	if len(body) > 0 && !json.Valid(body) {
+		body, _ = json.Marshal(string(o.Body))
+	}
+	result := batch.Result{Index: t.id.n*batch.ChunkItems + i, CustomID: named.CustomID, Status: status, HTTP: o.HTTP, Body: body}
+	if status != batch.ItemCompleted {
+		result.Reason = o.Reason
+	}
+	return result
+}
--- /dev/null
+++ b/node/batch/job.go
@@ -0,0 +1,194 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// job is an open job of an owned shard. Its fields are guarded by Runner.mu, but for ctx and cancel.
+type job struct {
+	record   batch.Job
+	revision kv.Revision
+	epoch    uint64 // of the shard when the records were read
+	chunks   []slot
+	pending  int // chunks that are not recorded
+	counts   batch.Counts
+	rate     batch.Rate
+	next     int             // no chunk before it is startable, unless stale
+	ctx      context.Context // ends when the job is dropped
+	cancel   context.CancelFunc
+	stale    bool // read the records again before starting anything
+}
+
+// slot is what is known of one chunk.
+type slot struct {
+	revision kv.Revision  // 0: no record
+	claimed  *batch.Chunk // record in state claimed, of a chunk that another owner began
+	recorded bool
+}
+
+// load makes the jobs in memory those that are open in the owned shards.
+func (r *Runner) load(ctx context.Context) error {
+	epochs := make(map[batch.Shard]uint64)
+	for _, o := range r.shards.Owned() {
+		epochs[o.Shard] = o.Epoch
+	}
+	var failed error
+	for shard, epoch := range epochs {
+		if err := r.loadShard(ctx, shard, epoch); err != nil {
+			failed = err
+			break // the store is likely down; calling it for each shard would delay its recovery
+		}
+	}
+	r.dropUnowned()
+	return failed
+}
+
+func (r *Runner) loadShard(ctx context.Context, shard batch.Shard, epoch uint64) error {
+	listing, err := r.store.List(ctx, shard.OpenPrefix())
+	if err != nil {
+		return eris.Wrapf(ErrStore, "list open jobs of shard %s: %v", shard, err)
+	}
+	open := make(map[batch.JobID]bool, len(listing.Items))
+	for _, item := range listing.Items {
+		open[batch.JobID(strings.TrimPrefix(item.Key, shard.OpenPrefix()))] = true
+	}
+	r.dropEnded(shard, open)
+	for id := range open {
+		if r.upToDate(id, epoch) {
+			continue
+		}
+		if err := r.loadJob(ctx, id, epoch); err != nil {
+			if errors.Is(err, ErrStore) {
+				return err
+			}
+			klog.ErrorS(err, "Batch job cannot be read", "job", id)
+		}
+	}
+	return nil
+}
+
+func (r *Runner) upToDate(id batch.JobID, epoch uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[id]
+	return ok && j.epoch == epoch && !j.stale
+}
+
+// loadJob reads a job and its chunk records.
+func (r *Runner) loadJob(ctx context.Context, id batch.JobID, epoch uint64) error {
+	before := r.pendingOf(id)
+	found, err := r.store.Get(ctx, id.Key())
+	if errors.Is(err, kv.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrapf(ErrStore, "read job %s: %v", id, err)
+	}
+	record, err := batch.DecodeJob(found.Value)
+	if err != nil || record.State != batch.JobAccepted {
+		return err
+	}
+	listing, err := r.store.List(ctx, id.ChunksPrefix())
+	if err != nil {
+		return eris.Wrapf(ErrStore, "list chunks of job %s: %v", id, err)
+	}
+	j := &job{record: record, revision: found.ModRevision, epoch: epoch}
+	if err := j.fill(listing); err != nil {
+		return err
+	}
+	r.put(j, before)
+	return nil
+}
+
+// pendingOf returns the number of chunks that are not recorded, -1 for a job that is not loaded.
+func (r *Runner) pendingOf(id batch.JobID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j, ok := r.jobs[id]; ok {
+		return j.pending
+	}
+	return -1
+}
+
+// fill sets the chunks from their records.
+func (j *job) fill(listing kv.Listing) error {
+	j.chunks = make([]slot, len(j.record.Chunks))
+	j.pending = len(j.chunks)
+	for _, item := range listing.Items {
+		n, err := strconv.Atoi(strings.TrimPrefix(item.Key, j.record.ID.ChunksPrefix()))
+		if err != nil || n < 0 || n >= len(j.chunks) {
+			return eris.Wrapf(batch.ErrInvalidRecord, "chunk key %s", item.Key)
+		}
+		chunk, err := batch.DecodeChunk(item.Value)
+		if err != nil {
+			return eris.Wrap(err, item.Key)
+		}
+		j.chunks[n] = slot{revision: item.ModRevision, claimed: &chunk}
+		if chunk.State == batch.ChunkRecorded {
+			j.chunks[n] = slot{revision: item.ModRevision, recorded: true}
+			j.counts = j.counts.Plus(chunk.Counts)
+			j.pending--
+		}
+	}
+	return nil
+}
+
+// put adds a loaded job, or replaces its older state. Running chunks go on under the same context. If one of them was recorded while the
+// records were read (before chunks were pending), they are read again by the next pass.
+func (r *Runner) put(j *job, before int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old, ok := r.jobs[j.record.ID]; ok {
+		j.ctx, j.cancel, j.rate = old.ctx, old.cancel, old.rate
+		j.stale = old.pending != before
+	} else {
+		j.ctx, j.cancel = context.WithCancel(context.Background())
+		j.rate.Observe(0, time.Now())
+	}
+	r.jobs[j.record.ID] = j
+	r.ready.Broadcast()
+}
+
+// dropEnded drops the jobs of a shard that are no longer open; their items in flight are cancelled.
+func (r *Runner) dropEnded(shard batch.Shard, open map[batch.JobID]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.jobs {
+		if id.Shard() == shard && !open[id] {
+			r.drop(id)
+		}
+	}
+}
+
+// dropUnowned drops the jobs of shards that are not owned, unless a chunk of theirs is running or waits to be recorded: after a store
+// outage the shard may come back to this instance.
+func (r *Runner) dropUnowned() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	busy := make(map[batch.JobID]bool)
+	for id := range r.tasks {
+		busy[id.job] = true
+	}
+	for id := range r.jobs {
+		if _, owned := r.shards.Epoch(id.Shard()); !owned && !busy[id] {
+			r.drop(id)
+		}
+	}
+}
+
+// drop forgets a job; r.mu is held.
+func (r *Runner) drop(id batch.JobID) {
+	if j, ok := r.jobs[id]; ok {
+		j.cancel()
+		delete(r.jobs, id)
+	}
+}
--- /dev/null
+++ b/node/batch/property_test.go
@@ -0,0 +1,276 @@
+package batch_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	core "eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/jobs"
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property test, so that every run gives the same verdict, and drops the log lines of injected faults.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20260105")
+	}
+	klog.LogToStderr(false)
+	klog.SetOutput(bytes.NewBuffer(nil))
+	os.Exit(m.Run())
+}
+
+const caller = fleet.CallerID("caller")
+
+// step is one event of a schedule.
+type step struct {
+	After time.Duration
+	Kind  string
+	Node  int
+	Job   int
+	For   time.Duration
+}
+
+func drawSteps(rt *rapid.T) []step {
+	kinds := []string{"kill", "start", "pause", "pause at write", "pause at write", "outage", "lose before", "lose after", "refuse", "resubmit", "cancel"}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+		return step{
+			After: time.Duration(rapid.IntRange(0, 9000).Draw(rt, "after")) * time.Millisecond,
+			Kind:  rapid.SampledFrom(kinds).Draw(rt, "kind"),
+			Node:  rapid.IntRange(0, 2).Draw(rt, "node"),
+			Job:   rapid.IntRange(0, len(submitted)-1).Draw(rt, "job"),
+			For:   time.Duration(rapid.IntRange(1, 50).Draw(rt, "for")) * time.Second,
+		}
+	}), 2, 12).Draw(rt, "steps")
+}
+
+// submitted are the jobs of each schedule.
+var submitted = []struct {
+	key        string
+	items      int
+	repeatable bool
+}{
+	{"tickets", 300, true},
+	{"orders", 110, false},
+	{"quotes", 70, false},
+	{"notes", 40, true},
+}
+
+// run is one schedule on a cluster.
+type run struct {
+	*cluster
+	ctx   context.Context
+	acked map[string]core.JobID // by key
+}
+
+// Guards against lost or doubled results, second runs of non-repeatable items, writes by former owners and results after a cancel, under
+// loss and pause of owners, lost responses, store outages and resubmission.
+func TestEachItemOfAnAcceptedJobEndsOnceUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var violations []string
+		synctest.Test(t, func(t *testing.T) { violations = simulate(t.Context(), steps) })
+		for _, v := range violations {
+			rt.Errorf("%s", v)
+		}
+	})
+}
+
+func simulate(ctx context.Context, steps []step) []string {
+	ctx, stop := context.WithCancel(ctx)
+	r := &run{cluster: newCluster(), ctx: ctx, acked: map[string]core.JobID{}}
+	for range 3 {
+		r.start(ctx)
+	}
+	time.Sleep(15 * time.Second)
+	for i := range submitted {
+		r.submit(i, r.nodes[0])
+	}
+	for _, s := range steps {
+		time.Sleep(s.After)
+		r.apply1(s)
+	}
+	r.recover()
+	r.settle()
+	stop()
+	for _, n := range r.nodes {
+		n.link.cut()
+		n.done.Wait()
+	}
+	r.checkEnd()
+	return r.violations
+}
+
+func (r *run) apply1(s step) {
+	n := r.nodes[s.Node]
+	switch s.Kind {
+	case "kill":
+		n.kill()
+	case "start":
+		if len(r.nodes) < 6 {
+			r.start(r.ctx)
+		}
+	case "pause":
+		n.link.pause(s.For)
+	case "pause at write":
+		n.link.set(func(l *link) { l.pauseWrite = s.For })
+	case "outage":
+		r.store.SetDown(true)
+		time.Sleep(s.For)
+		r.store.SetDown(false)
+	case "lose before":
+		n.link.set(func(l *link) { l.loseBefore++ })
+	case "lose after":
+		n.link.set(func(l *link) { l.loseAfter++ })
+	case "refuse":
+		n.link.set(func(l *link) { l.refuseFirst++ })
+	case "resubmit":
+		r.submit(s.Job, n)
+	case "cancel":
+		r.cancel(s.Job, n)
+	}
+}
+
+func (l *link) set(change func(*link)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (r *run) submit(i int, n *node) {
+	s := submitted[i]
+	view, err := n.jobs.Create(r.ctx, caller, r.bulk.submission(s.key, s.items, s.repeatable))
+	if err != nil {
+		return
+	}
+	if id, known := r.acked[s.key]; known && id != view.ID {
+		r.violations = append(r.violations, "a resubmission made a second job")
+	}
+	r.acked[s.key] = view.ID
+}
+
+func (r *run) cancel(i int, n *node) {
+	id, ok := r.acked[submitted[i].key]
+	if !ok {
+		return
+	}
+	if _, err := n.jobs.Cancel(r.ctx, caller, id); err == nil {
+		r.mu.Lock()
+		r.cancelled[id] = true
+		r.mu.Unlock()
+	}
+}
+
+// recover ends all faults and makes sure that an instance is left.
+func (r *run) recover() {
+	time.Sleep(time.Minute) // the longest pause
+	r.store.SetDown(false)
+	for _, n := range r.nodes {
+		n.link.set(func(l *link) { l.pauseWrite, l.loseBefore, l.loseAfter, l.refuseFirst = 0, 0, 0, 0 })
+	}
+	r.start(r.ctx)
+}
+
+// settle waits until every acknowledged job has ended.
+func (r *run) settle() {
+	const longest = 20 * time.Minute
+	for waited := time.Duration(0); waited < longest; waited += 10 * time.Second {
+		time.Sleep(10 * time.Second)
+		if r.open() == 0 {
+			return
+		}
+	}
+	r.violations = append(r.violations, fmt.Sprintf("%d acknowledged jobs are still open", r.open()))
+}
+
+func (r *run) open() int {
+	open := 0
+	for _, id := range r.acked {
+		view, err := jobs.New(r.store, r.bulk).Get(r.ctx, caller, id)
+		if errors.Is(err, jobs.ErrNotFound) {
+			r.violations = append(r.violations, "an acknowledged job is lost")
+			continue
+		}
+		if err != nil || view.State == core.JobAccepted {
+			open++
+		}
+	}
+	return open
+}
+
+// checkEnd checks the recorded results of all jobs against what was run.
+func (r *run) checkEnd() {
+	service := jobs.New(r.store, r.bulk)
+	ctx := context.Background()
+	for _, s := range submitted {
+		id, ok := r.acked[s.key]
+		if !ok {
+			continue
+		}
+		view, err := service.Get(ctx, caller, id)
+		if err != nil {
+			r.violation("job %s: %v", s.key, err)
+			continue
+		}
+		var output, failed bytes.Buffer
+		if err := errors.Join(service.Output(ctx, caller, id, &output), service.Errors(ctx, caller, id, &failed)); err != nil {
+			r.violation("results of job %s: %v", s.key, err)
+			continue
+		}
+		r.checkJob(s.key, s.items, s.repeatable, view, output.Bytes(), failed.Bytes())
+	}
+}
+
+func (r *run) checkJob(key string, items int, repeatable bool, view jobs.View, output, failed []byte) {
+	statuses := map[string]string{}
+	for _, data := range [][]byte{output, failed} {
+		for decoder := json.NewDecoder(bytes.NewReader(data)); decoder.More(); {
+			var line struct {
+				CustomID string                 `json:"custom_id"`
+				Error    *struct{ Code string } `json:"error"`
+			}
+			if err := decoder.Decode(&line); err != nil {
+				r.violation("line of job %s: %v", key, err)
+				return
+			}
+			if statuses[line.CustomID] != "" {
+				r.violation("item %s has two results", line.CustomID)
+			}
+			statuses[line.CustomID] = "completed"
+			if line.Error != nil {
+				statuses[line.CustomID] = line.Error.Code
+			}
+		}
+	}
+	if view.State == core.JobCompleted && len(statuses) != items {
+		r.violation("job %s is completed with %d of %d results", key, len(statuses), items)
+	}
+	for i := range items {
+		r.checkItem(key, i, repeatable, statuses[fmt.Sprintf("%s-%d", key, i)], r.ran[fmt.Sprintf("%s-%d", view.ID, i)])
+	}
+}
+
+func (r *run) checkItem(key string, i int, repeatable bool, status string, ran int) {
+	switch {
+	case !repeatable && ran > 1:
+		r.violation("non-repeatable item %s-%d ran %d times", key, i, ran)
+	case status == "completed" && ran == 0:
+		r.violation("item %s-%d is completed and never ran", key, i)
+	case repeatable && status == string(core.ItemUnknown):
+		r.violation("repeatable item %s-%d ended as unknown", key, i)
+	case status == string(core.ItemFailed) && i%17 != 3:
+		r.violation("item %s-%d failed although it is no poison item", key, i)
+	case status == "completed" && i%17 == 3:
+		r.violation("poison item %s-%d is completed", key, i)
+	}
+}
--- /dev/null
+++ b/node/batch/record.go
@@ -0,0 +1,178 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"github.com/rotisserie/eris"
+)
+
+// group is a group of claimed items with the epoch under which the claim was written.
+type group struct {
+	items batch.Range
+	epoch uint64
+}
+
+// claim stores the results so far and claims the next group of items.
+func (r *Runner) claim(t *task) (group, error) {
+	if len(t.results) > 0 {
+		ref, err := r.storeResults(t)
+		if err != nil {
+			return group{}, err
+		}
+		counts := batch.CountResults(t.results)
+		t.chunk = batch.Chunk{State: batch.ChunkClaimed, Claimed: []batch.Range{{To: len(t.results)}}, Covered: len(t.results), Results: &ref, Counts: counts}
+	}
+	epoch, err := r.claimAgain(t)
+	from := len(t.results)
+	return group{items: batch.Range{From: from, To: min(from+batch.GroupItems, t.size())}, epoch: epoch}, err
+}
+
+// claimAgain writes the claim of the group behind the stored results, trying again until the store confirms or refuses it. It returns the
+// epoch of the claim.
+func (r *Runner) claimAgain(t *task) (uint64, error) {
+	for t.ctx.Err() == nil {
+		epoch, err := r.write(t.ctx, t, func(epoch uint64) (batch.Chunk, error) {
+			next, _, err := t.chunk.Claim(epoch, t.size(), t.chunk.Results, t.chunk.Counts)
+			return next, err
+		})
+		if settled(err) {
+			return epoch, err
+		}
+		if r.gone(t.id.job.Shard()) {
+			return 0, eris.Wrapf(ErrNotOwner, "shard %s", t.id.job.Shard())
+		}
+		r.pause(t.ctx)
+	}
+	return 0, t.ctx.Err()
+}
+
+// save records a finished chunk. It is done with the task unless it must be tried again.
+func (r *Runner) save(ctx context.Context, t *task) error {
+	_, err := r.write(ctx, t, func(epoch uint64) (batch.Chunk, error) {
+		return t.chunk.Record(epoch, t.size(), t.final.results, t.final.counts)
+	})
+	if err == nil {
+		r.recorded(ctx, t)
+		return nil
+	}
+	if r.gone(t.id.job.Shard()) {
+		err = eris.Wrapf(ErrNotOwner, "shard %s", t.id.job.Shard())
+	}
+	if settled(err) {
+		r.giveUp(t)
+	}
+	return err
+}
+
+// settled tells whether a write needs no further try.
+func settled(err error) bool {
+	return !errors.Is(err, ErrStore) && !errors.Is(err, errNotActing)
+}
+
+// errNotActing means that this instance may not act on its lease now. The shard may come back: the write compares epoch and records.
+var errNotActing = eris.New("shard is not owned at the moment")
+
+// write writes the chunk record that next returns, if the shard's epoch is this instance's own and the job and the chunk are as last
+// read. It returns the epoch written.
+func (r *Runner) write(ctx context.Context, t *task, next func(epoch uint64) (batch.Chunk, error)) (uint64, error) {
+	for {
+		revision, open := r.jobRevision(t.id.job)
+		if !open {
+			return 0, eris.Wrapf(ErrJobEnded, "job %s", t.id.job)
+		}
+		epoch, owned := r.shards.Epoch(t.id.job.Shard())
+		if !owned {
+			return 0, errNotActing
+		}
+		chunk, err := next(epoch)
+		if err != nil {
+			return 0, err
+		}
+		value, err := chunk.Encode()
+		if err != nil {
+			return 0, err
+		}
+		result, err := r.store.Txn(ctx, chunkTxn(t, epoch, revision, value))
+		if err != nil {
+			return 0, eris.Wrapf(ErrStore, "chunk %d of job %s: %v", t.id.n, t.id.job, err)
+		}
+		if result.Succeeded {
+			t.revision = result.Revision
+			return epoch, nil
+		}
+		again, err := r.refused(t, epoch, value, result.Gets)
+		if !again {
+			return epoch, err
+		}
+	}
+}
+
+// chunkTxn puts the chunk record under the three comparisons, or reads all three records.
+func chunkTxn(t *task, epoch uint64, job kv.Revision, value []byte) kv.Txn {
+	id, key := t.id.job, t.id.job.ChunkKey(t.id.n)
+	return kv.Txn{
+		Compares: []kv.Compare{
+			{Key: id.Shard().EpochKey(), Target: kv.CompareValue, Value: batch.EncodeEpoch(epoch)},
+			{Key: id.Key(), Target: kv.CompareModRevision, Revision: job},
+			{Key: key, Target: kv.CompareModRevision, Revision: t.revision},
+		},
+		Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: value}},
+		Else: []kv.Op{
+			{Kind: kv.OpGet, Key: id.Shard().EpochKey()},
+			{Kind: kv.OpGet, Key: id.Key()},
+			{Kind: kv.OpGet, Key: key},
+		},
+	}
+}
+
+// refused decides by the records found what a refused write means: it took effect at an earlier try, may be tried again, or is in vain.
+func (r *Runner) refused(t *task, epoch uint64, value []byte, found []kv.KeyValue) (again bool, err error) {
+	const reads = 3
+	if len(found) != reads {
+		return false, eris.Wrap(ErrStore, "response of the store lacks the records")
+	}
+	current, job, chunk := found[0], found[1], found[2]
+	if chunk.CreateRevision != 0 && bytes.Equal(chunk.Value, value) {
+		t.revision = chunk.ModRevision
+		return false, nil
+	}
+	if !bytes.Equal(current.Value, batch.EncodeEpoch(epoch)) {
+		return false, eris.Wrapf(ErrNotOwner, "shard %s has epoch %s, not %d", t.id.job.Shard(), current.Value, epoch)
+	}
+	if chunk.ModRevision != t.revision {
+		return false, eris.Wrapf(ErrChanged, "chunk %d of job %s", t.id.n, t.id.job)
+	}
+	record, err := batch.DecodeJob(job.Value)
+	if err != nil {
+		return false, err
+	}
+	return r.jobChanged(record, job.ModRevision)
+}
+
+// jobChanged takes the job record that a refused write found. The write may be tried again if the job is still open.
+func (r *Runner) jobChanged(record batch.Job, revision kv.Revision) (again bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if record.State != batch.JobAccepted {
+		r.drop(record.ID)
+		return false, eris.Wrapf(ErrJobEnded, "job %s is %s", record.ID, record.State)
+	}
+	if j, ok := r.jobs[record.ID]; ok {
+		j.record, j.revision = record, revision
+	}
+	return true, nil
+}
+
+func (r *Runner) jobRevision(id batch.JobID) (kv.Revision, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[id]
+	if !ok {
+		return 0, false
+	}
+	return j.revision, true
+}
--- /dev/null
+++ b/node/batch/schedule.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+)
+
+// task is one chunk that is running, or whose results wait to be recorded. It belongs to one goroutine at a time.
+type task struct {
+	id       chunkID
+	record   batch.Job
+	atRisk   bool
+	ctx      context.Context // ends with the job or the runner
+	cancel   context.CancelFunc
+	chunk    batch.Chunk    // last record that covers results, or the zero value
+	revision kv.Revision    // of the chunk's key as last read or written; 0: no record
+	results  []batch.Result // of the first items of the chunk
+	lines    [][]byte       // bodies of the items
+	final    *final         // set when all items have results
+}
+
+// final is what remains to be recorded of a finished chunk.
+type final struct {
+	results batch.BlobRef
+	counts  batch.Counts
+}
+
+// work runs chunks until ctx ends.
+func (r *Runner) work(ctx context.Context) {
+	for {
+		t := r.take(ctx)
+		if t == nil {
+			return
+		}
+		err := r.runChunk(t)
+		t.cancel()
+		r.finished(ctx, t, err)
+	}
+}
+
+// take waits for a chunk that may be started; nil when ctx has ended.
+func (r *Runner) take(ctx context.Context) *task {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ctx.Err() == nil {
+		if t := r.pick(ctx, time.Now()); t != nil {
+			return t
+		}
+		r.ready.Wait()
+	}
+	return nil
+}
+
+// pick starts the next chunk in the order of core/batch; r.mu is held.
+func (r *Runner) pick(ctx context.Context, now time.Time) *task {
+	if r.draining || len(r.unsaved) >= r.config.MaxUnsaved {
+		return nil
+	}
+	candidates, chunks := r.candidates()
+	best := r.order.Next(candidates, now)
+	if best < 0 {
+		return nil
+	}
+	j := r.jobs[candidates[best].Job]
+	t := r.newTask(ctx, j, chunks[best])
+	t.atRisk = candidates[best].AtRisk(now)
+	r.order.Started(j.record.Caller, j.record.ItemsIn(t.id.n))
+	return t
+}
+
+// candidates returns the jobs that have a startable chunk, each with that chunk; r.mu is held.
+func (r *Runner) candidates() ([]batch.Candidate, []int) {
+	epochs := make(map[batch.Shard]uint64)
+	for _, o := range r.shards.Owned() {
+		epochs[o.Shard] = o.Epoch
+	}
+	var candidates []batch.Candidate
+	var chunks []int
+	for id, j := range r.jobs {
+		epoch, owned := epochs[id.Shard()]
+		if !owned || epoch != j.epoch || j.stale {
+			continue
+		}
+		n := r.startable(j)
+		if n < 0 {
+			continue
+		}
+		chunks = append(chunks, n)
+		candidates = append(candidates, batch.Candidate{
+			Job:       id,
+			Caller:    j.record.Caller,
+			Deadline:  j.record.Deadline,
+			Remaining: j.record.Items - j.counts.Total(),
+			Rate:      j.rate.PerSecond(),
+		})
+	}
+	return candidates, chunks
+}
+
+// startable returns the first chunk that is neither recorded nor running, or -1; r.mu is held. Chunks are started in order, so that the
+// search goes on where the last one ended; a chunk that was given up marks the job stale and a fresh job starts from the first chunk.
+func (r *Runner) startable(j *job) int {
+	for n := j.next; n < len(j.chunks); n++ {
+		if _, running := r.tasks[chunkID{j.record.ID, n}]; !running && !j.chunks[n].recorded {
+			j.next = n
+			return n
+		}
+	}
+	j.next = len(j.chunks)
+	return -1
+}
+
+// newTask enters a chunk as running; r.mu is held.
+func (r *Runner) newTask(ctx context.Context, j *job, n int) *task {
+	t := &task{id: chunkID{j.record.ID, n}, record: j.record, revision: j.chunks[n].revision}
+	if j.chunks[n].claimed != nil {
+		t.chunk = *j.chunks[n].claimed
+	}
+	taskCtx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(j.ctx, cancel)
+	t.ctx, t.cancel = taskCtx, func() { stop(); cancel() }
+	r.tasks[t.id] = t
+	return t
+}
+
+// finished keeps a chunk whose results are complete until it is recorded, or gives it up.
+func (r *Runner) finished(ctx context.Context, t *task, err error) {
+	if err != nil {
+		r.giveUp(t)
+		return
+	}
+	t.lines, t.results = nil, nil // the results are in bulk storage
+	if err := r.save(ctx, t); !settled(err) {
+		r.keep(t)
+	}
+}
+
+// giveUp forgets a chunk; its records are read again before it is started again.
+func (r *Runner) giveUp(t *task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tasks, t.id)
+	if j, ok := r.jobs[t.id.job]; ok {
+		j.stale = true
+	}
+	r.ready.Broadcast()
+}
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -3,8 +3,8 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -105,11 +105,12 @@
 		return kv.Listing{}, err
 	}
 	listing := kv.Listing{Revision: s.revision}
-	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
-			listing.Items = append(listing.Items, s.items[key])
+			listing.Items = append(listing.Items, item)
 		}
 	}
+	slices.SortFunc(listing.Items, func(a, b kv.KeyValue) int { return cmp.Compare(a.Key, b.Key) })
 	return listing, nil
 }
 
--- /dev/null
+++ b/node/jobs/cancel.go
@@ -0,0 +1,82 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// Cancel cancels a caller's job. It returns nil only when the record is written; no result is recorded after that. Errors: ErrNotFound,
+// ErrFinished, ErrUnavailable, ErrUnconfirmed.
+func (s *Service) Cancel(ctx context.Context, caller fleet.CallerID, id batch.JobID) (View, error) {
+	if _, err := s.Get(ctx, caller, id); err != nil {
+		return View{}, err
+	}
+	return s.CancelAny(ctx, id)
+}
+
+// CancelAny cancels a job of any caller, for operators.
+func (s *Service) CancelAny(ctx context.Context, id batch.JobID) (View, error) {
+	ctx = kv.WithPurpose(ctx, storePurpose)
+	mayBeWritten := false
+	for range writeTries {
+		done, err := s.cancelOnce(ctx, id)
+		if done {
+			return s.cancelled(ctx, id)
+		}
+		if errors.Is(err, ErrNotFound) || errors.Is(err, ErrFinished) {
+			return View{}, err
+		}
+		if errors.Is(err, kv.ErrOutcomeUnknown) {
+			mayBeWritten = true
+			continue
+		}
+		if err != nil && !mayBeWritten {
+			return View{}, err
+		}
+	}
+	return View{}, eris.Wrapf(ErrUnconfirmed, "cancel job %s", id)
+}
+
+// cancelOnce reads the record and replaces it; done if it is cancelled. After a concurrent change it returns false and no error.
+func (s *Service) cancelOnce(ctx context.Context, id batch.JobID) (bool, error) {
+	job, revision, err := s.read(ctx, id)
+	if err != nil {
+		return false, err
+	}
+	if job.State == batch.JobCancelled {
+		return true, nil
+	}
+	cancelled, err := job.Cancel(utcNow())
+	if err != nil {
+		return false, eris.Wrapf(ErrFinished, "job %s is %s", id, job.State)
+	}
+	value, err := cancelled.Encode()
+	if err != nil {
+		return false, err
+	}
+	result, err := s.store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{{Key: id.Key(), Target: kv.CompareModRevision, Revision: revision}},
+		Then: []kv.Op{
+			{Kind: kv.OpPut, Key: id.Key(), Value: value},
+			{Kind: kv.OpDelete, Key: id.OpenKey()},
+		},
+	})
+	if errors.Is(err, kv.ErrUnavailable) {
+		return false, eris.Wrapf(ErrUnavailable, "cancel job %s: %v", id, err)
+	}
+	return err == nil && result.Succeeded, err
+}
+
+// cancelled returns the view of a job that is known to be cancelled, without progress if that cannot be read.
+func (s *Service) cancelled(ctx context.Context, id batch.JobID) (View, error) {
+	view, err := s.Show(ctx, id)
+	if err == nil {
+		return view, nil
+	}
+	return View{Job: batch.Job{ID: id, State: batch.JobCancelled}}, nil
+}
--- /dev/null
+++ b/node/jobs/service.go
@@ -0,0 +1,148 @@
+// Package jobs accepts, lists and cancels batch jobs and reads their results. All state is in the store and in bulk storage, so that
+// every instance answers for every job.
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of this layer.
+var (
+	// ErrNotAccepted means that the submission certainly was not accepted, because the store cannot be reached.
+	ErrNotAccepted = eris.New("store is unavailable, the job was not accepted")
+	// ErrUnconfirmed means that a change may have been written; sending the same request again tells.
+	ErrUnconfirmed = eris.New("outcome of the write is unknown, send the same request again")
+	// ErrUnavailable means that the store or the bulk storage cannot be read.
+	ErrUnavailable = eris.New("store is unavailable")
+	// ErrInvalid means that the submission cannot become a job.
+	ErrInvalid = eris.New("submission is invalid")
+	// ErrKeyMismatch means that the idempotency key was used for another submission.
+	ErrKeyMismatch = eris.New("idempotency key was used for another submission")
+	// ErrNotFound means that the caller has no such job.
+	ErrNotFound = eris.New("job does not exist")
+	// ErrFileNotFound means that the caller has no such file.
+	ErrFileNotFound = eris.New("file does not exist")
+	// ErrFinished means that the job has ended and cannot be cancelled.
+	ErrFinished = eris.New("job has already ended")
+)
+
+const (
+	// storePurpose labels the store calls of this package.
+	storePurpose = "jobs"
+	// writeTries bounds the transactions of one call whose outcome stays unknown or that meet a concurrent change.
+	writeTries = 4
+	// MaxPage is the largest number of jobs in one page. Records are read in one transaction; the store takes 128 operations.
+	MaxPage = 50
+)
+
+// Bulk reads and writes blobs.
+type Bulk interface {
+	Put(ctx context.Context, data []byte) (batch.BlobRef, error)
+	Get(ctx context.Context, ref batch.BlobRef) ([]byte, error)
+}
+
+// File is what a submission needs to know of an uploaded file.
+type File struct {
+	Items  int
+	Chunks []batch.BlobRef
+}
+
+// Files finds uploaded files of a caller. File returns ErrFileNotFound or ErrUnavailable.
+type Files interface {
+	File(ctx context.Context, caller fleet.CallerID, fileID string) (File, error)
+}
+
+// View is a job with the results recorded so far.
+type View struct {
+	batch.Job
+	Progress batch.Counts
+}
+
+// Service is the callers' and operators' access to jobs. It is safe for concurrent use.
+type Service struct {
+	store kv.Store
+	bulk  Bulk
+}
+
+// New returns a service over the store and bulk storage.
+func New(store kv.Store, bulk Bulk) *Service {
+	return &Service{store: store, bulk: bulk}
+}
+
+// Get returns a caller's job, or ErrNotFound.
+func (s *Service) Get(ctx context.Context, caller fleet.CallerID, id batch.JobID) (View, error) {
+	view, err := s.Show(ctx, id)
+	if err == nil && view.Caller != caller {
+		return View{}, eris.Wrapf(ErrNotFound, "job %s", id)
+	}
+	return view, err
+}
+
+// Show returns a job of any caller, or ErrNotFound.
+func (s *Service) Show(ctx context.Context, id batch.JobID) (View, error) {
+	ctx = kv.WithPurpose(ctx, storePurpose)
+	job, _, err := s.read(ctx, id)
+	if err != nil {
+		return View{}, err
+	}
+	view := View{Job: job, Progress: job.Counts}
+	if job.State == batch.JobAccepted || job.State == batch.JobCancelled {
+		view.Progress, err = s.progress(ctx, id)
+	}
+	return view, err
+}
+
+// progress sums the results recorded in chunk records.
+func (s *Service) progress(ctx context.Context, id batch.JobID) (batch.Counts, error) {
+	var sum batch.Counts
+	chunks, err := s.chunks(ctx, id)
+	for _, chunk := range chunks {
+		sum = sum.Plus(chunk.Counts)
+	}
+	return sum, err
+}
+
+// read returns a job with the revision of its record.
+func (s *Service) read(ctx context.Context, id batch.JobID) (batch.Job, kv.Revision, error) {
+	if !id.Valid() {
+		return batch.Job{}, 0, eris.Wrapf(ErrNotFound, "job %q", id)
+	}
+	found, err := s.store.Get(ctx, id.Key())
+	if errors.Is(err, kv.ErrNotFound) {
+		return batch.Job{}, 0, eris.Wrapf(ErrNotFound, "job %s", id)
+	}
+	if err != nil {
+		return batch.Job{}, 0, eris.Wrapf(ErrUnavailable, "read job %s: %v", id, err)
+	}
+	job, err := batch.DecodeJob(found.Value)
+	if err != nil {
+		return batch.Job{}, 0, eris.Wrapf(err, "job %s", id)
+	}
+	return job, found.ModRevision, nil
+}
+
+// chunks returns the chunk records of a job in order.
+func (s *Service) chunks(ctx context.Context, id batch.JobID) ([]batch.Chunk, error) {
+	listing, err := s.store.List(ctx, id.ChunksPrefix())
+	if err != nil {
+		return nil, eris.Wrapf(ErrUnavailable, "list the chunks of job %s: %v", id, err)
+	}
+	chunks := make([]batch.Chunk, 0, len(listing.Items))
+	for _, item := range listing.Items {
+		chunk, err := batch.DecodeChunk(item.Value)
+		if err != nil {
+			return nil, eris.Wrap(err, item.Key)
+		}
+		chunks = append(chunks, chunk)
+	}
+	return chunks, nil
+}
+
+func utcNow() time.Time { return time.Now().UTC() }
