Put off chunks with unreadable blobs; count store writes of the runner

A chunk whose blobs cannot be read was given up and its job read again every pass, which stopped the job's other chunks. It is now put off for 30 s alone.

--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -70,8 +70,14 @@
 	if err == nil {
 		t.results, err = batch.DecodeResults(data)
 	}
-	if err == nil || !t.late() {
-		return err
+	if err == nil && len(t.results) != t.chunk.Covered {
+		err = eris.Wrapf(batch.ErrInvalidRecord, "%d results, %d expected", len(t.results), t.chunk.Covered)
+	}
+	if err == nil {
+		return nil
+	}
+	if !t.late() {
+		return eris.Wrapf(ErrBulk, "%v", err)
 	}
 	t.results = nil
 	for i := range t.chunk.Covered {
@@ -134,8 +140,8 @@
 	}
 }
 
-// getTries bounds the reads of a blob by one task. The chunk is then given up and taken again later, so that a blob whose holders are away
-// does not keep a worker from other jobs.
+// getTries bounds the reads of a blob by one task. The chunk is then put off, so that a blob whose holders are away does not keep a worker
+// from other jobs.
 const getTries = 3
 
 // get reads a blob.
@@ -147,12 +153,11 @@
 			return data, nil
 		}
 		failed = err
-		klog.ErrorS(err, "Blob cannot be read", "job", t.id.job, "chunk", t.id.n, "digest", ref.Digest)
 		if !r.pause(t.ctx) {
 			break
 		}
 	}
-	return nil, eris.Wrapf(failed, "chunk %d of job %s", t.id.n, t.id.job)
+	return nil, eris.Wrapf(ErrBulk, "%s: %v", ref.Digest, failed)
 }
 
 // pause waits before a call is tried again; false if ctx ended first.
--- a/node/batch/cluster_test.go
+++ b/node/batch/cluster_test.go
@@ -40,8 +40,9 @@
 
 // memBulk keeps blobs in memory for all instances.
 type memBulk struct {
-	mu    sync.Mutex
-	blobs map[string][]byte
+	mu      sync.Mutex
+	blobs   map[string][]byte
+	discard bool // keep nothing that is put, to measure memory without it
 }
 
 func (b *memBulk) Put(_ context.Context, data []byte) (core.BlobRef, error) {
@@ -49,7 +50,9 @@
 	digest := hex.EncodeToString(sum[:])
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.blobs[digest] = data
+	if !b.discard {
+		b.blobs[digest] = data
+	}
 	return core.BlobRef{Digest: digest, Bytes: int64(len(data)), Holders: []fleet.InstanceID{"a", "b"}}, nil
 }
 
--- a/node/batch/job.go
+++ b/node/batch/job.go
@@ -22,7 +22,7 @@
 	pending  int // chunks that are not recorded
 	counts   batch.Counts
 	rate     batch.Rate
-	next     int             // no chunk before it is startable, unless stale
+	next     int             // every chunk before it is recorded or running, unless stale
 	ctx      context.Context // ends when the job is dropped
 	cancel   context.CancelFunc
 	stale    bool // read the records again before starting anything
@@ -33,6 +33,7 @@
 	revision kv.Revision  // 0: no record
 	claimed  *batch.Chunk // record in state claimed, of a chunk that another owner began
 	recorded bool
+	notUntil time.Time // its blobs could not be read: not started before
 }
 
 // load makes the jobs in memory those that are open in the owned shards.
--- a/node/batch/runner.go
+++ b/node/batch/runner.go
@@ -25,6 +25,8 @@
 	ErrJobEnded = eris.New("job has ended")
 	// ErrChanged means that a record is not as this instance last read it.
 	ErrChanged = eris.New("record was changed by another owner")
+	// ErrBulk means that a blob cannot be read.
+	ErrBulk = eris.New("blob cannot be read")
 	// ErrStore means that the store did not confirm a write.
 	ErrStore = eris.New("store did not confirm the write")
 )
--- /dev/null
+++ b/node/batch/runner_test.go
@@ -0,0 +1,252 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	core "eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/batch"
+	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/jobs"
+	"github.com/stretchr/testify/require"
+)
+
+// allShards owns every shard under epoch 1.
+type allShards struct{}
+
+func (allShards) Owned() []shards.Ownership {
+	owned := make([]shards.Ownership, core.Shards)
+	for n := range owned {
+		owned[n] = shards.Ownership{Shard: core.Shard(n), Epoch: 1}
+	}
+	return owned
+}
+
+func (allShards) Epoch(core.Shard) (uint64, bool) { return 1, true }
+
+// executorFunc is an Executor.
+type executorFunc func(ctx context.Context, item batch.Item) batch.ItemOutcome
+
+func (f executorFunc) Execute(ctx context.Context, item batch.Item) batch.ItemOutcome {
+	return f(ctx, item)
+}
+
+func instant(context.Context, batch.Item) batch.ItemOutcome {
+	return batch.ItemOutcome{Kind: core.AttemptCompleted, HTTP: 200, Body: []byte(`{"choices":[{"text":"answer"}]}`)}
+}
+
+// single is one runner that owns all shards.
+type single struct {
+	store  *memkv.Store
+	bulk   *memBulk
+	jobs   *jobs.Service
+	runner *batch.Runner
+	stop   func()
+}
+
+func newSingle(tb testing.TB, executor executorFunc, config batch.Config) *single {
+	s := &single{store: memkv.New(), bulk: &memBulk{blobs: map[string][]byte{}}}
+	for n := range core.Shards {
+		put(tb, s.store, core.Shard(n).EpochKey(), core.EncodeEpoch(1))
+	}
+	s.jobs = jobs.New(s.store, s.bulk)
+	s.runner = batch.New(s.store, s.bulk, allShards{}, executor, config)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { s.runner.Run(ctx) })
+	s.stop = func() { cancel(); group.Wait() }
+	return s
+}
+
+func put(tb testing.TB, store kv.Store, key string, value []byte) {
+	_, err := store.Txn(context.Background(), kv.Txn{Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: value}}})
+	require.NoError(tb, err)
+}
+
+func (s *single) submit(tb testing.TB, who fleet.CallerID, key string, items int, repeatable bool) core.JobID {
+	view, err := s.jobs.Create(context.Background(), who, s.bulk.submission(key, items, repeatable))
+	require.NoError(tb, err)
+	return view.ID
+}
+
+// until makes passes every pause until the job has ended, and returns it.
+func (s *single) until(tb testing.TB, who fleet.CallerID, id core.JobID, pause time.Duration) jobs.View {
+	for range 100_000 {
+		_ = s.runner.Reconcile(context.Background())
+		view, err := s.jobs.Get(context.Background(), who, id)
+		if err == nil && view.State != core.JobAccepted {
+			return view
+		}
+		time.Sleep(pause)
+	}
+	require.Fail(tb, "job does not end")
+	return jobs.View{}
+}
+
+// Guards against writes of the store that grow with items: its rate is a few hundred writes a second for the whole fleet.
+func TestStoreWritesPerItemStayBelowTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		repeatable bool
+	}{{"repeatable items", true}, {"non-repeatable items", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const items = 10_000
+				s := newSingle(t, instant, batch.Config{})
+				defer s.stop()
+				before := s.store.Writes()
+				view := s.until(t, caller, s.submit(t, caller, "job", items, c.repeatable), time.Second)
+				require.Equal(t, core.Counts{Completed: items}, view.Counts)
+				perItem := float64(s.store.Writes()-before) / items
+				t.Logf("%s: %.4f store writes per item", c.name, perItem)
+				require.Less(t, perItem, 0.05)
+			})
+		})
+	}
+}
+
+// Guards against a cancelled job whose items go on at the engines.
+func TestACancelEndsTheItemsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running, stopped atomic.Int64
+		s := newSingle(t, func(ctx context.Context, _ batch.Item) batch.ItemOutcome {
+			running.Add(1)
+			<-ctx.Done()
+			stopped.Add(1)
+			return batch.ItemOutcome{Kind: core.AttemptUnknown, Reason: "cancelled"}
+		}, batch.Config{})
+		defer s.stop()
+		id := s.submit(t, caller, "job", 100, true)
+		require.NoError(t, s.runner.Reconcile(t.Context()))
+		synctest.Wait()
+		require.Equal(t, int64(64), running.Load(), "items of a chunk run together up to the bound")
+		_, err := s.jobs.Cancel(t.Context(), caller, id)
+		require.NoError(t, err)
+		require.NoError(t, s.runner.Reconcile(t.Context()))
+		synctest.Wait()
+		require.Equal(t, running.Load(), stopped.Load())
+		require.False(t, s.runner.Busy(id.Shard()))
+	})
+}
+
+// Guards against jobs that stay open for ever: items that are not run by the deadline, or whose bodies are lost, end as expired.
+func TestItemsNotRunByTheDeadlineExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSingle(t, func(_ context.Context, item batch.Item) batch.ItemOutcome {
+			if item.Index < 10 {
+				return instant(nil, item)
+			}
+			return batch.ItemOutcome{Kind: core.AttemptNotRun, Reason: "no target"}
+		}, batch.Config{})
+		defer s.stop()
+		refused := s.submit(t, caller, "refused", 300, false)
+		lost := s.submit(t, caller, "lost", 5, true)
+		view, err := s.jobs.Get(t.Context(), caller, lost)
+		require.NoError(t, err)
+		delete(s.bulk.blobs, view.Chunks[0].Digest)
+
+		view = s.until(t, caller, refused, 30*time.Second)
+		require.Equal(t, core.JobExpired, view.State)
+		require.Equal(t, core.Counts{Completed: 10, Expired: 290}, view.Counts)
+		require.WithinRange(t, view.Finished, view.Deadline, view.Deadline.Add(time.Minute))
+		view = s.until(t, caller, lost, 30*time.Second)
+		require.Equal(t, core.Counts{Expired: 5}, view.Counts)
+	})
+}
+
+// Guards against results lost in an outage, and against memory that grows without bound during one.
+func TestResultsOfAnOutageAreHeldWithinTheBoundAndRecordedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran atomic.Int64
+		s := newSingle(t, func(ctx context.Context, item batch.Item) batch.ItemOutcome {
+			ran.Add(1)
+			time.Sleep(time.Second)
+			return instant(ctx, item)
+		}, batch.Config{Workers: 2, ChunkItems: core.ChunkItems, MaxUnsaved: 5})
+		defer s.stop()
+		const items = 20 * core.ChunkItems
+		id := s.submit(t, caller, "job", items, true)
+		require.NoError(t, s.runner.Reconcile(t.Context()))
+		s.store.SetDown(true)
+		time.Sleep(5 * time.Minute)
+		require.InDelta(t, 6*core.ChunkItems, ran.Load(), core.ChunkItems)
+		s.store.SetDown(false)
+		view := s.until(t, caller, id, 3*time.Second)
+		require.Equal(t, core.Counts{Completed: items}, view.Counts)
+		require.Equal(t, int64(items), ran.Load(), "held results must not be computed again")
+	})
+}
+
+// Guards against a caller's huge job that keeps the small job of another caller waiting.
+func TestASmallJobIsNotStarvedByAHugeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSingle(t, func(ctx context.Context, item batch.Item) batch.ItemOutcome {
+			time.Sleep(time.Second)
+			return instant(ctx, item)
+		}, batch.Config{Workers: 2})
+		defer s.stop()
+		s.submit(t, "a", "huge", 100*core.ChunkItems, true)
+		require.NoError(t, s.runner.Reconcile(t.Context()))
+		time.Sleep(time.Minute)
+		view := s.until(t, "b", s.submit(t, "b", "small", 2*core.ChunkItems, true), time.Second)
+		require.Less(t, view.Finished.Sub(view.Created), 30*time.Second)
+	})
+}
+
+// BenchmarkRunner reports items a second of one runner against an executor that answers at once, with the store and bulk in memory.
+func BenchmarkRunner(b *testing.B) {
+	const items = 100_000
+	for b.Loop() {
+		s := newSingle(b, instant, batch.Config{})
+		id := s.submit(b, caller, "job", items, true)
+		started := time.Now()
+		s.until(b, caller, id, time.Millisecond)
+		b.ReportMetric(items/time.Since(started).Seconds(), "items/s")
+		s.stop()
+	}
+}
+
+// BenchmarkHeld reports the memory of a runner for 100,000 items of ten jobs: open ones that are not started, and finished ones that wait
+// for the store. Blobs are left out.
+func BenchmarkHeld(b *testing.B) {
+	const items = 100_000
+	for b.Loop() {
+		var open atomic.Bool
+		s := newSingle(b, func(ctx context.Context, item batch.Item) batch.ItemOutcome {
+			for !open.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			return instant(ctx, item)
+		}, batch.Config{Workers: 1})
+		for n := range 10 {
+			s.submit(b, caller, fmt.Sprint("job", n), items/10, true)
+		}
+		s.bulk.discard = true
+		before := heap()
+		_ = s.runner.Reconcile(b.Context())
+		b.ReportMetric(float64(heap()-before)/1024, "KiB-open")
+		s.store.OnTxn(nil, func(kv.Txn) error { return kv.ErrOutcomeUnknown })
+		open.Store(true)
+		for s.store.Writes() < core.Shards+10+400 {
+			time.Sleep(time.Millisecond)
+		}
+		b.ReportMetric(float64(heap()-before)/1024, "KiB-open-and-held")
+		s.stop()
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/node/batch/schedule.go
+++ b/node/batch/schedule.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/batch"
+	"k8s.io/klog/v2"
 )
 
 // task is one chunk that is running, or whose results wait to be recorded. It belongs to one goroutine at a time.
@@ -59,7 +61,7 @@
 	if r.draining || len(r.unsaved) >= r.config.MaxUnsaved {
 		return nil
 	}
-	candidates, chunks := r.candidates()
+	candidates, chunks := r.candidates(now)
 	best := r.order.Next(candidates, now)
 	if best < 0 {
 		return nil
@@ -72,7 +74,7 @@
 }
 
 // candidates returns the jobs that have a startable chunk, each with that chunk; r.mu is held.
-func (r *Runner) candidates() ([]batch.Candidate, []int) {
+func (r *Runner) candidates(now time.Time) ([]batch.Candidate, []int) {
 	epochs := make(map[batch.Shard]uint64)
 	for _, o := range r.shards.Owned() {
 		epochs[o.Shard] = o.Epoch
@@ -84,7 +86,7 @@
 		if !owned || epoch != j.epoch || j.stale {
 			continue
 		}
-		n := r.startable(j)
+		n := r.startable(j, now)
 		if n < 0 {
 			continue
 		}
@@ -100,19 +102,26 @@
 	return candidates, chunks
 }
 
-// startable returns the first chunk that is neither recorded nor running, or -1; r.mu is held. Chunks are started in order, so that the
-// search goes on where the last one ended; a chunk that was given up marks the job stale and a fresh job starts from the first chunk.
-func (r *Runner) startable(j *job) int {
+// startable returns the first chunk that may be started, or -1; r.mu is held. Chunks are started in order, so that the search goes on
+// where the last one ended; a chunk that was given up marks the job stale, and a job that was read again is searched from its start.
+func (r *Runner) startable(j *job, now time.Time) int {
+	for j.next < len(j.chunks) && r.started(j, j.next) {
+		j.next++
+	}
 	for n := j.next; n < len(j.chunks); n++ {
-		if _, running := r.tasks[chunkID{j.record.ID, n}]; !running && !j.chunks[n].recorded {
-			j.next = n
+		if !r.started(j, n) && !now.Before(j.chunks[n].notUntil) {
 			return n
 		}
 	}
-	j.next = len(j.chunks)
 	return -1
 }
 
+// started tells whether a chunk is recorded or running; r.mu is held.
+func (r *Runner) started(j *job, n int) bool {
+	_, running := r.tasks[chunkID{j.record.ID, n}]
+	return running || j.chunks[n].recorded
+}
+
 // newTask enters a chunk as running; r.mu is held.
 func (r *Runner) newTask(ctx context.Context, j *job, n int) *task {
 	t := &task{id: chunkID{j.record.ID, n}, record: j.record, revision: j.chunks[n].revision}
@@ -128,6 +137,11 @@
 
 // finished keeps a chunk whose results are complete until it is recorded, or gives it up.
 func (r *Runner) finished(ctx context.Context, t *task, err error) {
+	if errors.Is(err, ErrBulk) {
+		klog.ErrorS(err, "Chunk of a batch job is put off", "job", t.id.job, "chunk", t.id.n)
+		r.putOff(t)
+		return
+	}
 	if err != nil {
 		r.giveUp(t)
 		return
@@ -138,6 +152,21 @@
 	}
 }
 
+// putOffFor is the pause before a chunk whose blobs could not be read is started again.
+const putOffFor = 30 * time.Second
+
+// putOff forgets a chunk whose blobs cannot be read and lets the others of its job go on.
+func (r *Runner) putOff(t *task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.tasks, t.id)
+	if j, ok := r.jobs[t.id.job]; ok {
+		j.chunks[t.id.n].notUntil = time.Now().Add(putOffFor)
+		j.next = min(j.next, t.id.n)
+	}
+	r.ready.Broadcast()
+}
+
 // giveUp forgets a chunk; its records are read again before it is started again.
 func (r *Runner) giveUp(t *task) {
 	r.mu.Lock()
