--- a/api/caller/oas_client_gen.go
+++ b/api/caller/oas_client_gen.go
@@ -27,6 +27,19 @@
 	//
 	// POST /v1/services/{service}/{operation}
 	CallService(ctx context.Context, request jx.Raw, params CallServiceParams) (CallServiceRes, error)
+	// CancelBatch invokes cancelBatch operation.
+	//
+	// Cancels a job. No result is recorded after the response.
+	//
+	// POST /v1/batches/{batch_id}/cancel
+	CancelBatch(ctx context.Context, params CancelBatchParams) (CancelBatchRes, error)
+	// CreateBatch invokes createBatch operation.
+	//
+	// Accepts a job. An equal submission, or one with the same Idempotency-Key, returns the job that
+	// exists.
+	//
+	// POST /v1/batches
+	CreateBatch(ctx context.Context, request *CreateBatchRequest, params CreateBatchParams) (CreateBatchRes, error)
 	// CreateChatCompletion invokes createChatCompletion operation.
 	//
 	// POST /v1/chat/completions
@@ -35,6 +48,22 @@
 	//
 	// POST /v1/completions
 	CreateCompletion(ctx context.Context, request *CompletionRequest, params CreateCompletionParams) (CreateCompletionRes, error)
+	// GetBatch invokes getBatch operation.
+	//
+	// GET /v1/batches/{batch_id}
+	GetBatch(ctx context.Context, params GetBatchParams) (GetBatchRes, error)
+	// GetBatchErrors invokes getBatchErrors operation.
+	//
+	// GET /v1/batches/{batch_id}/errors
+	GetBatchErrors(ctx context.Context, params GetBatchErrorsParams) (GetBatchErrorsRes, error)
+	// GetBatchOutput invokes getBatchOutput operation.
+	//
+	// GET /v1/batches/{batch_id}/output
+	GetBatchOutput(ctx context.Context, params GetBatchOutputParams) (GetBatchOutputRes, error)
+	// ListBatches invokes listBatches operation.
+	//
+	// GET /v1/batches
+	ListBatches(ctx context.Context, params ListBatchesParams) (ListBatchesRes, error)
 	// ListEntrypoints invokes listEntrypoints operation.
 	//
 	// GET /v1/entrypoints
@@ -236,6 +265,197 @@
 	return result, nil
 }
 
+// CancelBatch invokes cancelBatch operation.
+//
+// Cancels a job. No result is recorded after the response.
+//
+// POST /v1/batches/{batch_id}/cancel
+func (c *Client) CancelBatch(ctx context.Context, params CancelBatchParams) (CancelBatchRes, error) {
+	res, err := c.sendCancelBatch(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendCancelBatch(ctx context.Context, params CancelBatchParams) (res CancelBatchRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/batches/"
+	{
+		// Encode "batch_id" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "batch_id",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.BatchID))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/cancel"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, CancelBatchOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeCancelBatchResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// CreateBatch invokes createBatch operation.
+//
+// Accepts a job. An equal submission, or one with the same Idempotency-Key, returns the job that
+// exists.
+//
+// POST /v1/batches
+func (c *Client) CreateBatch(ctx context.Context, request *CreateBatchRequest, params CreateBatchParams) (CreateBatchRes, error) {
+	res, err := c.sendCreateBatch(ctx, request, params)
+	return res, err
+}
+
+func (c *Client) sendCreateBatch(ctx context.Context, request *CreateBatchRequest, params CreateBatchParams) (res CreateBatchRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/batches"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeCreateBatchRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	h := uri.NewHeaderEncoder(r.Header)
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "Idempotency-Key",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.IdempotencyKey.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, CreateBatchOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeCreateBatchResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // CreateChatCompletion invokes createChatCompletion operation.
 //
 // POST /v1/chat/completions
@@ -462,6 +682,379 @@
 	return result, nil
 }
 
+// GetBatch invokes getBatch operation.
+//
+// GET /v1/batches/{batch_id}
+func (c *Client) GetBatch(ctx context.Context, params GetBatchParams) (GetBatchRes, error) {
+	res, err := c.sendGetBatch(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetBatch(ctx context.Context, params GetBatchParams) (res GetBatchRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/batches/"
+	{
+		// Encode "batch_id" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "batch_id",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.BatchID))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetBatchOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetBatchResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// GetBatchErrors invokes getBatchErrors operation.
+//
+// GET /v1/batches/{batch_id}/errors
+func (c *Client) GetBatchErrors(ctx context.Context, params GetBatchErrorsParams) (GetBatchErrorsRes, error) {
+	res, err := c.sendGetBatchErrors(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetBatchErrors(ctx context.Context, params GetBatchErrorsParams) (res GetBatchErrorsRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/batches/"
+	{
+		// Encode "batch_id" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "batch_id",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.BatchID))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/errors"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetBatchErrorsOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+
+	result, err := decodeGetBatchErrorsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// GetBatchOutput invokes getBatchOutput operation.
+//
+// GET /v1/batches/{batch_id}/output
+func (c *Client) GetBatchOutput(ctx context.Context, params GetBatchOutputParams) (GetBatchOutputRes, error) {
+	res, err := c.sendGetBatchOutput(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetBatchOutput(ctx context.Context, params GetBatchOutputParams) (res GetBatchOutputRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/batches/"
+	{
+		// Encode "batch_id" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "batch_id",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.BatchID))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/output"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetBatchOutputOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+
+	result, err := decodeGetBatchOutputResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// ListBatches invokes listBatches operation.
+//
+// GET /v1/batches
+func (c *Client) ListBatches(ctx context.Context, params ListBatchesParams) (ListBatchesRes, error) {
+	res, err := c.sendListBatches(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendListBatches(ctx context.Context, params ListBatchesParams) (res ListBatchesRes, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/batches"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "after" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.After.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "limit" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "limit",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Limit.Get(); ok {
+				return e.EncodeValue(conv.Int32ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, ListBatchesOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListBatchesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListEntrypoints invokes listEntrypoints operation.
 //
 // GET /v1/entrypoints
--- a/api/caller/oas_handlers_gen.go
+++ b/api/caller/oas_handlers_gen.go
@@ -176,6 +176,278 @@
 	}
 }
 
+// handleCancelBatchRequest handles cancelBatch operation.
+//
+// Cancels a job. No result is recorded after the response.
+//
+// POST /v1/batches/{batch_id}/cancel
+func (s *Server) handleCancelBatchRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: CancelBatchOperation,
+			ID:   "cancelBatch",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, CancelBatchOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeCancelBatchParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response CancelBatchRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    CancelBatchOperation,
+			OperationSummary: "",
+			OperationID:      "cancelBatch",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "batch_id",
+					In:   "path",
+				}: params.BatchID,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = CancelBatchParams
+			Response = CancelBatchRes
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackCancelBatchParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.CancelBatch(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.CancelBatch(ctx, params)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeCancelBatchResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleCreateBatchRequest handles createBatch operation.
+//
+// Accepts a job. An equal submission, or one with the same Idempotency-Key, returns the job that
+// exists.
+//
+// POST /v1/batches
+func (s *Server) handleCreateBatchRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: CreateBatchOperation,
+			ID:   "createBatch",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, CreateBatchOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeCreateBatchParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeCreateBatchRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response CreateBatchRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    CreateBatchOperation,
+			OperationSummary: "",
+			OperationID:      "createBatch",
+			Body:             request,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "Idempotency-Key",
+					In:   "header",
+				}: params.IdempotencyKey,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = *CreateBatchRequest
+			Params   = CreateBatchParams
+			Response = CreateBatchRes
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackCreateBatchParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.CreateBatch(ctx, request, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.CreateBatch(ctx, request, params)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeCreateBatchResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleCreateChatCompletionRequest handles createChatCompletion operation.
 //
 // POST /v1/chat/completions
@@ -454,6 +726,494 @@
 	}
 }
 
+// handleGetBatchRequest handles getBatch operation.
+//
+// GET /v1/batches/{batch_id}
+func (s *Server) handleGetBatchRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetBatchOperation,
+			ID:   "getBatch",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetBatchOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeGetBatchParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response GetBatchRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetBatchOperation,
+			OperationSummary: "",
+			OperationID:      "getBatch",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "batch_id",
+					In:   "path",
+				}: params.BatchID,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetBatchParams
+			Response = GetBatchRes
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetBatchParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetBatch(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetBatch(ctx, params)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeGetBatchResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleGetBatchErrorsRequest handles getBatchErrors operation.
+//
+// GET /v1/batches/{batch_id}/errors
+func (s *Server) handleGetBatchErrorsRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetBatchErrorsOperation,
+			ID:   "getBatchErrors",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetBatchErrorsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeGetBatchErrorsParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetBatchErrorsOperation,
+			OperationSummary: "",
+			OperationID:      "getBatchErrors",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "batch_id",
+					In:   "path",
+				}: params.BatchID,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetBatchErrorsParams
+			Response = struct{}
+		)
+		_, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetBatchErrorsParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				err = s.rh.GetBatchErrors(ctx, params, w)
+				return response, err
+			},
+		)
+	} else {
+		err = s.rh.GetBatchErrors(ctx, params, w)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+}
+
+// handleGetBatchOutputRequest handles getBatchOutput operation.
+//
+// GET /v1/batches/{batch_id}/output
+func (s *Server) handleGetBatchOutputRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetBatchOutputOperation,
+			ID:   "getBatchOutput",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetBatchOutputOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeGetBatchOutputParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetBatchOutputOperation,
+			OperationSummary: "",
+			OperationID:      "getBatchOutput",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "batch_id",
+					In:   "path",
+				}: params.BatchID,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetBatchOutputParams
+			Response = struct{}
+		)
+		_, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetBatchOutputParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				err = s.rh.GetBatchOutput(ctx, params, w)
+				return response, err
+			},
+		)
+	} else {
+		err = s.rh.GetBatchOutput(ctx, params, w)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+}
+
+// handleListBatchesRequest handles listBatches operation.
+//
+// GET /v1/batches
+func (s *Server) handleListBatchesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListBatchesOperation,
+			ID:   "listBatches",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListBatchesOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				defer recordError("Security:Bearer", err)
+				s.cfg.ErrorHandler(ctx, w, r, err)
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			defer recordError("Security", err)
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+	}
+	params, err := decodeListBatchesParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response ListBatchesRes
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListBatchesOperation,
+			OperationSummary: "",
+			OperationID:      "listBatches",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "after",
+					In:   "query",
+				}: params.After,
+				{
+					Name: "limit",
+					In:   "query",
+				}: params.Limit,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ListBatchesParams
+			Response = ListBatchesRes
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackListBatchesParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListBatches(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListBatches(ctx, params)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeListBatchesResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListEntrypointsRequest handles listEntrypoints operation.
 //
 // GET /v1/entrypoints
--- a/api/caller/oas_interfaces_gen.go
+++ b/api/caller/oas_interfaces_gen.go
@@ -5,6 +5,14 @@
 	callServiceRes()
 }
 
+type CancelBatchRes interface {
+	cancelBatchRes()
+}
+
+type CreateBatchRes interface {
+	createBatchRes()
+}
+
 type CreateChatCompletionRes interface {
 	createChatCompletionRes()
 }
@@ -13,6 +21,22 @@
 	createCompletionRes()
 }
 
+type GetBatchErrorsRes interface {
+	getBatchErrorsRes()
+}
+
+type GetBatchOutputRes interface {
+	getBatchOutputRes()
+}
+
+type GetBatchRes interface {
+	getBatchRes()
+}
+
+type ListBatchesRes interface {
+	listBatchesRes()
+}
+
 type ListEntrypointsRes interface {
 	listEntrypointsRes()
 }
--- a/api/caller/oas_json_gen.go
+++ b/api/caller/oas_json_gen.go
@@ -11,6 +11,819 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *Batch) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Batch) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("object")
+		s.Object.Encode(e)
+	}
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("input_file_id")
+		e.Str(s.InputFileID)
+	}
+	{
+		e.FieldStart("completion_window")
+		e.Str(s.CompletionWindow)
+	}
+	{
+		e.FieldStart("status")
+		s.Status.Encode(e)
+	}
+	{
+		e.FieldStart("created_at")
+		e.Int64(s.CreatedAt)
+	}
+	{
+		e.FieldStart("expires_at")
+		e.Int64(s.ExpiresAt)
+	}
+	{
+		if s.CompletedAt.Set {
+			e.FieldStart("completed_at")
+			s.CompletedAt.Encode(e)
+		}
+	}
+	{
+		if s.ExpiredAt.Set {
+			e.FieldStart("expired_at")
+			s.ExpiredAt.Encode(e)
+		}
+	}
+	{
+		if s.CancelledAt.Set {
+			e.FieldStart("cancelled_at")
+			s.CancelledAt.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("request_counts")
+		s.RequestCounts.Encode(e)
+	}
+	{
+		if s.Metadata.Set {
+			e.FieldStart("metadata")
+			s.Metadata.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfBatch = [13]string{
+	0:  "id",
+	1:  "object",
+	2:  "endpoint",
+	3:  "input_file_id",
+	4:  "completion_window",
+	5:  "status",
+	6:  "created_at",
+	7:  "expires_at",
+	8:  "completed_at",
+	9:  "expired_at",
+	10: "cancelled_at",
+	11: "request_counts",
+	12: "metadata",
+}
+
+// Decode decodes Batch from json.
+func (s *Batch) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Batch to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "object":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				if err := s.Object.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"object\"")
+			}
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "input_file_id":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.InputFileID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"input_file_id\"")
+			}
+		case "completion_window":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.CompletionWindow = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completion_window\"")
+			}
+		case "status":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				if err := s.Status.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"status\"")
+			}
+		case "created_at":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int64()
+				s.CreatedAt = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"created_at\"")
+			}
+		case "expires_at":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.ExpiresAt = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"expires_at\"")
+			}
+		case "completed_at":
+			if err := func() error {
+				s.CompletedAt.Reset()
+				if err := s.CompletedAt.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completed_at\"")
+			}
+		case "expired_at":
+			if err := func() error {
+				s.ExpiredAt.Reset()
+				if err := s.ExpiredAt.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"expired_at\"")
+			}
+		case "cancelled_at":
+			if err := func() error {
+				s.CancelledAt.Reset()
+				if err := s.CancelledAt.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cancelled_at\"")
+			}
+		case "request_counts":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				if err := s.RequestCounts.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"request_counts\"")
+			}
+		case "metadata":
+			if err := func() error {
+				s.Metadata.Reset()
+				if err := s.Metadata.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"metadata\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Batch")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00001000,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBatch) {
+					name = jsonFieldsNameOfBatch[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Batch) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Batch) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *BatchCounts) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BatchCounts) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("total")
+		e.Int(s.Total)
+	}
+	{
+		e.FieldStart("completed")
+		e.Int(s.Completed)
+	}
+	{
+		e.FieldStart("failed")
+		e.Int(s.Failed)
+	}
+	{
+		if s.OutcomeUnknown.Set {
+			e.FieldStart("outcome_unknown")
+			s.OutcomeUnknown.Encode(e)
+		}
+	}
+	{
+		if s.Expired.Set {
+			e.FieldStart("expired")
+			s.Expired.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfBatchCounts = [5]string{
+	0: "total",
+	1: "completed",
+	2: "failed",
+	3: "outcome_unknown",
+	4: "expired",
+}
+
+// Decode decodes BatchCounts from json.
+func (s *BatchCounts) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchCounts to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "total":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.Total = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"total\"")
+			}
+		case "completed":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Completed = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completed\"")
+			}
+		case "failed":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Failed = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failed\"")
+			}
+		case "outcome_unknown":
+			if err := func() error {
+				s.OutcomeUnknown.Reset()
+				if err := s.OutcomeUnknown.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"outcome_unknown\"")
+			}
+		case "expired":
+			if err := func() error {
+				s.Expired.Reset()
+				if err := s.Expired.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"expired\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BatchCounts")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBatchCounts) {
+					name = jsonFieldsNameOfBatchCounts[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BatchCounts) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchCounts) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *BatchList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BatchList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("object")
+		s.Object.Encode(e)
+	}
+	{
+		e.FieldStart("data")
+		e.ArrStart()
+		for _, elem := range s.Data {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.FirstID.Set {
+			e.FieldStart("first_id")
+			s.FirstID.Encode(e)
+		}
+	}
+	{
+		if s.LastID.Set {
+			e.FieldStart("last_id")
+			s.LastID.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("has_more")
+		e.Bool(s.HasMore)
+	}
+}
+
+var jsonFieldsNameOfBatchList = [5]string{
+	0: "object",
+	1: "data",
+	2: "first_id",
+	3: "last_id",
+	4: "has_more",
+}
+
+// Decode decodes BatchList from json.
+func (s *BatchList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "object":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				if err := s.Object.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"object\"")
+			}
+		case "data":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Data = make([]Batch, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Batch
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Data = append(s.Data, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"data\"")
+			}
+		case "first_id":
+			if err := func() error {
+				s.FirstID.Reset()
+				if err := s.FirstID.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"first_id\"")
+			}
+		case "last_id":
+			if err := func() error {
+				s.LastID.Reset()
+				if err := s.LastID.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"last_id\"")
+			}
+		case "has_more":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Bool()
+				s.HasMore = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"has_more\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BatchList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00010011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBatchList) {
+					name = jsonFieldsNameOfBatchList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BatchList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes BatchListObject as json.
+func (s BatchListObject) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes BatchListObject from json.
+func (s *BatchListObject) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchListObject to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch BatchListObject(v) {
+	case BatchListObjectList:
+		*s = BatchListObjectList
+	default:
+		*s = BatchListObject(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BatchListObject) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchListObject) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s BatchMetadata) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s BatchMetadata) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Str(elem)
+	}
+}
+
+// Decode decodes BatchMetadata from json.
+func (s *BatchMetadata) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchMetadata to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem string
+		if err := func() error {
+			v, err := d.Str()
+			elem = string(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BatchMetadata")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BatchMetadata) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchMetadata) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes BatchObject as json.
+func (s BatchObject) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes BatchObject from json.
+func (s *BatchObject) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchObject to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch BatchObject(v) {
+	case BatchObjectBatch:
+		*s = BatchObjectBatch
+	default:
+		*s = BatchObject(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BatchObject) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchObject) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes BatchStatus as json.
+func (s BatchStatus) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes BatchStatus from json.
+func (s *BatchStatus) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BatchStatus to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch BatchStatus(v) {
+	case BatchStatusValidating:
+		*s = BatchStatusValidating
+	case BatchStatusInProgress:
+		*s = BatchStatusInProgress
+	case BatchStatusFinalizing:
+		*s = BatchStatusFinalizing
+	case BatchStatusCompleted:
+		*s = BatchStatusCompleted
+	case BatchStatusExpired:
+		*s = BatchStatusExpired
+	case BatchStatusCancelling:
+		*s = BatchStatusCancelling
+	case BatchStatusCancelled:
+		*s = BatchStatusCancelled
+	default:
+		*s = BatchStatus(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s BatchStatus) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BatchStatus) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes CallServiceOKApplicationJSON as json.
 func (s CallServiceOKApplicationJSON) Encode(e *jx.Encoder) {
 	unwrapped := jx.Raw(s)
@@ -702,6 +1515,220 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *CreateBatchRequest) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *CreateBatchRequest) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("input_file_id")
+		e.Str(s.InputFileID)
+	}
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("completion_window")
+		e.Str(s.CompletionWindow)
+	}
+	{
+		if s.Metadata.Set {
+			e.FieldStart("metadata")
+			s.Metadata.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfCreateBatchRequest = [4]string{
+	0: "input_file_id",
+	1: "endpoint",
+	2: "completion_window",
+	3: "metadata",
+}
+
+// Decode decodes CreateBatchRequest from json.
+func (s *CreateBatchRequest) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CreateBatchRequest to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "input_file_id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.InputFileID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"input_file_id\"")
+			}
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "completion_window":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.CompletionWindow = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completion_window\"")
+			}
+		case "metadata":
+			if err := func() error {
+				s.Metadata.Reset()
+				if err := s.Metadata.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"metadata\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CreateBatchRequest")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCreateBatchRequest) {
+					name = jsonFieldsNameOfCreateBatchRequest[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *CreateBatchRequest) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CreateBatchRequest) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s CreateBatchRequestMetadata) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s CreateBatchRequestMetadata) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Str(elem)
+	}
+}
+
+// Decode decodes CreateBatchRequestMetadata from json.
+func (s *CreateBatchRequestMetadata) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CreateBatchRequestMetadata to nil")
+	}
+	m := s.init()
+	var propertiesCount int
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		propertiesCount++
+		var elem string
+		if err := func() error {
+			v, err := d.Str()
+			elem = string(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CreateBatchRequestMetadata")
+	}
+	// Validate properties count.
+	if err := (validate.Object{
+		MinProperties:    0,
+		MinPropertiesSet: false,
+		MaxProperties:    16,
+		MaxPropertiesSet: true,
+	}).ValidateProperties(propertiesCount); err != nil {
+		return errors.Wrap(err, "object")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s CreateBatchRequestMetadata) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CreateBatchRequestMetadata) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes CreateChatCompletionOKApplicationJSON as json.
 func (s CreateChatCompletionOKApplicationJSON) Encode(e *jx.Encoder) {
 	unwrapped := jx.Raw(s)
@@ -1601,6 +2628,40 @@
 	return s.Decode(d)
 }
 
+// Encode encodes BatchMetadata as json.
+func (o OptBatchMetadata) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes BatchMetadata from json.
+func (o *OptBatchMetadata) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBatchMetadata to nil")
+	}
+	o.Set = true
+	o.Value = make(BatchMetadata)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBatchMetadata) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBatchMetadata) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes bool as json.
 func (o OptBool) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1636,6 +2697,75 @@
 	return s.Decode(d)
 }
 
+// Encode encodes CreateBatchRequestMetadata as json.
+func (o OptCreateBatchRequestMetadata) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes CreateBatchRequestMetadata from json.
+func (o *OptCreateBatchRequestMetadata) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptCreateBatchRequestMetadata to nil")
+	}
+	o.Set = true
+	o.Value = make(CreateBatchRequestMetadata)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptCreateBatchRequestMetadata) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptCreateBatchRequestMetadata) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int32 as json.
 func (o OptInt32) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/api/caller/oas_operations_gen.go
+++ b/api/caller/oas_operations_gen.go
@@ -7,8 +7,14 @@
 
 const (
 	CallServiceOperation          OperationName = "CallService"
+	CancelBatchOperation          OperationName = "CancelBatch"
+	CreateBatchOperation          OperationName = "CreateBatch"
 	CreateChatCompletionOperation OperationName = "CreateChatCompletion"
 	CreateCompletionOperation     OperationName = "CreateCompletion"
+	GetBatchOperation             OperationName = "GetBatch"
+	GetBatchErrorsOperation       OperationName = "GetBatchErrors"
+	GetBatchOutputOperation       OperationName = "GetBatchOutput"
+	ListBatchesOperation          OperationName = "ListBatches"
 	ListEntrypointsOperation      OperationName = "ListEntrypoints"
 	ListModelsOperation           OperationName = "ListModels"
 )
--- a/api/caller/oas_parameters_gen.go
+++ b/api/caller/oas_parameters_gen.go
@@ -400,6 +400,180 @@
 	return params, nil
 }
 
+// CancelBatchParams is parameters of cancelBatch operation.
+type CancelBatchParams struct {
+	BatchID string
+}
+
+func unpackCancelBatchParams(packed middleware.Parameters) (params CancelBatchParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "batch_id",
+			In:   "path",
+		}
+		params.BatchID = packed[key].(string)
+	}
+	return params
+}
+
+func decodeCancelBatchParams(args [1]string, argsEscaped bool, r *http.Request) (params CancelBatchParams, _ error) {
+	// Decode path: batch_id.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "batch_id",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.BatchID = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.BatchID)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "batch_id",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// CreateBatchParams is parameters of createBatch operation.
+type CreateBatchParams struct {
+	IdempotencyKey OptString `json:",omitempty,omitzero"`
+}
+
+func unpackCreateBatchParams(packed middleware.Parameters) (params CreateBatchParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "Idempotency-Key",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.IdempotencyKey = v.(OptString)
+		}
+	}
+	return params
+}
+
+func decodeCreateBatchParams(args [0]string, argsEscaped bool, r *http.Request) (params CreateBatchParams, _ error) {
+	h := uri.NewHeaderDecoder(r.Header)
+	// Decode header: Idempotency-Key.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "Idempotency-Key",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotIdempotencyKeyVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotIdempotencyKeyVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.IdempotencyKey.SetTo(paramsDotIdempotencyKeyVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.IdempotencyKey.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     1,
+							MinLengthSet:  true,
+							MaxLength:     255,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "Idempotency-Key",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // CreateChatCompletionParams is parameters of createChatCompletion operation.
 type CreateChatCompletionParams struct {
 	XRequestID     OptString `json:",omitempty,omitzero"`
@@ -880,6 +1054,434 @@
 	return params, nil
 }
 
+// GetBatchParams is parameters of getBatch operation.
+type GetBatchParams struct {
+	BatchID string
+}
+
+func unpackGetBatchParams(packed middleware.Parameters) (params GetBatchParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "batch_id",
+			In:   "path",
+		}
+		params.BatchID = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetBatchParams(args [1]string, argsEscaped bool, r *http.Request) (params GetBatchParams, _ error) {
+	// Decode path: batch_id.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "batch_id",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.BatchID = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.BatchID)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "batch_id",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// GetBatchErrorsParams is parameters of getBatchErrors operation.
+type GetBatchErrorsParams struct {
+	BatchID string
+}
+
+func unpackGetBatchErrorsParams(packed middleware.Parameters) (params GetBatchErrorsParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "batch_id",
+			In:   "path",
+		}
+		params.BatchID = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetBatchErrorsParams(args [1]string, argsEscaped bool, r *http.Request) (params GetBatchErrorsParams, _ error) {
+	// Decode path: batch_id.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "batch_id",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.BatchID = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.BatchID)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "batch_id",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// GetBatchOutputParams is parameters of getBatchOutput operation.
+type GetBatchOutputParams struct {
+	BatchID string
+}
+
+func unpackGetBatchOutputParams(packed middleware.Parameters) (params GetBatchOutputParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "batch_id",
+			In:   "path",
+		}
+		params.BatchID = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetBatchOutputParams(args [1]string, argsEscaped bool, r *http.Request) (params GetBatchOutputParams, _ error) {
+	// Decode path: batch_id.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "batch_id",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.BatchID = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.BatchID)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "batch_id",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// ListBatchesParams is parameters of listBatches operation.
+type ListBatchesParams struct {
+	// Id of the job behind which the page starts.
+	After OptString `json:",omitempty,omitzero"`
+	Limit OptInt32  `json:",omitempty,omitzero"`
+}
+
+func unpackListBatchesParams(packed middleware.Parameters) (params ListBatchesParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "after",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.After = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "limit",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Limit = v.(OptInt32)
+		}
+	}
+	return params
+}
+
+func decodeListBatchesParams(args [0]string, argsEscaped bool, r *http.Request) (params ListBatchesParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: after.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotAfterVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotAfterVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.After.SetTo(paramsDotAfterVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.After.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     128,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "after",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Set default value for query: limit.
+	{
+		val := int32(20)
+		params.Limit.SetTo(val)
+	}
+	// Decode query: limit.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "limit",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotLimitVal int32
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt32(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotLimitVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Limit.SetTo(paramsDotLimitVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Limit.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           1,
+							MaxSet:        true,
+							Max:           50,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "limit",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ListEntrypointsParams is parameters of listEntrypoints operation.
 type ListEntrypointsParams struct {
 	// Failure domain nearest to the caller; orders the answer.
--- a/api/caller/oas_request_decoders_gen.go
+++ b/api/caller/oas_request_decoders_gen.go
@@ -87,6 +87,85 @@
 	}
 }
 
+func (s *Server) decodeCreateBatchRequest(r *http.Request) (
+	req *CreateBatchRequest,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request CreateBatchRequest
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		if err := func() error {
+			if err := request.Validate(); err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return req, rawBody, close, errors.Wrap(err, "validate")
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodeCreateChatCompletionRequest(r *http.Request) (
 	req *ChatCompletionRequest,
 	rawBody []byte,
--- a/api/caller/oas_request_encoders_gen.go
+++ b/api/caller/oas_request_encoders_gen.go
@@ -26,6 +26,20 @@
 	return nil
 }
 
+func encodeCreateBatchRequest(
+	req *CreateBatchRequest,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeCreateChatCompletionRequest(
 	req *ChatCompletionRequest,
 	r *http.Request,
--- a/api/caller/oas_response_decoders_gen.go
+++ b/api/caller/oas_response_decoders_gen.go
@@ -39,6 +39,190 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeCancelBatchResponse(resp *http.Response) (res CancelBatchRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Batch
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Default response.
+	res, err := func() (res CancelBatchRes, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, nil
+}
+
+func decodeCreateBatchResponse(resp *http.Response) (res CreateBatchRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Batch
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Default response.
+	res, err := func() (res CreateBatchRes, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, nil
+}
+
 func decodeCreateChatCompletionResponse(resp *http.Response) (res CreateChatCompletionRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -91,6 +275,232 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeGetBatchResponse(resp *http.Response) (res GetBatchRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Batch
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Default response.
+	res, err := func() (res GetBatchRes, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, nil
+}
+
+func decodeGetBatchErrorsResponse(resp *http.Response) (res GetBatchErrorsRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/jsonl":
+			// Raw response - return the http.Response directly
+			return &GetBatchErrorsOKRawApplicationJsonl{
+				Response: resp,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
+func decodeGetBatchOutputResponse(resp *http.Response) (res GetBatchOutputRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/jsonl":
+			// Raw response - return the http.Response directly
+			return &GetBatchOutputOKRawApplicationJsonl{
+				Response: resp,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
+func decodeListBatchesResponse(resp *http.Response) (res ListBatchesRes, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response BatchList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Default response.
+	res, err := func() (res ListBatchesRes, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, nil
+}
+
 func decodeListEntrypointsResponse(resp *http.Response) (res ListEntrypointsRes, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/caller/oas_response_encoders_gen.go
+++ b/api/caller/oas_response_encoders_gen.go
@@ -17,6 +17,84 @@
 	}
 }
 
+func encodeCancelBatchResponse(response CancelBatchRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	case *Batch:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *ErrorStatusCode:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		code := response.StatusCode
+		if code == 0 {
+			// Set default status code.
+			code = http.StatusOK
+		}
+		w.WriteHeader(code)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		if code >= http.StatusInternalServerError {
+			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
+		}
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
+func encodeCreateBatchResponse(response CreateBatchRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	case *Batch:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *ErrorStatusCode:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		code := response.StatusCode
+		if code == 0 {
+			// Set default status code.
+			code = http.StatusOK
+		}
+		w.WriteHeader(code)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		if code >= http.StatusInternalServerError {
+			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
+		}
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
 func encodeCreateChatCompletionResponse(response CreateChatCompletionRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
 	default:
@@ -31,6 +109,98 @@
 	}
 }
 
+func encodeGetBatchResponse(response GetBatchRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	case *Batch:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *ErrorStatusCode:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		code := response.StatusCode
+		if code == 0 {
+			// Set default status code.
+			code = http.StatusOK
+		}
+		w.WriteHeader(code)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		if code >= http.StatusInternalServerError {
+			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
+		}
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
+func encodeGetBatchErrorsResponse(response GetBatchErrorsRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
+func encodeGetBatchOutputResponse(response GetBatchOutputRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
+func encodeListBatchesResponse(response ListBatchesRes, w http.ResponseWriter) error {
+	switch response := response.(type) {
+	case *BatchList:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		w.WriteHeader(200)
+
+		e := new(jx.Encoder)
+		response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		return nil
+
+	case *ErrorStatusCode:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		code := response.StatusCode
+		if code == 0 {
+			// Set default status code.
+			code = http.StatusOK
+		}
+		w.WriteHeader(code)
+
+		e := new(jx.Encoder)
+		response.Response.Encode(e)
+		if _, err := e.WriteTo(w); err != nil {
+			return errors.Wrap(err, "write")
+		}
+
+		if code >= http.StatusInternalServerError {
+			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
+		}
+		return nil
+
+	default:
+		return errors.Errorf("unexpected response type: %T", response)
+	}
+}
+
 func encodeListEntrypointsResponse(response ListEntrypointsRes, w http.ResponseWriter) error {
 	switch response := response.(type) {
 	case *EntrypointList:
--- a/api/caller/oas_router_gen.go
+++ b/api/caller/oas_router_gen.go
@@ -11,16 +11,32 @@
 )
 
 var (
-	rn6AllowedHeaders = map[string]string{
-		"POST": "Authorization,Content-Type,Idempotency-Key,X-Request-Id,X-Request-Timeout-Ms",
+	rn9AllowedHeaders = map[string]string{
+		"GET":  "Authorization",
+		"POST": "Authorization,Content-Type,Idempotency-Key",
+	}
+	rn7AllowedHeaders = map[string]string{
+		"GET": "Authorization",
 	}
 	rn8AllowedHeaders = map[string]string{
-		"POST": "Authorization,Content-Type,Idempotency-Key,X-Request-Id,X-Request-Timeout-Ms",
+		"POST": "Authorization",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn14AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn15AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn10AllowedHeaders = map[string]string{
+		"POST": "Authorization,Content-Type,Idempotency-Key,X-Request-Id,X-Request-Timeout-Ms",
+	}
+	rn12AllowedHeaders = map[string]string{
+		"POST": "Authorization,Content-Type,Idempotency-Key,X-Request-Id,X-Request-Timeout-Ms",
+	}
+	rn16AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn17AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn4AllowedHeaders = map[string]string{
@@ -79,6 +95,166 @@
 				break
 			}
 			switch elem[0] {
+			case 'b': // Prefix: "batches"
+
+				if l := len("batches"); len(elem) >= l && elem[0:l] == "batches" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListBatchesRequest([0]string{}, elemIsEscaped, w, r)
+					case "POST":
+						s.handleCreateBatchRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET,POST",
+							allowedHeaders: rn9AllowedHeaders,
+							acceptPost:     "application/json",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "batch_id"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleGetBatchRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn7AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case 'c': // Prefix: "cancel"
+
+							if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleCancelBatchRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: rn8AllowedHeaders,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						case 'e': // Prefix: "errors"
+
+							if l := len("errors"); len(elem) >= l && elem[0:l] == "errors" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "GET":
+									s.handleGetBatchErrorsRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "GET",
+										allowedHeaders: rn14AllowedHeaders,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						case 'o': // Prefix: "output"
+
+							if l := len("output"); len(elem) >= l && elem[0:l] == "output" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "GET":
+									s.handleGetBatchOutputRequest([1]string{
+										args[0],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "GET",
+										allowedHeaders: rn15AllowedHeaders,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'c': // Prefix: "c"
 
 				if l := len("c"); len(elem) >= l && elem[0:l] == "c" {
@@ -107,7 +283,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn6AllowedHeaders,
+								allowedHeaders: rn10AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -132,7 +308,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn8AllowedHeaders,
+								allowedHeaders: rn12AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -159,7 +335,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn16AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -184,7 +360,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn17AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -353,6 +529,165 @@
 				break
 			}
 			switch elem[0] {
+			case 'b': // Prefix: "batches"
+
+				if l := len("batches"); len(elem) >= l && elem[0:l] == "batches" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListBatchesOperation
+						r.summary = ""
+						r.operationID = "listBatches"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/batches"
+						r.args = args
+						r.count = 0
+						return r, true
+					case "POST":
+						r.name = CreateBatchOperation
+						r.summary = ""
+						r.operationID = "createBatch"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/batches"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "batch_id"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = GetBatchOperation
+							r.summary = ""
+							r.operationID = "getBatch"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/batches/{batch_id}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case 'c': // Prefix: "cancel"
+
+							if l := len("cancel"); len(elem) >= l && elem[0:l] == "cancel" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = CancelBatchOperation
+									r.summary = ""
+									r.operationID = "cancelBatch"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/batches/{batch_id}/cancel"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						case 'e': // Prefix: "errors"
+
+							if l := len("errors"); len(elem) >= l && elem[0:l] == "errors" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "GET":
+									r.name = GetBatchErrorsOperation
+									r.summary = ""
+									r.operationID = "getBatchErrors"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/batches/{batch_id}/errors"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						case 'o': // Prefix: "output"
+
+							if l := len("output"); len(elem) >= l && elem[0:l] == "output" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "GET":
+									r.name = GetBatchOutputOperation
+									r.summary = ""
+									r.operationID = "getBatchOutput"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/batches/{batch_id}/output"
+									r.args = args
+									r.count = 1
+									return r, true
+								default:
+									return
+								}
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'c': // Prefix: "c"
 
 				if l := len("c"); len(elem) >= l && elem[0:l] == "c" {
--- a/api/caller/oas_schemas_gen.go
+++ b/api/caller/oas_schemas_gen.go
@@ -6,9 +6,438 @@
 	"io"
 	"net/http"
 
+	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
 )
 
+// Ref: #/components/schemas/Batch
+type Batch struct {
+	ID               string      `json:"id"`
+	Object           BatchObject `json:"object"`
+	Endpoint         string      `json:"endpoint"`
+	InputFileID      string      `json:"input_file_id"`
+	CompletionWindow string      `json:"completion_window"`
+	Status           BatchStatus `json:"status"`
+	// Seconds since 1970.
+	CreatedAt     int64            `json:"created_at"`
+	ExpiresAt     int64            `json:"expires_at"`
+	CompletedAt   OptInt64         `json:"completed_at"`
+	ExpiredAt     OptInt64         `json:"expired_at"`
+	CancelledAt   OptInt64         `json:"cancelled_at"`
+	RequestCounts BatchCounts      `json:"request_counts"`
+	Metadata      OptBatchMetadata `json:"metadata"`
+}
+
+// GetID returns the value of ID.
+func (s *Batch) GetID() string {
+	return s.ID
+}
+
+// GetObject returns the value of Object.
+func (s *Batch) GetObject() BatchObject {
+	return s.Object
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Batch) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetInputFileID returns the value of InputFileID.
+func (s *Batch) GetInputFileID() string {
+	return s.InputFileID
+}
+
+// GetCompletionWindow returns the value of CompletionWindow.
+func (s *Batch) GetCompletionWindow() string {
+	return s.CompletionWindow
+}
+
+// GetStatus returns the value of Status.
+func (s *Batch) GetStatus() BatchStatus {
+	return s.Status
+}
+
+// GetCreatedAt returns the value of CreatedAt.
+func (s *Batch) GetCreatedAt() int64 {
+	return s.CreatedAt
+}
+
+// GetExpiresAt returns the value of ExpiresAt.
+func (s *Batch) GetExpiresAt() int64 {
+	return s.ExpiresAt
+}
+
+// GetCompletedAt returns the value of CompletedAt.
+func (s *Batch) GetCompletedAt() OptInt64 {
+	return s.CompletedAt
+}
+
+// GetExpiredAt returns the value of ExpiredAt.
+func (s *Batch) GetExpiredAt() OptInt64 {
+	return s.ExpiredAt
+}
+
+// GetCancelledAt returns the value of CancelledAt.
+func (s *Batch) GetCancelledAt() OptInt64 {
+	return s.CancelledAt
+}
+
+// GetRequestCounts returns the value of RequestCounts.
+func (s *Batch) GetRequestCounts() BatchCounts {
+	return s.RequestCounts
+}
+
+// GetMetadata returns the value of Metadata.
+func (s *Batch) GetMetadata() OptBatchMetadata {
+	return s.Metadata
+}
+
+// SetID sets the value of ID.
+func (s *Batch) SetID(val string) {
+	s.ID = val
+}
+
+// SetObject sets the value of Object.
+func (s *Batch) SetObject(val BatchObject) {
+	s.Object = val
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Batch) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetInputFileID sets the value of InputFileID.
+func (s *Batch) SetInputFileID(val string) {
+	s.InputFileID = val
+}
+
+// SetCompletionWindow sets the value of CompletionWindow.
+func (s *Batch) SetCompletionWindow(val string) {
+	s.CompletionWindow = val
+}
+
+// SetStatus sets the value of Status.
+func (s *Batch) SetStatus(val BatchStatus) {
+	s.Status = val
+}
+
+// SetCreatedAt sets the value of CreatedAt.
+func (s *Batch) SetCreatedAt(val int64) {
+	s.CreatedAt = val
+}
+
+// SetExpiresAt sets the value of ExpiresAt.
+func (s *Batch) SetExpiresAt(val int64) {
+	s.ExpiresAt = val
+}
+
+// SetCompletedAt sets the value of CompletedAt.
+func (s *Batch) SetCompletedAt(val OptInt64) {
+	s.CompletedAt = val
+}
+
+// SetExpiredAt sets the value of ExpiredAt.
+func (s *Batch) SetExpiredAt(val OptInt64) {
+	s.ExpiredAt = val
+}
+
+// SetCancelledAt sets the value of CancelledAt.
+func (s *Batch) SetCancelledAt(val OptInt64) {
+	s.CancelledAt = val
+}
+
+// SetRequestCounts sets the value of RequestCounts.
+func (s *Batch) SetRequestCounts(val BatchCounts) {
+	s.RequestCounts = val
+}
+
+// SetMetadata sets the value of Metadata.
+func (s *Batch) SetMetadata(val OptBatchMetadata) {
+	s.Metadata = val
+}
+
+func (*Batch) cancelBatchRes() {}
+func (*Batch) createBatchRes() {}
+func (*Batch) getBatchRes()    {}
+
+// Ref: #/components/schemas/BatchCounts
+type BatchCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	// All items that ended without a response of success, outcome_unknown and expired included.
+	Failed         int    `json:"failed"`
+	OutcomeUnknown OptInt `json:"outcome_unknown"`
+	Expired        OptInt `json:"expired"`
+}
+
+// GetTotal returns the value of Total.
+func (s *BatchCounts) GetTotal() int {
+	return s.Total
+}
+
+// GetCompleted returns the value of Completed.
+func (s *BatchCounts) GetCompleted() int {
+	return s.Completed
+}
+
+// GetFailed returns the value of Failed.
+func (s *BatchCounts) GetFailed() int {
+	return s.Failed
+}
+
+// GetOutcomeUnknown returns the value of OutcomeUnknown.
+func (s *BatchCounts) GetOutcomeUnknown() OptInt {
+	return s.OutcomeUnknown
+}
+
+// GetExpired returns the value of Expired.
+func (s *BatchCounts) GetExpired() OptInt {
+	return s.Expired
+}
+
+// SetTotal sets the value of Total.
+func (s *BatchCounts) SetTotal(val int) {
+	s.Total = val
+}
+
+// SetCompleted sets the value of Completed.
+func (s *BatchCounts) SetCompleted(val int) {
+	s.Completed = val
+}
+
+// SetFailed sets the value of Failed.
+func (s *BatchCounts) SetFailed(val int) {
+	s.Failed = val
+}
+
+// SetOutcomeUnknown sets the value of OutcomeUnknown.
+func (s *BatchCounts) SetOutcomeUnknown(val OptInt) {
+	s.OutcomeUnknown = val
+}
+
+// SetExpired sets the value of Expired.
+func (s *BatchCounts) SetExpired(val OptInt) {
+	s.Expired = val
+}
+
+// Ref: #/components/schemas/BatchList
+type BatchList struct {
+	Object  BatchListObject `json:"object"`
+	Data    []Batch         `json:"data"`
+	FirstID OptString       `json:"first_id"`
+	LastID  OptString       `json:"last_id"`
+	HasMore bool            `json:"has_more"`
+}
+
+// GetObject returns the value of Object.
+func (s *BatchList) GetObject() BatchListObject {
+	return s.Object
+}
+
+// GetData returns the value of Data.
+func (s *BatchList) GetData() []Batch {
+	return s.Data
+}
+
+// GetFirstID returns the value of FirstID.
+func (s *BatchList) GetFirstID() OptString {
+	return s.FirstID
+}
+
+// GetLastID returns the value of LastID.
+func (s *BatchList) GetLastID() OptString {
+	return s.LastID
+}
+
+// GetHasMore returns the value of HasMore.
+func (s *BatchList) GetHasMore() bool {
+	return s.HasMore
+}
+
+// SetObject sets the value of Object.
+func (s *BatchList) SetObject(val BatchListObject) {
+	s.Object = val
+}
+
+// SetData sets the value of Data.
+func (s *BatchList) SetData(val []Batch) {
+	s.Data = val
+}
+
+// SetFirstID sets the value of FirstID.
+func (s *BatchList) SetFirstID(val OptString) {
+	s.FirstID = val
+}
+
+// SetLastID sets the value of LastID.
+func (s *BatchList) SetLastID(val OptString) {
+	s.LastID = val
+}
+
+// SetHasMore sets the value of HasMore.
+func (s *BatchList) SetHasMore(val bool) {
+	s.HasMore = val
+}
+
+func (*BatchList) listBatchesRes() {}
+
+type BatchListObject string
+
+const (
+	BatchListObjectList BatchListObject = "list"
+)
+
+// AllValues returns all BatchListObject values.
+func (BatchListObject) AllValues() []BatchListObject {
+	return []BatchListObject{
+		BatchListObjectList,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s BatchListObject) MarshalText() ([]byte, error) {
+	switch s {
+	case BatchListObjectList:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *BatchListObject) UnmarshalText(data []byte) error {
+	switch BatchListObject(data) {
+	case BatchListObjectList:
+		*s = BatchListObjectList
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+type BatchMetadata map[string]string
+
+func (s *BatchMetadata) init() BatchMetadata {
+	m := *s
+	if m == nil {
+		m = map[string]string{}
+		*s = m
+	}
+	return m
+}
+
+type BatchObject string
+
+const (
+	BatchObjectBatch BatchObject = "batch"
+)
+
+// AllValues returns all BatchObject values.
+func (BatchObject) AllValues() []BatchObject {
+	return []BatchObject{
+		BatchObjectBatch,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s BatchObject) MarshalText() ([]byte, error) {
+	switch s {
+	case BatchObjectBatch:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *BatchObject) UnmarshalText(data []byte) error {
+	switch BatchObject(data) {
+	case BatchObjectBatch:
+		*s = BatchObjectBatch
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
+type BatchStatus string
+
+const (
+	BatchStatusValidating BatchStatus = "validating"
+	BatchStatusInProgress BatchStatus = "in_progress"
+	BatchStatusFinalizing BatchStatus = "finalizing"
+	BatchStatusCompleted  BatchStatus = "completed"
+	BatchStatusExpired    BatchStatus = "expired"
+	BatchStatusCancelling BatchStatus = "cancelling"
+	BatchStatusCancelled  BatchStatus = "cancelled"
+)
+
+// AllValues returns all BatchStatus values.
+func (BatchStatus) AllValues() []BatchStatus {
+	return []BatchStatus{
+		BatchStatusValidating,
+		BatchStatusInProgress,
+		BatchStatusFinalizing,
+		BatchStatusCompleted,
+		BatchStatusExpired,
+		BatchStatusCancelling,
+		BatchStatusCancelled,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s BatchStatus) MarshalText() ([]byte, error) {
+	switch s {
+	case BatchStatusValidating:
+		return []byte(s), nil
+	case BatchStatusInProgress:
+		return []byte(s), nil
+	case BatchStatusFinalizing:
+		return []byte(s), nil
+	case BatchStatusCompleted:
+		return []byte(s), nil
+	case BatchStatusExpired:
+		return []byte(s), nil
+	case BatchStatusCancelling:
+		return []byte(s), nil
+	case BatchStatusCancelled:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *BatchStatus) UnmarshalText(data []byte) error {
+	switch BatchStatus(data) {
+	case BatchStatusValidating:
+		*s = BatchStatusValidating
+		return nil
+	case BatchStatusInProgress:
+		*s = BatchStatusInProgress
+		return nil
+	case BatchStatusFinalizing:
+		*s = BatchStatusFinalizing
+		return nil
+	case BatchStatusCompleted:
+		*s = BatchStatusCompleted
+		return nil
+	case BatchStatusExpired:
+		*s = BatchStatusExpired
+		return nil
+	case BatchStatusCancelling:
+		*s = BatchStatusCancelling
+		return nil
+	case BatchStatusCancelled:
+		*s = BatchStatusCancelled
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 type Bearer struct {
 	Token string
 	Roles []string
@@ -272,6 +701,67 @@
 	return m
 }
 
+// Ref: #/components/schemas/CreateBatchRequest
+type CreateBatchRequest struct {
+	InputFileID string `json:"input_file_id"`
+	// /v1/chat/completions, /v1/completions or /v1/services/SERVICE/OPERATION.
+	Endpoint string `json:"endpoint"`
+	// A duration such as 24h, from 1m to 168h.
+	CompletionWindow string                        `json:"completion_window"`
+	Metadata         OptCreateBatchRequestMetadata `json:"metadata"`
+}
+
+// GetInputFileID returns the value of InputFileID.
+func (s *CreateBatchRequest) GetInputFileID() string {
+	return s.InputFileID
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *CreateBatchRequest) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetCompletionWindow returns the value of CompletionWindow.
+func (s *CreateBatchRequest) GetCompletionWindow() string {
+	return s.CompletionWindow
+}
+
+// GetMetadata returns the value of Metadata.
+func (s *CreateBatchRequest) GetMetadata() OptCreateBatchRequestMetadata {
+	return s.Metadata
+}
+
+// SetInputFileID sets the value of InputFileID.
+func (s *CreateBatchRequest) SetInputFileID(val string) {
+	s.InputFileID = val
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *CreateBatchRequest) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetCompletionWindow sets the value of CompletionWindow.
+func (s *CreateBatchRequest) SetCompletionWindow(val string) {
+	s.CompletionWindow = val
+}
+
+// SetMetadata sets the value of Metadata.
+func (s *CreateBatchRequest) SetMetadata(val OptCreateBatchRequestMetadata) {
+	s.Metadata = val
+}
+
+type CreateBatchRequestMetadata map[string]string
+
+func (s *CreateBatchRequestMetadata) init() CreateBatchRequestMetadata {
+	m := *s
+	if m == nil {
+		m = map[string]string{}
+		*s = m
+	}
+	return m
+}
+
 type CreateChatCompletionOKApplicationJSON jx.Raw
 
 // CreateChatCompletionOKRawApplicationJSON represents raw HTTP response for CreateChatCompletion application/json.
@@ -562,9 +1052,75 @@
 	s.Response = val
 }
 
+func (*ErrorStatusCode) cancelBatchRes()     {}
+func (*ErrorStatusCode) createBatchRes()     {}
+func (*ErrorStatusCode) getBatchRes()        {}
+func (*ErrorStatusCode) listBatchesRes()     {}
 func (*ErrorStatusCode) listEntrypointsRes() {}
 func (*ErrorStatusCode) listModelsRes()      {}
 
+type GetBatchErrorsOK struct {
+	Data io.Reader
+}
+
+// Read reads data from the Data reader.
+//
+// Kept to satisfy the io.Reader interface.
+func (s GetBatchErrorsOK) Read(p []byte) (n int, err error) {
+	if s.Data == nil {
+		return 0, io.EOF
+	}
+	return s.Data.Read(p)
+}
+
+// GetBatchErrorsOKRawApplicationJsonl represents raw HTTP response for GetBatchErrors application/jsonl.
+type GetBatchErrorsOKRawApplicationJsonl struct {
+	Response *http.Response `json:"-"`
+}
+
+// GetResponse returns the value of Response.
+func (s *GetBatchErrorsOKRawApplicationJsonl) GetResponse() *http.Response {
+	return s.Response
+}
+
+// SetResponse sets the value of Response.
+func (s *GetBatchErrorsOKRawApplicationJsonl) SetResponse(val *http.Response) {
+	s.Response = val
+}
+
+func (*GetBatchErrorsOKRawApplicationJsonl) getBatchErrorsRes() {}
+
+type GetBatchOutputOK struct {
+	Data io.Reader
+}
+
+// Read reads data from the Data reader.
+//
+// Kept to satisfy the io.Reader interface.
+func (s GetBatchOutputOK) Read(p []byte) (n int, err error) {
+	if s.Data == nil {
+		return 0, io.EOF
+	}
+	return s.Data.Read(p)
+}
+
+// GetBatchOutputOKRawApplicationJsonl represents raw HTTP response for GetBatchOutput application/jsonl.
+type GetBatchOutputOKRawApplicationJsonl struct {
+	Response *http.Response `json:"-"`
+}
+
+// GetResponse returns the value of Response.
+func (s *GetBatchOutputOKRawApplicationJsonl) GetResponse() *http.Response {
+	return s.Response
+}
+
+// SetResponse sets the value of Response.
+func (s *GetBatchOutputOKRawApplicationJsonl) SetResponse(val *http.Response) {
+	s.Response = val
+}
+
+func (*GetBatchOutputOKRawApplicationJsonl) getBatchOutputRes() {}
+
 // Ref: #/components/schemas/Model
 type Model struct {
 	ID      string `json:"id"`
@@ -641,6 +1197,52 @@
 
 func (*ModelList) listModelsRes() {}
 
+// NewOptBatchMetadata returns new OptBatchMetadata with value set to v.
+func NewOptBatchMetadata(v BatchMetadata) OptBatchMetadata {
+	return OptBatchMetadata{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBatchMetadata is optional BatchMetadata.
+type OptBatchMetadata struct {
+	Value BatchMetadata
+	Set   bool
+}
+
+// IsSet returns true if OptBatchMetadata was set.
+func (o OptBatchMetadata) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBatchMetadata) Reset() {
+	var v BatchMetadata
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBatchMetadata) SetTo(v BatchMetadata) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBatchMetadata) Get() (v BatchMetadata, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBatchMetadata) Or(d BatchMetadata) BatchMetadata {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptBool returns new OptBool with value set to v.
 func NewOptBool(v bool) OptBool {
 	return OptBool{
@@ -687,6 +1289,98 @@
 	return d
 }
 
+// NewOptCreateBatchRequestMetadata returns new OptCreateBatchRequestMetadata with value set to v.
+func NewOptCreateBatchRequestMetadata(v CreateBatchRequestMetadata) OptCreateBatchRequestMetadata {
+	return OptCreateBatchRequestMetadata{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptCreateBatchRequestMetadata is optional CreateBatchRequestMetadata.
+type OptCreateBatchRequestMetadata struct {
+	Value CreateBatchRequestMetadata
+	Set   bool
+}
+
+// IsSet returns true if OptCreateBatchRequestMetadata was set.
+func (o OptCreateBatchRequestMetadata) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptCreateBatchRequestMetadata) Reset() {
+	var v CreateBatchRequestMetadata
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptCreateBatchRequestMetadata) SetTo(v CreateBatchRequestMetadata) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptCreateBatchRequestMetadata) Get() (v CreateBatchRequestMetadata, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptCreateBatchRequestMetadata) Or(d CreateBatchRequestMetadata) CreateBatchRequestMetadata {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt32 returns new OptInt32 with value set to v.
 func NewOptInt32(v int32) OptInt32 {
 	return OptInt32{
--- a/api/caller/oas_security_gen.go
+++ b/api/caller/oas_security_gen.go
@@ -35,8 +35,14 @@
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
 	CallServiceOperation:          []string{},
+	CancelBatchOperation:          []string{},
+	CreateBatchOperation:          []string{},
 	CreateChatCompletionOperation: []string{},
 	CreateCompletionOperation:     []string{},
+	GetBatchOperation:             []string{},
+	GetBatchErrorsOperation:       []string{},
+	GetBatchOutputOperation:       []string{},
+	ListBatchesOperation:          []string{},
 	ListEntrypointsOperation:      []string{},
 	ListModelsOperation:           []string{},
 }
--- a/api/caller/oas_server_gen.go
+++ b/api/caller/oas_server_gen.go
@@ -11,6 +11,27 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// CancelBatch implements cancelBatch operation.
+	//
+	// Cancels a job. No result is recorded after the response.
+	//
+	// POST /v1/batches/{batch_id}/cancel
+	CancelBatch(ctx context.Context, params CancelBatchParams) (CancelBatchRes, error)
+	// CreateBatch implements createBatch operation.
+	//
+	// Accepts a job. An equal submission, or one with the same Idempotency-Key, returns the job that
+	// exists.
+	//
+	// POST /v1/batches
+	CreateBatch(ctx context.Context, req *CreateBatchRequest, params CreateBatchParams) (CreateBatchRes, error)
+	// GetBatch implements getBatch operation.
+	//
+	// GET /v1/batches/{batch_id}
+	GetBatch(ctx context.Context, params GetBatchParams) (GetBatchRes, error)
+	// ListBatches implements listBatches operation.
+	//
+	// GET /v1/batches
+	ListBatches(ctx context.Context, params ListBatchesParams) (ListBatchesRes, error)
 	// ListEntrypoints implements listEntrypoints operation.
 	//
 	// GET /v1/entrypoints
@@ -35,6 +56,14 @@
 	//
 	// POST /v1/completions
 	CreateCompletion(ctx context.Context, req *CompletionRequest, params CreateCompletionParams, w http.ResponseWriter) error
+	// GetBatchErrors implements getBatchErrors operation.
+	//
+	// GET /v1/batches/{batch_id}/errors
+	GetBatchErrors(ctx context.Context, params GetBatchErrorsParams, w http.ResponseWriter) error
+	// GetBatchOutput implements getBatchOutput operation.
+	//
+	// GET /v1/batches/{batch_id}/output
+	GetBatchOutput(ctx context.Context, params GetBatchOutputParams, w http.ResponseWriter) error
 }
 
 // Server implements http server based on OpenAPI v3 specification and
--- a/api/caller/oas_validators_gen.go
+++ b/api/caller/oas_validators_gen.go
@@ -3,10 +3,136 @@
 package caller
 
 import (
+	"fmt"
+
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Batch) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Object.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "object",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := s.Status.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "status",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *BatchList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := s.Object.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "object",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Data == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Data {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "data",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s BatchListObject) Validate() error {
+	switch s {
+	case "list":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
+func (s BatchObject) Validate() error {
+	switch s {
+	case "batch":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
+func (s BatchStatus) Validate() error {
+	switch s {
+	case "validating":
+		return nil
+	case "in_progress":
+		return nil
+	case "finalizing":
+		return nil
+	case "completed":
+		return nil
+	case "expired":
+		return nil
+	case "cancelling":
+		return nil
+	case "cancelled":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *ChatCompletionRequest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -152,6 +278,139 @@
 	return nil
 }
 
+func (s *CreateBatchRequest) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     128,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.InputFileID)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "input_file_id",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     300,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Endpoint)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "endpoint",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     16,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.CompletionWindow)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "completion_window",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Metadata.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "metadata",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s CreateBatchRequestMetadata) Validate() error {
+	var failures []validate.FieldError
+	for key, elem := range s {
+		if err := func() error {
+			if err := (validate.String{
+				MinLength:     0,
+				MinLengthSet:  false,
+				MaxLength:     512,
+				MaxLengthSet:  true,
+				Email:         false,
+				Hostname:      false,
+				Regex:         nil,
+				MinNumeric:    0,
+				MinNumericSet: false,
+				MaxNumeric:    0,
+				MaxNumericSet: false,
+			}).Validate(string(elem)); err != nil {
+				return errors.Wrap(err, "string")
+			}
+			return nil
+		}(); err != nil {
+			failures = append(failures, validate.FieldError{
+				Name:  key,
+				Error: err,
+			})
+		}
+	}
+
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *EntrypointList) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -22,10 +22,18 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// CancelJob invokes cancelJob operation.
+	//
+	// POST /operator/v1/jobs/{job}/cancel
+	CancelJob(ctx context.Context, params CancelJobParams) (*Job, error)
 	// ExplainRequest invokes explainRequest operation.
 	//
 	// GET /operator/v1/decisions/{request_id}
 	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*DecisionList, error)
+	// GetJob invokes getJob operation.
+	//
+	// GET /operator/v1/jobs/{job}
+	GetJob(ctx context.Context, params GetJobParams) (*Job, error)
 	// GetStatus invokes getStatus operation.
 	//
 	// GET /operator/v1/status
@@ -34,6 +42,10 @@
 	//
 	// GET /operator/v1/bundles
 	ListBundles(ctx context.Context) (*BundleList, error)
+	// ListJobs invokes listJobs operation.
+	//
+	// GET /operator/v1/jobs
+	ListJobs(ctx context.Context, params ListJobsParams) (*JobList, error)
 	// RollBundle invokes rollBundle operation.
 	//
 	// POST /operator/v1/bundles
@@ -81,6 +93,99 @@
 	return u
 }
 
+// CancelJob invokes cancelJob operation.
+//
+// POST /operator/v1/jobs/{job}/cancel
+func (c *Client) CancelJob(ctx context.Context, params CancelJobParams) (*Job, error) {
+	res, err := c.sendCancelJob(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendCancelJob(ctx context.Context, params CancelJobParams) (res *Job, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/operator/v1/jobs/"
+	{
+		// Encode "job" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "job",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Job))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/cancel"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, CancelJobOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeCancelJobResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ExplainRequest invokes explainRequest operation.
 //
 // GET /operator/v1/decisions/{request_id}
@@ -173,6 +278,98 @@
 	return result, nil
 }
 
+// GetJob invokes getJob operation.
+//
+// GET /operator/v1/jobs/{job}
+func (c *Client) GetJob(ctx context.Context, params GetJobParams) (*Job, error) {
+	res, err := c.sendGetJob(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetJob(ctx context.Context, params GetJobParams) (res *Job, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/operator/v1/jobs/"
+	{
+		// Encode "job" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "job",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Job))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetJobOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetJobResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetStatus invokes getStatus operation.
 //
 // GET /operator/v1/status
@@ -321,6 +518,117 @@
 	return result, nil
 }
 
+// ListJobs invokes listJobs operation.
+//
+// GET /operator/v1/jobs
+func (c *Client) ListJobs(ctx context.Context, params ListJobsParams) (*JobList, error) {
+	res, err := c.sendListJobs(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendListJobs(ctx context.Context, params ListJobsParams) (res *JobList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/operator/v1/jobs"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "after" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.After.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "limit" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "limit",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Limit.Get(); ok {
+				return e.EncodeValue(conv.Int32ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, ListJobsOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListJobsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // RollBundle invokes rollBundle operation.
 //
 // POST /operator/v1/bundles
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -28,6 +28,145 @@
 
 func recordError(string, error) {}
 
+// handleCancelJobRequest handles cancelJob operation.
+//
+// POST /operator/v1/jobs/{job}/cancel
+func (s *Server) handleCancelJobRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: CancelJobOperation,
+			ID:   "cancelJob",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, CancelJobOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeCancelJobParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Job
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    CancelJobOperation,
+			OperationSummary: "",
+			OperationID:      "cancelJob",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "job",
+					In:   "path",
+				}: params.Job,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = CancelJobParams
+			Response = *Job
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackCancelJobParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.CancelJob(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.CancelJob(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeCancelJobResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleExplainRequestRequest handles explainRequest operation.
 //
 // GET /operator/v1/decisions/{request_id}
@@ -167,6 +306,145 @@
 	}
 }
 
+// handleGetJobRequest handles getJob operation.
+//
+// GET /operator/v1/jobs/{job}
+func (s *Server) handleGetJobRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetJobOperation,
+			ID:   "getJob",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetJobOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetJobParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Job
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetJobOperation,
+			OperationSummary: "",
+			OperationID:      "getJob",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "job",
+					In:   "path",
+				}: params.Job,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetJobParams
+			Response = *Job
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetJobParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetJob(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetJob(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetJobResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetStatusRequest handles getStatus operation.
 //
 // GET /operator/v1/status
@@ -415,6 +693,149 @@
 	}
 }
 
+// handleListJobsRequest handles listJobs operation.
+//
+// GET /operator/v1/jobs
+func (s *Server) handleListJobsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListJobsOperation,
+			ID:   "listJobs",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, ListJobsOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeListJobsParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *JobList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListJobsOperation,
+			OperationSummary: "",
+			OperationID:      "listJobs",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "after",
+					In:   "query",
+				}: params.After,
+				{
+					Name: "limit",
+					In:   "query",
+				}: params.Limit,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ListJobsParams
+			Response = *JobList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackListJobsParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListJobs(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListJobs(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListJobsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleRollBundleRequest handles rollBundle operation.
 //
 // POST /operator/v1/bundles
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -1111,6 +1111,447 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Job) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Job) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("caller")
+		e.Str(s.Caller)
+	}
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("file")
+		e.Str(s.File)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("shard")
+		e.Int(s.Shard)
+	}
+	{
+		e.FieldStart("items")
+		e.Int(s.Items)
+	}
+	{
+		e.FieldStart("completed")
+		e.Int(s.Completed)
+	}
+	{
+		e.FieldStart("failed")
+		e.Int(s.Failed)
+	}
+	{
+		e.FieldStart("unknown")
+		e.Int(s.Unknown)
+	}
+	{
+		e.FieldStart("expired")
+		e.Int(s.Expired)
+	}
+	{
+		e.FieldStart("created")
+		json.EncodeDateTime(e, s.Created)
+	}
+	{
+		e.FieldStart("deadline")
+		json.EncodeDateTime(e, s.Deadline)
+	}
+	{
+		if s.Finished.Set {
+			e.FieldStart("finished")
+			s.Finished.Encode(e, json.EncodeDateTime)
+		}
+	}
+}
+
+var jsonFieldsNameOfJob = [14]string{
+	0:  "id",
+	1:  "caller",
+	2:  "endpoint",
+	3:  "file",
+	4:  "state",
+	5:  "shard",
+	6:  "items",
+	7:  "completed",
+	8:  "failed",
+	9:  "unknown",
+	10: "expired",
+	11: "created",
+	12: "deadline",
+	13: "finished",
+}
+
+// Decode decodes Job from json.
+func (s *Job) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Job to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "caller":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Caller = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"caller\"")
+			}
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "file":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.File = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"file\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "shard":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int()
+				s.Shard = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"shard\"")
+			}
+		case "items":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int()
+				s.Items = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"items\"")
+			}
+		case "completed":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int()
+				s.Completed = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completed\"")
+			}
+		case "failed":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.Failed = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"failed\"")
+			}
+		case "unknown":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Unknown = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unknown\"")
+			}
+		case "expired":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Expired = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"expired\"")
+			}
+		case "created":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Created = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"created\"")
+			}
+		case "deadline":
+			requiredBitSet[1] |= 1 << 4
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Deadline = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"deadline\"")
+			}
+		case "finished":
+			if err := func() error {
+				s.Finished.Reset()
+				if err := s.Finished.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"finished\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Job")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfJob) {
+					name = jsonFieldsNameOfJob[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Job) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Job) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *JobList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *JobList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("jobs")
+		e.ArrStart()
+		for _, elem := range s.Jobs {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("more")
+		e.Bool(s.More)
+	}
+}
+
+var jsonFieldsNameOfJobList = [2]string{
+	0: "jobs",
+	1: "more",
+}
+
+// Decode decodes JobList from json.
+func (s *JobList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode JobList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "jobs":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Jobs = make([]Job, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Job
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Jobs = append(s.Jobs, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"jobs\"")
+			}
+		case "more":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.More = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"more\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode JobList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfJobList) {
+					name = jsonFieldsNameOfJobList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *JobList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *JobList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes time.Time as json.
 func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
 	if !o.Set {
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -6,8 +6,11 @@
 type OperationName = string
 
 const (
+	CancelJobOperation      OperationName = "CancelJob"
 	ExplainRequestOperation OperationName = "ExplainRequest"
+	GetJobOperation         OperationName = "GetJob"
 	GetStatusOperation      OperationName = "GetStatus"
 	ListBundlesOperation    OperationName = "ListBundles"
+	ListJobsOperation       OperationName = "ListJobs"
 	RollBundleOperation     OperationName = "RollBundle"
 )
--- a/api/operator/oas_parameters_gen.go
+++ b/api/operator/oas_parameters_gen.go
@@ -14,6 +14,91 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// CancelJobParams is parameters of cancelJob operation.
+type CancelJobParams struct {
+	Job string
+}
+
+func unpackCancelJobParams(packed middleware.Parameters) (params CancelJobParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "job",
+			In:   "path",
+		}
+		params.Job = packed[key].(string)
+	}
+	return params
+}
+
+func decodeCancelJobParams(args [1]string, argsEscaped bool, r *http.Request) (params CancelJobParams, _ error) {
+	// Decode path: job.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "job",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Job = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Job)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "job",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ExplainRequestParams is parameters of explainRequest operation.
 type ExplainRequestParams struct {
 	RequestID string
@@ -98,3 +183,261 @@
 	}
 	return params, nil
 }
+
+// GetJobParams is parameters of getJob operation.
+type GetJobParams struct {
+	Job string
+}
+
+func unpackGetJobParams(packed middleware.Parameters) (params GetJobParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "job",
+			In:   "path",
+		}
+		params.Job = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetJobParams(args [1]string, argsEscaped bool, r *http.Request) (params GetJobParams, _ error) {
+	// Decode path: job.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "job",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Job = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Job)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "job",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// ListJobsParams is parameters of listJobs operation.
+type ListJobsParams struct {
+	// Job behind which the page starts.
+	After OptString `json:",omitempty,omitzero"`
+	Limit OptInt32  `json:",omitempty,omitzero"`
+}
+
+func unpackListJobsParams(packed middleware.Parameters) (params ListJobsParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "after",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.After = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "limit",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Limit = v.(OptInt32)
+		}
+	}
+	return params
+}
+
+func decodeListJobsParams(args [0]string, argsEscaped bool, r *http.Request) (params ListJobsParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: after.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "after",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotAfterVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotAfterVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.After.SetTo(paramsDotAfterVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.After.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     128,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "after",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Set default value for query: limit.
+	{
+		val := int32(50)
+		params.Limit.SetTo(val)
+	}
+	// Decode query: limit.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "limit",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotLimitVal int32
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt32(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotLimitVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Limit.SetTo(paramsDotLimitVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Limit.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           1,
+							MaxSet:        true,
+							Max:           50,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "limit",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/api/operator/oas_response_decoders_gen.go
+++ b/api/operator/oas_response_decoders_gen.go
@@ -13,6 +13,89 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func decodeCancelJobResponse(resp *http.Response) (res *Job, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Job
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeExplainRequestResponse(resp *http.Response) (res *DecisionList, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -105,6 +188,89 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetJobResponse(resp *http.Response) (res *Job, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Job
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetStatusResponse(resp *http.Response) (res *Status, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -289,6 +455,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListJobsResponse(resp *http.Response) (res *JobList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response JobList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeRollBundleResponse(resp *http.Response) (res *BundleSummary, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -10,6 +10,19 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeCancelJobResponse(response *Job, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeExplainRequestResponse(response *DecisionList, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -23,6 +36,19 @@
 	return nil
 }
 
+func encodeGetJobResponse(response *Job, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetStatusResponse(response *Status, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -49,6 +75,19 @@
 	return nil
 }
 
+func encodeListJobsResponse(response *JobList, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeRollBundleResponse(response *BundleSummary, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -11,14 +11,23 @@
 )
 
 var (
-	rn5AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"GET":  "Authorization",
 		"POST": "Authorization,Content-Type",
 	}
+	rn6AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
+	rn9AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 	rn2AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn4AllowedHeaders = map[string]string{
+	rn3AllowedHeaders = map[string]string{
+		"POST": "Authorization",
+	}
+	rn7AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 )
@@ -92,7 +101,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,POST",
-							allowedHeaders: rn5AllowedHeaders,
+							allowedHeaders: rn8AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -128,7 +137,31 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn2AllowedHeaders,
+							allowedHeaders: rn6AllowedHeaders,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
+			case 'j': // Prefix: "jobs"
+
+				if l := len("jobs"); len(elem) >= l && elem[0:l] == "jobs" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListJobsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -136,6 +169,72 @@
 
 					return
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "job"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleGetJobRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn2AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/cancel"
+
+						if l := len("/cancel"); len(elem) >= l && elem[0:l] == "/cancel" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "POST":
+								s.handleCancelJobRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "POST",
+									allowedHeaders: rn3AllowedHeaders,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				}
 
 			case 's': // Prefix: "status"
 
@@ -153,7 +252,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn4AllowedHeaders,
+							allowedHeaders: rn7AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -330,6 +429,92 @@
 					}
 				}
 
+			case 'j': // Prefix: "jobs"
+
+				if l := len("jobs"); len(elem) >= l && elem[0:l] == "jobs" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListJobsOperation
+						r.summary = ""
+						r.operationID = "listJobs"
+						r.operationGroup = ""
+						r.pathPattern = "/operator/v1/jobs"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "job"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = GetJobOperation
+							r.summary = ""
+							r.operationID = "getJob"
+							r.operationGroup = ""
+							r.pathPattern = "/operator/v1/jobs/{job}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/cancel"
+
+						if l := len("/cancel"); len(elem) >= l && elem[0:l] == "/cancel" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "POST":
+								r.name = CancelJobOperation
+								r.summary = ""
+								r.operationID = "cancelJob"
+								r.operationGroup = ""
+								r.pathPattern = "/operator/v1/jobs/{job}/cancel"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -370,6 +370,190 @@
 	s.Generation = val
 }
 
+// Ref: #/components/schemas/Job
+type Job struct {
+	ID        string      `json:"id"`
+	Caller    string      `json:"caller"`
+	Endpoint  string      `json:"endpoint"`
+	File      string      `json:"file"`
+	State     string      `json:"state"`
+	Shard     int         `json:"shard"`
+	Items     int         `json:"items"`
+	Completed int         `json:"completed"`
+	Failed    int         `json:"failed"`
+	Unknown   int         `json:"unknown"`
+	Expired   int         `json:"expired"`
+	Created   time.Time   `json:"created"`
+	Deadline  time.Time   `json:"deadline"`
+	Finished  OptDateTime `json:"finished"`
+}
+
+// GetID returns the value of ID.
+func (s *Job) GetID() string {
+	return s.ID
+}
+
+// GetCaller returns the value of Caller.
+func (s *Job) GetCaller() string {
+	return s.Caller
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Job) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetFile returns the value of File.
+func (s *Job) GetFile() string {
+	return s.File
+}
+
+// GetState returns the value of State.
+func (s *Job) GetState() string {
+	return s.State
+}
+
+// GetShard returns the value of Shard.
+func (s *Job) GetShard() int {
+	return s.Shard
+}
+
+// GetItems returns the value of Items.
+func (s *Job) GetItems() int {
+	return s.Items
+}
+
+// GetCompleted returns the value of Completed.
+func (s *Job) GetCompleted() int {
+	return s.Completed
+}
+
+// GetFailed returns the value of Failed.
+func (s *Job) GetFailed() int {
+	return s.Failed
+}
+
+// GetUnknown returns the value of Unknown.
+func (s *Job) GetUnknown() int {
+	return s.Unknown
+}
+
+// GetExpired returns the value of Expired.
+func (s *Job) GetExpired() int {
+	return s.Expired
+}
+
+// GetCreated returns the value of Created.
+func (s *Job) GetCreated() time.Time {
+	return s.Created
+}
+
+// GetDeadline returns the value of Deadline.
+func (s *Job) GetDeadline() time.Time {
+	return s.Deadline
+}
+
+// GetFinished returns the value of Finished.
+func (s *Job) GetFinished() OptDateTime {
+	return s.Finished
+}
+
+// SetID sets the value of ID.
+func (s *Job) SetID(val string) {
+	s.ID = val
+}
+
+// SetCaller sets the value of Caller.
+func (s *Job) SetCaller(val string) {
+	s.Caller = val
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Job) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetFile sets the value of File.
+func (s *Job) SetFile(val string) {
+	s.File = val
+}
+
+// SetState sets the value of State.
+func (s *Job) SetState(val string) {
+	s.State = val
+}
+
+// SetShard sets the value of Shard.
+func (s *Job) SetShard(val int) {
+	s.Shard = val
+}
+
+// SetItems sets the value of Items.
+func (s *Job) SetItems(val int) {
+	s.Items = val
+}
+
+// SetCompleted sets the value of Completed.
+func (s *Job) SetCompleted(val int) {
+	s.Completed = val
+}
+
+// SetFailed sets the value of Failed.
+func (s *Job) SetFailed(val int) {
+	s.Failed = val
+}
+
+// SetUnknown sets the value of Unknown.
+func (s *Job) SetUnknown(val int) {
+	s.Unknown = val
+}
+
+// SetExpired sets the value of Expired.
+func (s *Job) SetExpired(val int) {
+	s.Expired = val
+}
+
+// SetCreated sets the value of Created.
+func (s *Job) SetCreated(val time.Time) {
+	s.Created = val
+}
+
+// SetDeadline sets the value of Deadline.
+func (s *Job) SetDeadline(val time.Time) {
+	s.Deadline = val
+}
+
+// SetFinished sets the value of Finished.
+func (s *Job) SetFinished(val OptDateTime) {
+	s.Finished = val
+}
+
+// Ref: #/components/schemas/JobList
+type JobList struct {
+	Jobs []Job `json:"jobs"`
+	More bool  `json:"more"`
+}
+
+// GetJobs returns the value of Jobs.
+func (s *JobList) GetJobs() []Job {
+	return s.Jobs
+}
+
+// GetMore returns the value of More.
+func (s *JobList) GetMore() bool {
+	return s.More
+}
+
+// SetJobs sets the value of Jobs.
+func (s *JobList) SetJobs(val []Job) {
+	s.Jobs = val
+}
+
+// SetMore sets the value of More.
+func (s *JobList) SetMore(val bool) {
+	s.More = val
+}
+
 // NewOptDateTime returns new OptDateTime with value set to v.
 func NewOptDateTime(v time.Time) OptDateTime {
 	return OptDateTime{
@@ -462,6 +646,52 @@
 	return d
 }
 
+// NewOptInt32 returns new OptInt32 with value set to v.
+func NewOptInt32(v int32) OptInt32 {
+	return OptInt32{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt32 is optional int32.
+type OptInt32 struct {
+	Value int32
+	Set   bool
+}
+
+// IsSet returns true if OptInt32 was set.
+func (o OptInt32) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt32) Reset() {
+	var v int32
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt32) SetTo(v int32) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt32) Get() (v int32, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt32) Or(d int32) int32 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
--- a/api/operator/oas_security_gen.go
+++ b/api/operator/oas_security_gen.go
@@ -34,9 +34,12 @@
 
 // operationRolesBearer is a private map storing roles per operation.
 var operationRolesBearer = map[string][]string{
+	CancelJobOperation:      []string{},
 	ExplainRequestOperation: []string{},
+	GetJobOperation:         []string{},
 	GetStatusOperation:      []string{},
 	ListBundlesOperation:    []string{},
+	ListJobsOperation:       []string{},
 	RollBundleOperation:     []string{},
 }
 
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -8,10 +8,18 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// CancelJob implements cancelJob operation.
+	//
+	// POST /operator/v1/jobs/{job}/cancel
+	CancelJob(ctx context.Context, params CancelJobParams) (*Job, error)
 	// ExplainRequest implements explainRequest operation.
 	//
 	// GET /operator/v1/decisions/{request_id}
 	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*DecisionList, error)
+	// GetJob implements getJob operation.
+	//
+	// GET /operator/v1/jobs/{job}
+	GetJob(ctx context.Context, params GetJobParams) (*Job, error)
 	// GetStatus implements getStatus operation.
 	//
 	// GET /operator/v1/status
@@ -20,6 +28,10 @@
 	//
 	// GET /operator/v1/bundles
 	ListBundles(ctx context.Context) (*BundleList, error)
+	// ListJobs implements listJobs operation.
+	//
+	// GET /operator/v1/jobs
+	ListJobs(ctx context.Context, params ListJobsParams) (*JobList, error)
 	// RollBundle implements rollBundle operation.
 	//
 	// POST /operator/v1/bundles
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -179,6 +179,29 @@
 	return nil
 }
 
+func (s *JobList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Jobs == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "jobs",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *RollRequest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/cmd/eelgrassctl/main.go
+++ b/cmd/eelgrassctl/main.go
@@ -13,6 +13,7 @@
 
 	"eelgrassproxy.example/cmd/eelgrassctl/bundlecmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/democmd"
+	"eelgrassproxy.example/cmd/eelgrassctl/jobcmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/operatorcmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/standincmd"
 	"eelgrassproxy.example/node/version"
@@ -29,6 +30,7 @@
   bundle    check, compare, sign and roll bundles
   status    show the fleet as an instance sees it
   explain   print the decisions about a request
+  job       list, show and cancel batch jobs
   demo      run a whole sample fleet in one process on loopback
   standin   run one stand-in of the platform or of a target
   version   print the version
@@ -56,6 +58,8 @@
 		return operatorcmd.Status(ctx, args[1:], stdout, stderr)
 	case "explain":
 		return operatorcmd.Explain(ctx, args[1:], stdout, stderr)
+	case "job":
+		return jobcmd.Run(ctx, args[1:], stdout, stderr)
 	case "demo":
 		return democmd.Run(ctx, args[1:], stdout, stderr)
 	case "standin":
--- a/cmd/eelgrassctl/operatorcmd/operatorcmd.go
+++ b/cmd/eelgrassctl/operatorcmd/operatorcmd.go
@@ -35,28 +35,29 @@
 	return operator.Bearer{Token: string(t)}, nil
 }
 
-// connection holds the flags that all commands share.
-type connection struct {
+// Connection holds the flags that all commands share which call an instance's operators' listener.
+type Connection struct {
 	flags     *flag.FlagSet
 	address   *string
 	tokenFile *string
 }
 
-func newConnection(name, arguments string, stderr io.Writer) *connection {
+// NewConnection returns the flags of the named command. arguments is the text of its arguments in the usage line.
+func NewConnection(name, arguments string, stderr io.Writer) *Connection {
 	flags := flag.NewFlagSet("eelgrassctl "+name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() {
 		fmt.Fprintf(stderr, "usage: eelgrassctl %s [-address URL] -token-file FILE%s\n", name, arguments)
 		flags.PrintDefaults()
 	}
-	return &connection{
+	return &Connection{
 		flags:     flags,
 		address:   flags.String("address", DefaultAddress, "URL of an instance's operators' listener"),
 		tokenFile: flags.String("token-file", "", "file with the operator's bearer token (required)"),
 	}
 }
 
-func (c *connection) client() (*operator.Client, error) {
+func (c *Connection) client() (*operator.Client, error) {
 	raw, err := os.ReadFile(*c.tokenFile)
 	if err != nil {
 		return nil, fmt.Errorf("-token-file: %w", err)
@@ -64,8 +65,11 @@
 	return operator.NewClient(*c.address, token(strings.TrimSpace(string(raw))))
 }
 
-// run parses the arguments and calls do with a client; it returns the exit code.
-func (c *connection) run(ctx context.Context, args []string, count int, stderr io.Writer, do func(context.Context, *operator.Client) error) int {
+// Arg returns an argument behind the flags; call it in the do of Run.
+func (c *Connection) Arg(i int) string { return c.flags.Arg(i) }
+
+// Run parses the arguments, of which count must follow the flags, and calls do with a client; it returns the exit code.
+func (c *Connection) Run(ctx context.Context, args []string, count int, stderr io.Writer, do func(context.Context, *operator.Client) error) int {
 	if err := c.flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return exitOK
@@ -99,8 +103,8 @@
 
 // Status runs "eelgrassctl status".
 func Status(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	c := newConnection("status", "", stderr)
-	return c.run(ctx, args, 0, stderr, func(ctx context.Context, client *operator.Client) error {
+	c := NewConnection("status", "", stderr)
+	return c.Run(ctx, args, 0, stderr, func(ctx context.Context, client *operator.Client) error {
 		status, err := client.GetStatus(ctx)
 		if err != nil {
 			return err
@@ -130,9 +134,9 @@
 
 // Explain runs "eelgrassctl explain REQUEST-ID".
 func Explain(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	c := newConnection("explain", " REQUEST-ID", stderr)
-	return c.run(ctx, args, 1, stderr, func(ctx context.Context, client *operator.Client) error {
-		list, err := client.ExplainRequest(ctx, operator.ExplainRequestParams{RequestID: c.flags.Arg(0)})
+	c := NewConnection("explain", " REQUEST-ID", stderr)
+	return c.Run(ctx, args, 1, stderr, func(ctx context.Context, client *operator.Client) error {
+		list, err := client.ExplainRequest(ctx, operator.ExplainRequestParams{RequestID: c.Arg(0)})
 		if err != nil {
 			return err
 		}
--- a/node/batch/runner_test.go
+++ b/node/batch/runner_test.go
@@ -141,9 +141,9 @@
 // Guards against jobs that stay open for ever: items that are not run by the deadline, or whose bodies are lost, end as expired.
 func TestItemsNotRunByTheDeadlineExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSingle(t, func(_ context.Context, item batch.Item) batch.ItemOutcome {
+		s := newSingle(t, func(ctx context.Context, item batch.Item) batch.ItemOutcome {
 			if item.Index < 10 {
-				return instant(nil, item)
+				return instant(ctx, item)
 			}
 			return batch.ItemOutcome{Kind: core.AttemptNotRun, Reason: "no target"}
 		}, batch.Config{})
