--- /dev/null
+++ b/node/entry/batches.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/api/caller"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/jobs"
+	"eelgrassproxy.example/node/problem"
+)
+
+// Batches is the jobs of callers; jobs.Service implements it.
+type Batches interface {
+	Create(ctx context.Context, caller fleet.CallerID, submission batch.Submission) (jobs.View, error)
+	Get(ctx context.Context, caller fleet.CallerID, id batch.JobID) (jobs.View, error)
+	List(ctx context.Context, caller fleet.CallerID, after batch.JobID, limit int) (jobs.Page, error)
+	Cancel(ctx context.Context, caller fleet.CallerID, id batch.JobID) (jobs.View, error)
+	Output(ctx context.Context, caller fleet.CallerID, id batch.JobID, w io.Writer) error
+	Errors(ctx context.Context, caller fleet.CallerID, id batch.JobID, w io.Writer) error
+}
+
+// WithBatches makes the handler take jobs over uploaded files.
+func WithBatches(batches Batches, files jobs.Files) HandlerOption {
+	return func(h *Handler) { h.batches, h.files = batches, files }
+}
+
+const (
+	// batchIDPrefix precedes the id of a job in the caller API.
+	batchIDPrefix = "batch_"
+	// serviceEndpoint precedes the service and the operation in an endpoint.
+	serviceEndpoint = "/v1/services/"
+	// defaultPage is the number of jobs in a page unless the caller asks for another.
+	defaultPage = 20
+	// storeRetryAfter is the advice to callers while the store is down.
+	storeRetryAfter = 5 * time.Second
+)
+
+// CreateBatch implements caller.Handler.
+func (h *Handler) CreateBatch(ctx context.Context, req *caller.CreateBatchRequest, params caller.CreateBatchParams) (caller.CreateBatchRes, error) {
+	if h.batches == nil {
+		return nil, noBatches()
+	}
+	s := sessionOf(ctx)
+	window, err := time.ParseDuration(req.CompletionWindow)
+	if err != nil {
+		return nil, problem.NotRun(problem.CodeInvalidRequest, "completion_window %q is not a duration such as 24h", req.CompletionWindow)
+	}
+	repeatable, err := repeatableEndpoint(s, req.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	file, err := h.files.File(ctx, s.caller.ID, req.InputFileID)
+	if err != nil {
+		return nil, batchProblem(err)
+	}
+	view, err := h.batches.Create(ctx, s.caller.ID, batch.Submission{
+		FileID:         req.InputFileID,
+		Items:          file.Items,
+		Chunks:         file.Chunks,
+		Endpoint:       req.Endpoint,
+		Repeatable:     repeatable,
+		Window:         window,
+		IdempotencyKey: params.IdempotencyKey.Or(""),
+		Metadata:       req.Metadata.Or(nil),
+	})
+	return batchResponse(view, err)
+}
+
+// repeatableEndpoint checks that the caller may use the endpoint and tells whether its items may run more than once.
+func repeatableEndpoint(s session, endpoint string) (bool, error) {
+	if endpoint == "/v1/chat/completions" || endpoint == "/v1/completions" {
+		return true, nil
+	}
+	name, isService := strings.CutPrefix(endpoint, serviceEndpoint)
+	service, operation, ok := strings.Cut(name, "/")
+	if !isService || !ok {
+		return false, problem.NotRun(problem.CodeInvalidRequest, "endpoint %q takes no batch jobs", endpoint)
+	}
+	_, found, err := s.bundle.Service(s.caller, service, operation)
+	if err != nil {
+		return false, resolveProblem(err, name)
+	}
+	return found.Idempotent, nil
+}
+
+// GetBatch implements caller.Handler.
+func (h *Handler) GetBatch(ctx context.Context, params caller.GetBatchParams) (caller.GetBatchRes, error) {
+	if h.batches == nil {
+		return nil, noBatches()
+	}
+	view, err := h.batches.Get(ctx, sessionOf(ctx).caller.ID, jobID(params.BatchID))
+	return batchResponse(view, err)
+}
+
+// CancelBatch implements caller.Handler.
+func (h *Handler) CancelBatch(ctx context.Context, params caller.CancelBatchParams) (caller.CancelBatchRes, error) {
+	if h.batches == nil {
+		return nil, noBatches()
+	}
+	view, err := h.batches.Cancel(ctx, sessionOf(ctx).caller.ID, jobID(params.BatchID))
+	return batchResponse(view, err)
+}
+
+// ListBatches implements caller.Handler.
+func (h *Handler) ListBatches(ctx context.Context, params caller.ListBatchesParams) (caller.ListBatchesRes, error) {
+	if h.batches == nil {
+		return nil, noBatches()
+	}
+	page, err := h.batches.List(ctx, sessionOf(ctx).caller.ID, jobID(params.After.Or("")), int(params.Limit.Or(defaultPage)))
+	if err != nil {
+		return nil, batchProblem(err)
+	}
+	list := &caller.BatchList{Object: caller.BatchListObjectList, Data: []caller.Batch{}, HasMore: page.More}
+	for _, job := range page.Jobs {
+		list.Data = append(list.Data, *batchOf(jobs.View{Job: job, Progress: job.Counts}))
+	}
+	if n := len(list.Data); n > 0 {
+		list.FirstID.SetTo(list.Data[0].ID)
+		list.LastID.SetTo(list.Data[n-1].ID)
+	}
+	return list, nil
+}
+
+// GetBatchOutput implements caller.RawHandler.
+func (h *Handler) GetBatchOutput(ctx context.Context, params caller.GetBatchOutputParams, w http.ResponseWriter) error {
+	if h.batches == nil {
+		return noBatches()
+	}
+	return streamLines(ctx, w, jobID(params.BatchID), h.batches.Output)
+}
+
+// GetBatchErrors implements caller.RawHandler.
+func (h *Handler) GetBatchErrors(ctx context.Context, params caller.GetBatchErrorsParams, w http.ResponseWriter) error {
+	if h.batches == nil {
+		return noBatches()
+	}
+	return streamLines(ctx, w, jobID(params.BatchID), h.batches.Errors)
+}
+
+// streamLines writes JSON lines. An error behind the first byte breaks the connection, so that the caller does not take the lines for all.
+func streamLines(ctx context.Context, w http.ResponseWriter, id batch.JobID, lines func(context.Context, fleet.CallerID, batch.JobID, io.Writer) error) error {
+	out := &startedWriter{to: w}
+	err := lines(ctx, sessionOf(ctx).caller.ID, id, out)
+	switch {
+	case err == nil:
+		out.start()
+		return nil
+	case !out.started:
+		return batchProblem(err)
+	}
+	klog.ErrorS(err, "Results of a batch job were not written to their end", "job", id)
+	panic(http.ErrAbortHandler)
+}
+
+// startedWriter sets the header before the first byte and remembers that it was written.
+type startedWriter struct {
+	to      http.ResponseWriter
+	started bool
+}
+
+func (w *startedWriter) start() {
+	if !w.started {
+		w.started = true
+		w.to.Header().Set("Content-Type", "application/jsonl")
+		w.to.WriteHeader(http.StatusOK)
+	}
+}
+
+// Write implements io.Writer.
+func (w *startedWriter) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	w.start()
+	return w.to.Write(p)
+}
+
+func jobID(batchID string) batch.JobID {
+	return batch.JobID(strings.TrimPrefix(batchID, batchIDPrefix))
+}
+
+func noBatches() error {
+	return problem.NotRun(problem.CodeNotReady, "this instance takes no batch jobs")
+}
+
+// batchProblem translates errors of jobs. An error of a read or of a refused submission says that nothing was accepted.
+func batchProblem(err error) error {
+	message := eris.Cause(err).Error()
+	switch {
+	case errors.Is(err, jobs.ErrInvalid):
+		return problem.NotRun(problem.CodeInvalidRequest, "%v", err)
+	case errors.Is(err, jobs.ErrNotFound), errors.Is(err, jobs.ErrFileNotFound):
+		return problem.NotRun(problem.CodeNotFound, "%s", message)
+	case errors.Is(err, jobs.ErrKeyMismatch):
+		return problem.NotRun(problem.CodeKeyMismatch, "%s", message)
+	case errors.Is(err, jobs.ErrFinished):
+		return problem.NotRun(problem.CodeJobEnded, "%s", message)
+	case errors.Is(err, jobs.ErrNotAccepted), errors.Is(err, jobs.ErrUnavailable):
+		return problem.NotRun(problem.CodeStoreUnavailable, "%s", message).After(storeRetryAfter)
+	case errors.Is(err, jobs.ErrUnconfirmed):
+		return problem.MayHaveRun(problem.CodeOutcomeUnknown, "%s", message).After(storeRetryAfter)
+	}
+	return err
+}
--- a/node/entry/handler.go
+++ b/node/entry/handler.go
@@ -13,6 +13,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/membership"
 	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/jobs"
 	"eelgrassproxy.example/node/problem"
 	"eelgrassproxy.example/node/request"
 )
@@ -28,16 +29,25 @@
 	dispatcher    Dispatcher
 	entrypointTTL time.Duration
 	failureDomain fleet.FailureDomain
+	batches       Batches // nil: this instance takes no jobs
+	files         jobs.Files
 }
 
+// HandlerOption changes a Handler under construction.
+type HandlerOption func(*Handler)
+
 var (
 	_ caller.Handler    = (*Handler)(nil)
 	_ caller.RawHandler = (*Handler)(nil)
 )
 
 // NewHandler returns a handler over the board. Callers keep the answer of listEntrypoints for the time to live.
-func NewHandler(board *blackboard.Board, dispatcher Dispatcher, failureDomain fleet.FailureDomain, entrypointTTL time.Duration) *Handler {
-	return &Handler{board: board, dispatcher: dispatcher, failureDomain: failureDomain, entrypointTTL: entrypointTTL}
+func NewHandler(board *blackboard.Board, dispatcher Dispatcher, failureDomain fleet.FailureDomain, entrypointTTL time.Duration, options ...HandlerOption) *Handler {
+	h := &Handler{board: board, dispatcher: dispatcher, failureDomain: failureDomain, entrypointTTL: entrypointTTL}
+	for _, option := range options {
+		option(h)
+	}
+	return h
 }
 
 // CreateChatCompletion implements caller.RawHandler.
--- /dev/null
+++ b/node/operations/jobs.go
@@ -0,0 +1,102 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/api/operator"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/node/jobs"
+)
+
+// Jobs is the jobs of all callers; jobs.Service implements it.
+type Jobs interface {
+	ListOpen(ctx context.Context, after batch.JobID, limit int) (jobs.Page, error)
+	Show(ctx context.Context, id batch.JobID) (jobs.View, error)
+	CancelAny(ctx context.Context, id batch.JobID) (jobs.View, error)
+}
+
+// errNoJobs is the answer of an instance without Jobs.
+var errNoJobs = eris.Wrap(ErrNotFound, "this instance knows no batch jobs")
+
+// ListJobs implements operator.Handler.
+func (h *Handler) ListJobs(ctx context.Context, params operator.ListJobsParams) (*operator.JobList, error) {
+	if h.Jobs == nil {
+		return nil, errNoJobs
+	}
+	page, err := h.Jobs.ListOpen(ctx, batch.JobID(params.After.Or("")), int(params.Limit.Or(jobs.MaxPage)))
+	if err != nil {
+		return nil, err
+	}
+	list := &operator.JobList{Jobs: []operator.Job{}, More: page.More}
+	for _, job := range page.Jobs {
+		list.Jobs = append(list.Jobs, *jobOf(jobs.View{Job: job, Progress: job.Counts}))
+	}
+	return list, nil
+}
+
+// GetJob implements operator.Handler.
+func (h *Handler) GetJob(ctx context.Context, params operator.GetJobParams) (*operator.Job, error) {
+	if h.Jobs == nil {
+		return nil, errNoJobs
+	}
+	view, err := h.Jobs.Show(ctx, batch.JobID(params.Job))
+	if err != nil {
+		return nil, err
+	}
+	return jobOf(view), nil
+}
+
+// CancelJob implements operator.Handler.
+func (h *Handler) CancelJob(ctx context.Context, params operator.CancelJobParams) (*operator.Job, error) {
+	if h.Jobs == nil {
+		return nil, errNoJobs
+	}
+	view, err := h.Jobs.CancelAny(ctx, batch.JobID(params.Job))
+	if err != nil {
+		return nil, err
+	}
+	return jobOf(view), nil
+}
+
+func jobOf(view jobs.View) *operator.Job {
+	out := &operator.Job{
+		ID:        string(view.ID),
+		Caller:    string(view.Caller),
+		Endpoint:  view.Endpoint,
+		File:      view.FileID,
+		State:     string(view.State),
+		Shard:     int(view.ID.Shard()),
+		Items:     view.Items,
+		Completed: view.Progress.Completed,
+		Failed:    view.Progress.Failed,
+		Unknown:   view.Progress.Unknown,
+		Expired:   view.Progress.Expired,
+		Created:   view.Created,
+		Deadline:  view.Deadline,
+	}
+	if !view.Finished.IsZero() {
+		out.Finished.SetTo(view.Finished)
+	}
+	return out
+}
+
+// describeJob fills in the answer for an error of jobs. It returns false for other errors.
+func describeJob(err error, out *operator.ErrorStatusCode) bool {
+	switch {
+	case errors.Is(err, jobs.ErrNotFound):
+		out.StatusCode, out.Response.Error.Code = http.StatusNotFound, "not_found"
+	case errors.Is(err, jobs.ErrFinished):
+		out.StatusCode, out.Response.Error.Code = http.StatusConflict, "job_ended"
+	case errors.Is(err, jobs.ErrUnavailable):
+		out.StatusCode, out.Response.Error.Code = http.StatusServiceUnavailable, "store_unavailable"
+	case errors.Is(err, jobs.ErrUnconfirmed):
+		out.StatusCode, out.Response.Error.Code = http.StatusBadGateway, "outcome_unknown"
+	default:
+		return false
+	}
+	return true
+}
--- a/node/operations/operations.go
+++ b/node/operations/operations.go
@@ -1,4 +1,5 @@
-// Package operations is the operators' listener: the state of the fleet, explained decisions, rolling of bundles, health and metrics.
+// Package operations is the operators' listener: the state of the fleet, explained decisions, rolling of bundles, jobs, health and
+// metrics.
 package operations
 
 import (
@@ -41,6 +42,7 @@
 	Store       kv.Store
 	Verifier    bundle.Verifier
 	Decisions   PeerDecisions
+	Jobs        Jobs     // nil: this instance answers no questions about jobs
 	TokenSHA256 []string // hexadecimal digests of accepted tokens
 }
 
@@ -145,7 +147,7 @@
 		out.StatusCode, out.Response.Error.Code = http.StatusBadRequest, "invalid_request"
 	case errors.Is(err, ErrUnavailable):
 		out.StatusCode, out.Response.Error.Code = http.StatusServiceUnavailable, "store_unavailable"
-	case describeRoll(err, out):
+	case describeRoll(err, out), describeJob(err, out):
 	default:
 		klog.ErrorS(err, "Operator call failed")
 	}
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -35,6 +35,7 @@
 	CodeIncompleteAnswer Code = "incomplete_answer"
 	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeTargetRejected   Code = "target_rejected"
+	CodeJobEnded         Code = "job_ended"
 	CodeInternal         Code = "internal"
 )
 
@@ -57,6 +58,7 @@
 	CodeIncompleteAnswer: http.StatusBadGateway,
 	CodeAnswerNotKept:    http.StatusConflict,
 	CodeTargetRejected:   http.StatusBadGateway,
+	CodeJobEnded:         http.StatusConflict,
 	CodeInternal:         http.StatusInternalServerError,
 }
 
