--- a/standin/experiments/env_test.go
+++ b/standin/experiments/env_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,9 +68,12 @@
 // capacity is the deployment's in requests per second.
 func (s setup) capacity() float64 { return Capacity(s.deployment.Replicas, s.engine) }
 
+// silenceLog drops the instances' log once, before any of them runs.
+var silenceLog = sync.OnceFunc(func() { klog.SetLogger(logr.Discard()) })
+
 // virtual runs play before a fleet that serves.
 func virtual(t *testing.T, s setup, play func(*run)) {
-	klog.SetLogger(logr.Discard())
+	silenceLog()
 	synctest.Test(t, func(t *testing.T) {
 		r := &run{T: t, setup: s, network: fleet.NewVirtual(s.deployment), attempts: NewAttempts()}
 		options := fleet.Options{
--- a/standin/experiments/pickers_test.go
+++ b/standin/experiments/pickers_test.go
@@ -74,16 +74,29 @@
 		l := bound(arrivals, s.deployment.Replicas, s.engine, push)
 		results.Add(atLoad(name, share), share*100, l.Ms(50), l.Ms(95), l.Ms(99), 0, 0, float64(l.Count()))
 	}
-	for _, v := range variants() {
-		started := time.Now()
-		s.router = v.router
-		virtual(t, s, func(r *run) {
-			outcomes := r.load(share, measure)
-			l := firstTokens(outcomes)
-			results.Add(atLoad(v.name, share), share*100, l.Ms(50), l.Ms(95), l.Ms(99), float64(failed(outcomes)), float64(r.violations(outcomes)), float64(len(outcomes)))
-		})
-		t.Logf("%s at %.0f %% took %v", v.name, share*100, time.Since(started).Round(10*time.Millisecond))
+	values := make([][]float64, len(variants()))
+	t.Run(fmt.Sprintf("load%.0f", share*100), func(t *testing.T) {
+		for i, v := range variants() {
+			own := s
+			own.router = v.router
+			t.Run(v.name, func(t *testing.T) {
+				t.Parallel()
+				values[i] = measurePicker(t, own, share)
+			})
+		}
+	})
+	for i, v := range variants() {
+		results.Add(atLoad(v.name, share), values[i]...)
 	}
 }
 
+func measurePicker(t *testing.T, s setup, share float64) (values []float64) {
+	virtual(t, s, func(r *run) {
+		outcomes := r.load(share, measure)
+		l := firstTokens(outcomes)
+		values = []float64{share * 100, l.Ms(50), l.Ms(95), l.Ms(99), float64(failed(outcomes)), float64(r.violations(outcomes)), float64(len(outcomes))}
+	})
+	return values
+}
+
 func atLoad(name string, share float64) string { return fmt.Sprintf("%s@%.0f", name, share*100) }
