--- a/standin/experiments/env_test.go
+++ b/standin/experiments/env_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
@@ -158,3 +159,38 @@
 	}
 	return n
 }
+
+// answeredP99 returns the p99 of the requests that were answered, in milliseconds.
+func answeredP99(outcomes []Outcome) float64 {
+	l := NewLatencies()
+	for _, o := range outcomes {
+		if o.FirstToken > 0 {
+			l.Record(o.FirstToken)
+		}
+	}
+	return l.Ms(99)
+}
+
+// logFailures logs how often each kind of failure came.
+func (r *run) logFailures(outcomes []Outcome) {
+	kinds := map[string]int{}
+	for _, o := range outcomes {
+		if o.Failed() {
+			kinds[fmt.Sprintf("%d %s told=%v %s %s", o.Status, o.Code, o.Told, tail(o.Message), short(o.Err))]++
+		}
+	}
+	for kind, n := range kinds {
+		r.Logf("%d failures: %s", n, kind)
+	}
+}
+
+// tail returns the end of a message, which has the reason of a refusal.
+func tail(message string) string { return message[max(0, len(message)-60):] }
+
+// short returns the end of an error's text, which has the cause.
+func short(err error) string {
+	if err == nil {
+		return ""
+	}
+	return tail(err.Error())
+}
--- a/standin/experiments/faults_test.go
+++ b/standin/experiments/faults_test.go
@@ -210,7 +210,6 @@
 
 func (r *run) faultRow(outcomes []Outcome, at time.Duration, keys []string) []float64 {
 	var before, later []Outcome
-	codes := map[string]int{}
 	notRun, told, none := 0, 0, 0
 	for _, o := range outcomes {
 		if o.At < at {
@@ -228,9 +227,8 @@
 		case o.Status == 0 || o.Err != nil:
 			none++
 		}
-		codes[fmt.Sprintf("%d %s told=%v %v", o.Status, o.Code, o.Told, short(o.Err))]++
 	}
-	r.Logf("failures: %v", codes)
+	r.logFailures(outcomes)
 	twice := 0
 	for _, key := range keys {
 		twice += max(r.fleet.Ledger.OfKey(key)-1, 0)
@@ -240,14 +238,6 @@
 		float64(r.violations(outcomes)), float64(twice), float64(len(outcomes))}
 }
 
-func short(err error) string {
-	if err == nil {
-		return ""
-	}
-	text := err.Error()
-	return text[max(0, len(text)-40):]
-}
-
 // recovery returns the seconds from the fault to the first window whose p99 and that of the next are within bounds, -1 if there is none.
 func recovery(outcomes []Outcome, at time.Duration, base float64) float64 {
 	good := 0
--- a/standin/experiments/outcome.go
+++ b/standin/experiments/outcome.go
@@ -17,6 +17,7 @@
 	Ended      time.Duration // from arrival
 	Status     int           // 0 when no status came
 	Code       string        // of the error
+	Message    string        // of the error
 	NotRun     bool
 	Whole      bool // the stream had its normal end
 	Told       bool // the stream ended with an error event
@@ -49,8 +50,9 @@
 
 type errorBody struct {
 	Error struct {
-		Code   string `json:"code"`
-		NotRun bool   `json:"not_run"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		NotRun  bool   `json:"not_run"`
 	} `json:"error"`
 }
 
@@ -95,6 +97,6 @@
 func (o *Outcome) refused(body []byte) {
 	var e errorBody
 	if json.Unmarshal(body, &e) == nil {
-		o.Code, o.NotRun = e.Error.Code, e.Error.NotRun
+		o.Code, o.Message, o.NotRun = e.Error.Code, e.Error.Message, e.Error.NotRun
 	}
 }
--- a/standin/experiments/overload_test.go
+++ b/standin/experiments/overload_test.go
@@ -42,7 +42,6 @@
 	outcomes := r.load(share, measure)
 	refusals, answers := NewLatencies(), NewLatencies()
 	good, answered, refused, late, other, falseNotRun, retries := 0, 0, 0, 0, 0, 0, 0
-	codes := map[string]int{}
 	for _, o := range outcomes {
 		retries += max(r.attempts.Of(o.ID)-1, 0)
 		switch {
@@ -63,11 +62,8 @@
 		default:
 			other++
 		}
-		if !o.Whole {
-			codes[fmt.Sprintf("%d %s %v", o.Status, o.Code, o.Err)]++
-		}
 	}
-	r.Logf("failures at %.0f %%: %v", share*100, codes)
+	r.logFailures(outcomes)
 	n := float64(len(outcomes))
 	percent := func(k int) float64 { return 100 * float64(k) / n }
 	return []float64{share * 100, float64(good) / measure.Seconds(), 0, percent(answered), percent(refused), percent(other), refusals.Ms(50), refusals.Ms(99),
--- a/standin/experiments/pickers_test.go
+++ b/standin/experiments/pickers_test.go
@@ -55,7 +55,7 @@
 		for _, lag := range []time.Duration{250 * time.Millisecond, time.Second} {
 			name := fmt.Sprintf("pickers-%s-lag%dms", d.Name, lag.Milliseconds())
 			t.Run(name, func(t *testing.T) {
-				results := &Results{Experiment: name, Columns: []string{"load_%", "p50_ms", "p95_ms", "p99_ms", "failed", "violations", "requests"}}
+				results := &Results{Experiment: name, Columns: []string{"load_%", "p50_ms", "p95_ms", "p99_ms", "answered_p99_ms", "failed", "violations", "requests"}}
 				for _, share := range loadShares {
 					s := setup{deployment: d, engine: EngineOptions(lag), seed: 1}
 					comparePickers(t, s, share, results)
@@ -72,7 +72,7 @@
 	for _, push := range []bool{false, true} {
 		name := map[bool]string{false: "bound-pull", true: "bound-push"}[push]
 		l := bound(arrivals, s.deployment.Replicas, s.engine, push)
-		results.Add(atLoad(name, share), share*100, l.Ms(50), l.Ms(95), l.Ms(99), 0, 0, float64(l.Count()))
+		results.Add(atLoad(name, share), share*100, l.Ms(50), l.Ms(95), l.Ms(99), l.Ms(99), 0, 0, float64(l.Count()))
 	}
 	values := make([][]float64, len(variants()))
 	t.Run(fmt.Sprintf("load%.0f", share*100), func(t *testing.T) {
@@ -94,7 +94,8 @@
 	virtual(t, s, func(r *run) {
 		outcomes := r.load(share, measure)
 		l := firstTokens(outcomes)
-		values = []float64{share * 100, l.Ms(50), l.Ms(95), l.Ms(99), float64(failed(outcomes)), float64(r.violations(outcomes)), float64(len(outcomes))}
+		r.logFailures(outcomes)
+		values = []float64{share * 100, l.Ms(50), l.Ms(95), l.Ms(99), answeredP99(outcomes), float64(failed(outcomes)), float64(r.violations(outcomes)), float64(len(outcomes))}
 	})
 	return values
 }
--- a/standin/experiments/plot_test.go
+++ b/standin/experiments/plot_test.go
@@ -20,7 +20,7 @@
 
 // plotPickers draws the p99 of each row name over the load.
 func plotPickers(t *testing.T, r *Results) {
-	p99 := 3 // column
+	answeredP99 := 4 // column
 	var order []string
 	lines := map[string]plotter.XYs{}
 	for _, row := range r.Rows {
@@ -28,13 +28,13 @@
 		if lines[name] == nil {
 			order = append(order, name)
 		}
-		lines[name] = append(lines[name], plotter.XY{X: row.Values[0], Y: row.Values[p99]})
+		lines[name] = append(lines[name], plotter.XY{X: row.Values[0], Y: row.Values[answeredP99]})
 	}
 	var args []any
 	for _, name := range order {
 		args = append(args, name, lines[name])
 	}
-	draw(t, r.Experiment, "load in % of capacity", "first token p99 in ms", args)
+	draw(t, r.Experiment, "load in % of capacity", "first token p99 of answered requests in ms", args)
 }
 
 // draw writes lines with points as SVG if -plots is given; args are names and plotter.XYs in turn.
--- a/standin/fleet/roll.go
+++ b/standin/fleet/roll.go
@@ -20,9 +20,13 @@
 	return operator.Bearer{Token: OperatorToken}, nil
 }
 
+// idleTimeout closes idle connections of the fleet's clients. A silent connection would otherwise stay open for good.
+const idleTimeout = time.Minute
+
 // HTTPClient returns a client that dials as the named part.
 func (f *Fleet) HTTPClient(part string) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: f.Network.Dial(part), DisableCompression: true}}
+	transport := &http.Transport{DialContext: f.Network.Dial(part), DisableCompression: true, IdleConnTimeout: idleTimeout}
+	return &http.Client{Transport: transport}
 }
 
 // Operator returns a client of the instance's operators' listener.
