--- a/standin/experiments/bound_test.go
+++ b/standin/experiments/bound_test.go
@@ -43,7 +43,7 @@
 		switch {
 		case next < len(arrivals) && (e == nil || arrivals[next].At < e.until):
 			p.queue = append(p.queue, arrivals[next])
-			p.place(arrivals[next].At)
+			p.place(arrivals[next].At, nil)
 			next++
 		case e != nil:
 			p.finish(e, latencies)
@@ -63,23 +63,23 @@
 	return found
 }
 
-// place hands queued requests to engines with room.
-func (p *pooled) place(now time.Duration) {
+// place hands queued requests to engines with room and starts idle ones. ending is an engine that begins its next step right after.
+func (p *pooled) place(now time.Duration, ending *simulated) {
 	for len(p.queue) > 0 {
-		e := p.room(now)
+		e := p.room()
 		if e == nil {
 			return
 		}
 		e.waiting = append(e.waiting, p.queue[0])
 		p.queue = p.queue[1:]
-		if e.until == 0 {
+		if e != ending && e.until == 0 {
 			p.begin(e, now)
 		}
 	}
 }
 
 // room returns the least loaded engine that may take a request now. With pull, only an idle engine may.
-func (p *pooled) room(time.Duration) *simulated {
+func (p *pooled) room() *simulated {
 	var found *simulated
 	for _, e := range p.engines {
 		load := len(e.running) + len(e.waiting)
@@ -130,23 +130,7 @@
 	}
 	e.running = kept
 	if p.push {
-		e.until = now
-		p.placeAll(now, e)
+		p.place(now, e)
 	}
 	p.begin(e, now)
 }
-
-// placeAll places what waits before the engine begins its next step.
-func (p *pooled) placeAll(now time.Duration, ending *simulated) {
-	for len(p.queue) > 0 {
-		e := p.room(now)
-		if e == nil {
-			return
-		}
-		e.waiting = append(e.waiting, p.queue[0])
-		p.queue = p.queue[1:]
-		if e != ending && e.until == 0 {
-			p.begin(e, now)
-		}
-	}
-}
--- a/standin/experiments/env_test.go
+++ b/standin/experiments/env_test.go
@@ -23,6 +23,7 @@
 var (
 	enabled   = flag.Bool("experiments", false, "run the experiments")
 	outFolder = flag.String("out", "", "folder for the results as JSON, one file for each experiment")
+	baseline  = flag.String("baseline", "", "folder with earlier results to compare with")
 	plots     = flag.String("plots", "", "folder for plots as SVG")
 )
 
@@ -38,9 +39,19 @@
 	}
 }
 
-// report prints and saves the results of an experiment.
+// tolerance is the relative difference between two runs below which a figure counts as unchanged.
+const tolerance = 0.1
+
+// report prints and saves the results of an experiment, and prints what differs from the baseline.
 func report(t *testing.T, r *Results) {
 	require.NoError(t, r.Write(os.Stdout))
+	if *baseline != "" {
+		before, err := LoadResults(filepath.Join(*baseline, r.Experiment+".json"))
+		require.NoError(t, err)
+		for _, c := range Compare(before, r, tolerance) {
+			fmt.Printf("%s %s: %.5g before, %.5g now\n", c.Row, c.Column, c.Before, c.After)
+		}
+	}
 	if *outFolder != "" {
 		require.NoError(t, os.MkdirAll(*outFolder, 0o755))
 		require.NoError(t, r.Save(filepath.Join(*outFolder, r.Experiment+".json")))
--- a/standin/experiments/faults_test.go
+++ b/standin/experiments/faults_test.go
@@ -124,7 +124,7 @@
 func TestFaults(t *testing.T) {
 	needFlag(t)
 	results := &Results{Experiment: "faults", Columns: []string{
-		"p99_before_ms", "p99_after_ms", "recovery_s", "failed", "failed_not_run", "failed_told", "failed_no_answer", "violations", "ran_twice", "requests"}}
+		"p99_before_ms", "p99_after_ms", "recovery_s", "failed", "failed_not_run", "failed_told", "failed_no_answer", "violations", "ran_twice", "service_runs", "requests"}}
 	deployments := []fleet.Deployment{fleet.Draadwerk(), fleet.Norrsken()}
 	cases := faultCases()
 	values := make([][]float64, len(cases)*len(deployments))
@@ -235,7 +235,7 @@
 	}
 	base := firstTokens(before).Ms(99)
 	return []float64{base, firstTokens(later).Ms(99), recovery(outcomes, at, base), float64(failed(outcomes)), float64(notRun), float64(told), float64(none),
-		float64(r.violations(outcomes)), float64(twice), float64(len(outcomes))}
+		float64(r.violations(outcomes)), float64(twice), float64(len(r.fleet.Ledger.Executions())), float64(len(outcomes))}
 }
 
 // recovery returns the seconds from the fault to the first window whose p99 and that of the next are within bounds, -1 if there is none.
--- a/standin/experiments/results.go
+++ b/standin/experiments/results.go
@@ -57,7 +57,7 @@
 	return os.WriteFile(file, append(data, '\n'), 0o644)
 }
 
-// Load reads results that Save wrote.
+// LoadResults reads results that Save wrote.
 func LoadResults(file string) (*Results, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/standin/experiments/results_test.go
+++ b/standin/experiments/results_test.go
@@ -73,3 +73,16 @@
 		})
 	}
 }
+
+// Guards against a bound that loses requests, or is above what one idle engine needs.
+func TestBoundServesEachRequestAndAnIdleEngineAtOnce(t *testing.T) {
+	o := EngineOptions(0)
+	arrivals := Load{Seed: 3, Rate: 0.9 * Capacity(4, o), Duration: time.Minute}.Arrivals()
+	measured := len(arrivals) - slices.IndexFunc(arrivals, func(a Arrival) bool { return a.At >= warmUp })
+	for _, push := range []bool{false, true} {
+		require.EqualValues(t, measured, bound(arrivals, 4, o, push).Count())
+		single := []Arrival{{At: warmUp, Prompt: make([]string, 99), Tokens: 5}}
+		least := o.StepBase + o.StepPerSequence + 100*o.PrefillPerToken
+		require.InDelta(t, least.Seconds()*1000, bound(single, 4, o, push).Ms(50), 2.1)
+	}
+}
