--- a/cmd/eelgrassctl/democmd/democmd.go
+++ b/cmd/eelgrassctl/democmd/democmd.go
@@ -2,6 +2,7 @@
 package democmd
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -75,7 +76,11 @@
 	if err := prepare(ctx, f, folder); err != nil {
 		return err
 	}
-	printHelp(stdout, f, folder)
+	items, err := writeItems(folder, d.Model)
+	if err != nil {
+		return err
+	}
+	printHelp(stdout, f, folder, items)
 	<-ctx.Done()
 	return nil
 }
@@ -93,30 +98,46 @@
 	return f.AwaitReady(ctx)
 }
 
-func printHelp(out io.Writer, f *fleet.Fleet, folder string) {
+// sampleItems is the number of items of the sample batch.
+const sampleItems = 100
+
+// writeItems writes a batch file to try and returns its name.
+func writeItems(folder, model string) (string, error) {
+	var lines bytes.Buffer
+	for n := range sampleItems {
+		fmt.Fprintf(&lines, `{"custom_id":"ticket-%d","method":"POST","url":"/v1/chat/completions",`+
+			`"body":{"model":%q,"max_tokens":20,"messages":[{"role":"user","content":"Quote for repair ticket %d"}]}}`+"\n", n, model, n)
+	}
+	name := filepath.Join(folder, "items.jsonl")
+	return name, os.WriteFile(name, lines.Bytes(), 0o600)
+}
+
+func printHelp(out io.Writer, f *fleet.Fleet, folder, items string) {
 	first := f.Instances[0].Settings.Listen
-	fmt.Fprintf(out, `The %s sample fleet runs: %d instances, %d engines, settings and log in %s
+	fmt.Fprintf(out, `The %[1]s sample fleet runs: %[2]d instances, %[3]d engines, settings and log in %[4]s
 
 Stream an answer:
-  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'X-Request-Id: first' -H 'Content-Type: application/json' \
-    -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which plug fits a two-core flex?"}]}'
+  curl -N http://%[5]s/v1/chat/completions -H 'Authorization: Bearer %[6]s' -H 'X-Request-Id: first' -H 'Content-Type: application/json' \
+    -d '{"model":"%[7]s","stream":true,"messages":[{"role":"user","content":"Which plug fits a two-core flex?"}]}'
 
 Call a service operation that runs at most once:
-  curl http://%s/v1/services/%s/%s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: quote-1' -H 'Content-Type: application/json' -d '{"lamp":"brass"}'
+  curl http://%[5]s/v1/services/%[8]s/%[9]s -H 'Authorization: Bearer %[6]s' -H 'Idempotency-Key: quote-1' -H 'Content-Type: application/json' -d '{"lamp":"brass"}'
+
+Submit a batch of sample items, put in the ids that the answers have, and read the results:
+  curl http://%[5]s/v1/files -H 'Authorization: Bearer %[6]s' -F purpose=batch -F file=@%[10]s
+  curl http://%[5]s/v1/batches -H 'Authorization: Bearer %[6]s' -H 'Content-Type: application/json' \
+    -d '{"input_file_id":"FILE_ID","endpoint":"/v1/chat/completions","completion_window":"24h"}'
+  curl http://%[5]s/v1/batches/BATCH_ID/output -H 'Authorization: Bearer %[6]s'
 
 Ask which instances to use:
-  curl http://%s/v1/entrypoints -H 'Authorization: Bearer %s'
+  curl http://%[5]s/v1/entrypoints -H 'Authorization: Bearer %[6]s'
 
 Look at the fleet, and at the decisions about the first request:
-  eelgrassctl status -address http://%s -token-file %s
-  eelgrassctl explain -address http://%s -token-file %s first
+  eelgrassctl status -address http://%[11]s -token-file %[12]s
+  eelgrassctl explain -address http://%[11]s -token-file %[12]s first
 
 Stop with Ctrl-C.
 `,
-		f.Deployment.Name, len(f.Instances), len(f.Engines), folder,
-		first.Callers, fleet.APIKey, f.Deployment.Model,
-		first.Callers, f.Deployment.Service, fleet.IssueOperation, fleet.APIKey,
-		first.Callers, fleet.APIKey,
-		first.Operators, filepath.Join(folder, "operator.token"),
-		first.Operators, filepath.Join(folder, "operator.token"))
+		f.Deployment.Name, len(f.Instances), len(f.Engines), folder, first.Callers, fleet.APIKey, f.Deployment.Model,
+		f.Deployment.Service, fleet.IssueOperation, items, first.Operators, filepath.Join(folder, "operator.token"))
 }
--- a/core/batch/yield.go
+++ b/core/batch/yield.go
@@ -21,6 +21,9 @@
 	Shrink float64
 	// Pause is the time without growth after a sign of online demand.
 	Pause time.Duration
+	// Static fixes the limit of each instance at each target, which then neither grows nor gives way; 0 means adaptive. It is the
+	// baseline of measurements.
+	Static int
 }
 
 // DefaultYieldPolicy favours online latency.
@@ -69,6 +72,9 @@
 	if atRisk {
 		ceiling = y.policy.AtRiskCeiling
 	}
+	if y.policy.Static > 0 {
+		return max(y.policy.Static-t.OwnBatch, 0)
+	}
 	free := float64(t.MaxRunning)*ceiling - t.Load
 	if free < 1 || t.Waiting > 0 {
 		return 0
@@ -90,16 +96,20 @@
 	}
 }
 
-// Pressure records a sign of online demand at the target.
-func (y *Yield) Pressure(id fleet.TargetID, now time.Time) {
+// Pressure records a sign of online demand at the target. It returns whether batch gives way.
+func (y *Yield) Pressure(id fleet.TargetID, now time.Time) bool {
+	if y.policy.Static > 0 {
+		return false
+	}
 	l := y.target(id)
 	l.limit = max(l.limit*y.policy.Shrink, 1)
 	l.pressureAt = now
+	return true
 }
 
 // Excess returns how many of this instance's batch requests at the target are in the way of requests that wait there.
 func (y *Yield) Excess(t TargetLoad) int {
-	if t.Waiting == 0 {
+	if t.Waiting == 0 || y.policy.Static > 0 {
 		return 0
 	}
 	share := int(math.Ceil(float64(t.Waiting) / float64(max(t.Sharers, 1))))
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -192,6 +192,7 @@
 		Log:            decisionlog.New(d.self.ID, d.board.Decisions),
 		Metrics:        d.scope(),
 		MaxAnswerBytes: d.settings.Requests.MaxAnswerBytes,
+		Yield:          d.env.yieldPolicy(),
 		Seed:           d.env.Seed,
 		TargetLeft:     d.targetLeft,
 	})
--- a/node/daemon/environment.go
+++ b/node/daemon/environment.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eelgrassproxy.example/adapters/httpcall"
+	"eelgrassproxy.example/core/batch"
 	"eelgrassproxy.example/core/routing"
 )
 
@@ -15,8 +16,9 @@
 type Environment struct {
 	Listen func(network, address string) (net.Listener, error)
 	Dial   httpcall.DialFunc
-	Seed   uint64          // seed of random choices
-	Router *routing.Router // nil means the default filters, scorers and picker
+	Seed   uint64             // seed of random choices
+	Router *routing.Router    // nil means the default filters, scorers and picker
+	Yield  *batch.YieldPolicy // nil means the default
 }
 
 // SystemEnvironment returns the operating system's network.
@@ -34,6 +36,14 @@
 	return routing.NewRouter(routing.DefaultFilters(), routing.DefaultScorers(), routing.SpreadPicker{})
 }
 
+// yieldPolicy returns the environment's policy of batch or the default one.
+func (e Environment) yieldPolicy() batch.YieldPolicy {
+	if e.Yield != nil {
+		return *e.Yield
+	}
+	return batch.DefaultYieldPolicy()
+}
+
 // idleTimeout closes pooled connections to the platform that were not used for this time.
 const idleTimeout = 90 * time.Second
 
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"eelgrassproxy.example/adapters/engine"
 	"eelgrassproxy.example/adapters/service"
+	"eelgrassproxy.example/core/batch"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/routing"
@@ -44,6 +45,7 @@
 	Log            *decisionlog.Log
 	Metrics        tally.Scope
 	MaxAnswerBytes int64
+	Yield          batch.YieldPolicy
 	Seed           uint64 // seed of the choice among equal targets
 	// TargetLeft is called when a target says that it is leaving, so that peers hear of it.
 	TargetLeft func(fleet.TargetID)
@@ -68,7 +70,7 @@
 	return &Dispatcher{
 		Parts:   parts,
 		gates:   admission.New(parts.Seed),
-		floor:   newBatchFloor(parts.Board.Loads),
+		floor:   newBatchFloor(parts.Board.Loads, parts.Yield),
 		metrics: newMetrics(parts.Metrics),
 		random:  rand.New(rand.NewPCG(parts.Seed, 0)),
 		retries: limits.NewRetryBudget(limits.DefaultRetryPolicy()),
--- a/node/dispatch/floor.go
+++ b/node/dispatch/floor.go
@@ -36,10 +36,10 @@
 	abort       context.CancelCauseFunc
 }
 
-func newBatchFloor(loads *blackboard.LoadTable) *batchFloor {
+func newBatchFloor(loads *blackboard.LoadTable, policy batch.YieldPolicy) *batchFloor {
 	return &batchFloor{
 		loads:   loads,
-		yield:   batch.NewYield(batch.DefaultYieldPolicy()),
+		yield:   batch.NewYield(policy),
 		running: make(map[fleet.TargetID][]*batchRun),
 		changed: make(chan struct{}),
 	}
@@ -125,7 +125,9 @@
 func (f *batchFloor) pressure(id fleet.TargetID, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.yield.Pressure(id, time.Now())
+	if !f.yield.Pressure(id, time.Now()) {
+		return
+	}
 	runs := f.running[id]
 	for i := len(runs) - 1; i >= 0 && count > 0; i-- {
 		if runs[i].preemptible {
--- a/standin/experiments/env_test.go
+++ b/standin/experiments/env_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"k8s.io/klog/v2"
 
+	"eelgrassproxy.example/core/batch"
 	"eelgrassproxy.example/core/routing"
 	"eelgrassproxy.example/standin/engine"
 	"eelgrassproxy.example/standin/fleet"
@@ -63,6 +64,7 @@
 	deployment fleet.Deployment
 	engine     engine.Options
 	router     func(*run) *routing.Router // nil means the default
+	yield      *batch.YieldPolicy         // nil means the default
 	seed       uint64
 	timeout    time.Duration // first-token deadline of the callers
 }
@@ -95,6 +97,7 @@
 			Engine:     func(int) engine.Options { return s.engine },
 			Seed:       s.seed,
 			Observe:    r.attempts.Observe,
+			Yield:      s.yield,
 		}
 		if s.router != nil {
 			options.Router = s.router(r)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"eelgrassproxy.example/api/platform"
+	"eelgrassproxy.example/core/batch"
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/routing"
@@ -34,7 +35,8 @@
 	Folder     string // folder for the peer token and settings files
 	Engine     func(i int) engine.Options
 	Seed       uint64
-	Router     *routing.Router // of every instance; nil means the default
+	Router     *routing.Router    // of every instance; nil means the default
+	Yield      *batch.YieldPolicy // of every instance; nil means the default
 	// Observe sees every request that reaches a target, before it is handled; nil ignores them.
 	Observe func(part string, r *http.Request)
 	// EntrypointTTL is how long callers keep an address; 0 means the settings' default.
@@ -237,6 +239,7 @@
 		Dial:   f.Network.Dial(string(i.ID)),
 		Seed:   f.Seed + uint64(slices.Index(f.Instances, i)),
 		Router: f.Router,
+		Yield:  f.Yield,
 	})
 	if err != nil {
 		return err
