Let one batch item at a time look for room; give way above the ceiling

Cause: hundreds of waiting items saw the same free place and all took it (201 requests waited at one engine); batch gave way only when requests waited at the engine. Change: items take turns to look for room in a pool, and batch above the ceiling with its slack is cancelled at each load report. Admission discounts only this instance's own batch, since one job has one owner.

--- a/core/batch/yield.go
+++ b/core/batch/yield.go
@@ -15,6 +15,8 @@
 	Ceiling float64
 	// AtRiskCeiling is the share for jobs that may miss their deadline.
 	AtRiskCeiling float64
+	// Slack is the share above the ceiling at which batch gives way, so that it does not start and cancel by turns.
+	Slack float64
 	// Growth is added to a target's limit for each batch request that ended without pressure.
 	Growth float64
 	// Shrink multiplies the limit at each sign of online demand.
@@ -28,7 +30,7 @@
 
 // DefaultYieldPolicy favours online latency.
 func DefaultYieldPolicy() YieldPolicy {
-	return YieldPolicy{Ceiling: 0.85, AtRiskCeiling: 1, Growth: 1, Shrink: 0.5, Pause: time.Second}
+	return YieldPolicy{Ceiling: 0.85, AtRiskCeiling: 1, Slack: 0.05, Growth: 1, Shrink: 0.5, Pause: time.Second}
 }
 
 // TargetLoad is what an instance knows of a target when it decides about batch.
@@ -107,13 +109,18 @@
 	return true
 }
 
-// Excess returns how many of this instance's batch requests at the target are in the way of requests that wait there.
+// Excess returns how many of this instance's batch requests at the target are in the way: those above the ceiling with its slack, which
+// online requests have filled since they were started, divided between the instances that all see it.
 func (y *Yield) Excess(t TargetLoad) int {
-	if t.Waiting == 0 || y.policy.Static > 0 {
+	if y.policy.Static > 0 || t.OwnBatch == 0 {
 		return 0
 	}
-	share := int(math.Ceil(float64(t.Waiting) / float64(max(t.Sharers, 1))))
-	return min(share, t.OwnBatch)
+	allowed := float64(t.MaxRunning) * (y.policy.Ceiling + y.policy.Slack)
+	over := t.Load - allowed
+	if over <= 0 {
+		return 0
+	}
+	return min(int(math.Ceil(over/float64(max(t.Sharers, 1)))), t.OwnBatch)
 }
 
 // Forget drops targets that are gone.
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -25,21 +25,51 @@
 func (d *Dispatcher) Batch(ctx context.Context, r *request.Request) (BatchAnswer, error) {
 	x := &execution{dispatcher: d, request: r, route: d.routeRequest(r)}
 	x.route.Batch = true
-	target, err := x.awaitRoom(ctx)
-	if err != nil {
-		return BatchAnswer{}, problem.NotRun(problem.CodeOverloaded, "no room for batch: %v", err)
-	}
-	attempted := *r
-	attempted.Deadline = time.Now().Add(r.AttemptTimeout)
-	x.request = &attempted
 	answer := &wholeAnswer{header: make(http.Header)}
 	x.writer = answer
-	if f := x.runBatch(ctx, target); f != nil {
+	f, err := x.runBatch(ctx)
+	switch {
+	case err != nil:
+		return BatchAnswer{}, problem.NotRun(problem.CodeOverloaded, "no room for batch: %v", err)
+	case f != nil:
 		return BatchAnswer{}, batchProblem(f)
 	}
 	return BatchAnswer{Status: answer.status, Body: answer.body.Bytes()}, nil
 }
 
+// runBatch makes one attempt as soon as a target has room.
+func (x *execution) runBatch(ctx context.Context) (*failure, error) {
+	floor := x.dispatcher.floor
+	release, err := floor.turn(ctx, x.request.Pool())
+	if err != nil {
+		return nil, err
+	}
+	target, err := x.awaitRoom(ctx)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	attempted := *x.request
+	attempted.Deadline = time.Now().Add(x.request.AttemptTimeout)
+	x.request = &attempted
+	ctx, a := x.begin(ctx, target)
+	if a == nil {
+		release()
+		return &failure{target: target.Target, cause: errors.New("circuit opened before dispatch")}, nil
+	}
+	run := &batchRun{
+		target:      target.Target,
+		maxRunning:  target.MaxRunning,
+		preemptible: x.request.Kind == fleet.KindEngine,
+		abort:       a.abort,
+	}
+	floor.begin(run)
+	release()
+	failed := a.try(ctx)
+	floor.end(run, failed == nil)
+	return failed, nil
+}
+
 // awaitRoom returns the target of the next batch attempt as soon as one has room.
 func (x *execution) awaitRoom(ctx context.Context) (*routing.Candidate, error) {
 	d := x.dispatcher
@@ -65,24 +95,6 @@
 	}
 }
 
-func (x *execution) runBatch(ctx context.Context, target *routing.Candidate) *failure {
-	floor := x.dispatcher.floor
-	ctx, a := x.begin(ctx, target)
-	if a == nil {
-		return &failure{target: target.Target, cause: errors.New("circuit opened before dispatch")}
-	}
-	run := &batchRun{
-		target:      target.Target,
-		maxRunning:  target.MaxRunning,
-		preemptible: x.request.Kind == fleet.KindEngine,
-		abort:       a.abort,
-	}
-	floor.begin(run)
-	failed := a.try(ctx)
-	floor.end(run, failed == nil)
-	return failed
-}
-
 func batchProblem(f *failure) *problem.Error {
 	switch {
 	case f.preempted:
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -98,7 +98,7 @@
 // LoadReported takes a load report of a target; batch requests in the way of waiting ones are cancelled.
 func (d *Dispatcher) LoadReported(id fleet.TargetID, report fleet.LoadReport) {
 	d.Board.Loads.Report(id, report)
-	d.floor.reported(id, d.Pools.Sharers())
+	d.floor.reported(id, report, d.Pools.Sharers())
 }
 
 // InFlight returns the online requests that this instance holds.
--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -67,8 +67,8 @@
 	return route
 }
 
-// pressure estimates the load of the request's pool for admission. Batch gives way, so that it does not count; the other instances'
-// part of it is taken to be like the own one, since shards are spread evenly.
+// pressure estimates the load of the request's pool for admission. This instance's batch gives way, so that it does not count; that of
+// the others is not known here and stays below the ceiling of batch.
 func (x *execution) pressure() admission.Pressure {
 	d := x.dispatcher
 	return d.Pools.Pressure(x.request, &x.route, time.Now(), d.floor.own)
--- a/node/dispatch/floor.go
+++ b/node/dispatch/floor.go
@@ -10,6 +10,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/routing"
 	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/request"
 )
 
 // errPreempted is the cause of cancelling a batch request that stood in the way of online requests.
@@ -26,6 +27,7 @@
 	yield   *batch.Yield
 	running map[fleet.TargetID][]*batchRun // oldest first
 	changed chan struct{}                  // closed and replaced when room may have appeared
+	turns   map[request.PoolKey]chan struct{}
 }
 
 // batchRun is one batch request in flight.
@@ -42,6 +44,7 @@
 		yield:   batch.NewYield(policy),
 		running: make(map[fleet.TargetID][]*batchRun),
 		changed: make(chan struct{}),
+		turns:   make(map[request.PoolKey]chan struct{}),
 	}
 }
 
@@ -73,6 +76,24 @@
 	f.running[run.target] = append(f.running[run.target], run)
 }
 
+// turn waits for the right to look for room in a pool. One item looks at a time: if all did, each would take the same free place, and
+// their looking would cost more than the work. release must be called.
+func (f *batchFloor) turn(ctx context.Context, pool request.PoolKey) (release func(), err error) {
+	f.mu.Lock()
+	gate, ok := f.turns[pool]
+	if !ok {
+		gate = make(chan struct{}, 1)
+		f.turns[pool] = gate
+	}
+	f.mu.Unlock()
+	select {
+	case gate <- struct{}{}:
+		return func() { <-gate }, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
 // end removes a batch request. A normal end lets the target's limit grow.
 func (f *batchFloor) end(run *batchRun, normally bool) {
 	f.mu.Lock()
@@ -137,10 +158,13 @@
 	}
 }
 
-// reported reacts to a load report: requests that wait at an engine are in the way of each other, and batch goes first.
-func (f *batchFloor) reported(id fleet.TargetID, sharers int) {
+// reported reacts to a load report: batch gives way when the target is fuller than batch may make it.
+func (f *batchFloor) reported(id fleet.TargetID, report fleet.LoadReport, sharers int) {
 	f.mu.Lock()
-	excess := f.yield.Excess(f.load(id, 0, 0, sharers))
+	excess := 0
+	if runs := f.running[id]; len(runs) > 0 {
+		excess = f.yield.Excess(f.load(id, runs[0].maxRunning, float64(report.Running+report.Waiting), sharers))
+	}
 	f.mu.Unlock()
 	if excess > 0 {
 		f.pressure(id, excess)
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		pressure.Capacity += float64(c.MaxRunning)
-		pressure.Load += max(c.Load-float64(ownBatch(c.Target)*pressure.Sharers), 0)
+		pressure.Load += max(c.Load-float64(ownBatch(c.Target)), 0)
 	}
 	return pressure
 }
