--- /dev/null
+++ b/node/control/engines/poll_capacity_test.go
@@ -0,0 +1,38 @@
+package engines
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
+)
+
+// BenchmarkCapacityPollRate reports the load polls a second of an instance whose used targets get no requests.
+func BenchmarkCapacityPollRate(b *testing.B) {
+	for _, used := range []int{12, 24, 120} {
+		b.Run(fmt.Sprintf("used=%d", used), func(b *testing.B) {
+			board := blackboard.New()
+			var ids []fleet.TargetID
+			var entries []blackboard.TargetEntry
+			for i := range used {
+				id := fleet.TargetID(fmt.Sprint("target-", i))
+				ids = append(ids, id)
+				entries = append(entries, blackboard.TargetEntry{Target: fleet.Target{ID: id, Kind: fleet.KindEngine, State: fleet.TargetLive}})
+			}
+			board.Targets.Update(entries, nil)
+			p := New(board, nil, func() []fleet.TargetID { return ids }, board.Loads.Report)
+			polls, passes, now := 0, 0, time.Now()
+			for b.Loop() {
+				passes++
+				now = now.Add(500 * time.Millisecond) // the period of the controller in node/daemon
+				for _, t := range p.dueForLoad(now) {
+					polls++
+					board.Loads.Report(t.ID, fleet.LoadReport{SampledAt: now})
+				}
+			}
+			b.ReportMetric(float64(polls)/float64(passes)*2, "polls/s")
+		})
+	}
+}
