--- a/core/bundle/parse_capacity_test.go
+++ b/core/bundle/parse_capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime/metrics"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +18,25 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// peakHeap returns how far the heap rises above its level before the call, sampled each millisecond.
+func peakHeap(call func()) float64 {
+	before := heapBytes()
+	done := make(chan struct{})
+	go func() { call(); close(done) }()
+	highest := before
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	for ticker := time.NewTicker(time.Millisecond); ; <-ticker.C {
+		metrics.Read(sample)
+		highest = max(highest, sample[0].Value.Uint64())
+		select {
+		case <-done:
+			ticker.Stop()
+			return float64(highest - before)
+		default:
+		}
+	}
+}
+
 // BenchmarkCapacityOperator reports what one signed-off change costs an operator's whole document: bytes of YAML, and processor time of
 // parsing and of splitting.
 func BenchmarkCapacityOperator(b *testing.B) {
@@ -32,6 +52,7 @@
 			}
 			b.ReportMetric(float64((processorTime(b)-started).Milliseconds())/float64(b.N), "cpu-ms/op")
 			b.ReportMetric(float64(len(text)), "yaml-bytes")
+			b.ReportMetric(peakHeap(func() { _, _ = ParseYAML(text, "bench") })/(1<<20), "peak-MiB")
 		})
 		b.Run(fmt.Sprintf("split/callers=%d", n), func(b *testing.B) {
 			doc := testDocument(n)
