--- a/node/control/engines/poll_capacity_test.go
+++ b/node/control/engines/poll_capacity_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/blackboard"
+	"github.com/stretchr/testify/require"
 )
 
 // BenchmarkCapacityPollRate reports the load polls a second of an instance whose used targets get no requests.
@@ -36,3 +38,32 @@
 		})
 	}
 }
+
+// BenchmarkCapacityPollPass reports the processor time of looking for engines that are due, when none is: it runs twice a second.
+func BenchmarkCapacityPollPass(b *testing.B) {
+	for _, targets := range []int{12, 400, 3_900} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			board := blackboard.New()
+			var entries []blackboard.TargetEntry
+			for i := range targets {
+				id := fleet.TargetID(fmt.Sprint("target-", i))
+				entries = append(entries, blackboard.TargetEntry{Target: fleet.Target{ID: id, Kind: fleet.KindEngine, State: fleet.TargetLive}})
+			}
+			board.Targets.Update(entries, nil)
+			p := New(board, nil, func() []fleet.TargetID { return nil }, board.Loads.Report)
+			now := time.Now()
+			p.dueForState(now)
+			started := processorTime(b)
+			for b.Loop() {
+				p.dueForState(now)
+			}
+			b.ReportMetric(float64((processorTime(b)-started).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+func processorTime(tb testing.TB) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/standin/capacity/render.go
+++ b/standin/capacity/render.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,7 +24,7 @@
 func Render(slopes *Slopes, roles []Role) string {
 	var b strings.Builder
 	for _, role := range roles {
-		renderRole(&b, role)
+		renderRole(&b, slopes, role)
 	}
 	b.WriteString("### Assumptions\n\n| id | value | unit | what |\n|---|---:|---|---|\n")
 	for _, a := range Assumptions() {
@@ -39,18 +41,35 @@
 	return b.String()
 }
 
-func renderRole(b *strings.Builder, role Role) {
-	fmt.Fprintf(b, "### %s\n\n%s\n\n| figure | at the design size | budget | used | verdict | from | mechanism |\n|---|---:|---:|---:|---|---|---|\n", role.Name, role.Text)
+func renderRole(b *strings.Builder, slopes *Slopes, role Role) {
+	fmt.Fprintf(b, "### %s\n\n%s\n\n", role.Name, role.Text)
+	b.WriteString("| figure | at the design size | budget | used | verdict | basis | from | mechanism |\n|---|---:|---:|---:|---|---|---|---|\n")
 	for _, row := range role.Rows {
 		budget, used := "", ""
 		if row.Budget != 0 {
 			budget, used = number(row.Budget), number(100*row.Value/row.Budget)+" %"
 		}
-		fmt.Fprintf(b, "| %s | %s %s | %s | %s | %s | %s | %s |\n", row.Figure, number(row.Value), row.Unit, budget, used, row.Says, row.From, row.Mechanism)
+		fmt.Fprintf(b, "| %s | %s %s | %s | %s | %s | %s | %s | %s |\n",
+			row.Figure, number(row.Value), row.Unit, budget, used, row.Says, basis(slopes, row), row.From, row.Mechanism)
 	}
 	b.WriteString("\n")
 }
 
+// assumptionID matches the ID of an assumption.
+var assumptionID = regexp.MustCompile(`\bA\d+\b`)
+
+// basis says whether a value was measured at the design size, computed from measured slopes, or rests on an assumption too.
+func basis(slopes *Slopes, row Row) string {
+	if assumptionID.MatchString(row.From) {
+		return "assumed"
+	}
+	i := slices.IndexFunc(slopes.Slopes, func(s Slope) bool { return s.ID == row.From })
+	if i >= 0 && slices.ContainsFunc(slopes.Slopes[i].Points, func(p Point) bool { return p.Value == row.Value }) {
+		return "measured"
+	}
+	return "computed"
+}
+
 // number renders three significant digits, with separators from 1,000 on.
 func number(v float64) string {
 	if v == 0 {
--- a/standin/capacity/row.go
+++ b/standin/capacity/row.go
@@ -19,7 +19,7 @@
 	Budget    float64 // 0 with NoBudget
 	Unit      string
 	Says      Verdict // stated by hand; Check compares it with Value and Budget
-	From      string  // slopes and assumptions that the value comes from
+	From      string  // IDs of the slopes and assumptions that the value comes from, separated by ", "
 	Mechanism string
 }
 
@@ -54,7 +54,7 @@
 
 // Compute returns the roles at the design size, or ErrSlope.
 func Compute(slopes *Slopes) ([]Role, error) {
-	r := &reader{slopes: slopes, used: map[string]bool{}}
+	r := &reader{slopes: slopes}
 	roles := []Role{
 		entry(r), membership(r), bundles(r), claims(r), batch(r), holders(r), polling(r), control(r), store(r), storeSpaceRole(r), link(r),
 	}
