--- a/standin/capacity/design.go
+++ b/standin/capacity/design.go
@@ -7,6 +7,8 @@
 	regions           = 3.0
 	domains           = 9.0
 	requestsPerSecond = 2_700.0
+	todayNodes        = 8.0  // entry instances of each user today, docs/design.md section 1.5
+	todayReplicas     = 12.0 // of the larger user
 	tokensPerSecond   = 700_000.0
 	itemsPerDay       = 13_000_000.0
 	jobsPerDay        = 10_000.0
@@ -77,6 +79,7 @@
 	serveBudget    = Assumption{"A13", 60, "s", "time in which a lost failure domain's instances should serve again after their start"}
 	storeMillis    = Assumption{"A14", 5, "ms", "one store call, \"responds in milliseconds\""}
 	adaptersHeld   = Assumption{"A15", 4, "adapters", "held by a replica"}
+	renewalsRead   = Assumption{"A17", 0, "writes", "of a lease renewal; if the store counts it as a write, see there"}
 	entryCores     = Assumption{"A16", 100, "% of a core", "processor of one small entry instance that requests may use"}
 )
 
@@ -84,6 +87,6 @@
 func Assumptions() []Assumption {
 	return []Assumption{
 		claimedShare, itemBytes, nightFactor, diskHolders, diskBytes, openJobs, collectorWaste, processMemory,
-		headerBytes, decisionBytes, storeSpace, changeBurst, serveBudget, storeMillis, adaptersHeld, entryCores,
+		headerBytes, decisionBytes, storeSpace, changeBurst, serveBudget, storeMillis, adaptersHeld, entryCores, renewalsRead,
 	}
 }
--- a/standin/capacity/online.go
+++ b/standin/capacity/online.go
@@ -6,6 +6,9 @@
 // perNode is the online requests of a node per second.
 const perNode = requestsPerSecond / nodes
 
+// tokenGap is the bound on the time between tokens, in seconds.
+const tokenGap = 0.068
+
 func entry(r *reader) Role {
 	cpu := r.at("request.cpu", tokensPerRequest)
 	answer := r.at("request.answer.bytes", tokensPerRequest)
@@ -25,6 +28,8 @@
 				"the estimate takes every serving instance to send to the same targets; with subsets 11.4 of 370 do"},
 			{"token buckets if all callers are active", callers * r.at("limits.bucket.bytes", callers) / 1e6, memoryBudget, "MB", Fits, "limits.bucket.bytes",
 				"full buckets are dropped"},
+			{"memory of open streams at a node", perNode * tokensPerRequest * tokenGap * r.at("request.memory", 48) / 1024, 0, "MB", NoBudget, "request.memory",
+				"129 streams, if tokens come at the bound of 68 ms; caller and engine included"},
 			{"answers sent to callers by a node", perNode * answer / 1e6, 0, "MB/s", NoBudget, "request.answer.bytes", "events are relayed as they come"},
 		},
 	}
--- a/standin/capacity/sums.go
+++ b/standin/capacity/sums.go
@@ -1,13 +1,20 @@
 package capacity
 
 // storeBytes is what the store calls of a node in quiet state cost on the wire, per second, without claims and jobs.
-func storeBytes(r *reader) float64 {
+func storeBytes(r *reader, nodes float64) float64 {
 	return r.at("store.list.bytes", 2*shardCount)/shardListEvery +
 		2*r.only("store.keepalive.bytes")/leaseRenewal +
 		shardCount/nodes/runnerPass*r.only("store.empty.bytes") +
 		r.at("store.get.bytes", 100)/headPoll
 }
 
+// today returns the bytes of an idle node of the present fleet.
+func today(r *reader) float64 {
+	polls := r.at("engine.polls", todayReplicas)*r.at("engine.load.bytes", adaptersHeld.Value) +
+		statePollBytes/statePollEstimate*r.at("engine.state.bytes", adaptersHeld.Value)
+	return r.at("peer.quiet.bytes", todayNodes) + storeBytes(r, todayNodes) + r.at("list.unchanged.bytes", todayNodes+todayReplicas) + polls
+}
+
 // control sums what each node spends on control.
 func control(r *reader) Role {
 	changes := changesPerDay / day
@@ -15,7 +22,7 @@
 	list := r.at("list.unchanged.bytes", nodes+replicas)
 	state := statePollBytes / statePollEstimate * r.at("engine.state.bytes", adaptersHeld.Value)
 	load := r.at("engine.polls", subsetSize*models) * r.at("engine.load.bytes", adaptersHeld.Value)
-	without := r.at("peer.churn.bytes", nodes) + storeBytes(r) + list + changes*change
+	without := r.at("peer.churn.bytes", nodes) + storeBytes(r, nodes) + list + changes*change
 	calls := 2/leaseRenewal + shardCount/nodes/runnerPass + 1/headPoll + 1 + statePollBytes/statePollEstimate + r.at("engine.polls", subsetSize*models)
 	cpu := r.at("peer.probe.cpu", 4) + r.at("peer.detector.cpu", nodes) + r.at("shards.cpu", nodes) + r.at("store.list.cpu", 2*shardCount)/shardListEvery +
 		calls*r.only("store.keepalive.cpu") + 2*r.at("engine.pass.cpu", replicas) + changes*r.at("bundle.apply.cpu", callers)
@@ -30,6 +37,9 @@
 				"more than half is the listing of shards"},
 			{"bytes: the same with state polls", without + state, byteBudget, "bytes/s", DoesNotFit, "peer.churn.bytes, store.list.bytes, list.unchanged.bytes, bundle.delta.bytes, engine.state.bytes, A9, A15", "as above"},
 			{"bytes: the same with load polls", without + state + load, byteBudget, "bytes/s", DoesNotFit, "peer.churn.bytes, store.list.bytes, list.unchanged.bytes, bundle.delta.bytes, engine.polls, engine.load.bytes, A9, A15", "see polling"},
+			{"bytes of an idle node at today's 8 instances and 12 replicas", today(r), byteBudget, "bytes/s", DoesNotFit,
+				"peer.quiet.bytes, store.list.bytes, store.keepalive.bytes, store.empty.bytes, list.unchanged.bytes, engine.polls, engine.load.bytes, engine.state.bytes, A15",
+				"each of 8 instances owns 32 shards and lists their open jobs every 3 s"},
 			{"processor time", cpu / 1e4, coreBudget, "% of a core", Fits,
 				"peer.probe.cpu, peer.detector.cpu, shards.cpu, store.list.cpu, store.keepalive.cpu, engine.pass.cpu, bundle.apply.cpu",
 				"upper bound: both ends of each call; every call but the listing costs what a renewal costs"},
@@ -60,6 +70,8 @@
 		Rows: []Row{
 			{"writes: claims at 5 %, batch at night, changes in the busiest minute, restarts", claimed + batchWrites + changes + restarts, writeBudget, "writes/s", Fits,
 				"claims.writes, batch.writes, A1, A3, A12", "claims are nine tenths of it"},
+			{"the same if the store counts lease renewals as writes", claimed + batchWrites + changes + restarts + 2*nodes/leaseRenewal, writeBudget, "writes/s", DoesNotFit,
+				"claims.writes, batch.writes, A1, A3, A12, A17", "record and shards of an instance hang on two leases, renewed every 5 s each"},
 			{"reads and lease renewals", quietReads(r), readBudget, "calls/s", Fits, "members.calls, shards.calls, batch.pass.calls, A3",
 				"two renewals for each node every 5 s; 256 listings of open jobs every 3 s"},
 			{"the same with each waiting watch counted as a call a second", quietReads(r) + nodes + watchers, readBudget, "calls/s", Fits, "members.calls, shards.calls, batch.pass.calls, A3",
@@ -99,7 +111,7 @@
 	pairs := regions * (regions - 1)
 	otherRegion := (regions - 1) / regions
 	probes := nodes * r.at("peer.churn.bytes", nodes) / 2 * otherRegion / pairs
-	platform := perRegion * (storeBytes(r) + r.at("list.unchanged.bytes", nodes+replicas))
+	platform := perRegion * (storeBytes(r, nodes) + r.at("list.unchanged.bytes", nodes+replicas))
 	state := nodes * statePollBytes / statePollEstimate * r.at("engine.state.bytes", adaptersHeld.Value) * otherRegion / pairs
 	inputs := nightFactor.Value * itemsPerSecond * itemBytes.Value * otherRegion / pairs
 	token := (r.at("request.answer.bytes", 256) - r.at("request.answer.bytes", 64)) / 192
--- a/standin/fleet/request_capacity_test.go
+++ b/standin/fleet/request_capacity_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,3 +136,41 @@
 	}
 	return total
 }
+
+// BenchmarkCapacityStreams reports the memory of an open stream, of caller, instance and stand-in engine together.
+func BenchmarkCapacityStreams(b *testing.B) {
+	for _, streams := range []int{8, 24, 48} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			f := capacityFleet(b, 1, 4)
+			client := f.HTTPClient("caller")
+			address := f.Instances[0].Settings.Listen.Callers
+			_, err := sendChat(b.Context(), client, address, "first", 1)
+			require.NoError(b, err)
+			before := memoryInUse()
+			ctx, cancel := context.WithCancel(b.Context())
+			var group sync.WaitGroup
+			for i := range streams {
+				group.Go(func() { _, _ = sendChat(ctx, client, address, fmt.Sprint("s-", i), 3_000) })
+			}
+			running := func() bool { return f.Instances[0].Daemon.Board().Loads.View("engine-1").InFlight > 0 }
+			for !running() {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond) // lets every stream reach its first tokens
+			for b.Loop() {
+				b.ReportMetric(float64(memoryInUse()-before)/1024/float64(streams), "KiB/stream")
+			}
+			cancel()
+			group.Wait()
+			client.CloseIdleConnections()
+		})
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks after a collection.
+func memoryInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
