Check the bytes of an idle node with real instances

Cause: the computed bytes of a node rest on many slopes and needed a check as a whole. Conclusion: control bytes exceed the 3 KB/s of a node already today.

--- a/standin/capacity/sums.go
+++ b/standin/capacity/sums.go
@@ -40,6 +40,8 @@
 			{"bytes of an idle node at today's 8 instances and 12 replicas", today(r), byteBudget, "bytes/s", DoesNotFit,
 				"peer.quiet.bytes, store.list.bytes, store.keepalive.bytes, store.empty.bytes, list.unchanged.bytes, engine.polls, engine.load.bytes, engine.state.bytes, A15",
 				"each of 8 instances owns 32 shards and lists their open jobs every 3 s"},
+			{"the same measured, most of the listings of all shards left out", r.at("idle.bytes", todayNodes), byteBudget, "bytes/s", DoesNotFit, "idle.bytes",
+				"real instances, stand-ins and HTTP; confirms the row above"},
 			{"processor time", cpu / 1e4, coreBudget, "% of a core", Fits,
 				"peer.probe.cpu, peer.detector.cpu, shards.cpu, store.list.cpu, store.keepalive.cpu, engine.pass.cpu, bundle.apply.cpu",
 				"upper bound: both ends of each call; every call but the listing costs what a renewal costs"},
