--- /dev/null
+++ b/core/placement/plan.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// Input is what a plan is made from.
+type Input struct {
+	Wishes  []Wish
+	Wanted  map[ModelVersion]int // replicas by demand; the wish's minimum and maximum apply in any case
+	Engines []Engine             // all engines of the instance list
+}
+
+// Plan returns every order by which the engines differ from the assignment, grouped by engine in the order of the input. Leaving
+// engines and engines whose state is unknown get none.
+//
+// A version is unloaded only where it is not wanted, and only while every wished version of the same base serves in its full wanted
+// number on the engines assigned to it. Two owners may therefore unload at the same time without going below a minimum.
+func Plan(in Input) []Order {
+	p := newPlanner(in)
+	var orders []Order
+	for i := range in.Engines {
+		e := &in.Engines[i]
+		if e.Leaving || e.Models == nil {
+			continue
+		}
+		orders = append(orders, p.additions(e)...)
+		orders = append(orders, p.removals(e)...)
+	}
+	return orders
+}
+
+// planner holds what is derived from the input once for all engines.
+type planner struct {
+	wishes     []Wish
+	byVersion  map[ModelVersion]*Wish
+	assignment *Assignment
+	serving    map[ModelVersion]int // wanted replicas that serve
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{
+		wishes:     in.Wishes,
+		byVersion:  make(map[ModelVersion]*Wish, len(in.Wishes)),
+		assignment: Assign(in.Wishes, in.Wanted, in.Engines),
+		serving:    make(map[ModelVersion]int, len(in.Wishes)),
+	}
+	for i := range in.Wishes {
+		w := &in.Wishes[i]
+		p.byVersion[w.ModelVersion] = w
+		for j := range in.Engines {
+			if p.assignment.Wanted(w.ModelVersion, in.Engines[j].ID) && in.Engines[j].serves(w) {
+				p.serving[w.ModelVersion]++
+			}
+		}
+	}
+	return p
+}
+
+// met tells whether every wished version of the base serves on all engines assigned to it, and whether there is any.
+func (p *planner) met(base string) (met, wished bool) {
+	met = true
+	for i := range p.wishes {
+		w := &p.wishes[i]
+		if w.Base != base {
+			continue
+		}
+		wished = true
+		if p.serving[w.ModelVersion] < len(p.assignment.wanted[w.ModelVersion]) {
+			met = false
+		}
+	}
+	return met, wished
+}
+
+// additions returns what the engine lacks.
+func (p *planner) additions(e *Engine) []Order {
+	var orders []Order
+	for i := range p.wishes {
+		w := &p.wishes[i]
+		if !p.assignment.Wanted(w.ModelVersion, e.ID) {
+			continue
+		}
+		if e.Role != "" && e.Role != w.Role {
+			reason := fmt.Sprintf("role is %s, %s is wished for", e.Role, w.Role)
+			orders = append(orders, Order{Instruction: Instruction{Target: e.ID, Action: SetRole, Role: w.Role}, Reason: reason})
+		}
+		held := e.held(w.ModelVersion)
+		if held == nil {
+			reason := fmt.Sprintf("one of %d wanted replicas, %d serve", len(p.assignment.wanted[w.ModelVersion]), p.serving[w.ModelVersion])
+			orders = append(orders, order(e.ID, LoadModel, w.ModelVersion, "", 0, reason))
+			continue
+		}
+		if held.Loading {
+			continue // adapters follow when their model serves
+		}
+		for _, adapter := range w.Adapters {
+			if !contains(held.Adapters, adapter) {
+				orders = append(orders, order(e.ID, LoadAdapter, w.ModelVersion, adapter, 0, "adapter of a wanted replica is missing"))
+			}
+		}
+	}
+	return orders
+}
+
+// removals returns what the engine holds too much.
+func (p *planner) removals(e *Engine) []Order {
+	var orders []Order
+	for i := range e.Models {
+		held := &e.Models[i]
+		version := ModelVersion{Base: held.Model, Version: held.Version}
+		if after, reason := p.removal(e.ID, version); reason != "" {
+			orders = append(orders, order(e.ID, UnloadModel, version, "", after, reason))
+			continue
+		}
+		w := p.byVersion[version]
+		for _, adapter := range held.Adapters {
+			if w != nil && !contains(w.Adapters, adapter) {
+				orders = append(orders, order(e.ID, UnloadAdapter, version, adapter, unnamedGrace, "no placement entry or model names the adapter"))
+			}
+		}
+	}
+	return orders
+}
+
+// removal tells why a version should go from an engine and after which time; the reason is empty if it should stay.
+func (p *planner) removal(id fleet.TargetID, version ModelVersion) (time.Duration, string) {
+	if p.assignment.Wanted(version, id) {
+		return 0, ""
+	}
+	met, wished := p.met(version.Base)
+	w := p.byVersion[version]
+	switch {
+	case !wished:
+		return unnamedGrace, "no placement entry or model names it"
+	case !met:
+		return 0, "" // a replacement does not serve yet
+	case w == nil:
+		return replacedGrace, "replaced by a version that serves in its wanted number"
+	case p.assignment.spare[version][id] && p.assignment.held[id] == 0:
+		return 0, "" // an idle engine gains nothing from unloading, and demand may return within seconds
+	}
+	return surplusGrace, fmt.Sprintf("beyond the %d wanted replicas, all of which serve", p.serving[version])
+}
+
+func order(id fleet.TargetID, action Action, m ModelVersion, adapter string, after time.Duration, reason string) Order {
+	instruction := Instruction{Target: id, Action: action, Model: m, Adapter: adapter}
+	return Order{Instruction: instruction, After: after, Reason: reason}
+}
--- /dev/null
+++ b/core/placement/wishes.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"eelgrassproxy.example/core/bundle"
+)
+
+// Unlimited is the largest number of replicas of a model that no placement entry bounds.
+const Unlimited = math.MaxInt
+
+// Wishes returns what a bundle asks for, ordered by model version. A version that a model names has at least one replica and the model's
+// adapter, unless its placement entry allows none; without an entry it may have replicas everywhere.
+func Wishes(placements []bundle.Placement, models []bundle.Model) []Wish {
+	byVersion := make(map[ModelVersion]*Wish)
+	for _, p := range placements {
+		key := ModelVersion{Base: p.Base, Version: p.Version}
+		byVersion[key] = &Wish{
+			ModelVersion: key,
+			Adapters:     slices.Clone(p.Adapters),
+			Role:         RoleAny,
+			Min:          p.MinReplicas,
+			Max:          p.MaxReplicas,
+		}
+	}
+	for i := range models {
+		addModel(byVersion, &models[i])
+	}
+	wishes := make([]Wish, 0, len(byVersion))
+	for _, w := range byVersion {
+		slices.Sort(w.Adapters)
+		w.Adapters = slices.Compact(w.Adapters)
+		wishes = append(wishes, *w)
+	}
+	slices.SortFunc(wishes, func(a, b Wish) int {
+		return cmp.Or(cmp.Compare(a.Base, b.Base), cmp.Compare(a.Version, b.Version))
+	})
+	return wishes
+}
+
+func addModel(byVersion map[ModelVersion]*Wish, m *bundle.Model) {
+	key := ModelVersion{Base: m.Base, Version: m.Version}
+	w, known := byVersion[key]
+	if !known {
+		w = &Wish{ModelVersion: key, Role: RoleAny, Max: Unlimited}
+		byVersion[key] = w
+	}
+	w.Min = min(max(w.Min, 1), w.Max)
+	w.MaxRunning = max(w.MaxRunning, m.MaxRunning)
+	if m.Adapter != "" {
+		w.Adapters = append(w.Adapters, m.Adapter)
+	}
+}
