Add the placement controller

Engines are placed by the owner of the shard that the target's id hashes to, under the shard's epoch as fencing number, so that no second lease is needed. The owner observes an engine before each order, checks its lease right before sending, and waits out the lease of its predecessor. core/placement gets its tests: seen failing were the roll (unloading before the replacement serves), the outage (without the fleet's window of loads, and without the interval between orders to one engine) and the spread over failure domains.

--- /dev/null
+++ b/core/placement/main_test.go
@@ -0,0 +1,17 @@
+package placement_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed, so that each run checks the same cases, unless the command line names another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20260417")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- a/core/placement/pace.go
+++ b/core/placement/pace.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// Hold puts off orders to an engine until the time, and then for a random part of the interval. A new owner holds the engine until its
+// predecessor has certainly stopped; the random part spreads the orders after an outage, in which all owners change.
+func (p *Pacer) Hold(id fleet.TargetID, until time.Time) {
+	p.nextAt[id] = until.Add(p.jitter(p.budget.EngineInterval))
+}
+
 // note keeps since when plans have contained each order.
 func (p *Pacer) note(now time.Time, plan []Order) {
 	since := make(map[Instruction]time.Time, len(plan))
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,205 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/placement"
+)
+
+// Guards against a roll that goes below the minimum and against a plan that never settles, whatever happens to orders: late, repeated or
+// lost, of two owners at once with an old fencing number, to engines that check or ignore it and that restart empty.
+func TestRollConvergesWithoutGoingBelowTheMinimum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(4, 9).Draw(t, "engines"))
+		restarts := 0
+		reached := false
+		w.onUnload = func() {
+			served := max(w.serving("1"), w.serving("2"))
+			reached = reached || served >= leastServed
+			if reached && served < leastServed-restarts {
+				t.Fatalf("step %d: %d engines serve version 1, %d version 2, after %d restarts", w.step, w.serving("1"), w.serving("2"), restarts)
+			}
+		}
+		former, next := newOwner(w, 1), newOwner(w, 2)
+		former.wishes = []placement.Wish{wish("1", leastServed, 4)}
+		next.wishes = former.wishes
+		rolled := []placement.Wish{wish("2", leastServed, 4)}
+		rollAt := rapid.IntRange(40, 90).Draw(t, "roll at step")
+		lag := rapid.IntRange(0, 5).Draw(t, "steps until the second owner has the bundle")
+		for range 150 {
+			w.advance()
+			if w.step == rollAt {
+				former.wishes = rolled
+			}
+			if w.step == rollAt+lag {
+				next.wishes = rolled
+			}
+			if restarts < 2 && rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				restarts++
+				w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")].restart()
+			}
+			for _, o := range []*owner{former, next} {
+				disturbedPass(t, w, o)
+			}
+		}
+		for range 300 {
+			w.advance()
+			next.views = w.views()
+			next.pass(w, func(o placement.Order) { w.deliver(next.fence, o) })
+		}
+		require.Equal(t, leastServed, w.serving("2"))
+		require.Zero(t, w.serving("1"))
+		require.Empty(t, placement.Plan(placement.Input{Wishes: rolled, Engines: w.views()}), "the plan must come to rest")
+	})
+}
+
+// disturbedPass lets the owner act on a view of which parts are old, over a network that loses, delays and repeats orders.
+func disturbedPass(t *rapid.T, w *world, o *owner) {
+	stale := rapid.IntRange(0, 3).Draw(t, "stale engine")
+	for i, e := range w.engines {
+		if i%4 != stale {
+			o.views[i] = e.view()
+		}
+	}
+	o.pass(w, func(order placement.Order) {
+		fate := rapid.SampledFrom([]string{"arrives", "lost", "late", "twice"}).Draw(t, "order")
+		if fate == "arrives" || fate == "twice" {
+			w.deliver(o.fence, order)
+		}
+		if fate == "late" || fate == "twice" {
+			at := w.step + rapid.IntRange(1, 6).Draw(t, "late by steps")
+			w.late = append(w.late, delivery{at: at, fence: o.fence, order: order})
+		}
+	})
+}
+
+// Guards against an order storm when owners act again after a long outage, every engine has come back empty, and orders get lost for a
+// while.
+func TestOrdersStayWithinTheBudgetAfterAnOutage(t *testing.T) {
+	const engines, owners = 60, 8
+	w := newWorld(engines)
+	w.onUnload = func() {}
+	w.step = int(10 * time.Minute / step)
+	all := make([]*owner, owners)
+	for n := range all {
+		all[n] = newOwner(w, uint64(n+1))
+		all[n].wishes = []placement.Wish{wish("1", 40, 60)}
+		all[n].mine = func(id fleet.TargetID) bool { return int(id[len(id)-1])%owners == n }
+	}
+	for pass := range int(15 * time.Minute / step) {
+		w.advance()
+		views := w.views()
+		for _, o := range all {
+			o.views = views
+			o.pass(w, func(order placement.Order) {
+				if pass > int(2*time.Minute/step) {
+					w.deliver(o.fence, order)
+				}
+			})
+		}
+	}
+	require.LessOrEqual(t, w.loads, placement.DefaultBudget.LoadsAtOnce, "loads under way at once")
+	for id, steps := range w.orders {
+		for i := 3; i < len(steps); i++ {
+			require.Greater(t, time.Duration(steps[i]-steps[i-3])*step, 55*time.Second, "more than three orders to %s within a minute", id)
+		}
+	}
+	require.Equal(t, 40, w.serving("1"))
+}
+
+// Guards against replicas of a version that fail together, against a plan that depends on the order of the instance list, and against
+// the loss of one engine moving the replicas of others.
+func TestAssignmentSpreadsAndMovesLittle(t *testing.T) {
+	engines := newWorld(30).views()
+	wishes := []placement.Wish{wish("1", 6, 10), wish("2", 6, 10)}
+	a := placement.Assign(wishes, nil, engines)
+	domains := map[fleet.FailureDomain]int{}
+	var first fleet.TargetID
+	for _, e := range engines {
+		require.False(t, a.Wanted(version("1"), e.ID) && a.Wanted(version("2"), e.ID), "idle engines are preferred")
+		if a.Wanted(version("1"), e.ID) {
+			domains[e.FailureDomain]++
+			first = e.ID
+		}
+	}
+	require.Equal(t, map[fleet.FailureDomain]int{"domain-0": 2, "domain-1": 2, "domain-2": 2}, domains)
+	moved := 0
+	for i := range engines {
+		engines[i].Leaving = engines[i].ID == first
+	}
+	b := placement.Assign(wishes, nil, engines)
+	require.False(t, b.Wanted(version("1"), first))
+	for _, e := range engines {
+		if b.Wanted(version("1"), e.ID) && !a.Wanted(version("1"), e.ID) {
+			moved++
+		}
+	}
+	require.Equal(t, 1, moved)
+}
+
+// Guards against orders to engines that leave or whose state is unknown, and against unloading at once what a bundle no longer names.
+func TestPlanOfSingleEngines(t *testing.T) {
+	held := []fleet.LoadedModel{{Model: "dropped", Version: "1"}}
+	cases := []struct {
+		name   string
+		engine placement.Engine
+		orders int
+	}{
+		{"an engine that lacks the version gets an order", placement.Engine{ID: "e", Models: []fleet.LoadedModel{}, Role: "any"}, 1},
+		{"a leaving engine gets none", placement.Engine{ID: "e", Models: held, Role: "any", Leaving: true}, 0},
+		{"an engine that has not answered yet gets none", placement.Engine{ID: "e"}, 0},
+		{"a model that nothing names is unloaded", placement.Engine{ID: "e", Models: held, Role: "any"}, 2},
+		{"an engine in another role is set to the wished one", placement.Engine{ID: "e", Models: []fleet.LoadedModel{}, Role: "decode"}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			orders := placement.Plan(placement.Input{Wishes: []placement.Wish{wish("1", 1, 1)}, Engines: []placement.Engine{c.engine}})
+			require.Len(t, orders, c.orders)
+			for _, o := range orders {
+				require.NotEmpty(t, o.Reason)
+				require.Equal(t, o.Action == placement.UnloadModel, o.After >= 10*time.Minute)
+			}
+		})
+	}
+}
+
+// Guards against replicas that are lost between two bursts, and against a number beyond the wish's bounds.
+func TestReplicasFollowDemandWithHysteresis(t *testing.T) {
+	s := placement.NewScaler()
+	wishes := []placement.Wish{wish("1", 2, 6)}
+	now := time.Unix(0, 0)
+	run := func(d time.Duration, demand float64) int {
+		wanted := 0
+		for range int(d / step) {
+			now = now.Add(step)
+			wanted = s.Update(now, wishes, map[placement.ModelVersion]float64{version("1"): demand})[version("1")]
+		}
+		return wanted
+	}
+	require.Equal(t, 2, run(time.Minute, 0))
+	require.Equal(t, 2, run(step, 40), "a single sample must not cause a load")
+	require.Equal(t, 5, run(5*time.Minute, 23))
+	require.Equal(t, 5, run(9*time.Minute, 1))
+	require.Equal(t, 4, run(5*time.Minute, 1), "the number falls to the most that was needed in the last ten minutes")
+	require.Equal(t, 2, run(10*time.Minute, 1))
+	require.Equal(t, 6, run(5*time.Minute, 1000))
+}
+
+// Guards against a model of the bundle that no engine holds because only its placement entry counts, and against a missing adapter.
+func TestWishesCombinePlacementAndModels(t *testing.T) {
+	wishes := placement.Wishes(
+		[]bundle.Placement{{Base: "a", Version: "1", Adapters: []string{"y"}, MaxReplicas: 3}, {Base: "a", Version: "2", MinReplicas: 2, MaxReplicas: 2}},
+		[]bundle.Model{{Name: "n", Base: "a", Version: "1", Adapter: "x", MaxRunning: 4}, {Name: "o", Base: "b", Version: "1", MaxRunning: 1}},
+	)
+	require.Equal(t, []placement.Wish{
+		{ModelVersion: placement.ModelVersion{Base: "a", Version: "1"}, Adapters: []string{"x", "y"}, Role: "any", Min: 1, Max: 3, MaxRunning: 4},
+		{ModelVersion: placement.ModelVersion{Base: "a", Version: "2"}, Role: "any", Min: 2, Max: 2},
+		{ModelVersion: placement.ModelVersion{Base: "b", Version: "1"}, Role: "any", Min: 1, Max: placement.Unlimited, MaxRunning: 1},
+	}, wishes)
+}
--- a/node/control/engines/engines.go
+++ b/node/control/engines/engines.go
@@ -117,14 +117,7 @@
 	if err != nil {
 		return
 	}
-	p.board.Targets.Change(t.ID, func(entry *blackboard.TargetEntry) bool {
-		models := modelsOf(state)
-		if entry.Role == state.Role && entry.Models != nil && sameModels(entry.Models, models) {
-			return false
-		}
-		entry.Role, entry.Models = state.Role, models
-		return true
-	})
+	Record(p.board, t.ID, state)
 }
 
 func (p *Poller) pollLoad(ctx context.Context, t *blackboard.TargetEntry) {
--- a/node/control/engines/models.go
+++ b/node/control/engines/models.go
@@ -5,10 +5,23 @@
 
 	api "eelgrassproxy.example/api/engine"
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
 )
 
-// modelsOf converts what an engine says that it holds; the result is not nil.
-func modelsOf(state *api.EngineState) []fleet.LoadedModel {
+// Record stores what an engine says that it holds on the board.
+func Record(board *blackboard.Board, id fleet.TargetID, state *api.EngineState) {
+	models := ModelsOf(state)
+	board.Targets.Change(id, func(entry *blackboard.TargetEntry) bool {
+		if entry.Role == state.Role && entry.Models != nil && sameModels(entry.Models, models) {
+			return false
+		}
+		entry.Role, entry.Models = state.Role, models
+		return true
+	})
+}
+
+// ModelsOf converts what an engine says that it holds; the result is not nil.
+func ModelsOf(state *api.EngineState) []fleet.LoadedModel {
 	models := make([]fleet.LoadedModel, len(state.Models))
 	for i, m := range state.Models {
 		models[i] = fleet.LoadedModel{Model: m.Model, Version: m.Version, Adapters: m.Adapters, Loading: m.Loading.Or(false)}
--- /dev/null
+++ b/node/control/placement/demand.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/placement"
+)
+
+// reportAge is the age beyond which a load report says nothing about the present demand.
+const reportAge = 10 * time.Second
+
+// demand estimates the requests running and waiting for each wished version over the whole fleet: the mean over the replicas that this
+// instance has recent reports of, times the replicas that serve. Requests that wait in the instances add nothing, because they wait only
+// while replicas are full, and full replicas raise the wanted number by themselves.
+func (c *Controller) demand(now time.Time, wishes []placement.Wish, engines []placement.Engine) map[placement.ModelVersion]float64 {
+	type sum struct{ load, reports, serving float64 }
+	sums := make(map[placement.ModelVersion]*sum, len(wishes))
+	for i := range wishes {
+		sums[wishes[i].ModelVersion] = &sum{}
+	}
+	for i := range engines {
+		load, reported := c.load(now, engines[i].ID)
+		share := load / float64(max(1, len(engines[i].Models)))
+		for _, m := range engines[i].Models {
+			s := sums[placement.ModelVersion{Base: m.Model, Version: m.Version}]
+			if s == nil || m.Loading {
+				continue
+			}
+			s.serving++
+			if reported {
+				s.load += share
+				s.reports++
+			}
+		}
+	}
+	demand := make(map[placement.ModelVersion]float64, len(sums))
+	for version, s := range sums {
+		demand[version] = s.load / max(1, s.reports) * s.serving
+	}
+	return demand
+}
+
+// load returns the requests at the engine by its last report; false without a recent one.
+func (c *Controller) load(now time.Time, id fleet.TargetID) (float64, bool) {
+	report := c.config.Board.Loads.View(id).Report
+	if report.SampledAt.IsZero() || now.Sub(report.SampledAt) > reportAge {
+		return 0, false
+	}
+	return float64(report.Running + report.Waiting), true
+}
+
+// States of engines in metrics.
+const (
+	stateServing = "serving"
+	stateLoading = "loading"
+	stateEmpty   = "empty"
+	stateLeaving = "leaving"
+	stateUnknown = "unknown"
+)
+
+// report publishes the owned engines by state; the sum over all instances is the fleet.
+func (c *Controller) report(engines []placement.Engine) {
+	counts := map[string]int{stateServing: 0, stateLoading: 0, stateEmpty: 0, stateLeaving: 0, stateUnknown: 0}
+	for i := range engines {
+		if c.engines[engines[i].ID] != nil {
+			counts[stateOf(&engines[i])]++
+		}
+	}
+	for state, n := range counts {
+		c.config.Metrics.Tagged(map[string]string{"state": state}).Gauge("engines").Update(float64(n))
+	}
+}
+
+func stateOf(e *placement.Engine) string {
+	switch {
+	case e.Leaving:
+		return stateLeaving
+	case e.Models == nil:
+		return stateUnknown
+	case len(e.Models) == 0:
+		return stateEmpty
+	}
+	for _, m := range e.Models {
+		if m.Loading {
+			return stateLoading
+		}
+	}
+	return stateServing
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"eelgrassproxy.example/node/claims"
 	"eelgrassproxy.example/node/control/bundlesync"
 	"eelgrassproxy.example/node/control/engines"
+	"eelgrassproxy.example/node/control/placement"
 	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/dispatch"
 	"eelgrassproxy.example/node/pools"
@@ -210,6 +211,7 @@
 	})
 	d.members.register(d.workers, d.settings.InstanceList.Poll)
 	d.batch.register(d.workers)
+	d.workers.Register(d.newPlacement(), workers.Schedule{Every: placement.ReconcileEvery})
 }
 
 // Streams of the instance's random source.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -33,8 +33,10 @@
 	Instances  int    // entry instances, spread over the failure domains; 0 means 8
 	Folder     string // folder for the peer token and settings files
 	Engine     func(i int) engine.Options
-	Seed       uint64
-	Router     *routing.Router // of every instance; nil means the default
+	// EmptyEngines starts the engines without a model, so that placement has to load it.
+	EmptyEngines bool
+	Seed         uint64
+	Router       *routing.Router // of every instance; nil means the default
 	// Observe sees every request that reaches a target, before it is handled; nil ignores them.
 	Observe func(part string, r *http.Request)
 	// EntrypointTTL is how long callers keep an address; 0 means the settings' default.
@@ -161,6 +163,9 @@
 	}
 	options.MaxRunning = engineMaxRunning
 	options.Seed = f.Seed + uint64(i)
+	if f.EmptyEngines {
+		return options
+	}
 	options.Models = []engine.Model{{Name: f.Deployment.Model, Version: f.Deployment.Version, Adapters: []string{Adapter}}}
 	return options
 }
