--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -39,6 +39,14 @@
 	return found
 }
 
+// Serves tells whether the engine holds the version and the adapter and has loaded both.
+func (e *Engine) Serves(name, version, adapter string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.find(name, version)
+	return l != nil && !l.loading && slices.Contains(l.Adapters, adapter)
+}
+
 func (e *Engine) find(name, version string) *loaded {
 	i := slices.IndexFunc(e.models, func(l *loaded) bool { return l.Name == name && l.Version == version })
 	if i < 0 {
--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -34,6 +34,8 @@
 	mu     sync.Mutex // guards the fields below
 	start  time.Time
 	events []event
+
+	reachedMinimum bool // the rolled model has served in its least number
 }
 
 // event is one line of the golden file. Events of the same millisecond are ordered by their text, since goroutines that run at the same
