Test the placement controller

Seen failing: the wait for the former owner's lease (hold removed: an order within 15 s), orders without a lease (check before the order removed: 3 orders), and orders without an observation (freshness check and forgetting of silent engines removed).

--- /dev/null
+++ b/node/control/placement/controller_test.go
@@ -0,0 +1,182 @@
+package placement_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrassproxy.example/adapters/engine"
+	api "eelgrassproxy.example/api/engine"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/control/placement"
+	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/decisionlog"
+)
+
+// fakeOwners owns every shard under one epoch, or none.
+type fakeOwners struct {
+	epoch  uint64 // 0 means that nothing is owned
+	lapsed bool   // the lease ended after Owned was asked
+}
+
+func (o *fakeOwners) Owned() []shards.Ownership {
+	var owned []shards.Ownership
+	for s := range batch.Shard(batch.Shards) {
+		if o.epoch > 0 {
+			owned = append(owned, shards.Ownership{Shard: s, Epoch: o.epoch})
+		}
+	}
+	return owned
+}
+
+func (o *fakeOwners) Epoch(batch.Shard) (uint64, bool) { return o.epoch, o.epoch > 0 && !o.lapsed }
+
+// fakeEngines records calls; every engine is empty and stays so.
+type fakeEngines struct {
+	mu     sync.Mutex
+	calls  []string // "state" and the actions of orders
+	fences []int64
+	err    error // of orders
+	silent error // of polls
+}
+
+func (f *fakeEngines) State(context.Context, string) (*api.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, "state")
+	return &api.EngineState{Role: "any"}, f.silent
+}
+
+func (f *fakeEngines) Order(_ context.Context, _ string, o api.Order) (*api.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, string(o.Action))
+	f.fences = append(f.fences, o.Fence)
+	return &api.EngineState{Role: "any"}, f.err
+}
+
+func (f *fakeEngines) orders() int { return len(f.fences) }
+
+// bench is a controller with one empty engine whose model the bundle wishes for.
+type bench struct {
+	owners     *fakeOwners
+	engines    *fakeEngines
+	controller *placement.Controller
+	scope      tally.TestScope
+	board      *blackboard.Board
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{owners: &fakeOwners{epoch: 7}, engines: &fakeEngines{}, scope: tally.NewTestScope("", nil), board: blackboard.New()}
+	require.True(t, b.board.Bundle.Advance(activeBundle(t)))
+	b.board.Targets.Update([]blackboard.TargetEntry{{Target: fleet.Target{
+		ID: "engine-1", Kind: fleet.KindEngine, Address: "10.0.0.1:80", State: fleet.TargetLive, FailureDomain: "a",
+	}}}, nil)
+	b.controller = placement.New(placement.Config{
+		Board: b.board, Owners: b.owners, Client: b.engines, Log: decisionlog.New("i", b.board.Decisions), Metrics: b.scope,
+	})
+	return b
+}
+
+func activeBundle(t *testing.T) *bundle.Active {
+	doc := &bundle.Document{
+		Generation: 1,
+		Topology:   bundle.Topology{Regions: []bundle.Region{{Name: "r", FailureDomains: []fleet.FailureDomain{"a"}}}},
+		Placement:  []bundle.Placement{{Base: "m", Version: "1", MinReplicas: 1, MaxReplicas: 1}},
+	}
+	manifest, sections, err := bundle.Split(doc)
+	require.NoError(t, err)
+	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	raw := manifest.Bytes()
+	signed := bundle.SignedManifest{Manifest: raw, Signatures: []bundle.Signature{bundle.Sign(raw, "o", key)}}
+	verifier := bundle.Verifier{Keys: map[string]ed25519.PublicKey{"o": key.Public().(ed25519.PublicKey)}, Required: 1}
+	active, err := bundle.Activate(signed, sections, verifier)
+	require.NoError(t, err)
+	return active
+}
+
+// run makes passes for the given time.
+func (b *bench) run(t *testing.T, d time.Duration) {
+	for range int(d / placement.ReconcileEvery) {
+		time.Sleep(placement.ReconcileEvery)
+		require.NoError(t, b.controller.Reconcile(t.Context()))
+	}
+}
+
+// firstOrderWithin is the wait for the former owner and the spread of first orders.
+const firstOrderWithin = shards.LeaseTTL + 24*time.Second
+
+// Guards against two owners that order one engine at once when the engine ignores fencing numbers.
+func TestANewOwnerWaitsOutTheLeaseOfTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		for _, epoch := range []uint64{7, 9} {
+			before := b.engines.orders()
+			b.owners.epoch = epoch
+			b.run(t, shards.LeaseTTL)
+			require.Equal(t, before, b.engines.orders(), "epoch %d", epoch)
+			b.run(t, firstOrderWithin-shards.LeaseTTL)
+			require.Greater(t, b.engines.orders(), before)
+			require.EqualValues(t, epoch, b.engines.fences[b.engines.orders()-1])
+		}
+	})
+}
+
+// Guards against orders of an instance whose lease ended, before a pass (an outage of the store) or between its plan and an order.
+func TestNobodyActsWithoutALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.owners.lapsed = true
+		b.run(t, 2*firstOrderWithin)
+		require.Zero(t, b.engines.orders())
+		b.owners.epoch = 0
+		b.run(t, 2*firstOrderWithin)
+		require.Zero(t, b.engines.orders())
+	})
+}
+
+// Guards against a second order to an engine that could not be observed after the first.
+func TestAnEngineThatDoesNotAnswerGetsNoFurtherOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		for b.engines.orders() == 0 {
+			b.run(t, placement.ReconcileEvery)
+		}
+		b.engines.silent = engine.ErrOutcomeUnknown
+		b.run(t, 5*time.Minute)
+		require.Equal(t, 1, b.engines.orders())
+	})
+}
+
+// Guards against further orders to an engine whose answer to the last one is missing, and against decisions that cannot be explained.
+func TestAnEngineIsObservedBetweenTwoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.engines.err = engine.ErrOutcomeUnknown
+		b.run(t, 5*time.Minute)
+		require.Greater(t, b.engines.orders(), 5, "a lost order is repeated")
+		require.LessOrEqual(t, b.engines.orders(), 15, "at most three orders a minute")
+		for i, call := range b.engines.calls {
+			if call != "state" {
+				require.Equal(t, "state", b.engines.calls[i-1])
+				require.NotEqual(t, len(b.engines.calls)-1, i)
+				require.Equal(t, "state", b.engines.calls[i+1])
+			}
+		}
+		lines := b.board.Decisions.Find("placement-engine-1")
+		require.Len(t, lines, b.engines.orders())
+		require.Contains(t, lines[0], `"reason":"load_model m@1, fence 7, outcome_unknown: one of 1 wanted replicas, 0 serve"`)
+		counter := b.scope.Snapshot().Counters()["placement.orders+action=load_model,result=outcome_unknown"]
+		require.EqualValues(t, b.engines.orders(), counter.Value())
+		require.EqualValues(t, 1, b.scope.Snapshot().Gauges()["placement.engines+state=empty"].Value())
+	})
+}
