Serve the replaced version until the new one serves in its minimum

Requests now use the replaced version, if no model of the bundle names it any more, until the new one serves at the minimum of its wish. Demand at the replaced version counts for the new one.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -203,3 +203,41 @@
 		{ModelVersion: placement.ModelVersion{Base: "b", Version: "1"}, Role: "any", Min: 1, Max: placement.Unlimited, MaxRunning: 1},
 	}, wishes)
 }
+
+// Guards against requests that fail because a bundle names a version before it serves, against traffic for fewer replicas than the
+// minimum, and against answers of a version that another model of the bundle stands for.
+func TestRequestsStayAtTheReplacedVersionUntilTheNewOneServes(t *testing.T) {
+	fleetWith := func(old, next int) []placement.Engine {
+		engines := make([]placement.Engine, 4)
+		for i := range engines {
+			engines[i].Models = []fleet.LoadedModel{{Model: base, Version: "2", Loading: i >= next}}
+			if i < old {
+				engines[i].Models = append(engines[i].Models, fleet.LoadedModel{Model: base, Version: "1"})
+			}
+		}
+		return engines
+	}
+	m := bundle.Model{Name: "m", Base: base, Version: "2"}
+	canary := bundle.Model{Name: "other", Base: base, Version: "1"}
+	cases := []struct {
+		name      string
+		old, next int
+		models    []bundle.Model
+		least     int
+		version   string
+	}{
+		{"none serves the new version", 3, 0, nil, 2, "1"},
+		{"fewer than the minimum serve the new version", 3, 1, nil, 2, "1"},
+		{"the minimum serves the new version", 3, 2, nil, 2, "2"},
+		{"the minimum exceeds the fleet", 3, 4, nil, 9, "2"},
+		{"no engine serves any version", 0, 0, nil, 2, "2"},
+		{"fewer engines serve the old version than the new one", 1, 1, nil, 2, "2"},
+		{"another model stands for the old version", 3, 0, []bundle.Model{canary}, 2, "2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			wishes := []placement.Wish{wish("2", c.least, 9)}
+			require.Equal(t, c.version, placement.Serving(&m, append(c.models, m), wishes, fleetWith(c.old, c.next)))
+		})
+	}
+}
--- /dev/null
+++ b/core/placement/serving.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"eelgrassproxy.example/core/bundle"
+)
+
+// Serving returns the version that requests for the model use now. That is the model's own version once it serves at the minimum of its
+// wish. Before that it is the version that it replaces: one of the same base that no model of the bundle names any more and that more
+// engines still serve. Engines are unloaded only some time after the new version serves in its wanted number, so that all instances
+// have changed over by then.
+func Serving(m *bundle.Model, models []bundle.Model, wishes []Wish, engines []Engine) string {
+	counts, live := servingCounts(m, engines)
+	own := counts[m.Version]
+	if own >= min(leastReplicas(m, wishes), live) {
+		return m.Version
+	}
+	for i := range models {
+		if models[i].Base == m.Base {
+			delete(counts, models[i].Version)
+		}
+	}
+	best, most := m.Version, own
+	for version, n := range counts {
+		if n > most || n == most && best != m.Version && version < best {
+			best, most = version, n
+		}
+	}
+	return best
+}
+
+func leastReplicas(m *bundle.Model, wishes []Wish) int {
+	for i := range wishes {
+		if wishes[i].Base == m.Base && wishes[i].Version == m.Version {
+			return max(1, wishes[i].Min)
+		}
+	}
+	return 1
+}
+
+// servingCounts returns the engines that serve each version of the model's base, with its adapter, and the number of live engines.
+func servingCounts(m *bundle.Model, engines []Engine) (counts map[string]int, live int) {
+	counts = make(map[string]int)
+	for i := range engines {
+		e := &engines[i]
+		if e.Leaving {
+			continue
+		}
+		live++
+		for j := range e.Models {
+			held := &e.Models[j]
+			usable := !held.Loading && (m.Adapter == "" || contains(held.Adapters, m.Adapter))
+			if held.Model == m.Base && usable {
+				counts[held.Version]++
+			}
+		}
+	}
+	return counts, live
+}
--- a/node/control/placement/demand.go
+++ b/node/control/placement/demand.go
@@ -12,21 +12,24 @@
 
 // demand estimates the requests running and waiting for each wished version over the whole fleet: the mean over the replicas that this
 // instance has recent reports of, times the replicas that serve. Requests that wait in the instances add nothing, because they wait only
-// while replicas are full, and full replicas raise the wanted number by themselves.
+// while replicas are full, and full replicas raise the wanted number by themselves. Requests at a replaced version count for the wished
+// versions of its base, which are about to get them.
 func (c *Controller) demand(now time.Time, wishes []placement.Wish, engines []placement.Engine) map[placement.ModelVersion]float64 {
 	type sum struct{ load, reports, serving float64 }
-	sums := make(map[placement.ModelVersion]*sum, len(wishes))
-	for i := range wishes {
-		sums[wishes[i].ModelVersion] = &sum{}
-	}
+	sums := make(map[placement.ModelVersion]*sum)
 	for i := range engines {
 		load, reported := c.load(now, engines[i].ID)
 		share := load / float64(max(1, len(engines[i].Models)))
 		for _, m := range engines[i].Models {
-			s := sums[placement.ModelVersion{Base: m.Model, Version: m.Version}]
-			if s == nil || m.Loading {
+			if m.Loading {
 				continue
 			}
+			version := placement.ModelVersion{Base: m.Model, Version: m.Version}
+			s := sums[version]
+			if s == nil {
+				s = &sum{}
+				sums[version] = s
+			}
 			s.serving++
 			if reported {
 				s.load += share
@@ -34,9 +37,19 @@
 			}
 		}
 	}
-	demand := make(map[placement.ModelVersion]float64, len(sums))
+	wished := make(map[placement.ModelVersion]bool, len(wishes))
+	for i := range wishes {
+		wished[wishes[i].ModelVersion] = true
+	}
+	demand := make(map[placement.ModelVersion]float64, len(wishes))
 	for version, s := range sums {
-		demand[version] = s.load / max(1, s.reports) * s.serving
+		estimate := s.load / max(1, s.reports) * s.serving
+		for i := range wishes {
+			w := wishes[i].ModelVersion
+			if w == version || !wished[version] && w.Base == version.Base {
+				demand[w] += estimate
+			}
+		}
 	}
 	return demand
 }
--- a/node/entry/handler.go
+++ b/node/entry/handler.go
@@ -26,6 +26,7 @@
 // Handler implements the generated interfaces of the caller API.
 type Handler struct {
 	board         *blackboard.Board
+	versions      *versions
 	dispatcher    Dispatcher
 	entrypointTTL time.Duration
 	failureDomain fleet.FailureDomain
@@ -44,7 +45,13 @@
 
 // NewHandler returns a handler over the board. Callers keep the answer of listEntrypoints for the time to live.
 func NewHandler(board *blackboard.Board, dispatcher Dispatcher, failureDomain fleet.FailureDomain, entrypointTTL time.Duration, options ...HandlerOption) *Handler {
-	h := &Handler{board: board, dispatcher: dispatcher, failureDomain: failureDomain, entrypointTTL: entrypointTTL}
+	h := &Handler{
+		board:         board,
+		versions:      newVersions(board),
+		dispatcher:    dispatcher,
+		failureDomain: failureDomain,
+		entrypointTTL: entrypointTTL,
+	}
 	for _, option := range options {
 		option(h)
 	}
