--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -36,6 +36,8 @@
 	events []event
 	ids    map[string]string // last upstream id of each caller's request
 	onPost func(part, id string)
+
+	reachedMinimum bool // the rolled model has served in its least number
 }
 
 // event is one line of the golden file. Events of the same millisecond are ordered by their text, since goroutines that run at the same
