Yield faster: fresh reports of engines with own batch, no affinity on full targets

Change: engines with own batch in flight are asked for their load after 200 ms instead of 1 s; affinity ends at 90 % of a target as well as of the pool; the batch estimate takes no multiple of own requests, and free places are divided by the senders that the load implies.

--- a/core/batch/yield.go
+++ b/core/batch/yield.go
@@ -39,7 +39,12 @@
 	Load       float64 // estimated requests of all kinds and instances
 	Waiting    int     // requests that the engine's last report showed as waiting
 	OwnBatch   int     // batch requests of this instance in flight there
-	Sharers    int     // instances that send batch to the target
+}
+
+// senders estimates how many instances load the target like this one: the whole load in units of the own batch. A single owner of the
+// only job counts itself alone, while one of many takes a small part at a time.
+func (t TargetLoad) senders() float64 {
+	return max(1, t.Load/float64(max(t.OwnBatch, 1)))
 }
 
 // Yield holds the limits of an instance's batch requests at each target. Guarded by its owner.
@@ -81,7 +86,7 @@
 	if free < 1 || t.Waiting > 0 {
 		return 0
 	}
-	share := max(1, math.Floor(free/float64(max(t.Sharers, 1))))
+	share := max(1, math.Floor(free/t.senders()))
 	room := min(share, math.Floor(y.target(id).limit)-float64(t.OwnBatch))
 	return int(max(room, 0))
 }
@@ -120,7 +125,7 @@
 	if over <= 0 {
 		return 0
 	}
-	return min(int(math.Ceil(over/float64(max(t.Sharers, 1)))), t.OwnBatch)
+	return min(int(math.Ceil(over/t.senders())), t.OwnBatch)
 }
 
 // Forget drops targets that are gone.
--- a/core/routing/scorers.go
+++ b/core/routing/scorers.go
@@ -9,7 +9,8 @@
 	loadBound = 1.25
 	// loadSlack lets affinity count on a nearly idle fleet, where the mean is close to zero.
 	loadSlack = 0.125
-	// affinityCeiling is the mean utilisation above which only load counts: a saved prefill is worth less than a place in the batch.
+	// affinityCeiling is the utilisation, of the pool or of the target, above which only load counts: a saved prefill is worth less than
+	// a place in the batch.
 	affinityCeiling = 0.9
 )
 
@@ -53,7 +54,10 @@
 
 // Score implements Scorer.
 func (PrefixScorer) Score(req *Request, c *Candidate, pool *Pool) float64 {
-	if req.Prefix == 0 || pool.MeanLoad > affinityCeiling || c.Utilisation() > pool.MeanLoad*loadBound+loadSlack {
+	if req.Prefix == 0 || pool.MeanLoad > affinityCeiling {
+		return 0
+	}
+	if c.Utilisation() > min(pool.MeanLoad*loadBound+loadSlack, affinityCeiling) {
 		return 0
 	}
 	if pool.affinity == nil {
--- a/node/control/engines/engines.go
+++ b/node/control/engines/engines.go
@@ -21,6 +21,8 @@
 	concurrency = 16
 	// loadAge is the age at which the report of a used engine is polled for; answers carry fresher ones under traffic.
 	loadAge = time.Second
+	// batchLoadAge is that age while this instance has batch requests at the engine, which must give way soon after online demand rises.
+	batchLoadAge = 200 * time.Millisecond
 	// leastStateInterval is the shortest time between two polls of what an engine holds.
 	leastStateInterval = 2 * time.Second
 	// pollBytes is what one poll costs on the wire, both directions, headers included.
@@ -41,14 +43,16 @@
 	client Client
 	used   func() []fleet.TargetID // targets that requests are sent to
 	report func(fleet.TargetID, fleet.LoadReport)
+	batch  func(fleet.TargetID) int // batch requests of this instance in flight there
 
 	mu      sync.Mutex // guards stateAt; a leaf
 	stateAt map[fleet.TargetID]time.Time
 }
 
-// New returns a poller of the board's engines. used returns the targets that requests are sent to; report takes their load reports.
-func New(board *blackboard.Board, client Client, used func() []fleet.TargetID, report func(fleet.TargetID, fleet.LoadReport)) *Poller {
-	return &Poller{board: board, client: client, used: used, report: report, stateAt: make(map[fleet.TargetID]time.Time)}
+// New returns a poller of the board's engines. used returns the targets that requests are sent to, batch this instance's batch requests
+// in flight at one; report takes the load reports.
+func New(board *blackboard.Board, client Client, used func() []fleet.TargetID, batch func(fleet.TargetID) int, report func(fleet.TargetID, fleet.LoadReport)) *Poller {
+	return &Poller{board: board, client: client, used: used, batch: batch, report: report, stateAt: make(map[fleet.TargetID]time.Time)}
 }
 
 // Name implements workers.Controller.
@@ -102,7 +106,11 @@
 	var due []*blackboard.TargetEntry
 	for _, id := range p.used() {
 		t, ok := p.board.Targets.Get(id)
-		if ok && t.Kind == fleet.KindEngine && now.Sub(p.board.Loads.View(id).Report.SampledAt) > loadAge {
+		age := loadAge
+		if p.batch(id) > 0 {
+			age = batchLoadAge
+		}
+		if ok && t.Kind == fleet.KindEngine && now.Sub(p.board.Loads.View(id).Report.SampledAt) > age {
 			due = append(due, t)
 		}
 	}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -214,7 +214,7 @@
 	d.workers = workers.NewPool(d.board, d.settings.Workers, d.env.Seed)
 	d.workers.Register(d.bundles, workers.Schedule{Every: time.Second})
 	d.workers.Register(d.claims.Controller(), workers.Schedule{Every: time.Second})
-	d.workers.Register(engines.New(d.board, d.engines, d.pools.Used, d.dispatcher.LoadReported), workers.Schedule{
+	d.workers.Register(engines.New(d.board, d.engines, d.pools.Used, d.dispatcher.BatchInFlight, d.dispatcher.LoadReported), workers.Schedule{
 		Every: engineInterval,
 		On:    []blackboard.Topic{blackboard.TopicTargets},
 	})
@@ -230,7 +230,7 @@
 )
 
 // engineInterval is how often engines without a fresh report are looked for.
-const engineInterval = 500 * time.Millisecond
+const engineInterval = 200 * time.Millisecond
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -74,8 +74,9 @@
 func (x *execution) awaitRoom(ctx context.Context) (*routing.Candidate, error) {
 	d := x.dispatcher
 	for {
-		candidates := d.Pools.Candidates(x.request, &x.route, time.Now())
-		d.floor.fill(candidates, d.Pools.Sharers(), x.request.AtRisk)
+		now := time.Now()
+		candidates := d.Pools.Candidates(x.request, &x.route, now)
+		d.floor.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.AtRisk)
 		d.mu.Lock()
 		decision := d.Router.Decide(&x.route, candidates, d.random)
 		d.mu.Unlock()
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -98,9 +98,12 @@
 // LoadReported takes a load report of a target; batch requests in the way of waiting ones are cancelled.
 func (d *Dispatcher) LoadReported(id fleet.TargetID, report fleet.LoadReport) {
 	d.Board.Loads.Report(id, report)
-	d.floor.reported(id, report, d.Pools.Sharers())
+	d.floor.reported(id, report)
 }
 
+// BatchInFlight returns the batch requests of this instance at a target.
+func (d *Dispatcher) BatchInFlight(id fleet.TargetID) int { return d.floor.own(id) }
+
 // InFlight returns the online requests that this instance holds.
 func (d *Dispatcher) InFlight() int { return int(d.held.Load()) }
 
--- a/node/dispatch/floor.go
+++ b/node/dispatch/floor.go
@@ -48,24 +48,23 @@
 	}
 }
 
-// fill sets the room of each candidate.
-func (f *batchFloor) fill(candidates []routing.Candidate, sharers int, atRisk bool) {
+// fill sets the room of each candidate. loads has the same candidates with unbiased load estimates.
+func (f *batchFloor) fill(candidates, loads []routing.Candidate, atRisk bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range candidates {
 		c := &candidates[i]
-		c.BatchRoom = f.yield.Room(c.Target, f.load(c.Target, c.MaxRunning, c.Load, sharers), atRisk)
+		c.BatchRoom = f.yield.Room(c.Target, f.load(c.Target, c.MaxRunning, loads[i].Load), atRisk)
 	}
 }
 
 // load describes a target; f.mu is held.
-func (f *batchFloor) load(id fleet.TargetID, maxRunning int, estimate float64, sharers int) batch.TargetLoad {
+func (f *batchFloor) load(id fleet.TargetID, maxRunning int, estimate float64) batch.TargetLoad {
 	return batch.TargetLoad{
 		MaxRunning: maxRunning,
 		Load:       estimate,
 		Waiting:    f.loads.View(id).Report.Waiting,
 		OwnBatch:   len(f.running[id]),
-		Sharers:    sharers,
 	}
 }
 
@@ -159,11 +158,11 @@
 }
 
 // reported reacts to a load report: batch gives way when the target is fuller than batch may make it.
-func (f *batchFloor) reported(id fleet.TargetID, report fleet.LoadReport, sharers int) {
+func (f *batchFloor) reported(id fleet.TargetID, report fleet.LoadReport) {
 	f.mu.Lock()
 	excess := 0
 	if runs := f.running[id]; len(runs) > 0 {
-		excess = f.yield.Excess(f.load(id, runs[0].maxRunning, float64(report.Running+report.Waiting), sharers))
+		excess = f.yield.Excess(f.load(id, runs[0].maxRunning, float64(report.Running+report.Waiting)))
 	}
 	f.mu.Unlock()
 	if excess > 0 {
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -34,6 +34,7 @@
 	revision   uint64
 	generation fleet.Generation
 	members    []*blackboard.TargetEntry
+	eligible   int // targets of the pool, members and others
 	outlier    *limits.Outlier
 }
 
@@ -46,12 +47,12 @@
 func (p *Pools) Candidates(r *request.Request, req *routing.Request, now time.Time) []routing.Candidate {
 	topology := r.Bundle.Topology()
 	candidates := p.collect(r, req, topology, now)
-	p.board.Loads.Estimate(candidates, now, p.Sharers())
+	p.board.Loads.Estimate(candidates, now, p.Sharers(r.Pool()))
 	return candidates
 }
 
-// unbiased returns the candidates with the load estimate that is right on average, for sums over the pool.
-func (p *Pools) unbiased(r *request.Request, req *routing.Request, now time.Time) []routing.Candidate {
+// Unbiased returns the candidates with the load estimate that is right on average, for sums over the pool.
+func (p *Pools) Unbiased(r *request.Request, req *routing.Request, now time.Time) []routing.Candidate {
 	candidates := p.collect(r, req, r.Bundle.Topology(), now)
 	p.board.Loads.Estimate(candidates, now, 1)
 	return candidates
@@ -82,8 +83,8 @@
 // Pressure returns the capacity of the request's pool and the online load on it, both over the targets that may be used. ownBatch
 // returns the batch requests of this instance at a target.
 func (p *Pools) Pressure(r *request.Request, req *routing.Request, now time.Time, ownBatch func(fleet.TargetID) int) admission.Pressure {
-	pressure := admission.Pressure{Sharers: p.Sharers()}
-	for _, c := range p.unbiased(r, req, now) {
+	pressure := admission.Pressure{Sharers: p.Sharers(r.Pool())}
+	for _, c := range p.Unbiased(r, req, now) {
 		if c.CircuitOpen || c.State != fleet.TargetLive || c.Residency == routing.ModelLoading {
 			continue
 		}
@@ -93,14 +94,20 @@
 	return pressure
 }
 
-// Sharers is the number of instances that send to the same targets: those that serve.
-func (p *Pools) Sharers() int {
+// Sharers is the number of instances that send to the same target of the pool: all that serve while every instance uses the whole pool,
+// fewer when each uses a subset.
+func (p *Pools) Sharers(key request.PoolKey) int {
 	serving := 0
 	for _, m := range p.board.Members.All() {
 		if m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect {
 			serving++
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool, ok := p.pools[key]; ok && pool.eligible > 0 {
+		serving = (serving*len(pool.members) + pool.eligible - 1) / pool.eligible
+	}
 	return max(serving, 1)
 }
 
@@ -160,7 +167,7 @@
 		p.pools[key] = existing
 	}
 	existing.revision, existing.generation = revision, generation
-	existing.members = p.subset(key, topology)
+	existing.members, existing.eligible = p.subset(key, topology)
 	ids := make([]fleet.TargetID, len(existing.members))
 	for i, m := range existing.members {
 		ids[i] = m.ID
@@ -171,14 +178,15 @@
 
 // subset picks the targets of the pool that this instance uses: those of the own region first, in rendezvous order of instance and
 // target, so that instances spread over all targets and the loss of one target moves few of them.
-func (p *Pools) subset(key request.PoolKey, topology fleet.Topology) []*blackboard.TargetEntry {
+func (p *Pools) subset(key request.PoolKey, topology fleet.Topology) (members []*blackboard.TargetEntry, count int) {
 	var eligible []*blackboard.TargetEntry
 	for _, t := range p.board.Targets.All() {
 		if t.State == fleet.TargetLive && serves(t, key) {
 			eligible = append(eligible, t)
 		}
 	}
-	if len(eligible) > p.subsetSize {
+	count = len(eligible)
+	if count > p.subsetSize {
 		slices.SortFunc(eligible, func(a, b *blackboard.TargetEntry) int {
 			remoteA := topology.Distance(p.domain, a.FailureDomain) == fleet.OtherRegion
 			remoteB := topology.Distance(p.domain, b.FailureDomain) == fleet.OtherRegion
@@ -192,7 +200,7 @@
 		})
 		eligible = eligible[:p.subsetSize]
 	}
-	return eligible
+	return eligible, count
 }
 
 func (p *Pools) weight(id fleet.TargetID) uint64 {
