--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -30,6 +30,10 @@
 	//
 	// GET /operator/v1/decisions/{request_id}
 	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*DecisionList, error)
+	// GetBundle invokes getBundle operation.
+	//
+	// GET /operator/v1/bundles/in-force
+	GetBundle(ctx context.Context, params GetBundleParams) (*BundleInForce, error)
 	// GetJob invokes getJob operation.
 	//
 	// GET /operator/v1/jobs/{job}
@@ -278,6 +282,109 @@
 	return result, nil
 }
 
+// GetBundle invokes getBundle operation.
+//
+// GET /operator/v1/bundles/in-force
+func (c *Client) GetBundle(ctx context.Context, params GetBundleParams) (*BundleInForce, error) {
+	res, err := c.sendGetBundle(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetBundle(ctx context.Context, params GetBundleParams) (res *BundleInForce, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/operator/v1/bundles/in-force"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "section" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "section",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if params.Section != nil {
+				return e.EncodeArray(func(e uri.Encoder) error {
+					for i, item := range params.Section {
+						if err := func() error {
+							return e.EncodeValue(conv.StringToString(item))
+						}(); err != nil {
+							return errors.Wrapf(err, "[%d]", i)
+						}
+					}
+					return nil
+				})
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityBearer(ctx, GetBundleOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Bearer\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetBundleResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetJob invokes getJob operation.
 //
 // GET /operator/v1/jobs/{job}
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -306,6 +306,145 @@
 	}
 }
 
+// handleGetBundleRequest handles getBundle operation.
+//
+// GET /operator/v1/bundles/in-force
+func (s *Server) handleGetBundleRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetBundleOperation,
+			ID:   "getBundle",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityBearer(ctx, GetBundleOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Bearer",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Bearer", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetBundleParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *BundleInForce
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetBundleOperation,
+			OperationSummary: "",
+			OperationID:      "getBundle",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "section",
+					In:   "query",
+				}: params.Section,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetBundleParams
+			Response = *BundleInForce
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetBundleParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetBundle(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetBundle(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetBundleResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetJobRequest handles getJob operation.
 //
 // GET /operator/v1/jobs/{job}
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -13,6 +13,129 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *BundleInForce) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BundleInForce) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("manifest")
+		e.Base64(s.Manifest)
+	}
+	{
+		e.FieldStart("sections")
+		e.ArrStart()
+		for _, elem := range s.Sections {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfBundleInForce = [2]string{
+	0: "manifest",
+	1: "sections",
+}
+
+// Decode decodes BundleInForce from json.
+func (s *BundleInForce) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BundleInForce to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "manifest":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Base64()
+				s.Manifest = []byte(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"manifest\"")
+			}
+		case "sections":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Sections = make([]BundleSection, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem BundleSection
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Sections = append(s.Sections, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"sections\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BundleInForce")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBundleInForce) {
+					name = jsonFieldsNameOfBundleInForce[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BundleInForce) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BundleInForce) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *BundleList) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -119,6 +242,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *BundleSection) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *BundleSection) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("content")
+		e.Base64(s.Content)
+	}
+}
+
+var jsonFieldsNameOfBundleSection = [2]string{
+	0: "name",
+	1: "content",
+}
+
+// Decode decodes BundleSection from json.
+func (s *BundleSection) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode BundleSection to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "content":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Base64()
+				s.Content = []byte(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"content\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode BundleSection")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfBundleSection) {
+					name = jsonFieldsNameOfBundleSection[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *BundleSection) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *BundleSection) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *BundleSummary) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1706,8 +1942,16 @@
 		e.Int64(s.SeenGeneration)
 	}
 	{
-		e.FieldStart("document")
-		e.Str(s.Document)
+		if s.Document.Set {
+			e.FieldStart("document")
+			s.Document.Encode(e)
+		}
+	}
+	{
+		if s.Delta.Set {
+			e.FieldStart("delta")
+			s.Delta.Encode(e)
+		}
 	}
 	{
 		e.FieldStart("signatures")
@@ -1719,10 +1963,11 @@
 	}
 }
 
-var jsonFieldsNameOfRollRequest = [3]string{
+var jsonFieldsNameOfRollRequest = [4]string{
 	0: "seen_generation",
 	1: "document",
-	2: "signatures",
+	2: "delta",
+	3: "signatures",
 }
 
 // Decode decodes RollRequest from json.
@@ -1747,19 +1992,27 @@
 				return errors.Wrap(err, "decode field \"seen_generation\"")
 			}
 		case "document":
-			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Str()
-				s.Document = string(v)
-				if err != nil {
+				s.Document.Reset()
+				if err := s.Document.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"document\"")
 			}
+		case "delta":
+			if err := func() error {
+				s.Delta.Reset()
+				if err := s.Delta.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"delta\"")
+			}
 		case "signatures":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				s.Signatures = make([]Signature, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1786,7 +2039,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -8,6 +8,7 @@
 const (
 	CancelJobOperation      OperationName = "CancelJob"
 	ExplainRequestOperation OperationName = "ExplainRequest"
+	GetBundleOperation      OperationName = "GetBundle"
 	GetJobOperation         OperationName = "GetJob"
 	GetStatusOperation      OperationName = "GetStatus"
 	ListBundlesOperation    OperationName = "ListBundles"
--- a/api/operator/oas_parameters_gen.go
+++ b/api/operator/oas_parameters_gen.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 
@@ -184,6 +185,120 @@
 	return params, nil
 }
 
+// GetBundleParams is parameters of getBundle operation.
+type GetBundleParams struct {
+	// Names of sections to return with the manifest; a section that the manifest does not name is left
+	// out.
+	Section []string `json:",omitempty"`
+}
+
+func unpackGetBundleParams(packed middleware.Parameters) (params GetBundleParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "section",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Section = v.([]string)
+		}
+	}
+	return params
+}
+
+func decodeGetBundleParams(args [0]string, argsEscaped bool, r *http.Request) (params GetBundleParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: section.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "section",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				params.Section = nil
+				return d.DecodeArray(func(d uri.Decoder) error {
+					var paramsDotSectionVal string
+					if err := func() error {
+						val, err := d.DecodeValue()
+						if err != nil {
+							return err
+						}
+
+						c, err := conv.ToString(val)
+						if err != nil {
+							return err
+						}
+
+						paramsDotSectionVal = c
+						return nil
+					}(); err != nil {
+						return err
+					}
+					params.Section = append(params.Section, paramsDotSectionVal)
+					return nil
+				})
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if params.Section == nil {
+					return nil // optional
+				}
+				if err := (validate.Array{
+					MinLength:    0,
+					MinLengthSet: false,
+					MaxLength:    512,
+					MaxLengthSet: true,
+				}).ValidateLength(len(params.Section)); err != nil {
+					return errors.Wrap(err, "array")
+				}
+				var failures []validate.FieldError
+				for i, elem := range params.Section {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     64,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(elem)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						failures = append(failures, validate.FieldError{
+							Name:  fmt.Sprintf("[%d]", i),
+							Error: err,
+						})
+					}
+				}
+				if len(failures) > 0 {
+					return &validate.Error{Fields: failures}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "section",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetJobParams is parameters of getJob operation.
 type GetJobParams struct {
 	Job string
--- a/api/operator/oas_response_decoders_gen.go
+++ b/api/operator/oas_response_decoders_gen.go
@@ -188,6 +188,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetBundleResponse(resp *http.Response) (res *BundleInForce, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response BundleInForce
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response ErrorResponse
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetJobResponse(resp *http.Response) (res *Job, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -36,6 +36,19 @@
 	return nil
 }
 
+func encodeGetBundleResponse(response *BundleInForce, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetJobResponse(response *Job, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -11,14 +11,17 @@
 )
 
 var (
-	rn8AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
 		"GET":  "Authorization",
 		"POST": "Authorization,Content-Type",
 	}
+	rn7AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 	rn6AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn10AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 	rn2AllowedHeaders = map[string]string{
@@ -27,7 +30,7 @@
 	rn3AllowedHeaders = map[string]string{
 		"POST": "Authorization",
 	}
-	rn7AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
 )
@@ -92,7 +95,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch r.Method {
 					case "GET":
 						s.handleListBundlesRequest([0]string{}, elemIsEscaped, w, r)
@@ -101,7 +103,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,POST",
-							allowedHeaders: rn8AllowedHeaders,
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -109,6 +111,33 @@
 
 					return
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/in-force"
+
+					if l := len("/in-force"); len(elem) >= l && elem[0:l] == "/in-force" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetBundleRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn7AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
 
 			case 'd': // Prefix: "decisions/"
 
@@ -161,7 +190,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -252,7 +281,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn7AllowedHeaders,
+							allowedHeaders: rn8AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -370,7 +399,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch method {
 					case "GET":
 						r.name = ListBundlesOperation
@@ -394,6 +422,33 @@
 						return
 					}
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/in-force"
+
+					if l := len("/in-force"); len(elem) >= l && elem[0:l] == "/in-force" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetBundleOperation
+							r.summary = ""
+							r.operationID = "getBundle"
+							r.operationGroup = ""
+							r.pathPattern = "/operator/v1/bundles/in-force"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
 
 			case 'd': // Prefix: "decisions/"
 
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -36,6 +36,33 @@
 	s.Roles = val
 }
 
+// Ref: #/components/schemas/BundleInForce
+type BundleInForce struct {
+	// Canonical JSON of the manifest.
+	Manifest []byte          `json:"manifest"`
+	Sections []BundleSection `json:"sections"`
+}
+
+// GetManifest returns the value of Manifest.
+func (s *BundleInForce) GetManifest() []byte {
+	return s.Manifest
+}
+
+// GetSections returns the value of Sections.
+func (s *BundleInForce) GetSections() []BundleSection {
+	return s.Sections
+}
+
+// SetManifest sets the value of Manifest.
+func (s *BundleInForce) SetManifest(val []byte) {
+	s.Manifest = val
+}
+
+// SetSections sets the value of Sections.
+func (s *BundleInForce) SetSections(val []BundleSection) {
+	s.Sections = val
+}
+
 // Ref: #/components/schemas/BundleList
 type BundleList struct {
 	Bundles []BundleSummary `json:"bundles"`
@@ -51,6 +78,33 @@
 	s.Bundles = val
 }
 
+// Ref: #/components/schemas/BundleSection
+type BundleSection struct {
+	Name string `json:"name"`
+	// Canonical JSON of the section.
+	Content []byte `json:"content"`
+}
+
+// GetName returns the value of Name.
+func (s *BundleSection) GetName() string {
+	return s.Name
+}
+
+// GetContent returns the value of Content.
+func (s *BundleSection) GetContent() []byte {
+	return s.Content
+}
+
+// SetName sets the value of Name.
+func (s *BundleSection) SetName(val string) {
+	s.Name = val
+}
+
+// SetContent sets the value of Content.
+func (s *BundleSection) SetContent(val []byte) {
+	s.Content = val
+}
+
 // Ref: #/components/schemas/BundleSummary
 type BundleSummary struct {
 	Generation int64       `json:"generation"`
@@ -784,11 +838,14 @@
 	return d
 }
 
+// Exactly one of document and delta is given.
 // Ref: #/components/schemas/RollRequest
 type RollRequest struct {
 	SeenGeneration int64 `json:"seen_generation"`
 	// The bundle in YAML.
-	Document   string      `json:"document"`
+	Document OptString `json:"document"`
+	// The change since the generation seen, as the JSON of a delta without signatures.
+	Delta      OptString   `json:"delta"`
 	Signatures []Signature `json:"signatures"`
 }
 
@@ -798,10 +855,15 @@
 }
 
 // GetDocument returns the value of Document.
-func (s *RollRequest) GetDocument() string {
+func (s *RollRequest) GetDocument() OptString {
 	return s.Document
 }
 
+// GetDelta returns the value of Delta.
+func (s *RollRequest) GetDelta() OptString {
+	return s.Delta
+}
+
 // GetSignatures returns the value of Signatures.
 func (s *RollRequest) GetSignatures() []Signature {
 	return s.Signatures
@@ -813,10 +875,15 @@
 }
 
 // SetDocument sets the value of Document.
-func (s *RollRequest) SetDocument(val string) {
+func (s *RollRequest) SetDocument(val OptString) {
 	s.Document = val
 }
 
+// SetDelta sets the value of Delta.
+func (s *RollRequest) SetDelta(val OptString) {
+	s.Delta = val
+}
+
 // SetSignatures sets the value of Signatures.
 func (s *RollRequest) SetSignatures(val []Signature) {
 	s.Signatures = val
--- a/api/operator/oas_security_gen.go
+++ b/api/operator/oas_security_gen.go
@@ -36,6 +36,7 @@
 var operationRolesBearer = map[string][]string{
 	CancelJobOperation:      []string{},
 	ExplainRequestOperation: []string{},
+	GetBundleOperation:      []string{},
 	GetJobOperation:         []string{},
 	GetStatusOperation:      []string{},
 	ListBundlesOperation:    []string{},
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// GET /operator/v1/decisions/{request_id}
 	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*DecisionList, error)
+	// GetBundle implements getBundle operation.
+	//
+	// GET /operator/v1/bundles/in-force
+	GetBundle(ctx context.Context, params GetBundleParams) (*BundleInForce, error)
 	// GetJob implements getJob operation.
 	//
 	// GET /operator/v1/jobs/{job}
--- a/api/operator/oas_unimplemented_gen.go
+++ b/api/operator/oas_unimplemented_gen.go
@@ -27,6 +27,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetBundle implements getBundle operation.
+//
+// GET /operator/v1/bundles/in-force
+func (UnimplementedHandler) GetBundle(ctx context.Context, params GetBundleParams) (r *BundleInForce, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetJob implements getJob operation.
 //
 // GET /operator/v1/jobs/{job}
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -9,6 +9,29 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *BundleInForce) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Sections == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "sections",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *BundleList) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -208,6 +231,36 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Delta.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     262144,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "delta",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Signatures == nil {
 			return errors.New("nil is invalid value")
--- a/cmd/eelgrassctl/bundlecmd/bundlecmd.go
+++ b/cmd/eelgrassctl/bundlecmd/bundlecmd.go
@@ -45,9 +45,13 @@
 		{"digest", "FILE", "print the generation and the digest that operators sign", runDigest},
 		{"keygen", "-operator NAME -out DIR", "create a signing key", runKeygen},
 		{"sign", "-key FILE -operator NAME FILE", "sign a bundle, writes FILE.NAME.sig", runSign},
-		{"roll", "-address URL -token-file FILE [-seen N] FILE [SIGNATURE...]", "put a signed bundle in force", runRoll},
-		{"status", "-address URL -token-file FILE", "show the generation in force at each instance", runStatus},
-		{"history", "-address URL -token-file FILE", "list rolled generations, newest first", runHistory},
+		{"roll", "[-address URL] -token-file FILE [-seen N] FILE [SIGNATURE...]", "put a signed bundle in force", runRoll},
+		{"set-caller", "[-address URL] -token-file FILE -operator NAME -key FILE -id ID -group GROUP -key-sha256 DIGEST [-disabled] [-retry N]",
+			"add or change one caller in the bundle in force", runSetCaller},
+		{"remove-caller", "[-address URL] -token-file FILE -operator NAME -key FILE -id ID [-retry N]",
+			"remove one caller from the bundle in force", runRemoveCaller},
+		{"status", "[-address URL] -token-file FILE", "show the generation in force at each instance", runStatus},
+		{"history", "[-address URL] -token-file FILE", "list rolled generations, newest first", runHistory},
 	}
 }
 
@@ -92,7 +96,7 @@
 func printHelp(w io.Writer) {
 	fmt.Fprintln(w, "usage: eelgrassctl bundle COMMAND ...")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-8s %s\n           %s\n", c.name, c.usage, c.summary)
+		fmt.Fprintf(w, "  %-14s %s\n                 %s\n", c.name, c.usage, c.summary)
 	}
 }
 
--- a/cmd/eelgrassctl/bundlecmd/bundlecmd_test.go
+++ b/cmd/eelgrassctl/bundlecmd/bundlecmd_test.go
@@ -94,7 +94,7 @@
 		conflict.Response.Error = operator.Error{Code: "conflict", Message: "lost the race", Generation: operator.NewOptInt64(7)}
 		return nil, conflict
 	}
-	doc, err := bundle.ParseYAML([]byte(request.Document), "request")
+	doc, err := bundle.ParseYAML([]byte(request.Document.Value), "request")
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +113,11 @@
 	return &operator.BundleSummary{Generation: 7, Digest: manifest.Digest(), Signers: []string{"anna", "bert"}}, nil
 }
 
+// GetBundle makes the command send whole bundles: this instance has none in force yet.
+func (f *fakeInstance) GetBundle(context.Context, operator.GetBundleParams) (*operator.BundleInForce, error) {
+	return nil, os.ErrNotExist
+}
+
 func (f *fakeInstance) NewError(_ context.Context, err error) *operator.ErrorStatusCode {
 	out := &operator.ErrorStatusCode{StatusCode: 400}
 	out.Response.Error = operator.Error{Code: "refused", Message: err.Error()}
--- a/cmd/eelgrassctl/bundlecmd/remote.go
+++ b/cmd/eelgrassctl/bundlecmd/remote.go
@@ -5,118 +5,30 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"eelgrassproxy.example/api/operator"
+	"eelgrassproxy.example/cmd/eelgrassctl/operatorcmd"
 	"eelgrassproxy.example/core/bundle"
 )
 
 // defaultTimeout bounds one call to the operators' listener; a first roll of 44,000 callers writes several transactions.
 const defaultTimeout = 30 * time.Second
 
-// connection holds the flags of commands that call an instance.
-type connection struct {
-	address   *string
-	tokenFile *string
-	timeout   *time.Duration
+// connectionFlags adds the flags of commands that call an instance.
+func (c *call) connectionFlags() *operatorcmd.Connection {
+	return operatorcmd.AddFlags(c.flags, defaultTimeout)
 }
 
-func (c *call) connectionFlags() connection {
-	return connection{
-		address:   c.flags.String("address", "", "`URL` of an instance's operators' listener"),
-		tokenFile: c.flags.String("token-file", "", "`file` with the operator's bearer token"),
-		timeout:   c.flags.Duration("timeout", defaultTimeout, "longest wait for the response"),
+func (c *call) connect(connection *operatorcmd.Connection) (*operator.Client, error) {
+	client, err := connection.Client()
+	if errors.Is(err, operatorcmd.ErrNoToken) {
+		return nil, c.wrong("%v", err)
 	}
-}
-
-// bearer supplies the operator's token to the generated client.
-type bearer string
-
-// Bearer implements operator.SecuritySource.
-func (b bearer) Bearer(context.Context, operator.OperationName, *operator.Client) (operator.Bearer, error) {
-	return operator.Bearer{Token: string(b)}, nil
-}
-
-func (c *call) connect(flags connection) (*operator.Client, error) {
-	if err := c.required("address", "token-file"); err != nil {
-		return nil, err
-	}
-	token, err := os.ReadFile(*flags.tokenFile)
-	if err != nil {
-		return nil, err
-	}
-	httpClient := &http.Client{Timeout: *flags.timeout}
-	return operator.NewClient(*flags.address, bearer(strings.TrimSpace(string(token))), operator.WithClient(httpClient))
-}
-
-// explain turns a typed error of the API into a message for the operator.
-func explain(err error) error {
-	var typed *operator.ErrorStatusCode
-	if !errors.As(err, &typed) {
-		return err
-	}
-	detail := typed.Response.Error
-	if generation, ok := detail.Generation.Get(); ok {
-		return fmt.Errorf("%s: %s (generation %d is in force)", detail.Code, detail.Message, generation)
-	}
-	return fmt.Errorf("%s: %s", detail.Code, detail.Message)
-}
-
-func runRoll(c *call) error {
-	flags := c.connectionFlags()
-	seen := c.flags.Int64("seen", -1, "generation that the bundle was made from; default the one before the bundle's")
-	if err := c.parse(1, -1); err != nil {
-		return err
-	}
-	client, err := c.connect(flags)
-	if err != nil {
-		return err
-	}
-	request, err := c.rollRequest(*seen)
-	if err != nil {
-		return err
-	}
-	summary, err := client.RollBundle(context.Background(), request)
-	if err != nil {
-		return explain(err)
-	}
-	fmt.Fprintf(c.stdout, "rolled generation %d, digest %s, signed by %s\n", summary.Generation, summary.Digest, strings.Join(summary.Signers, ", "))
-	return nil
-}
-
-// rollRequest reads the bundle and its signature files, by default all files FILE.*.sig.
-func (c *call) rollRequest(seen int64) (*operator.RollRequest, error) {
-	path := c.flags.Arg(0)
-	_, manifest, text, err := readValid(path)
-	if err != nil {
-		return nil, err
-	}
-	if seen < 0 {
-		seen = int64(manifest.Generation) - 1
-	}
-	files := c.flags.Args()[1:]
-	if len(files) == 0 {
-		if files, err = filepath.Glob(path + ".*" + signatureSuffix); err != nil {
-			return nil, err
-		}
-	}
-	if len(files) == 0 {
-		return nil, fmt.Errorf("no signature files %s.*%s", path, signatureSuffix)
-	}
-	request := &operator.RollRequest{SeenGeneration: seen, Document: string(text)}
-	for _, file := range files {
-		signature, err := readSignature(file, manifest)
-		if err != nil {
-			return nil, err
-		}
-		request.Signatures = append(request.Signatures, signature)
-	}
-	return request, nil
+	return client, err
 }
 
 // readSignature reads a signature file and checks that it was made for this text of the bundle.
@@ -147,7 +59,7 @@
 	}
 	status, err := client.GetStatus(context.Background())
 	if err != nil {
-		return explain(err)
+		return operatorcmd.Describe(err)
 	}
 	behind := 0
 	table := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
@@ -177,7 +89,7 @@
 	}
 	list, err := client.ListBundles(context.Background())
 	if err != nil {
-		return explain(err)
+		return operatorcmd.Describe(err)
 	}
 	table := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "GENERATION\tROLLED AT\tSIGNED BY\tDIGEST")
--- a/cmd/eelgrassctl/operatorcmd/operatorcmd.go
+++ b/cmd/eelgrassctl/operatorcmd/operatorcmd.go
@@ -3,11 +3,8 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -22,85 +19,6 @@
 	exitUsage  = 2
 )
 
-// callTimeout bounds one call; explain waits for all instances.
-const callTimeout = 10 * time.Second
-
-// DefaultAddress is the operators' listener of the first instance of the sample fleet.
-const DefaultAddress = "http://127.0.0.1:8082"
-
-type token string
-
-// Bearer implements the generated security source.
-func (t token) Bearer(context.Context, operator.OperationName, *operator.Client) (operator.Bearer, error) {
-	return operator.Bearer{Token: string(t)}, nil
-}
-
-// Connection holds the flags that all commands share which call an instance's operators' listener.
-type Connection struct {
-	flags     *flag.FlagSet
-	address   *string
-	tokenFile *string
-}
-
-// NewConnection returns the flags of the named command. arguments is the text of its arguments in the usage line.
-func NewConnection(name, arguments string, stderr io.Writer) *Connection {
-	flags := flag.NewFlagSet("eelgrassctl "+name, flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	flags.Usage = func() {
-		fmt.Fprintf(stderr, "usage: eelgrassctl %s [-address URL] -token-file FILE%s\n", name, arguments)
-		flags.PrintDefaults()
-	}
-	return &Connection{
-		flags:     flags,
-		address:   flags.String("address", DefaultAddress, "URL of an instance's operators' listener"),
-		tokenFile: flags.String("token-file", "", "file with the operator's bearer token (required)"),
-	}
-}
-
-func (c *Connection) client() (*operator.Client, error) {
-	raw, err := os.ReadFile(*c.tokenFile)
-	if err != nil {
-		return nil, fmt.Errorf("-token-file: %w", err)
-	}
-	return operator.NewClient(*c.address, token(strings.TrimSpace(string(raw))))
-}
-
-// Arg returns an argument behind the flags; call it in the do of Run.
-func (c *Connection) Arg(i int) string { return c.flags.Arg(i) }
-
-// Run parses the arguments, of which count must follow the flags, and calls do with a client; it returns the exit code.
-func (c *Connection) Run(ctx context.Context, args []string, count int, stderr io.Writer, do func(context.Context, *operator.Client) error) int {
-	if err := c.flags.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitOK
-		}
-		return exitUsage
-	}
-	if c.flags.NArg() != count || *c.tokenFile == "" {
-		c.flags.Usage()
-		return exitUsage
-	}
-	client, err := c.client()
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		err = do(ctx, client)
-	}
-	if err != nil {
-		fmt.Fprintf(stderr, "%s: %s\n", c.flags.Name(), describe(err))
-		return exitFailed
-	}
-	return exitOK
-}
-
-func describe(err error) string {
-	var status *operator.ErrorStatusCode
-	if errors.As(err, &status) {
-		return fmt.Sprintf("%s (%s)", status.Response.Error.Message, status.Response.Error.Code)
-	}
-	return err.Error()
-}
-
 // Status runs "eelgrassctl status".
 func Status(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	c := NewConnection("status", "", stderr)
--- a/core/bundle/delta.go
+++ b/core/bundle/delta.go
@@ -74,6 +74,30 @@
 	return Diff(before, after), nil
 }
 
+// CallerDelta returns the unsigned change of one caller and the manifest to sign. sections must hold the caller's section if the
+// manifest names it. A nil caller removes the id. The delta is zero if nothing would change.
+func CallerDelta(manifest Manifest, sections Sections, id fleet.CallerID, caller *Caller) (Delta, Manifest, error) {
+	before := &Document{Generation: manifest.Generation}
+	if err := decodeInto(before, manifest, sections, CallerSectionOf(id)); err != nil {
+		return Delta{}, Manifest{}, err
+	}
+	after := &Document{Generation: manifest.Generation + 1}
+	for _, c := range before.Callers {
+		if c.ID != id {
+			after.Callers = append(after.Callers, c)
+		}
+	}
+	if caller != nil {
+		after.Callers = append(after.Callers, *caller)
+	}
+	delta := Diff(before, after)
+	if delta.Callers.IsZero() {
+		return Delta{}, Manifest{}, nil
+	}
+	_, next, err := Apply(manifest, sections, delta)
+	return delta, next, err
+}
+
 // ChangedSections returns the sorted names of sections whose digests differ, those missing on one side included.
 func ChangedSections(old, new Manifest) []string {
 	names := map[string]bool{}
--- a/core/bundle/sections.go
+++ b/core/bundle/sections.go
@@ -38,6 +38,9 @@
 	return int(xxhash.Sum64String(string(id)) % callerSectionCount)
 }
 
+// CallerSectionOf returns the name of the section that holds the caller.
+func CallerSectionOf(id fleet.CallerID) string { return callerSectionName(callerSection(id)) }
+
 // callerSectionName returns "callers/00" to "callers/ff".
 func callerSectionName(n int) string { return fmt.Sprintf("%s%02x", callerSectionPrefix, n) }
 
--- a/node/control/bundlesync/accept.go
+++ b/node/control/bundlesync/accept.go
@@ -33,6 +33,13 @@
 	return nil
 }
 
+// Rolled puts a bundle in force that this instance has just written to the store. It does nothing if a newer one came in between.
+func (c *Controller) Rolled(next *bundle.Active, delta bundle.Delta) {
+	if err := c.accept(next, &delta, "roll"); err != nil {
+		klog.V(1).InfoS("Rolled bundle is not the newest", "generation", next.Generation(), "reason", err.Error())
+	}
+}
+
 // forgetUpTo drops what was noted of generations that are no longer of interest and returns the time since this generation was
 // heard of, 0 if it was not; c.mu is held.
 func (c *Controller) forgetUpTo(generation fleet.Generation) time.Duration {
--- /dev/null
+++ b/node/control/roll/delta.go
@@ -0,0 +1,114 @@
+package roll
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// ErrBehind means that this instance does not yet have the generation in force that the delta applies to; nothing was written.
+var ErrBehind = eris.New("instance does not have the seen generation in force yet")
+
+// RollDelta puts a signed delta in force if seen is still the generation in force. base is the bundle in force at this instance; it
+// may be nil. The delta's signatures are checked over the resulting manifest. Two store calls suffice, and only changed sections are
+// written. Conflicts, lost responses and resends behave as for Roll. It returns the bundle that the delta leads to, or nil if a
+// resend found it rolled earlier and this instance no longer has its base.
+func RollDelta(ctx context.Context, kvs kv.Store, base *bundle.Active, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) (*bundle.Active, error) {
+	ctx = kv.WithPurpose(ctx, purpose)
+	if delta.From != seen {
+		return nil, eris.Wrapf(ErrInvalid, "the delta starts from generation %d, seen %d", delta.From, seen)
+	}
+	if delta.To <= seen {
+		return nil, eris.Wrapf(ErrNotNewer, "generation %d, seen %d", delta.To, seen)
+	}
+	if base == nil || base.Generation() != seen {
+		return nil, withoutBase(ctx, kvs, seen, delta, verifier)
+	}
+	next, err := base.Advance(delta, verifier)
+	if err != nil {
+		return nil, errors.Join(ErrInvalid, err)
+	}
+	r, err := deltaRoller(kvs, base, next, delta)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.rollFrom(ctx, base); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// deltaRoller returns a roll that knows the delta and the manifest before it, so that it need not read either.
+func deltaRoller(kvs kv.Store, base, next *bundle.Active, delta bundle.Delta) (*roller, error) {
+	old, err := bundle.ParseManifest(base.Manifest().Manifest)
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := bundle.ParseManifest(next.Manifest().Manifest)
+	if err != nil {
+		return nil, err
+	}
+	sections := bundle.Sections{}
+	for _, name := range bundle.ChangedSections(old, manifest) {
+		if digest := manifest.Sections[name]; digest != "" {
+			sections[digest], _ = next.Section(digest)
+		}
+	}
+	r := &roller{store: kvs, seen: delta.From, manifest: manifest, signed: next.Manifest(), sections: sections}
+	r.known = &knownChange{old: old, delta: delta}
+	return r, nil
+}
+
+// rollFrom is the part of a roll after the checks. A head that names another manifest of the same generation is a conflict: the
+// delta was not made for it.
+func (r *roller) rollFrom(ctx context.Context, base *bundle.Active) error {
+	current, err := r.readHead(ctx)
+	if err != nil {
+		return translate(err, "read the head")
+	}
+	if current.head.Generation != r.seen || current.head.Manifest != base.Digest() {
+		return r.rolledOrConflict(ctx, current)
+	}
+	final, err := r.prepare(ctx, current)
+	if err != nil {
+		return err
+	}
+	return r.commit(ctx, current, final)
+}
+
+// withoutBase tells what became of a delta whose base this instance does not have in force: a resend of one that was rolled is a
+// success, one that lost is a conflict, and any other has to wait until this instance has caught up.
+func withoutBase(ctx context.Context, kvs kv.Store, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) error {
+	r := &roller{store: kvs, seen: seen}
+	current, err := r.readHead(ctx)
+	if err != nil {
+		return translate(err, "read the head")
+	}
+	if current.head.Generation == seen {
+		return eris.Wrapf(ErrBehind, "generation %d", seen)
+	}
+	conflict := &ConflictError{Seen: seen, InForce: current.head.Generation, Digest: current.head.Manifest}
+	item, err := kvs.Get(ctx, store.ManifestKey(delta.To))
+	if errors.Is(err, kv.ErrNotFound) {
+		return conflict
+	}
+	if err != nil {
+		return translate(err, fmt.Sprintf("read the manifest of generation %d", delta.To))
+	}
+	stored, err := store.DecodeManifest(item.Value)
+	if err != nil {
+		return errors.Join(conflict, err)
+	}
+	// The signatures cover the whole manifest, so that they fit only the bundle that this delta leads to.
+	stored.Signatures = delta.Signatures
+	if _, err := verifier.Verify(stored); err != nil {
+		return conflict
+	}
+	return nil
+}
--- /dev/null
+++ b/node/control/roll/delta_test.go
@@ -0,0 +1,162 @@
+package roll
+
+import (
+	"context"
+	"crypto/ed25519"
+	"testing"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/internal/memkv"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var annasKey = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+func annasVerifier() bundle.Verifier {
+	return bundle.Verifier{Keys: map[string]ed25519.PublicKey{"anna": annasKey.Public().(ed25519.PublicKey)}, Required: 1}
+}
+
+// base rolls generation 1 and returns it as an instance has it in force.
+func base(t *testing.T, s kv.Store) *bundle.Active {
+	t.Helper()
+	doc := document(1, 50)
+	require.NoError(t, rollDoc(t, s, 0, doc))
+	manifest, sections, err := bundle.Split(doc)
+	require.NoError(t, err)
+	signed := bundle.SignedManifest{Manifest: manifest.Bytes(), Signatures: []bundle.Signature{bundle.Sign(manifest.Bytes(), "anna", annasKey)}}
+	active, err := bundle.Activate(signed, sections, annasVerifier())
+	require.NoError(t, err)
+	return active
+}
+
+// disable returns the signed delta that disables the numbered caller of the bundle.
+func disable(t *testing.T, from *bundle.Active, n int) bundle.Delta {
+	t.Helper()
+	caller := document(1, n+1).Callers[n]
+	caller.Disabled = true
+	return change(t, from, caller)
+}
+
+// change returns the signed delta that sets the caller.
+func change(t *testing.T, from *bundle.Active, caller bundle.Caller) bundle.Delta {
+	t.Helper()
+	manifest, err := bundle.ParseManifest(from.Manifest().Manifest)
+	require.NoError(t, err)
+	digest := manifest.Sections[bundle.CallerSectionOf(caller.ID)]
+	section, _ := from.Section(digest)
+	delta, next, err := bundle.CallerDelta(manifest, bundle.Sections{digest: section}, caller.ID, &caller)
+	require.NoError(t, err)
+	delta.Signatures = []bundle.Signature{bundle.Sign(next.Bytes(), "anna", annasKey)}
+	return delta
+}
+
+func rollDelta(s kv.Store, from *bundle.Active, delta bundle.Delta) (*bundle.Active, error) {
+	return RollDelta(context.Background(), s, from, delta.From, delta, annasVerifier())
+}
+
+// Guards against a roll by delta that costs as much as one of the whole bundle, or that leaves a bundle that nobody can fetch.
+func TestRollByDeltaWritesOnlyWhatChanged(t *testing.T) {
+	s := memkv.New()
+	from := base(t, s)
+	calls := s.Calls()
+	var ops []kv.Op
+	s.OnTxn(func(txn kv.Txn) { ops = txn.Then }, nil)
+	next, err := rollDelta(s, from, disable(t, from, 7))
+	require.NoError(t, err)
+	assert.Equal(t, 2, s.Calls()-calls)
+	require.Len(t, ops, 4, "manifest, head, delta and one section")
+	assert.Equal(t, store.Head{Generation: 2, Manifest: next.Digest()}, headOf(t, s))
+	item, err := s.Get(t.Context(), store.ManifestKey(2))
+	require.NoError(t, err)
+	stored, err := store.DecodeManifest(item.Value)
+	require.NoError(t, err)
+	manifest, err := annasVerifier().Verify(stored)
+	require.NoError(t, err)
+	sections := bundle.Sections{}
+	for _, digest := range manifest.Sections {
+		item, err := s.Get(t.Context(), store.SectionKey(digest))
+		require.NoError(t, err)
+		sections[digest] = item.Value
+	}
+	_, err = bundle.Activate(stored, sections, annasVerifier())
+	require.NoError(t, err)
+	item, err = s.Get(t.Context(), store.DeltaKey(2))
+	require.NoError(t, err)
+	delta, err := bundle.DecodeDelta(item.Value)
+	require.NoError(t, err)
+	_, err = from.Advance(delta, annasVerifier())
+	require.NoError(t, err, "peers apply the stored delta")
+}
+
+// Guards against two operators who both believe that their change is in force (F7), and against a resend that looks like a lost race.
+func TestRacingDeltasGiveOneWinnerAndAConflict(t *testing.T) {
+	s := memkv.New()
+	from := base(t, s)
+	winner, loser := disable(t, from, 3), disable(t, from, 4)
+	raced := false
+	s.OnTxn(func(txn kv.Txn) {
+		if writesHead(txn) && !raced {
+			raced = true
+			_, err := rollDelta(s, from, winner)
+			require.NoError(t, err)
+		}
+	}, nil)
+	_, err := rollDelta(s, from, loser)
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	assert.Equal(t, fleet.Generation(2), conflict.InForce)
+
+	next, err := rollDelta(s, from, winner)
+	require.NoError(t, err, "resend at an instance that still has the base")
+	caughtUp, err := rollDelta(s, next, winner)
+	require.NoError(t, err, "resend at an instance that has the result")
+	assert.Nil(t, caughtUp)
+	_, err = rollDelta(s, next, loser)
+	require.ErrorIs(t, err, ErrConflict, "the loser sent again to an instance that has the winner's bundle")
+	third, err := rollDelta(s, next, disable(t, next, 4))
+	require.NoError(t, err, "the loser's change made again on the new generation")
+	assert.Equal(t, fleet.Generation(3), third.Generation())
+	_, err = rollDelta(s, third, winner)
+	require.NoError(t, err, "resend after a later roll")
+}
+
+// Guards against reporting a failure for a delta that took effect (F5), and success for one that did not.
+func TestLostResponseOfADeltaIsReadBack(t *testing.T) {
+	s := memkv.New()
+	from := base(t, s)
+	delta := disable(t, from, 1)
+	s.OnTxn(nil, func(kv.Txn) error { return kv.ErrOutcomeUnknown })
+	next, err := rollDelta(s, from, delta)
+	require.NoError(t, err)
+	assert.Equal(t, fleet.Generation(2), headOf(t, s).Generation)
+	s.OnTxn(nil, func(kv.Txn) error { s.SetDown(true); return kv.ErrOutcomeUnknown })
+	got, err := rollDelta(s, next, disable(t, next, 2))
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+	assert.Nil(t, got, "a bundle whose roll is not certain must not be put in force")
+}
+
+// Guards against unsigned, invalid or misplaced deltas in force everywhere.
+func TestDeltasThatMustNotBeRolled(t *testing.T) {
+	s := memkv.New()
+	from := base(t, s)
+	unsigned, tampered := disable(t, from, 1), disable(t, from, 1)
+	unsigned.Signatures = nil
+	tampered.Callers.Upserts[0].Disabled = false
+	stranger := document(1, 1).Callers[0]
+	stranger.Group = "none"
+	reference := change(t, from, stranger)
+	for name, delta := range map[string]bundle.Delta{"unsigned": unsigned, "tampered": tampered, "unknown group": reference} {
+		_, err := rollDelta(s, from, delta)
+		require.ErrorIs(t, err, ErrInvalid, name)
+	}
+	good := disable(t, from, 1)
+	_, err := RollDelta(t.Context(), s, from, 0, good, annasVerifier())
+	require.ErrorIs(t, err, ErrInvalid, "made from another generation than seen")
+	_, err = rollDelta(s, nil, good)
+	require.ErrorIs(t, err, ErrBehind, "an instance without a bundle")
+	assert.Equal(t, fleet.Generation(1), headOf(t, s).Generation)
+}
--- a/node/control/roll/roller.go
+++ b/node/control/roll/roller.go
@@ -20,6 +20,13 @@
 	manifest bundle.Manifest
 	signed   bundle.SignedManifest
 	sections bundle.Sections
+	known    *knownChange // nil: read what the store has
+}
+
+// knownChange is what a roll by delta need not read from the store.
+type knownChange struct {
+	old   bundle.Manifest // in force before
+	delta bundle.Delta
 }
 
 // headState is the head with the revision to compare; both are zero before the first roll.
@@ -105,6 +112,9 @@
 
 // oldManifest returns the manifest in force, or one without sections before the first roll.
 func (r *roller) oldManifest(ctx context.Context, current headState) (bundle.Manifest, error) {
+	if r.known != nil {
+		return r.known.old, nil
+	}
 	if current.revision == 0 {
 		return bundle.Manifest{}, nil
 	}
@@ -146,6 +156,9 @@
 // delta computes the change since the manifest in force, or the zero delta if there is no base to compute it from. It reads only
 // the old sections that changed.
 func (r *roller) delta(ctx context.Context, old bundle.Manifest) (bundle.Delta, error) {
+	if r.known != nil {
+		return r.known.delta, nil
+	}
 	if old.Generation == 0 {
 		return bundle.Delta{}, nil
 	}
--- a/node/operations/bundles.go
+++ b/node/operations/bundles.go
@@ -16,10 +16,16 @@
 	"eelgrassproxy.example/node/control/roll"
 )
 
-// RollBundle implements operator.Handler: it checks the document and its signatures, and rolls it if the generation in force is the one
-// that the operator saw.
+// RollBundle implements operator.Handler: it checks a document or a delta with its signatures, and rolls it if the generation in
+// force is the one that the operator saw.
 func (h *Handler) RollBundle(ctx context.Context, req *operator.RollRequest) (*operator.BundleSummary, error) {
-	doc, err := bundle.ParseYAML([]byte(req.Document), "document")
+	if req.Document.Set == req.Delta.Set {
+		return nil, eris.Wrap(ErrInvalid, "exactly one of document and delta must be given")
+	}
+	if req.Delta.Set {
+		return h.rollDelta(ctx, req)
+	}
+	doc, err := bundle.ParseYAML([]byte(req.Document.Value), "document")
 	if err != nil {
 		return nil, eris.Wrap(ErrInvalid, err.Error())
 	}
@@ -40,6 +46,48 @@
 	return summary(manifest, signed), nil
 }
 
+// rollDelta rolls a change of the bundle in force at this instance and puts the result in force here at once, so that it spreads
+// without waiting for the watchers and the operator's next change finds it.
+func (h *Handler) rollDelta(ctx context.Context, req *operator.RollRequest) (*operator.BundleSummary, error) {
+	delta, err := bundle.DecodeDelta([]byte(req.Delta.Value))
+	if err != nil {
+		return nil, eris.Wrap(ErrInvalid, err.Error())
+	}
+	delta.Signatures = signaturesOf(req.Signatures)
+	seen := fleet.Generation(req.SeenGeneration)
+	next, err := roll.RollDelta(ctx, h.Store, h.Board.Bundle.Current(), seen, delta, h.Verifier)
+	if err != nil {
+		return nil, err
+	}
+	if next == nil { // rolled earlier
+		return &operator.BundleSummary{Generation: int64(delta.To), Signers: signersOf(delta.Signatures)}, nil
+	}
+	if h.Rolled != nil {
+		h.Rolled(next, delta)
+	}
+	return &operator.BundleSummary{Generation: int64(next.Generation()), Digest: next.Digest(), Signers: signersOf(delta.Signatures)}, nil
+}
+
+// GetBundle implements operator.Handler.
+func (h *Handler) GetBundle(_ context.Context, params operator.GetBundleParams) (*operator.BundleInForce, error) {
+	active := h.Board.Bundle.Current()
+	if active == nil {
+		return nil, eris.Wrap(ErrNotFound, "no bundle is in force at this instance")
+	}
+	signed := active.Manifest()
+	manifest, err := bundle.ParseManifest(signed.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	out := &operator.BundleInForce{Manifest: signed.Manifest, Sections: []operator.BundleSection{}}
+	for _, name := range params.Section {
+		if content, ok := active.Section(manifest.Sections[name]); ok {
+			out.Sections = append(out.Sections, operator.BundleSection{Name: name, Content: content})
+		}
+	}
+	return out, nil
+}
+
 func signaturesOf(in []operator.Signature) []bundle.Signature {
 	out := make([]bundle.Signature, len(in))
 	for i, s := range in {
@@ -49,11 +97,19 @@
 }
 
 func summary(manifest bundle.Manifest, signed bundle.SignedManifest) *operator.BundleSummary {
-	s := &operator.BundleSummary{Generation: int64(manifest.Generation), Digest: manifest.Digest(), Signers: []string{}}
-	for _, signature := range signed.Signatures {
-		s.Signers = append(s.Signers, signature.Operator)
+	return &operator.BundleSummary{
+		Generation: int64(manifest.Generation),
+		Digest:     manifest.Digest(),
+		Signers:    signersOf(signed.Signatures),
+	}
+}
+
+func signersOf(signatures []bundle.Signature) []string {
+	signers := []string{}
+	for _, signature := range signatures {
+		signers = append(signers, signature.Operator)
 	}
-	return s
+	return signers
 }
 
 // describeRoll fills in the answer for an error of rolling. It returns false for other errors.
@@ -65,6 +121,8 @@
 		out.Response.Error.Generation.SetTo(int64(conflict.InForce))
 	case errors.Is(err, roll.ErrNotNewer), errors.Is(err, roll.ErrInvalid):
 		out.StatusCode, out.Response.Error.Code = http.StatusBadRequest, "invalid_request"
+	case errors.Is(err, roll.ErrBehind):
+		out.StatusCode, out.Response.Error.Code = http.StatusServiceUnavailable, "behind"
 	case errors.Is(err, roll.ErrUnavailable):
 		out.StatusCode, out.Response.Error.Code = http.StatusServiceUnavailable, "store_unavailable"
 	case errors.Is(err, roll.ErrOutcomeUnknown):
--- a/node/operations/operations.go
+++ b/node/operations/operations.go
@@ -35,6 +35,9 @@
 // PeerDecisions asks another instance for its decision lines about a request.
 type PeerDecisions func(ctx context.Context, peerAddress string, request fleet.RequestID) ([]string, error)
 
+// Rolled takes a bundle that this instance has just rolled by delta.
+type Rolled func(next *bundle.Active, delta bundle.Delta)
+
 // Parts are what the handler works with.
 type Parts struct {
 	Instance    fleet.InstanceID
@@ -42,6 +45,7 @@
 	Store       kv.Store
 	Verifier    bundle.Verifier
 	Decisions   PeerDecisions
+	Rolled      Rolled   // nil: a rolled delta is left to the bundle controller to find
 	Jobs        Jobs     // nil: this instance answers no questions about jobs
 	TokenSHA256 []string // hexadecimal digests of accepted tokens
 }
--- a/standin/fleet/roll.go
+++ b/standin/fleet/roll.go
@@ -46,7 +46,7 @@
 	}
 	_, err = client.RollBundle(ctx, &operator.RollRequest{
 		SeenGeneration: int64(doc.Generation - 1),
-		Document:       string(text),
+		Document:       operator.NewOptString(string(text)),
 		Signatures:     []operator.Signature{{Operator: signed.Signatures[0].Operator, Signature: signed.Signatures[0].Signature}},
 	})
 	return err
