Delete old manifests, deltas and unneeded sections from the store

The first of the watchers collects them once a minute, at most 300 keys a pass. The last 100 generations stay with all their sections; any other section goes after it was seen unneeded and unwritten for an hour. Each deletion compares the head and the revision of each key, so that collectors at once and a roll that uses an old section again do no harm. Keys are listed in pages without values.

Seen failing: the re-use test without the revision of each key, the retention test without the age, the unreadable-head test without the check of the head.

--- a/adapters/kv/client_test.go
+++ b/adapters/kv/client_test.go
@@ -168,3 +168,23 @@
 	}, counts)
 	assert.Equal(t, map[string]int64{"txn": 1, "watch": 1, "range": 1}, fake.Calls())
 }
+
+// Guards against pages that overlap, miss keys or carry the values that a collector has no room for.
+func TestKeysAreListedInPagesWithoutValues(t *testing.T) {
+	_, client := newStore(t, kv.Options{})
+	for _, key := range []string{"a/1", "a/2", "a/3", "b/1"} {
+		mustTxn(t, client, put(key, "value", 0))
+	}
+	first, err := client.ListKeys(t.Context(), "a/", "", 2)
+	require.NoError(t, err)
+	require.Len(t, first.Keys, 2)
+	assert.True(t, first.More)
+	assert.Equal(t, "a/2", first.Keys[1].Key)
+	assert.Empty(t, first.Keys[1].Value)
+	assert.NotZero(t, first.Keys[1].ModRevision)
+	rest, err := client.ListKeys(t.Context(), "a/", "a/2", 2)
+	require.NoError(t, err)
+	require.Len(t, rest.Keys, 1)
+	assert.False(t, rest.More)
+	assert.Equal(t, "a/3", rest.Keys[0].Key)
+}
--- a/core/bundle/store/store.go
+++ b/core/bundle/store/store.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
@@ -49,6 +51,25 @@
 // ManifestPrefix returns the prefix of all signed manifests.
 func ManifestPrefix() string { return manifestPrefix }
 
+// GenerationOf returns the generation in the key of a manifest or a delta.
+func GenerationOf(key string) (fleet.Generation, error) {
+	number, isManifest := strings.CutPrefix(key, manifestPrefix)
+	if !isManifest {
+		number = strings.TrimPrefix(key, deltaPrefix)
+	}
+	generation, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0, eris.Wrapf(ErrMalformed, "key %q", key)
+	}
+	return fleet.Generation(generation), nil
+}
+
+// SectionPrefix returns the prefix of all sections.
+func SectionPrefix() string { return sectionPrefix }
+
+// DeltaPrefix returns the prefix of all deltas.
+func DeltaPrefix() string { return deltaPrefix }
+
 // SectionKey returns the key of a section.
 func SectionKey(digest string) string { return sectionPrefix + digest }
 
--- /dev/null
+++ b/node/control/bundlegc/bundlegc_test.go
@@ -0,0 +1,184 @@
+package bundlegc
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/control/roll"
+	"eelgrassproxy.example/node/internal/memkv"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var key = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+// rolled is a store with bundles in which one caller's key changes with each generation.
+type rolled struct {
+	t     *testing.T
+	store *memkv.Store
+}
+
+func (r rolled) document(generation, content int) (*bundle.Document, bundle.SignedManifest, bundle.Sections) {
+	sum := sha256.Sum256(fmt.Append(nil, content))
+	doc := &bundle.Document{
+		Generation: fleet.Generation(generation),
+		Models:     []bundle.Model{{Name: "m", Base: "b", Version: "1", MaxRunning: 1}},
+		Groups:     []bundle.Group{{Name: "g", Models: []string{"m"}}},
+		Callers:    []bundle.Caller{{ID: "c", Group: "g", KeySHA256: hex.EncodeToString(sum[:])}},
+	}
+	manifest, sections, err := bundle.Split(doc)
+	require.NoError(r.t, err)
+	signatures := []bundle.Signature{bundle.Sign(manifest.Bytes(), "anna", key)}
+	return doc, bundle.SignedManifest{Manifest: manifest.Bytes(), Signatures: signatures}, sections
+}
+
+// roll rolls the generation with the caller's key made from content.
+func (r rolled) roll(generation, content int) {
+	doc, signed, sections := r.document(generation, content)
+	require.NoError(r.t, roll.Roll(context.Background(), r.store, fleet.Generation(generation-1), doc, sections, signed))
+}
+
+// section returns the store's key of the section that holds the caller.
+func (r rolled) section(content int) string {
+	_, signed, _ := r.document(1, content)
+	manifest, err := bundle.ParseManifest(signed.Manifest)
+	require.NoError(r.t, err)
+	return store.SectionKey(manifest.Sections[bundle.CallerSectionOf("c")])
+}
+
+func (r rolled) has(key string) bool {
+	_, err := r.store.Get(context.Background(), key)
+	return err == nil
+}
+
+func (r rolled) count(prefix string) int {
+	listing, err := r.store.List(context.Background(), prefix)
+	require.NoError(r.t, err)
+	return len(listing.Items)
+}
+
+func (r rolled) collector() *Controller {
+	return New(Config{Store: r.store, Table: blackboard.New().Bundle, Chosen: func() bool { return true }})
+}
+
+// passes runs a collector for the time, a pass a minute.
+func passes(t *testing.T, c *Controller, span time.Duration) {
+	for range span / passPeriod {
+		require.NoError(t, c.Reconcile(t.Context()))
+		time.Sleep(passPeriod)
+	}
+}
+
+func isDelete(txn kv.Txn) bool { return len(txn.Then) > 0 && txn.Then[0].Kind == kv.OpDelete }
+
+const generations = keptGenerations + 30
+
+func rolledMany(t *testing.T) rolled {
+	r := rolled{t: t, store: memkv.New()}
+	for generation := 1; generation <= generations; generation++ {
+		r.roll(generation, generation)
+	}
+	return r
+}
+
+// Guards against a store that grows without end, and against deleting what an instance or an operator may still fetch.
+func TestOnlyTheLastGenerationsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := rolledMany(t)
+		c := r.collector()
+		passes(t, c, 2*passPeriod)
+		assert.Equal(t, keptGenerations, r.count(store.ManifestPrefix()))
+		assert.Equal(t, keptGenerations, r.count(store.DeltaPrefix()))
+		assert.True(t, r.has(r.section(1)), "a section is not deleted before it is an hour old")
+		passes(t, c, sectionAge+2*passPeriod)
+		assert.False(t, r.has(r.section(1)))
+		assert.False(t, r.has(r.section(30)))
+		for content := generations - keptGenerations + 1; content <= generations; content++ {
+			assert.True(t, r.has(r.section(content)), "generation %d", content)
+		}
+		_, signed, _ := r.document(generations, generations)
+		manifest, err := bundle.ParseManifest(signed.Manifest)
+		require.NoError(t, err)
+		for name, digest := range manifest.Sections {
+			assert.True(t, r.has(store.SectionKey(digest)), name)
+		}
+		calls := r.store.Calls()
+		passes(t, c, 10*passPeriod)
+		assert.LessOrEqual(t, r.store.Calls()-calls, 40, "a pass without work takes four calls")
+	})
+}
+
+// Guards against a head that names a section which the collector deletes because it had listed it as unneeded.
+func TestARollThatUsesAnOldSectionAgainKeepsIt(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(r rolled) // between the listing and the deletion
+	}{
+		{"the head is rolled", func(r rolled) { r.roll(generations+1, 1) }},
+		{"the section is written and the head follows", func(r rolled) {
+			_, _, sections := r.document(generations+1, 1)
+			var ops []kv.Op
+			for digest, data := range sections {
+				ops = append(ops, kv.Op{Kind: kv.OpPut, Key: store.SectionKey(digest), Value: data})
+			}
+			_, err := r.store.Txn(r.t.Context(), kv.Txn{Then: ops})
+			require.NoError(r.t, err)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rolledMany(t)
+				collector := r.collector()
+				passes(t, collector, sectionAge) // the next pass deletes sections
+				raced := false
+				r.store.OnTxn(func(txn kv.Txn) {
+					if isDelete(txn) && !raced {
+						raced = true
+						c.before(r)
+					}
+				}, nil)
+				passes(t, collector, 3*passPeriod)
+				require.True(t, raced)
+				assert.True(t, r.has(r.section(1)))
+				assert.False(t, r.has(r.section(2)), "the others are collected in a later pass")
+			})
+		})
+	}
+}
+
+// Guards against two collectors, each sure that it was chosen, that delete more together than one alone, and against one that goes on
+// although the store does not show what is kept.
+func TestCollectorsAtOnceAndUnreadableStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := rolledMany(t)
+		first, second := r.collector(), r.collector()
+		nested := false
+		r.store.OnTxn(func(txn kv.Txn) {
+			if isDelete(txn) && !nested {
+				nested = true
+				require.NoError(t, second.Reconcile(t.Context()))
+			}
+		}, nil)
+		require.NoError(t, first.Reconcile(t.Context()))
+		require.True(t, nested)
+		assert.Equal(t, keptGenerations, r.count(store.ManifestPrefix()))
+
+		r.store.OnTxn(func(txn kv.Txn) { require.False(t, isDelete(txn), "deletes with an unreadable head") }, nil)
+		r.roll(generations+1, generations+1)
+		r.store.Delete(store.ManifestKey(generations + 1))
+		time.Sleep(passPeriod)
+		require.ErrorIs(t, first.Reconcile(t.Context()), ErrIncomplete)
+	})
+}
--- /dev/null
+++ b/node/control/bundlegc/learn.go
@@ -0,0 +1,64 @@
+package bundlegc
+
+import (
+	"context"
+	"maps"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// learn makes named hold exactly the sections of the kept generations, and returns the oldest of these. It fails with ErrIncomplete
+// unless the generation that the head names is among them with the manifest that the head names.
+func (c *Controller) learn(ctx context.Context, headItem kv.KeyValue, manifests []kv.KeyValue) (fleet.Generation, error) {
+	head, err := store.DecodeHead(headItem.Value)
+	if err != nil {
+		return 0, err
+	}
+	kept := manifests[max(0, len(manifests)-keptGenerations):]
+	if len(kept) == 0 {
+		return 0, eris.Wrap(ErrIncomplete, "the store lists no manifest")
+	}
+	for _, item := range kept {
+		if err := c.read(ctx, item.Key); err != nil {
+			return 0, err
+		}
+	}
+	if c.known[head.Generation] != head.Manifest {
+		return 0, eris.Wrapf(ErrIncomplete, "the head names generation %d with manifest %s", head.Generation, head.Manifest)
+	}
+	oldest, err := store.GenerationOf(kept[0].Key)
+	if err != nil {
+		return 0, err
+	}
+	c.dropBefore(oldest)
+	return oldest, nil
+}
+
+// read notes the sections of a manifest unless they are known.
+func (c *Controller) read(ctx context.Context, key string) error {
+	generation, err := store.GenerationOf(key)
+	if err != nil {
+		return err
+	}
+	if c.known[generation] != "" {
+		return nil
+	}
+	item, err := c.Store.Get(ctx, key)
+	if err != nil {
+		return eris.Wrapf(ErrIncomplete, "generation %d: %v", generation, err)
+	}
+	signed, err := store.DecodeManifest(item.Value)
+	if err != nil {
+		return eris.Wrapf(ErrIncomplete, "generation %d: %v", generation, err)
+	}
+	return c.note(signed.Manifest)
+}
+
+// dropBefore forgets the generations that are no longer kept, with the sections that only they name.
+func (c *Controller) dropBefore(oldest fleet.Generation) {
+	maps.DeleteFunc(c.known, func(generation fleet.Generation, _ string) bool { return generation < oldest })
+	maps.DeleteFunc(c.named, func(_ string, generation fleet.Generation) bool { return generation < oldest })
+}
--- a/node/daemon/bundles.go
+++ b/node/daemon/bundles.go
@@ -43,6 +43,17 @@
 	return slices.Contains(watchers, d.self.ID)
 }
 
+// collectsBundles tells whether this instance deletes old bundles from the store: the first of all watchers. While the views of the
+// fleet differ none or several may be chosen, which does no harm.
+func (d *Daemon) collectsBundles() bool {
+	active := d.board.Bundle.Current()
+	if active == nil {
+		return false
+	}
+	chosen := membership.Watchers(d.board.Members.All(), fleet.Topology{}, 1)
+	return len(chosen) == 1 && chosen[0] == d.self.ID
+}
+
 // peerSource gives bundlesync the peer client with its own errors.
 type peerSource struct{ client *peer.Client }
 
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/claims"
+	"eelgrassproxy.example/node/control/bundlegc"
 	"eelgrassproxy.example/node/control/bundlesync"
 	"eelgrassproxy.example/node/control/engines"
 	"eelgrassproxy.example/node/decisionlog"
@@ -49,7 +50,7 @@
 	metrics  *metricsServer
 	verifier bundle.Verifier
 
-	store      kv.Store
+	store      kv.KeyLister
 	list       *instancelist.Client
 	peers      *peer.Client
 	meter      *peer.Meter
@@ -203,6 +204,11 @@
 	})
 	d.workers = workers.NewPool(d.board, d.settings.Workers, d.env.Seed)
 	d.workers.Register(d.bundles, workers.Schedule{Every: time.Second})
+	d.workers.Register(bundlegc.New(bundlegc.Config{
+		Store:  d.store,
+		Table:  d.board.Bundle,
+		Chosen: d.collectsBundles,
+	}), workers.Schedule{Every: collectCheck, On: []blackboard.Topic{blackboard.TopicBundle}})
 	d.workers.Register(d.claims.Controller(), workers.Schedule{Every: time.Second})
 	d.workers.Register(engines.New(d.board, d.engines, d.pools.Used, d.dispatcher.LoadReported), workers.Schedule{
 		Every: engineInterval,
@@ -218,6 +224,9 @@
 	seedMembership = 2
 )
 
+// collectCheck is how often an instance looks whether it was chosen to delete old bundles.
+const collectCheck = 10 * time.Second
+
 // engineInterval is how often engines without a fresh report are looked for.
 const engineInterval = 500 * time.Millisecond
 
--- /dev/null
+++ b/node/internal/memkv/keys.go
@@ -0,0 +1,30 @@
+package memkv
+
+import (
+	"context"
+
+	"eelgrassproxy.example/adapters/kv"
+)
+
+var _ kv.KeyLister = (*Store)(nil)
+
+// ListKeys implements kv.KeyLister.
+func (s *Store) ListKeys(ctx context.Context, prefix, behind string, limit int) (kv.KeyPage, error) {
+	listing, err := s.List(ctx, prefix)
+	if err != nil {
+		return kv.KeyPage{}, err
+	}
+	var page kv.KeyPage
+	for _, item := range listing.Items {
+		if item.Key <= behind {
+			continue
+		}
+		if len(page.Keys) == limit {
+			page.More = true
+			break
+		}
+		item.Value = nil
+		page.Keys = append(page.Keys, item)
+	}
+	return page, nil
+}
