--- a/node/control/roll/delta.go
+++ b/node/control/roll/delta.go
@@ -15,33 +15,38 @@
 // ErrBehind means that this instance does not yet have the generation in force that the delta applies to; nothing was written.
 var ErrBehind = eris.New("instance does not have the seen generation in force yet")
 
+// DeltaResult names a bundle that was rolled by delta.
+type DeltaResult struct {
+	Digest string         // hexadecimal SHA-256 of the manifest bytes
+	Next   *bundle.Active // nil if a resend was rolled earlier and this instance no longer has its base
+}
+
 // RollDelta puts a signed delta in force if seen is still the generation in force. base is the bundle in force at this instance; it
 // may be nil. The delta's signatures are checked over the resulting manifest. Two store calls suffice, and only changed sections are
-// written. Conflicts, lost responses and resends behave as for Roll. It returns the bundle that the delta leads to, or nil if a
-// resend found it rolled earlier and this instance no longer has its base.
-func RollDelta(ctx context.Context, kvs kv.Store, base *bundle.Active, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) (*bundle.Active, error) {
+// written. Conflicts, lost responses and resends behave as for Roll, but a resend counts as a conflict once its manifest was collected.
+func RollDelta(ctx context.Context, kvs kv.Store, base *bundle.Active, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) (DeltaResult, error) {
 	ctx = kv.WithPurpose(ctx, purpose)
 	if delta.From != seen {
-		return nil, eris.Wrapf(ErrInvalid, "the delta starts from generation %d, seen %d", delta.From, seen)
+		return DeltaResult{}, eris.Wrapf(ErrInvalid, "the delta starts from generation %d, seen %d", delta.From, seen)
 	}
 	if delta.To <= seen {
-		return nil, eris.Wrapf(ErrNotNewer, "generation %d, seen %d", delta.To, seen)
+		return DeltaResult{}, eris.Wrapf(ErrNotNewer, "generation %d, seen %d", delta.To, seen)
 	}
 	if base == nil || base.Generation() != seen {
-		return nil, withoutBase(ctx, kvs, seen, delta, verifier)
+		return withoutBase(ctx, kvs, seen, delta, verifier)
 	}
 	next, err := base.Advance(delta, verifier)
 	if err != nil {
-		return nil, errors.Join(ErrInvalid, err)
+		return DeltaResult{}, errors.Join(ErrInvalid, err)
 	}
 	r, err := deltaRoller(kvs, base, next, delta)
 	if err != nil {
-		return nil, err
+		return DeltaResult{}, err
 	}
 	if err := r.rollFrom(ctx, base); err != nil {
-		return nil, err
+		return DeltaResult{}, err
 	}
-	return next, nil
+	return DeltaResult{Digest: next.Digest(), Next: next}, nil
 }
 
 // deltaRoller returns a roll that knows the delta and the manifest before it, so that it need not read either.
@@ -84,31 +89,32 @@
 
 // withoutBase tells what became of a delta whose base this instance does not have in force: a resend of one that was rolled is a
 // success, one that lost is a conflict, and any other has to wait until this instance has caught up.
-func withoutBase(ctx context.Context, kvs kv.Store, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) error {
+func withoutBase(ctx context.Context, kvs kv.Store, seen fleet.Generation, delta bundle.Delta, verifier bundle.Verifier) (DeltaResult, error) {
 	r := &roller{store: kvs, seen: seen}
 	current, err := r.readHead(ctx)
 	if err != nil {
-		return translate(err, "read the head")
+		return DeltaResult{}, translate(err, "read the head")
 	}
 	if current.head.Generation == seen {
-		return eris.Wrapf(ErrBehind, "generation %d", seen)
+		return DeltaResult{}, eris.Wrapf(ErrBehind, "generation %d", seen)
 	}
 	conflict := &ConflictError{Seen: seen, InForce: current.head.Generation, Digest: current.head.Manifest}
 	item, err := kvs.Get(ctx, store.ManifestKey(delta.To))
 	if errors.Is(err, kv.ErrNotFound) {
-		return conflict
+		return DeltaResult{}, conflict
 	}
 	if err != nil {
-		return translate(err, fmt.Sprintf("read the manifest of generation %d", delta.To))
+		return DeltaResult{}, translate(err, fmt.Sprintf("read the manifest of generation %d", delta.To))
 	}
 	stored, err := store.DecodeManifest(item.Value)
 	if err != nil {
-		return errors.Join(conflict, err)
+		return DeltaResult{}, errors.Join(conflict, err)
 	}
 	// The signatures cover the whole manifest, so that they fit only the bundle that this delta leads to.
 	stored.Signatures = delta.Signatures
-	if _, err := verifier.Verify(stored); err != nil {
-		return conflict
+	manifest, err := verifier.Verify(stored)
+	if err != nil {
+		return DeltaResult{}, conflict
 	}
-	return nil
+	return DeltaResult{Digest: manifest.Digest()}, nil
 }
--- a/node/control/roll/delta_test.go
+++ b/node/control/roll/delta_test.go
@@ -55,7 +55,8 @@
 }
 
 func rollDelta(s kv.Store, from *bundle.Active, delta bundle.Delta) (*bundle.Active, error) {
-	return RollDelta(context.Background(), s, from, delta.From, delta, annasVerifier())
+	result, err := RollDelta(context.Background(), s, from, delta.From, delta, annasVerifier())
+	return result.Next, err
 }
 
 // Guards against a roll by delta that costs as much as one of the whole bundle, or that leaves a bundle that nobody can fetch.
--- a/node/operations/bundles.go
+++ b/node/operations/bundles.go
@@ -55,17 +55,14 @@
 	}
 	delta.Signatures = signaturesOf(req.Signatures)
 	seen := fleet.Generation(req.SeenGeneration)
-	next, err := roll.RollDelta(ctx, h.Store, h.Board.Bundle.Current(), seen, delta, h.Verifier)
+	rolled, err := roll.RollDelta(ctx, h.Store, h.Board.Bundle.Current(), seen, delta, h.Verifier)
 	if err != nil {
 		return nil, err
 	}
-	if next == nil { // rolled earlier
-		return &operator.BundleSummary{Generation: int64(delta.To), Signers: signersOf(delta.Signatures)}, nil
+	if rolled.Next != nil && h.Rolled != nil {
+		h.Rolled(rolled.Next, delta)
 	}
-	if h.Rolled != nil {
-		h.Rolled(next, delta)
-	}
-	return &operator.BundleSummary{Generation: int64(next.Generation()), Digest: next.Digest(), Signers: signersOf(delta.Signatures)}, nil
+	return &operator.BundleSummary{Generation: int64(delta.To), Digest: rolled.Digest, Signers: signersOf(delta.Signatures)}, nil
 }
 
 // GetBundle implements operator.Handler.
