Measure the spread of changes; start and wake without older generations

A driver runs the real prober, failure detector and bundle controller of 8, 50 and (with -spread.full) 370 instances on virtual time and reports the time until a change is in force everywhere and what it costs.

A starting instance whose store is down refuses a peer's bundle below a generation that another peer claimed on a probe. An instance that wakes from a pause takes the newest of the delivered changes of the head and puts only the end of a chain of deltas in force.

Seen failing: the start test without the refusal, the pause test without taking the newest change.

--- a/node/control/bundlesync/accept.go
+++ b/node/control/bundlesync/accept.go
@@ -13,29 +13,30 @@
 // maxRecentDeltas bounds the deltas kept for peers, in number and in bytes: 32 of at most 256 KiB each, usually under 1 KB.
 const maxRecentDeltas = 32
 
-// accept puts a verified bundle in force unless it is not newer, and logs it. delta is nil after a fetch of whole sections.
-func (c *Controller) accept(next *bundle.Active, delta *bundle.Delta, source string) error {
+// accept puts a verified bundle in force unless it is not newer, and logs it. deltas are the steps that led to it from the one in force,
+// oldest first; there are none after a fetch of whole sections.
+func (c *Controller) accept(next *bundle.Active, deltas []bundle.Delta, source string) error {
 	c.mu.Lock()
 	if err := c.tracker.Accept(next); err != nil {
 		c.mu.Unlock()
 		return err
 	}
 	since := c.forgetUpTo(next.Generation())
-	if delta != nil {
-		c.recent.add(*delta)
+	for _, delta := range deltas {
+		c.recent.add(delta)
 	}
 	c.mu.Unlock()
 	if !c.Table.Advance(next) {
 		return eris.Wrapf(bundle.ErrNotNewer, "generation %d", next.Generation())
 	}
 	klog.InfoS("Bundle in force", "generation", next.Generation(), "digest", next.Digest(), "source", source,
-		"delta", delta != nil, "heardMs", since.Milliseconds())
+		"deltas", len(deltas), "heardMs", since.Milliseconds())
 	return nil
 }
 
 // Rolled puts a bundle in force that this instance has just written to the store. It does nothing if a newer one came in between.
 func (c *Controller) Rolled(next *bundle.Active, delta bundle.Delta) {
-	if err := c.accept(next, &delta, "roll"); err != nil {
+	if err := c.accept(next, []bundle.Delta{delta}, "roll"); err != nil {
 		klog.V(1).InfoS("Rolled bundle is not the newest", "generation", next.Generation(), "reason", err.Error())
 	}
 }
--- a/node/control/bundlesync/bundlesync.go
+++ b/node/control/bundlesync/bundlesync.go
@@ -19,6 +19,8 @@
 var (
 	// ErrNoSource means that neither the store nor a peer supplied a bundle that verifies.
 	ErrNoSource = eris.New("no source supplied a verifiable bundle")
+	// ErrBelowHeard means that a peer offered a generation below one that another peer claimed to have in force.
+	ErrBelowHeard = eris.New("peer's bundle is older than one heard of")
 	// ErrNoDelta means that a source does not hold the delta; sections are fetched instead.
 	ErrNoDelta = eris.New("source does not hold the bundle delta")
 	// ErrBadSource means that a source returned data that is malformed or exceeds the bounds.
--- a/node/control/bundlesync/bundlesync_test.go
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/bundle/store"
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/internal/memkv"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -163,3 +165,58 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an instance that restarts while the store is down and serves the older bundle of the one peer that answers, although
+// the probes told it of a newer one (I9), and against one that then never starts.
+func TestStartDoesNotGoBelowAGenerationHeardOnProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, peers := memkv.New(), newPeers()
+		for generation := range fleet.Generation(7) {
+			rollTo(t, s, generation+1)
+		}
+		s.SetDown(true)
+		peers.add(t, "old", 5)
+		c := newController(s, peers)
+		c.Hint(7, "silent")
+		require.ErrorIs(t, c.Reconcile(t.Context()), ErrBelowHeard)
+		assert.Nil(t, c.Table.Current())
+		peers.add(t, "silent", 7)
+		time.Sleep(maxBackoff)
+		require.NoError(t, c.Reconcile(t.Context()))
+		assert.Equal(t, fleet.Generation(7), c.Table.Generation())
+
+		s.SetDown(false)
+		other := newController(s, newPeers())
+		other.Hint(99, "mistaken")
+		require.NoError(t, other.Reconcile(t.Context()), "the store's head decides over a claim")
+		assert.Equal(t, fleet.Generation(7), other.Table.Generation())
+	})
+}
+
+// Guards against an instance that wakes from a pause and puts every missed generation in force one after the other.
+func TestPausedInstanceGoesDirectlyToTheNewestGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memkv.New()
+		rollTo(t, s, 1)
+		c := newController(s, newPeers())
+		c.Watcher = func() bool { return true }
+		require.NoError(t, c.Reconcile(t.Context()))
+		events, err := s.Watch(t.Context(), store.HeadKey, 0)
+		require.NoError(t, err)
+		for generation := range fleet.Generation(3) {
+			rollTo(t, s, generation+2)
+		}
+		first := <-events
+		latest, err := newest(events, first)
+		require.NoError(t, err)
+		var inForce []fleet.Generation
+		board := blackboard.New()
+		board.Subscribe(blackboard.TopicBundle, func() { inForce = append(inForce, board.Bundle.Generation()) })
+		require.True(t, board.Bundle.Advance(c.Table.Current()))
+		c.Table = board.Bundle
+		c.headChanged(t.Context(), latest)
+		assert.Equal(t, []fleet.Generation{1, 4}, inForce)
+		_, ok := c.Delta(3)
+		assert.True(t, ok, "peers that are behind still get each step")
+	})
+}
--- a/node/control/bundlesync/passes.go
+++ b/node/control/bundlesync/passes.go
@@ -25,7 +25,8 @@
 )
 
 // start puts the first bundle in force: that of the store, or while the store has no usable answer the highest generation that
-// peers have and that verifies.
+// peers have and that verifies. A peer's bundle below a generation that another peer claimed on a probe to have in force is refused:
+// the instance would serve less than it could have known. It then waits for that peer or for the store.
 func (c *Controller) start(ctx context.Context) error {
 	err := c.pull(ctx, c.assisted(), 0)
 	if err == nil {
@@ -33,6 +34,10 @@
 	}
 	klog.InfoS("Bundle not available from the store, asking peers", "reason", err.Error())
 	for _, offer := range c.askPeers(ctx) {
+		if heard := c.heard(); offer.generation < heard {
+			err = errors.Join(err, eris.Wrapf(ErrBelowHeard, "%s has generation %d, heard of %d", offer.from.name(), offer.generation, heard))
+			continue
+		}
 		pullErr := c.pullSections(ctx, offer.from, offer.signed)
 		if pullErr == nil {
 			return nil
@@ -42,6 +47,13 @@
 	return errors.Join(ErrNoSource, err)
 }
 
+// heard returns the highest generation that a peer claimed to have in force.
+func (c *Controller) heard() fleet.Generation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Highest()
+}
+
 // offer is a verified manifest and the peer that has its sections.
 type offer struct {
 	from       peerSource
--- a/node/control/bundlesync/pull.go
+++ b/node/control/bundlesync/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"eelgrassproxy.example/core/bundle"
@@ -37,35 +38,47 @@
 	return c.pullSections(ctx, src, signed)
 }
 
-// pullDeltas walks back from the target to the generation in force, then applies the deltas in order. Each step is verified.
+// pullDeltas walks back from the target to the generation in force, then applies the deltas in order. Each step is verified, and only
+// the last good one is put in force, so that an instance that was paused goes directly to the newest generation.
 func (c *Controller) pullDeltas(ctx context.Context, src source, current *bundle.Active, target fleet.Generation) error {
+	chain, err := c.fetchDeltas(ctx, src, current.Generation(), target)
+	if err != nil {
+		return err
+	}
+	next, good, failure := current, 0, error(nil)
+	for ; good < len(chain); good++ {
+		after, err := next.Advance(chain[good], c.Verifier)
+		if err != nil {
+			failure = err
+			break
+		}
+		next = after
+	}
+	if good == 0 {
+		return failure
+	}
+	return errors.Join(c.accept(next, chain[:good], src.name()), failure)
+}
+
+// fetchDeltas returns the deltas that lead from one generation to another, oldest first.
+func (c *Controller) fetchDeltas(ctx context.Context, src source, from, target fleet.Generation) ([]bundle.Delta, error) {
 	var chain []bundle.Delta
-	for at := target; at != current.Generation(); {
-		if len(chain) == maxDeltaSteps || at < current.Generation() {
-			return eris.Wrapf(ErrNoDelta, "no chain of deltas from generation %d to %d", current.Generation(), target)
+	for at := target; at != from; {
+		if len(chain) == maxDeltaSteps || at < from {
+			return nil, eris.Wrapf(ErrNoDelta, "no chain of deltas from generation %d to %d", from, target)
 		}
 		delta, err := src.delta(ctx, at)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if delta.To != at || delta.From >= at {
-			return eris.Wrapf(ErrBadSource, "delta from %d to %d instead of one to %d", delta.From, delta.To, at)
+			return nil, eris.Wrapf(ErrBadSource, "delta from %d to %d instead of one to %d", delta.From, delta.To, at)
 		}
 		chain = append(chain, delta)
 		at = delta.From
 	}
 	slices.Reverse(chain)
-	for i := range chain {
-		next, err := current.Advance(chain[i], c.Verifier)
-		if err != nil {
-			return err
-		}
-		if err := c.accept(next, &chain[i], src.name()); err != nil {
-			return err
-		}
-		current = next
-	}
-	return nil
+	return chain, nil
 }
 
 // pullSections fetches the sections that this instance lacks and puts the bundle in force. The signatures are checked first, so
--- /dev/null
+++ b/node/control/bundlesync/spread_test.go
@@ -0,0 +1,368 @@
+package bundlesync
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/adapters/peer"
+	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/fleet"
+	coremembership "eelgrassproxy.example/core/membership"
+	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/control/membership"
+	"eelgrassproxy.example/node/control/roll"
+	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/workers"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
+)
+
+// way is one way to distribute changes.
+type way struct {
+	name        string
+	watchAll    bool
+	poll        time.Duration // 0: do not poll
+	hints       bool          // generations on probes are followed
+	atInstance  bool          // changes are rolled by delta through an instance instead of written to the store by someone else
+	parted      bool          // no watcher hears the store: only the rolling instance knows
+	maxSeconds  float64       // to be in force everywhere; 0: only measured
+	large       bool          // measured at the design size only
+	spreadCount int           // fanout of announcements; 0 means the default
+}
+
+// spreadFleet runs the real prober, failure detector and bundle controller of each instance on virtual time. Calls between instances
+// and to the store take time but are function calls.
+type spreadFleet struct {
+	t        *testing.T
+	way      way
+	store    *slowStore
+	nodes    []*spreadNode
+	at       map[string]*spreadNode // by peer address
+	topology fleet.Topology
+	probes   atomic.Int64 // exchanges
+	fetches  atomic.Int64 // deltas fetched from peers
+}
+
+type spreadNode struct {
+	fleet   *spreadFleet
+	member  fleet.Member
+	board   *blackboard.Board
+	prober  *membership.Prober
+	bundles *Controller
+	pool    *workers.Pool
+	poller  *membership.Poller
+}
+
+// Latencies, each way.
+const (
+	withinRegion  = 1500 * time.Microsecond
+	betweenRegion = 12 * time.Millisecond
+	storeCall     = 15 * time.Millisecond // there and back
+)
+
+// slowStore is a store whose calls take time.
+type slowStore struct {
+	*memkv.Store
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (kv.KeyValue, error) {
+	time.Sleep(storeCall)
+	return s.Store.Get(ctx, key)
+}
+
+func (s *slowStore) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	time.Sleep(storeCall)
+	return s.Store.Txn(ctx, txn)
+}
+
+func newSpreadFleet(t *testing.T, w way, instances int) *spreadFleet {
+	f := &spreadFleet{t: t, way: w, store: &slowStore{memkv.New()}, at: map[string]*spreadNode{}}
+	f.topology.RegionOf = map[fleet.FailureDomain]fleet.Region{}
+	for i := range 9 {
+		f.topology.RegionOf[fleet.FailureDomain(fmt.Sprintf("domain-%d", i))] = fleet.Region(fmt.Sprintf("region-%d", i/3))
+	}
+	rollTo(t, f.store.Store, 1)
+	for i := range instances {
+		n := &spreadNode{fleet: f, board: blackboard.New(), member: fleet.Member{
+			ID:            fleet.InstanceID(fmt.Sprintf("entry-%03d", i)),
+			Incarnation:   1,
+			PeerAddress:   fmt.Sprintf("10.20.%d.%d:7443", i/250, i%250),
+			CallerAddress: fmt.Sprintf("10.20.%d.%d:8443", i/250, i%250),
+			FailureDomain: fleet.FailureDomain(fmt.Sprintf("domain-%d", i%9)),
+		}}
+		f.nodes = append(f.nodes, n)
+		f.at[n.member.PeerAddress] = n
+	}
+	for i, n := range f.nodes {
+		n.assemble(uint64(i))
+	}
+	return f
+}
+
+func (n *spreadNode) assemble(seed uint64) {
+	w := n.fleet.way
+	heard := func(h coremembership.GenerationHint) { n.bundles.Hint(h.Generation, h.Address) }
+	if !w.hints {
+		heard = nil
+	}
+	options := coremembership.Options{SpreadFanout: w.spreadCount}
+	view := membership.NewView(n.member, options, rand.New(rand.NewPCG(seed, 1)), n.board, heard)
+	n.prober = membership.NewProber(view, n, func() int { return 0 })
+	n.poller = membership.NewPoller(view, n)
+	n.bundles = New(Config{
+		Table:     n.board.Bundle,
+		Store:     n.fleet.store,
+		Peers:     n,
+		Verifier:  verifier(),
+		Watcher:   n.watches,
+		Addresses: n.addresses,
+		Random:    rand.New(rand.NewPCG(seed, 2)),
+	})
+	n.pool = workers.NewPool(n.board, 4, seed)
+	n.pool.Register(n.bundles, workers.Schedule{Every: time.Second})
+	n.pool.Register(n.prober, workers.Schedule{Every: membership.ProbePeriod, On: []blackboard.Topic{blackboard.TopicBundle}})
+}
+
+func (n *spreadNode) watches() bool {
+	w := n.fleet.way
+	if w.watchAll || w.poll > 0 || w.parted {
+		return w.watchAll
+	}
+	return slices.Contains(coremembership.Watchers(n.board.Members.All(), n.fleet.topology, 2), n.member.ID)
+}
+
+func (n *spreadNode) addresses() []string {
+	var out []string
+	for _, other := range n.fleet.nodes {
+		if other != n {
+			out = append(out, other.member.PeerAddress)
+		}
+	}
+	return out
+}
+
+// Changes implements membership.ListSource.
+func (n *spreadNode) Changes(context.Context, int64) (membership.Changes, error) {
+	var changes membership.Changes
+	for _, other := range n.fleet.nodes {
+		changes.Instances = append(changes.Instances, coremembership.ListEntry{
+			ID: other.member.ID, State: coremembership.ListLive, PeerAddress: other.member.PeerAddress, FailureDomain: other.member.FailureDomain,
+		})
+	}
+	return changes, nil
+}
+
+// travel takes the one-way time to another instance.
+func (n *spreadNode) travel(to *spreadNode) {
+	if n.fleet.topology.RegionOf[n.member.FailureDomain] == n.fleet.topology.RegionOf[to.member.FailureDomain] {
+		time.Sleep(withinRegion)
+		return
+	}
+	time.Sleep(betweenRegion)
+}
+
+// Probe implements membership.Transport.
+func (n *spreadNode) Probe(ctx context.Context, address string, p coremembership.Probe) (coremembership.Probe, error) {
+	to := n.fleet.at[address]
+	n.fleet.probes.Add(1)
+	n.travel(to)
+	ack := to.prober.HandleProbe(ctx, p)
+	n.travel(to)
+	return ack, nil
+}
+
+// ProbeIndirect implements membership.Transport.
+func (n *spreadNode) ProbeIndirect(context.Context, fleet.InstanceID, coremembership.IndirectRequest) (peer.IndirectResult, error) {
+	return peer.IndirectResult{Reached: true}, nil
+}
+
+// Manifest implements PeerSource.
+func (n *spreadNode) Manifest(_ context.Context, address string) (bundle.SignedManifest, error) {
+	to := n.fleet.at[address]
+	n.travel(to)
+	n.travel(to)
+	if active := to.board.Bundle.Current(); active != nil {
+		return active.Manifest(), nil
+	}
+	return bundle.SignedManifest{}, errPeer
+}
+
+// Section implements PeerSource.
+func (n *spreadNode) Section(_ context.Context, address, digest string) ([]byte, error) {
+	to := n.fleet.at[address]
+	n.travel(to)
+	n.travel(to)
+	if active := to.board.Bundle.Current(); active != nil {
+		if data, ok := active.Section(digest); ok {
+			return data, nil
+		}
+	}
+	return nil, errPeer
+}
+
+// Delta implements PeerSource.
+func (n *spreadNode) Delta(_ context.Context, address string, generation fleet.Generation) (bundle.Delta, error) {
+	to := n.fleet.at[address]
+	n.fleet.fetches.Add(1)
+	n.travel(to)
+	n.travel(to)
+	if delta, ok := to.bundles.Delta(generation); ok {
+		return delta, nil
+	}
+	return bundle.Delta{}, ErrNoDelta
+}
+
+// run runs all instances until ctx ends.
+func (f *spreadFleet) run(ctx context.Context) {
+	for _, n := range f.nodes {
+		require.NoError(f.t, n.poller.Reconcile(ctx))
+		go n.pool.Run(ctx)
+		go n.bundles.Run(ctx)
+		if f.way.poll > 0 {
+			go n.pollHead(ctx, f.way.poll)
+		}
+	}
+	time.Sleep(15 * time.Second)
+}
+
+func (n *spreadNode) pollHead(ctx context.Context, every time.Duration) {
+	random := rand.New(rand.NewPCG(uint64(len(n.member.ID)), n.member.Incarnation))
+	pause(ctx, time.Duration(random.Int64N(int64(every))))
+	for pause(ctx, every) {
+		if head, err := (storeSource{n.fleet.store}).head(ctx); err == nil {
+			n.bundles.Hint(head.Generation, "")
+		}
+	}
+}
+
+// change rolls the next generation and returns the time until it is in force everywhere.
+func (f *spreadFleet) change(ctx context.Context, generation fleet.Generation) time.Duration {
+	started := time.Now()
+	if f.way.atInstance {
+		f.rollAt(ctx, f.nodes[int(generation)%len(f.nodes)], generation)
+	} else {
+		rollTo(f.t, f.store.Store, generation)
+	}
+	const step = 10 * time.Millisecond
+	for time.Since(started) < time.Minute {
+		if !slices.ContainsFunc(f.nodes, func(n *spreadNode) bool { return n.board.Bundle.Generation() < generation }) {
+			break
+		}
+		time.Sleep(step)
+	}
+	return time.Since(started)
+}
+
+// rollAt rolls the difference to the document of the generation through one instance, as its operators' listener does.
+func (f *spreadFleet) rollAt(ctx context.Context, n *spreadNode, generation fleet.Generation) {
+	delta := bundle.Diff(document(generation-1), document(generation))
+	manifest, _ := signed(f.t, document(generation))
+	delta.Signatures = manifest.Signatures
+	rolled, err := roll.RollDelta(ctx, f.store, n.board.Bundle.Current(), generation-1, delta, verifier())
+	require.NoError(f.t, err)
+	n.bundles.Rolled(rolled.Next, delta)
+}
+
+// maxCallsRate bounds the store calls a second that one change each 5 s may add, whatever the size of the fleet: a roll, six watchers
+// and the few instances whose hints failed.
+const maxCallsRate = 5
+
+const (
+	spreadChanges = 5
+	spreadPeriod  = 5 * time.Second // 20,000 changes a day are one each 4.3 s
+)
+
+// spreadResult is what a run measured.
+type spreadResult struct {
+	longest, mean  time.Duration
+	extraProbes    float64 // exchanges a change and instance beyond those of quiet times
+	fetches        float64 // deltas from peers a change and instance
+	callsRate      float64 // store calls a second with a change each spreadPeriod
+	quietCallsRate float64 // without changes
+}
+
+func measureSpread(t *testing.T, w way, instances int) spreadResult {
+	f := newSpreadFleet(t, w, instances)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		time.Sleep(time.Minute)
+	}()
+	f.run(ctx)
+	probes, calls := f.probes.Load(), f.store.Calls()
+	time.Sleep(spreadPeriod)
+	quietProbes, quietCalls := f.probes.Load()-probes, f.store.Calls()-calls
+	probes, calls, fetches := f.probes.Load(), f.store.Calls(), f.fetches.Load()
+	var total, longest time.Duration
+	started := time.Now()
+	for i := range spreadChanges {
+		took := f.change(ctx, fleet.Generation(i+2))
+		total += took
+		longest = max(longest, took)
+		time.Sleep(max(0, time.Duration(i+1)*spreadPeriod-time.Since(started)))
+	}
+	periods := time.Since(started).Seconds() / spreadPeriod.Seconds()
+	perNode := float64(spreadChanges * instances)
+	return spreadResult{
+		longest:        longest,
+		mean:           total / spreadChanges,
+		extraProbes:    (float64(f.probes.Load()-probes) - periods*float64(quietProbes)) / perNode,
+		fetches:        float64(f.fetches.Load()-fetches) / perNode,
+		callsRate:      float64(f.store.Calls()-calls) / time.Since(started).Seconds(),
+		quietCallsRate: float64(quietCalls) / spreadPeriod.Seconds(),
+	}
+}
+
+func spreadWays() []way {
+	return []way{
+		{name: "all watch", watchAll: true},
+		{name: "poll every 2 s", poll: 2 * time.Second},
+		{name: "watchers and hints, rolled elsewhere", hints: true, maxSeconds: 3},
+		{name: "watchers and hints, rolled at an instance", hints: true, atInstance: true, maxSeconds: 3},
+		{name: "fanout 3, rolled at an instance", hints: true, atInstance: true, spreadCount: 3, large: true},
+		{name: "hints only, rolled at an instance", hints: true, atInstance: true, parted: true, maxSeconds: 3, large: true},
+	}
+}
+
+// designInstances is the number of nodes of the design size.
+const designInstances = 370
+
+var spreadSizes = []int{8, 50, designInstances}
+
+// fullSpread also measures the design size, which takes 20 s and 1 GB for each way.
+var fullSpread = flag.Bool("spread.full", false, "measure the distribution of changes at 370 instances too")
+
+// Guards against a change that is not in force everywhere within 3 s, at sizes up to the design's, and against one that costs the store
+// more the larger the fleet is. Run with -v -spread.full for the figures of docs/decisions/0005.
+func TestChangesAreInForceEverywhereWithinSeconds(t *testing.T) {
+	klog.SetLogger(logr.Discard())
+	for _, w := range spreadWays() {
+		for _, instances := range spreadSizes {
+			if instances == designInstances && !*fullSpread || w.large && instances != designInstances {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d instances", w.name, instances), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := measureSpread(t, w, instances)
+					t.Logf("in force everywhere after %.2f s at most, %.2f s on average; a change and instance: %.1f probes beyond the usual, %.2f deltas from peers; "+
+						"store calls: %.1f/s with changes, %.1f/s without",
+						r.longest.Seconds(), r.mean.Seconds(), r.extraProbes, r.fetches, r.callsRate, r.quietCallsRate)
+					if w.maxSeconds > 0 {
+						assert.LessOrEqual(t, r.longest.Seconds(), w.maxSeconds)
+						assert.LessOrEqual(t, r.callsRate, r.quietCallsRate+maxCallsRate)
+					}
+				})
+			})
+		}
+	}
+}
--- a/node/control/bundlesync/watch.go
+++ b/node/control/bundlesync/watch.go
@@ -1,6 +1,7 @@
 package bundlesync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -99,7 +100,11 @@
 			if !open || event.Err != nil {
 				return event.Err
 			}
-			c.headChanged(ctx, event.KeyValue)
+			latest, err := newest(events, event)
+			c.headChanged(ctx, latest)
+			if err != nil {
+				return err
+			}
 		case <-check.C:
 			if !c.Watcher() {
 				return nil
@@ -108,6 +113,23 @@
 	}
 }
 
+// newest returns the last change that was delivered already, so that a watcher that was paused does not go through all of them. An
+// error is that of a watch that ended.
+func newest(events <-chan kv.WatchEvent, event kv.WatchEvent) (kv.KeyValue, error) {
+	latest := event.KeyValue
+	for {
+		select {
+		case next, open := <-events:
+			if !open || next.Err != nil {
+				return latest, cmp.Or(next.Err, error(kv.ErrUnavailable))
+			}
+			latest = next.KeyValue
+		default:
+			return latest, nil
+		}
+	}
+}
+
 // readHead takes note of the head and returns the revision to watch from.
 func (c *Controller) readHead(ctx context.Context) (kv.Revision, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
