Record sessions of racing, parted and restarted bundles

Golden sessions on virtual time: two operators race; a parted region gets what was rolled meanwhile when its link returns; an instance starts among older peers while the store is down. A generation in force is watched throughout and may not fall. A process test freezes an instance during three rolls.

--- a/cmd/eelgrassproxy/process_test.go
+++ b/cmd/eelgrassproxy/process_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eelgrassproxy.example/api/operator"
+	corefleet "eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/standin/fleet"
 )
 
@@ -208,6 +209,27 @@
 	p.eventually("the instance that woke is in use again", func() bool { return p.state(0, 2) == "alive" })
 }
 
+// Guards against an instance that slept through several rolls and wakes to an older generation, or stays behind.
+func TestFrozenInstanceSkipsToTheNewestOfThreeRolls(t *testing.T) {
+	const newest = 4
+	p := startProcesses(t, 3)
+	p.signal(2, syscall.SIGSTOP)
+	for generation := corefleet.Generation(2); generation <= newest; generation++ {
+		require.NoError(t, p.fleet.Roll(t.Context(), p.fleet.Deployment.Document(generation)))
+	}
+	p.signal(2, syscall.SIGCONT)
+	highest := int64(1)
+	p.eventually("the instance that woke has the newest bundle", func() bool {
+		s, err := p.status(2)
+		if err != nil {
+			return false
+		}
+		require.GreaterOrEqual(t, s.Generation, highest, "the generation fell")
+		highest = s.Generation
+		return highest == newest
+	})
+}
+
 // Guards against a shutdown that cuts off a stream, or that ends with an error.
 func TestTerminatedInstanceFinishesItsStream(t *testing.T) {
 	p := startProcesses(t, 2)
--- a/standin/fleet/roll.go
+++ b/standin/fleet/roll.go
@@ -52,6 +52,63 @@
 	return err
 }
 
+// CallerChange is a signed change of one caller on the bundle in force at an instance, as operators' tools send it.
+type CallerChange struct {
+	instance *Instance
+	request  *operator.RollRequest
+}
+
+// PrepareCaller makes the change that adds or replaces the caller in the bundle in force at the instance.
+func (f *Fleet) PrepareCaller(ctx context.Context, i *Instance, caller bundle.Caller) (*CallerChange, error) {
+	client, err := f.Operator(i)
+	if err != nil {
+		return nil, err
+	}
+	name := bundle.CallerSectionOf(caller.ID)
+	inForce, err := client.GetBundle(ctx, operator.GetBundleParams{Section: []string{name}})
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := bundle.ParseManifest(inForce.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	sections := bundle.Sections{}
+	for _, s := range inForce.Sections {
+		sections[manifest.Sections[s.Name]] = s.Content
+	}
+	delta, next, err := bundle.CallerDelta(manifest, sections, caller.ID, &caller)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := bundle.EncodeDelta(delta)
+	if err != nil {
+		return nil, err
+	}
+	signature := bundle.Sign(next.Bytes(), Operator, OperatorKey())
+	return &CallerChange{instance: i, request: &operator.RollRequest{
+		SeenGeneration: int64(manifest.Generation),
+		Delta:          operator.NewOptString(string(encoded)),
+		Signatures:     []operator.Signature{{Operator: signature.Operator, Signature: signature.Signature}},
+	}}, nil
+}
+
+// RollCaller rolls a prepared change and returns the generation that it made.
+func (f *Fleet) RollCaller(ctx context.Context, change *CallerChange) (int64, error) {
+	client, err := f.Operator(change.instance)
+	if err != nil {
+		return 0, err
+	}
+	summary, err := client.RollBundle(ctx, change.request)
+	if err != nil {
+		return 0, err
+	}
+	return summary.Generation, nil
+}
+
+// Digest returns the key_sha256 of an API key.
+func Digest(apiKey string) string { return digest(apiKey) }
+
 // readyPoll is how often AwaitReady looks at the instances.
 const readyPoll = 20 * time.Millisecond
 
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -25,7 +26,7 @@
 // Each session runs the real instances over an in-memory network on virtual time and is compared with its golden file
 // (go test ./standin/sessions -update rewrites them).
 func TestSessions(t *testing.T) {
-	for _, c := range append(goodPath(), faults()...) {
+	for _, c := range slices.Concat(goodPath(), faults(), bundles()) {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSession(t, c.adjust)
