--- a/node/control/bundlesync/spread_test.go
+++ b/node/control/bundlesync/spread_test.go
@@ -56,6 +56,7 @@
 
 type spreadNode struct {
 	fleet   *spreadFleet
+	seed    uint64
 	member  fleet.Member
 	board   *blackboard.Board
 	prober  *membership.Prober
@@ -105,13 +106,14 @@
 		f.at[n.member.PeerAddress] = n
 	}
 	for i, n := range f.nodes {
-		n.assemble(uint64(i))
+		n.seed = uint64(i)
+		n.assemble()
 	}
 	return f
 }
 
-func (n *spreadNode) assemble(seed uint64) {
-	w := n.fleet.way
+func (n *spreadNode) assemble() {
+	w, seed := n.fleet.way, n.seed
 	heard := func(h coremembership.GenerationHint) { n.bundles.Hint(h.Generation, h.Address) }
 	if !w.hints {
 		heard = nil
@@ -237,7 +239,7 @@
 }
 
 func (n *spreadNode) pollHead(ctx context.Context, every time.Duration) {
-	random := rand.New(rand.NewPCG(uint64(len(n.member.ID)), n.member.Incarnation))
+	random := rand.New(rand.NewPCG(n.seed, 3))
 	pause(ctx, time.Duration(random.Int64N(int64(every))))
 	for pause(ctx, every) {
 		if head, err := (storeSource{n.fleet.store}).head(ctx); err == nil {
