--- a/node/control/engines/poll_capacity_test.go
+++ b/node/control/engines/poll_capacity_test.go
@@ -27,7 +27,7 @@
 				entries = append(entries, blackboard.TargetEntry{Target: fleet.Target{ID: id, Kind: fleet.KindEngine, State: fleet.TargetLive}})
 			}
 			board.Targets.Update(entries, nil)
-			p := New(board, nil, func() []fleet.TargetID { return ids }, board.Loads.Report)
+			p := New(board, nil, func() []fleet.TargetID { return ids }, func(fleet.TargetID) int { return 0 }, board.Loads.Report)
 			polls, passes, now := 0, 0, time.Now()
 			for b.Loop() {
 				passes++
@@ -53,7 +53,7 @@
 				entries = append(entries, blackboard.TargetEntry{Target: fleet.Target{ID: id, Kind: fleet.KindEngine, State: fleet.TargetLive}})
 			}
 			board.Targets.Update(entries, nil)
-			p := New(board, nil, func() []fleet.TargetID { return nil }, board.Loads.Report)
+			p := New(board, nil, func() []fleet.TargetID { return nil }, func(fleet.TargetID) int { return 0 }, board.Loads.Report)
 			now := time.Now()
 			p.dueForState(now)
 			started := processorTime(b)
--- a/standin/sessions/placement_test.go
+++ b/standin/sessions/placement_test.go
@@ -39,7 +39,7 @@
 	wished := bundle.Placement{Base: "bench-assist", Version: "1", MinReplicas: rollMinimum, MaxReplicas: rollMinimum}
 	doc := s.fleet.Deployment.Document(2)
 	doc.Placement = []bundle.Placement{wished}
-	s.roll(doc)
+	s.rollDocument(doc)
 	s.awaitPlaced("1", rollMinimum)
 	doc = s.fleet.Deployment.Document(3)
 	for i := range doc.Models {
@@ -47,7 +47,7 @@
 	}
 	wished.Version = "2"
 	doc.Placement = []bundle.Placement{wished}
-	s.roll(doc)
+	s.rollDocument(doc)
 	s.awaitPlaced("2", rollMinimum)
 	s.awaitPlaced("1", 0)
 	require.Equal(s.t, rollMinimum, s.serving("2"))
@@ -60,7 +60,7 @@
 	return decisions
 }
 
-func (s *session) roll(doc *bundle.Document) {
+func (s *session) rollDocument(doc *bundle.Document) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
 	defer cancel()
 	require.NoError(s.t, s.fleet.Roll(ctx, doc))
