Follow the bundle's bound of harm; grant a caller its whole rate at one instance

Cause: batch_harm_percent of the bundle was read by nobody, and a caller that uses one of eight instances got an eighth of its rate. Change: the ceiling of batch moves from 85 % at 2 percent harm to 95 % at 5; each instance grants a caller's whole rate.

--- a/core/batch/yield.go
+++ b/core/batch/yield.go
@@ -33,6 +33,21 @@
 	return YieldPolicy{Ceiling: 0.85, AtRiskCeiling: 1, Slack: 0.05, Growth: 1, Shrink: 0.5, Pause: time.Second}
 }
 
+// Harm to online latency, in percent of its p99, between which the ceiling of batch moves.
+const (
+	leastHarmPercent = 2
+	mostHarmPercent  = 5
+	highestCeiling   = 0.95
+)
+
+// ForHarm returns the policy with the ceiling that the bundle's bound of harm to online latency allows: the default one up to 2 percent,
+// and 0.95 from 5 percent on.
+func (p YieldPolicy) ForHarm(percent int) YieldPolicy {
+	part := float64(percent-leastHarmPercent) / (mostHarmPercent - leastHarmPercent)
+	p.Ceiling += (highestCeiling - p.Ceiling) * min(max(part, 0), 1)
+	return p
+}
+
 // TargetLoad is what an instance knows of a target when it decides about batch.
 type TargetLoad struct {
 	MaxRunning int
@@ -63,6 +78,9 @@
 	return &Yield{policy: policy, limits: make(map[fleet.TargetID]*batchLimit)}
 }
 
+// SetPolicy replaces the policy; the limits stay.
+func (y *Yield) SetPolicy(policy YieldPolicy) { y.policy = policy }
+
 func (y *Yield) target(id fleet.TargetID) *batchLimit {
 	l, ok := y.limits[id]
 	if !ok {
--- /dev/null
+++ b/core/batch/yield_test.go
@@ -0,0 +1,62 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var yieldStart = time.Unix(1000, 0)
+
+// Guards against batch that takes the places online requests need, or that leaves an idle target unused.
+func TestRoomEndsAtTheCeilingAndAtWaitingRequests(t *testing.T) {
+	cases := map[string]struct {
+		load   TargetLoad
+		atRisk bool
+		want   int
+	}{
+		"an idle target takes the first request":          {TargetLoad{MaxRunning: 16}, false, 1},
+		"a target at the ceiling takes none":              {TargetLoad{MaxRunning: 16, Load: 13}, false, 0},
+		"a job at risk may use the rest":                  {TargetLoad{MaxRunning: 16, Load: 13}, true, 1},
+		"a full target takes none, whatever the risk":     {TargetLoad{MaxRunning: 16, Load: 16}, true, 0},
+		"a target where requests wait takes none":         {TargetLoad{MaxRunning: 16, Load: 3, Waiting: 1}, false, 0},
+		"the limit of own requests holds below a ceiling": {TargetLoad{MaxRunning: 16, Load: 1, OwnBatch: 1}, false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, NewYield(DefaultYieldPolicy()).Room("e1", c.load, c.atRisk))
+		})
+	}
+}
+
+// Guards against a limit that never grows into idle capacity, or that does not shrink and pause at a sign of online demand.
+func TestLimitGrowsWithUseAndShrinksUnderPressure(t *testing.T) {
+	y := NewYield(DefaultYieldPolicy())
+	for n := range 7 {
+		y.Ended("e1", TargetLoad{MaxRunning: 16, OwnBatch: n}, yieldStart)
+	}
+	require.Equal(t, 8, y.Room("e1", TargetLoad{MaxRunning: 16}, false))
+	y.Pressure("e1", yieldStart)
+	require.Equal(t, 4, y.Room("e1", TargetLoad{MaxRunning: 16}, false))
+	y.Ended("e1", TargetLoad{MaxRunning: 16, OwnBatch: 4}, yieldStart.Add(time.Second/2))
+	require.Equal(t, 4, y.Room("e1", TargetLoad{MaxRunning: 16}, false), "no growth within the pause")
+	y.Ended("e1", TargetLoad{MaxRunning: 16, OwnBatch: 4}, yieldStart.Add(2*time.Second))
+	require.Equal(t, 5, y.Room("e1", TargetLoad{MaxRunning: 16}, false))
+}
+
+// Guards against batch that stays above the ceiling after online requests came, and against many owners that all give way to the last.
+func TestExcessIsSharedBetweenTheSendersThatTheLoadImplies(t *testing.T) {
+	y := NewYield(DefaultYieldPolicy())
+	require.Zero(t, y.Excess(TargetLoad{MaxRunning: 16, Load: 14, OwnBatch: 13}), "within the slack")
+	require.Equal(t, 4, y.Excess(TargetLoad{MaxRunning: 16, Load: 18, OwnBatch: 16}), "a single owner takes all of it")
+	require.Equal(t, 1, y.Excess(TargetLoad{MaxRunning: 16, Load: 18, OwnBatch: 2}), "one of many takes a part")
+	require.Zero(t, y.Excess(TargetLoad{MaxRunning: 16, Load: 30}), "nothing of its own to give")
+}
+
+// Guards against a bound of harm in the bundle that changes nothing.
+func TestBoundOfHarmRaisesTheCeiling(t *testing.T) {
+	require.InDelta(t, 0.85, DefaultYieldPolicy().ForHarm(2).Ceiling, 1e-9)
+	require.InDelta(t, 0.95, DefaultYieldPolicy().ForHarm(5).Ceiling, 1e-9)
+	require.InDelta(t, 0.95, DefaultYieldPolicy().ForHarm(50).Ceiling, 1e-9)
+}
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -172,7 +172,7 @@
 		return err
 	}
 	d.pools = pools.New(d.self.ID, d.self.FailureDomain, d.board, d.settings.Requests.SubsetSize)
-	d.callers = limits.NewCallerLimits(0)
+	d.callers = limits.NewCallerLimits(callerSpread)
 	d.claims = claims.New(d.store, claims.Config{
 		Self:     coreclaims.Owner{Instance: d.self.ID, Incarnation: fleet.ProcessOf(d.self.Incarnation)},
 		Liveness: dispatch.LivenessFrom(d.board.Members, d.started),
@@ -229,6 +229,10 @@
 	d.workers.Register(d.newPlacement(), workers.Schedule{Every: placement.ReconcileEvery})
 }
 
+// callerSpread is the number of instances that share a caller's rate. A caller keeps to the first address that it was given, so that an
+// instance must grant it the whole rate; one that goes round all instances gets more, and the fair queue limits what it takes from others.
+const callerSpread = 1
+
 // Streams of the instance's random source.
 const (
 	seedBundles    = 1
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -76,7 +76,7 @@
 	for {
 		now := time.Now()
 		candidates := d.Pools.Candidates(x.request, &x.route, now)
-		d.floor.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.AtRisk)
+		d.floor.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.Bundle.Limits().BatchHarmPercent, x.request.AtRisk)
 		d.mu.Lock()
 		decision := d.Router.Decide(&x.route, candidates, d.random)
 		d.mu.Unlock()
--- a/node/dispatch/floor.go
+++ b/node/dispatch/floor.go
@@ -21,7 +21,8 @@
 
 // batchFloor keeps the batch requests in flight at each target and makes them give way.
 type batchFloor struct {
-	loads *blackboard.LoadTable
+	loads  *blackboard.LoadTable
+	policy batch.YieldPolicy // before the bundle's bound of harm
 
 	mu      sync.Mutex // guards the fields below; taken before the mutex of loads
 	yield   *batch.Yield
@@ -41,6 +42,7 @@
 func newBatchFloor(loads *blackboard.LoadTable, policy batch.YieldPolicy) *batchFloor {
 	return &batchFloor{
 		loads:   loads,
+		policy:  policy,
 		yield:   batch.NewYield(policy),
 		running: make(map[fleet.TargetID][]*batchRun),
 		changed: make(chan struct{}),
@@ -48,10 +50,11 @@
 	}
 }
 
-// fill sets the room of each candidate. loads has the same candidates with unbiased load estimates.
-func (f *batchFloor) fill(candidates, loads []routing.Candidate, atRisk bool) {
+// fill sets the room of each candidate under the bundle's bound of harm. loads has the same candidates with unbiased load estimates.
+func (f *batchFloor) fill(candidates, loads []routing.Candidate, harmPercent int, atRisk bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.yield.SetPolicy(f.policy.ForHarm(harmPercent))
 	for i := range candidates {
 		c := &candidates[i]
 		c.BatchRoom = f.yield.Room(c.Target, f.load(c.Target, c.MaxRunning, loads[i].Load), atRisk)
