--- a/core/batch/bulk.go
+++ b/core/batch/bulk.go
@@ -10,3 +10,9 @@
 	Bytes   int64              `json:"bytes"`
 	Holders []fleet.InstanceID `json:"holders"`
 }
+
+// InputChunk is a blob with the bodies of some items of a job, one on each line.
+type InputChunk struct {
+	BlobRef
+	Lines int `json:"lines"` // from 1 to ChunkItems; a chunk of large lines ends early
+}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// ChunkItems is the number of items of each chunk of a job but the last.
+	// ChunkItems is the largest number of items of a chunk.
 	ChunkItems = 256
 	// MaxItems is the largest number of items of a job.
 	MaxItems = 140_000
+	// MaxChunks bounds the chunks of a job. A file of the largest size has at most 694: 547 that end after 256 lines and 147 that end
+	// after 7 MiB.
+	MaxChunks = 700
 	// MaxJobBytes bounds the encoded job record; the store takes values up to 1 MB.
 	MaxJobBytes = 1_000_000
 	// MaxMetadata bounds the metadata entries of a job.
@@ -67,7 +70,7 @@
 	RequestDigest string            `json:"request_digest"` // tells a resubmission from another use of the same key
 	Repeatable    bool              `json:"repeatable"`     // items may run more than once
 	Items         int               `json:"items"`
-	Chunks        []BlobRef         `json:"chunks"` // bodies in order; ChunkItems lines each, fewer in the last
+	Chunks        []InputChunk      `json:"chunks"` // bodies in order
 	Metadata      map[string]string `json:"metadata,omitempty"`
 	Created       time.Time         `json:"created"`
 	Deadline      time.Time         `json:"deadline"`
@@ -77,8 +80,15 @@
 }
 
 // ItemsIn returns the number of items in chunk n.
-func (j Job) ItemsIn(n int) int {
-	return max(0, min(ChunkItems, j.Items-n*ChunkItems))
+func (j Job) ItemsIn(n int) int { return j.Chunks[n].Lines }
+
+// FirstItem returns the index within the job of the first item in chunk n.
+func (j Job) FirstItem(n int) int {
+	first := 0
+	for _, chunk := range j.Chunks[:n] {
+		first += chunk.Lines
+	}
+	return first
 }
 
 // Encode returns the record as JSON, or ErrJobTooLarge.
@@ -104,8 +114,8 @@
 	default:
 		return Job{}, eris.Wrapf(ErrInvalidRecord, "job state %q", j.State)
 	}
-	if j.Items < 1 || len(j.Chunks) != chunksOf(j.Items) {
-		return Job{}, eris.Wrapf(ErrInvalidRecord, "%d items in %d chunks", j.Items, len(j.Chunks))
+	if err := checkChunks(j.Items, j.Chunks); err != nil {
+		return Job{}, eris.Wrap(ErrInvalidRecord, err.Error())
 	}
 	return j, nil
 }
@@ -140,6 +150,20 @@
 	return j, nil
 }
 
-func chunksOf(items int) int {
-	return (items + ChunkItems - 1) / ChunkItems
+// checkChunks tells whether the chunks hold exactly the items.
+func checkChunks(items int, chunks []InputChunk) error {
+	if items < 1 || items > MaxItems || len(chunks) > MaxChunks {
+		return eris.Errorf("%d items in %d chunks, allowed are 1 to %d in up to %d", items, len(chunks), MaxItems, MaxChunks)
+	}
+	lines := 0
+	for n, chunk := range chunks {
+		if chunk.Lines < 1 || chunk.Lines > ChunkItems {
+			return eris.Errorf("chunk %d has %d items, allowed are 1 to %d", n, chunk.Lines, ChunkItems)
+		}
+		lines += chunk.Lines
+	}
+	if lines != items {
+		return eris.Errorf("chunks of %d items in all for %d items", lines, items)
+	}
+	return nil
 }
--- a/core/batch/submission.go
+++ b/core/batch/submission.go
@@ -20,7 +20,7 @@
 type Submission struct {
 	FileID         string
 	Items          int
-	Chunks         []BlobRef // of the file, in order
+	Chunks         []InputChunk // of the file, in order
 	Endpoint       string
 	Repeatable     bool // items of the endpoint may run more than once
 	Window         time.Duration
@@ -33,15 +33,14 @@
 	switch {
 	case s.FileID == "" || s.Endpoint == "":
 		return eris.Wrap(ErrInvalidSubmission, "file and endpoint are required")
-	case s.Items < 1 || s.Items > MaxItems:
-		return eris.Wrapf(ErrInvalidSubmission, "%d items, allowed are 1 to %d", s.Items, MaxItems)
-	case len(s.Chunks) != chunksOf(s.Items):
-		return eris.Wrapf(ErrInvalidSubmission, "%d chunks for %d items", len(s.Chunks), s.Items)
 	case s.Window < MinWindow || s.Window > MaxWindow:
 		return eris.Wrapf(ErrInvalidSubmission, "completion window %s, allowed are %s to %s", s.Window, MinWindow, MaxWindow)
 	case len(s.Metadata) > MaxMetadata:
 		return eris.Wrapf(ErrInvalidSubmission, "%d metadata entries, allowed are %d", len(s.Metadata), MaxMetadata)
 	}
+	if err := checkChunks(s.Items, s.Chunks); err != nil {
+		return eris.Wrap(ErrInvalidSubmission, err.Error())
+	}
 	return nil
 }
 
--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -49,7 +49,7 @@
 
 // readLines fetches the bodies. After the deadline items end without theirs.
 func (r *Runner) readLines(t *task) error {
-	data, err := r.get(t, t.record.Chunks[t.id.n])
+	data, err := r.get(t, t.record.Chunks[t.id.n].BlobRef)
 	if err != nil && !t.late() {
 		return err
 	}
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -110,7 +110,7 @@
 		Job:        t.id.job,
 		Caller:     t.record.Caller,
 		Endpoint:   t.record.Endpoint,
-		Index:      t.id.n*batch.ChunkItems + i,
+		Index:      t.first + i,
 		Try:        try,
 		Line:       t.lines[i],
 		Repeatable: t.record.Repeatable,
@@ -129,7 +129,7 @@
 	if len(body) > 0 && !json.Valid(body) {
 		body, _ = json.Marshal(string(o.Body))
 	}
-	result := batch.Result{Index: t.id.n*batch.ChunkItems + i, CustomID: named.CustomID, Status: status, HTTP: o.HTTP, Body: body}
+	result := batch.Result{Index: t.first + i, CustomID: named.CustomID, Status: status, HTTP: o.HTTP, Body: body}
 	if status != batch.ItemCompleted {
 		result.Reason = o.Reason
 	}
--- a/node/batch/schedule.go
+++ b/node/batch/schedule.go
@@ -14,6 +14,7 @@
 type task struct {
 	id       chunkID
 	record   batch.Job
+	first    int // index within the job of the chunk's first item
 	atRisk   bool
 	ctx      context.Context // ends with the job or the runner
 	cancel   context.CancelFunc
@@ -124,7 +125,7 @@
 
 // newTask enters a chunk as running; r.mu is held.
 func (r *Runner) newTask(ctx context.Context, j *job, n int) *task {
-	t := &task{id: chunkID{j.record.ID, n}, record: j.record, revision: j.chunks[n].revision}
+	t := &task{id: chunkID{j.record.ID, n}, record: j.record, first: j.record.FirstItem(n), revision: j.chunks[n].revision}
 	if j.chunks[n].claimed != nil {
 		t.chunk = *j.chunks[n].claimed
 	}
--- a/node/daemon/batch.go
+++ b/node/daemon/batch.go
@@ -108,7 +108,7 @@
 	}
 	file := jobs.File{Items: record.Lines}
 	for _, c := range record.Chunks {
-		file.Chunks = append(file.Chunks, c.Blob)
+		file.Chunks = append(file.Chunks, batch.InputChunk{BlobRef: c.Blob, Lines: c.Lines})
 	}
 	return file, nil
 }
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -51,7 +51,7 @@
 // File is what a submission needs to know of an uploaded file.
 type File struct {
 	Items  int
-	Chunks []batch.BlobRef
+	Chunks []batch.InputChunk // in order, with Items lines in all
 }
 
 // Files finds uploaded files of a caller. File returns ErrFileNotFound or ErrUnavailable.
