Add golden sessions of whole jobs under failure

Owner lost, ten minutes without store, cancel, disk holder lost, resubmission, poison items, failing and non-repeatable service calls, and a lost store answer at the creation, each through real instances on virtual time.

--- a/standin/sessions/jobs_helpers_test.go
+++ b/standin/sessions/jobs_helpers_test.go
@@ -293,6 +293,13 @@
 	}
 }
 
+// awaitRecorded returns when the job has the number of recorded chunks.
+func (j *jobSession) awaitRecorded(id batch.JobID, n int) {
+	for end := time.Now().Add(jobLimit); len(j.chunks(id)) < n; time.Sleep(100 * time.Millisecond) {
+		require.True(j.t, time.Now().Before(end), "%d chunks recorded", len(j.chunks(id)))
+	}
+}
+
 // calls counts the calls of a method at targets.
 func (j *jobSession) calls(method string) int {
 	j.mu.Lock()
@@ -306,7 +313,7 @@
 	return n
 }
 
-// crash ends the owner of a job's shard. The caller then speaks to another instance.
+// crashOwner ends the owner of a job's shard. The caller then speaks to another instance.
 func (j *jobSession) crashOwner(id batch.JobID) {
 	owner, _ := j.owner(id)
 	j.line("instance-%d, the owner of the job's shard, is lost", owner+1)
--- a/standin/sessions/jobs_test.go
+++ b/standin/sessions/jobs_test.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,7 @@
 
 // Each session runs whole jobs through real instances on virtual time and is compared with its golden file.
 func TestJobSessions(t *testing.T) {
-	for _, c := range jobScenarios() {
+	for _, c := range slices.Concat(jobScenarios(), jobFaults(), jobSubmissions()) {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				j := newJobSession(t, c.adjust)
