Restore lost copies and end batch records after the retention time

Nobody called bulk.Store.Repair and no collector was registered: after the loss of a disk holder a file and its results stayed on one disk for good, and no record or blob ever ended.

node/control/upkeep walks the records of owned shards: a whole walk every hour, and one for the blobs of a lost holder once it has been gone for the repair delay. Records change by compare-and-swap under the shard's epoch. Files belong to the shard of their caller's digest, so that one listing finds them. Jobs end batch.retention (default 168h) after they finished, chunks first, files after their last upload, which a repeated upload now renews. The collector deletes a blob only when two looks at all records, a minute apart or more, did not name it.

--- a/core/files/files_test.go
+++ b/core/files/files_test.go
@@ -97,7 +97,7 @@
 // Guards against an upload that succeeds and cannot be recorded.
 func TestTheLargestRecordFitsIntoTheStore(t *testing.T) {
 	chunks := MaxLines/ChunkLines + 1 + MaxBytes/(ChunkBytes-MaxLineBytes) + 1
-	r := Record{ID: idPrefix + strings.Repeat("a", 64), Caller: fleet.CallerID(strings.Repeat("c", 256)), Created: time.Unix(1_800_000_000, 0).UTC(), Lines: MaxLines, Bytes: MaxBytes}
+	r := Record{ID: idPrefix + strings.Repeat("a", 64), Caller: fleet.CallerID(strings.Repeat("c", 256)), Created: time.Unix(1_800_000_000, 0).UTC(), Uploaded: time.Unix(1_800_100_000, 0).UTC(), Lines: MaxLines, Bytes: MaxBytes}
 	for i := range chunks {
 		holders := []fleet.InstanceID{}
 		for j := range 2 {
--- a/core/files/record.go
+++ b/core/files/record.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -35,11 +36,16 @@
 	ID      string // "file-" and the digest of caller and content
 	Caller  fleet.CallerID
 	Created time.Time // in seconds
-	Lines   int
-	Bytes   int64
-	Chunks  []Chunk
+	// Uploaded is the time of the last upload of the content, in seconds, up to RenewAfter too early. The retention time counts from it.
+	Uploaded time.Time
+	Lines    int
+	Bytes    int64
+	Chunks   []Chunk
 }
 
+// RenewAfter is the age at which a further upload of the same content renews Uploaded.
+const RenewAfter = time.Hour
+
 // Chunk is a part of a file.
 type Chunk struct {
 	Lines int // at most ChunkLines
@@ -52,6 +58,9 @@
 	return keyPrefix + hex.EncodeToString(digest[:]) + "/"
 }
 
+// ShardPrefix returns the prefix of the keys of files whose caller's digest begins with the shard's number.
+func ShardPrefix(shard batch.Shard) string { return fmt.Sprintf("%s%02x", keyPrefix, int(shard)) }
+
 // Key returns the key of a file.
 func Key(caller fleet.CallerID, id string) string { return Prefix(caller) + id }
 
@@ -66,7 +75,8 @@
 type wireRecord struct {
 	ID      string             `json:"id"`
 	Caller  fleet.CallerID     `json:"caller"`
-	Created int64              `json:"created"` // seconds since 1970
+	Created int64              `json:"created"`           // seconds since 1970
+	Renewed int64              `json:"renewed,omitempty"` // seconds from Created to Uploaded
 	Lines   int                `json:"lines"`
 	Bytes   int64              `json:"bytes"`
 	Holders []fleet.InstanceID `json:"holders"`
@@ -82,7 +92,7 @@
 
 // Encode returns the stored form, or ErrRecordTooLarge.
 func (r Record) Encode() ([]byte, error) {
-	wire := wireRecord{ID: r.ID, Caller: r.Caller, Created: r.Created.Unix(), Lines: r.Lines, Bytes: r.Bytes, Chunks: make([]wireChunk, len(r.Chunks))}
+	wire := wireRecord{ID: r.ID, Caller: r.Caller, Created: r.Created.Unix(), Renewed: r.Uploaded.Unix() - r.Created.Unix(), Lines: r.Lines, Bytes: r.Bytes, Chunks: make([]wireChunk, len(r.Chunks))}
 	positions := make(map[fleet.InstanceID]int)
 	for i, c := range r.Chunks {
 		digest, err := hex.DecodeString(c.Blob.Digest)
@@ -115,6 +125,7 @@
 		return Record{}, eris.Wrap(ErrRecord, err.Error())
 	}
 	r := Record{ID: wire.ID, Caller: wire.Caller, Created: time.Unix(wire.Created, 0).UTC(), Lines: wire.Lines, Bytes: wire.Bytes}
+	r.Uploaded = r.Created.Add(time.Duration(wire.Renewed) * time.Second)
 	r.Chunks = make([]Chunk, len(wire.Chunks))
 	for i, c := range wire.Chunks {
 		r.Chunks[i] = Chunk{Lines: c.Lines, Blob: batch.BlobRef{Digest: hex.EncodeToString(c.Digest), Bytes: c.Bytes}}
--- a/node/bulk/repair.go
+++ b/node/bulk/repair.go
@@ -36,6 +36,34 @@
 	return repaired, !sameHolders(ref.Holders, repaired.Holders), nil
 }
 
+// Replaceable returns those of the holders that have been dead or unknown for the repair delay, counted from the first call of this
+// method or of Repair that found them so.
+func (s *Store) Replaceable(holders []fleet.InstanceID) []fleet.InstanceID {
+	present := s.present()
+	now := time.Now()
+	var gone []fleet.InstanceID
+	for _, id := range holders {
+		if _, here := present[id]; here || slices.Contains(gone, id) {
+			continue
+		}
+		if s.absence.length(id, present, now) >= s.config.RepairDelay {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// present returns the instances that are not dead.
+func (s *Store) present() map[fleet.InstanceID]fleet.Member {
+	present := make(map[fleet.InstanceID]fleet.Member)
+	for _, m := range s.config.Board.Members.All() {
+		if m.State != fleet.MemberDead {
+			present[m.ID] = m
+		}
+	}
+	return present
+}
+
 // copyOf reads the blob at the limited rate.
 func (s *Store) copyOf(ctx context.Context, ref batch.BlobRef) ([]byte, error) {
 	for left := int(ref.Bytes); left > 0; left -= s.repairs.Burst() {
@@ -48,12 +76,7 @@
 
 // keptHolders returns the holders that have the blob or may still have it.
 func (s *Store) keptHolders(ctx context.Context, ref batch.BlobRef) []fleet.InstanceID {
-	present := make(map[fleet.InstanceID]fleet.Member)
-	for _, m := range s.config.Board.Members.All() {
-		if m.State != fleet.MemberDead {
-			present[m.ID] = m
-		}
-	}
+	present := s.present()
 	now := time.Now()
 	kept := []fleet.InstanceID{}
 	for _, id := range ref.Holders {
--- /dev/null
+++ b/node/control/upkeep/jobs.go
@@ -0,0 +1,95 @@
+package upkeep
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// repairJob restores the copies of a job's input and results.
+func (w *walk) repairJob(ctx context.Context, job batch.Job, records *jobRecords) error {
+	revision := asListed(records.job)
+	return errors.Join(w.repairResults(ctx, job, records, revision), w.repairInput(ctx, job, revision))
+}
+
+// repairInput writes the job record last, since that changes the revision that other writes compare.
+func (w *walk) repairInput(ctx context.Context, job batch.Job, revision kv.Compare) error {
+	changed := false
+	var failed error
+	for i := range job.Chunks {
+		failed = errors.Join(failed, w.repair(ctx, &job.Chunks[i].BlobRef, &changed))
+	}
+	if !changed {
+		return failed
+	}
+	value, err := job.Encode()
+	if err != nil {
+		return errors.Join(failed, err)
+	}
+	return errors.Join(failed, w.write(ctx, []kv.Compare{revision}, []kv.Op{{Kind: kv.OpPut, Key: job.ID.Key(), Value: value}}))
+}
+
+// repairResults repairs the results of chunks whose records no longer change. A claimed chunk of an open job is left to its owner, whose
+// next claim stores the results again: another change of its record would make the owner give the chunk up.
+func (w *walk) repairResults(ctx context.Context, job batch.Job, records *jobRecords, revision kv.Compare) error {
+	var failed error
+	var compares []kv.Compare
+	var puts []kv.Op
+	for _, item := range records.chunks {
+		chunk, err := batch.DecodeChunk(item.Value)
+		if err != nil {
+			failed = errors.Join(failed, eris.Wrap(err, item.Key))
+			continue
+		}
+		final := chunk.State == batch.ChunkRecorded || job.State != batch.JobAccepted
+		if chunk.Results == nil || !final {
+			continue
+		}
+		changed := false
+		failed = errors.Join(failed, w.repair(ctx, chunk.Results, &changed))
+		if !changed {
+			continue
+		}
+		value, err := chunk.Encode()
+		if err != nil {
+			return errors.Join(failed, err)
+		}
+		compares = append(compares, asListed(item))
+		puts = append(puts, kv.Op{Kind: kv.OpPut, Key: item.Key, Value: value})
+	}
+	for len(puts) > 0 {
+		n := min(writeGroup, len(puts))
+		failed = errors.Join(failed, w.write(ctx, append(slices.Clone(compares[:n]), revision), puts[:n]))
+		compares, puts = compares[n:], puts[n:]
+	}
+	return failed
+}
+
+// removeJob removes the records of a job that ended long ago: the chunks first, so that a job which is submitted again under the same id
+// never finds chunks of the earlier one.
+func (w *walk) removeJob(ctx context.Context, job batch.Job, records *jobRecords) error {
+	revision := asListed(records.job)
+	for group := range slices.Chunk(records.chunks, writeGroup) {
+		var deletes []kv.Op
+		for _, item := range group {
+			deletes = append(deletes, kv.Op{Kind: kv.OpDelete, Key: item.Key})
+		}
+		if err := w.write(ctx, []kv.Compare{revision}, deletes); err != nil {
+			return err
+		}
+	}
+	err := w.write(ctx, []kv.Compare{revision}, []kv.Op{
+		{Kind: kv.OpDelete, Key: job.ID.Key()},
+		{Kind: kv.OpDelete, Key: job.ID.OpenKey()},
+		{Kind: kv.OpDelete, Key: job.ID.CallerKey(job.Caller)},
+	})
+	if err == nil {
+		klog.InfoS("Records of a batch job removed after the retention time", "job", job.ID, "finished", job.Finished)
+	}
+	return err
+}
--- /dev/null
+++ b/node/control/upkeep/walk.go
@@ -0,0 +1,191 @@
+package upkeep
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/files"
+	"eelgrassproxy.example/core/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of this layer.
+var (
+	// ErrStore means that the store did not give or confirm a record.
+	ErrStore = eris.New("store did not answer")
+	// ErrChanged means that a record was changed meanwhile, or that the shard has another owner.
+	ErrChanged = eris.New("record or owner has changed")
+	// ErrCopies means that a blob has fewer copies than it should.
+	ErrCopies = eris.New("copies of a blob are missing")
+)
+
+// walk is one walk over the records of a shard.
+type walk struct {
+	keeper  *Keeper
+	shard   batch.Shard
+	whole   bool                      // look at every blob, not only at those of lost holders
+	lost    map[fleet.InstanceID]bool // holders whose copies are to be replaced
+	holders map[fleet.InstanceID]bool // every holder named by a record
+}
+
+// run repairs and removes what it can and returns the errors that ask for another walk.
+func (w *walk) run(ctx context.Context) error {
+	return errors.Join(w.jobs(ctx), w.files(ctx))
+}
+
+// jobRecords are the records of one job as listed.
+type jobRecords struct {
+	job    kv.KeyValue
+	chunks []kv.KeyValue
+}
+
+// jobs walks the jobs of the shard.
+func (w *walk) jobs(ctx context.Context) error {
+	prefix := batch.JobsPrefix + w.shard.String() + "/"
+	listing, err := w.keeper.config.Store.List(ctx, prefix)
+	if err != nil {
+		return eris.Wrapf(ErrStore, "list jobs of shard %s: %v", w.shard, err)
+	}
+	var failed error
+	for _, records := range grouped(listing, prefix) {
+		if err := w.job(ctx, records); err != nil {
+			failed = errors.Join(failed, err)
+		}
+		if errors.Is(failed, ErrStore) || ctx.Err() != nil {
+			return failed
+		}
+	}
+	return failed
+}
+
+// grouped gathers the records of each job. Chunk records without a job are left out: they are removed before their job's record.
+func grouped(listing kv.Listing, prefix string) map[batch.JobID]*jobRecords {
+	jobs := make(map[batch.JobID]*jobRecords)
+	for _, item := range listing.Items {
+		id, _, isChunk := strings.Cut(strings.TrimPrefix(item.Key, prefix), "/")
+		records, ok := jobs[batch.JobID(id)]
+		if !ok {
+			records = &jobRecords{}
+			jobs[batch.JobID(id)] = records
+		}
+		if isChunk {
+			records.chunks = append(records.chunks, item)
+		} else {
+			records.job = item
+		}
+	}
+	for id, records := range jobs {
+		if records.job.Key == "" {
+			delete(jobs, id)
+		}
+	}
+	return jobs
+}
+
+func (w *walk) job(ctx context.Context, records *jobRecords) error {
+	job, err := batch.DecodeJob(records.job.Value)
+	if err != nil {
+		return eris.Wrap(err, records.job.Key)
+	}
+	if job.State != batch.JobAccepted && w.over(job.Finished) {
+		return w.removeJob(ctx, job, records)
+	}
+	return w.repairJob(ctx, job, records)
+}
+
+// over tells whether the retention time has passed since then.
+func (w *walk) over(since time.Time) bool {
+	return time.Since(since) >= w.keeper.config.Retention
+}
+
+// files walks the files of the shard.
+func (w *walk) files(ctx context.Context) error {
+	listing, err := w.keeper.config.Store.List(ctx, files.ShardPrefix(w.shard))
+	if err != nil {
+		return eris.Wrapf(ErrStore, "list files of shard %s: %v", w.shard, err)
+	}
+	var failed error
+	for _, item := range listing.Items {
+		if err := w.file(ctx, item); err != nil {
+			failed = errors.Join(failed, err)
+		}
+		if errors.Is(failed, ErrStore) || ctx.Err() != nil {
+			return failed
+		}
+	}
+	return failed
+}
+
+// file removes or repairs a file. Jobs name the blobs themselves and do not need the record of their file.
+func (w *walk) file(ctx context.Context, item kv.KeyValue) error {
+	record, err := files.Decode(item.Value)
+	if err != nil {
+		return eris.Wrap(err, item.Key)
+	}
+	if w.over(record.Uploaded) {
+		return w.write(ctx, []kv.Compare{asListed(item)}, []kv.Op{{Kind: kv.OpDelete, Key: item.Key}})
+	}
+	changed := false
+	var failed error
+	for i := range record.Chunks {
+		err := w.repair(ctx, &record.Chunks[i].Blob, &changed)
+		failed = errors.Join(failed, err)
+	}
+	if !changed {
+		return failed
+	}
+	value, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	return errors.Join(failed, w.write(ctx, []kv.Compare{asListed(item)}, []kv.Op{{Kind: kv.OpPut, Key: item.Key, Value: value}}))
+}
+
+// repair restores the copies of a blob, and sets changed if its reference is now another one.
+func (w *walk) repair(ctx context.Context, ref *batch.BlobRef, changed *bool) error {
+	lost := false
+	for _, id := range ref.Holders {
+		lost = lost || w.lost[id]
+		w.holders[id] = true
+	}
+	if !w.whole && !lost {
+		return nil
+	}
+	repaired, differs, err := w.keeper.config.Bulk.Repair(ctx, *ref)
+	if err != nil {
+		return eris.Wrapf(ErrCopies, "blob %s: %v", ref.Digest, err)
+	}
+	if differs {
+		*ref, *changed = repaired, true
+	}
+	return nil
+}
+
+// asListed holds while the record is as it was listed.
+func asListed(item kv.KeyValue) kv.Compare {
+	return kv.Compare{Key: item.Key, Target: kv.CompareModRevision, Revision: item.ModRevision}
+}
+
+// write makes a change under the comparisons and the shard's epoch, at the limited rate.
+func (w *walk) write(ctx context.Context, compares []kv.Compare, then []kv.Op) error {
+	if err := w.keeper.writes.Wait(ctx); err != nil {
+		return err
+	}
+	epoch, owned := w.keeper.config.Shards.Epoch(w.shard)
+	if !owned {
+		return eris.Wrapf(ErrChanged, "shard %s is not owned", w.shard)
+	}
+	own := kv.Compare{Key: w.shard.EpochKey(), Target: kv.CompareValue, Value: batch.EncodeEpoch(epoch)}
+	result, err := w.keeper.config.Store.Txn(ctx, kv.Txn{Compares: append([]kv.Compare{own}, compares...), Then: then})
+	if err != nil {
+		return eris.Wrapf(ErrStore, "write %s: %v", then[0].Key, err)
+	}
+	if !result.Succeeded {
+		return eris.Wrap(ErrChanged, then[0].Key)
+	}
+	return nil
+}
--- a/node/daemon/batch.go
+++ b/node/daemon/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	nodebatch "eelgrassproxy.example/node/batch"
 	"eelgrassproxy.example/node/bulk"
 	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/control/upkeep"
 	"eelgrassproxy.example/node/files"
 	"eelgrassproxy.example/node/items"
 	"eelgrassproxy.example/node/jobs"
@@ -32,6 +34,9 @@
 	jobs   *jobs.Service
 	keeper *shards.Keeper
 	runner *nodebatch.Runner
+	upkeep *upkeep.Keeper
+
+	collector *upkeep.Collector // nil without a disk
 }
 
 func (d *Daemon) newBatchParts() (*batchParts, error) {
@@ -56,9 +61,28 @@
 		Seed:  d.env.Seed,
 	})
 	b.runner = nodebatch.New(d.store, b.bulk, b.keeper, items.New(d.board, d.dispatcher), nodebatch.Config{})
+	b.assembleUpkeep(d)
 	return b, nil
 }
 
+func (b *batchParts) assembleUpkeep(d *Daemon) {
+	retention := d.settings.Batch.Retention
+	b.upkeep = upkeep.New(upkeep.Config{
+		Store:     d.store,
+		Shards:    b.keeper,
+		Bulk:      b.bulk,
+		Holders:   d.diskHolders,
+		Retention: retention,
+		Seed:      d.env.Seed,
+	})
+	if b.disk == nil {
+		return
+	}
+	b.collector = upkeep.NewCollector(d.store, func(inUse func(string) bool) upkeep.Collection {
+		return bulk.NewCollector(b.disk, retention, inUse)
+	})
+}
+
 func (b *batchParts) openDisk(d *Daemon) error {
 	folder := d.settings.Instance.DataFolder
 	if folder == "" {
@@ -75,6 +99,17 @@
 func (b *batchParts) register(p *workers.Pool) {
 	p.Register(b.keeper, workers.Schedule{Every: shards.ReconcileEvery})
 	p.Register(b.runner, workers.Schedule{Every: nodebatch.ReconcileEvery})
+	if b.collector != nil {
+		p.Register(b.collector, workers.Schedule{Every: upkeep.CollectEvery})
+	}
+}
+
+// run runs chunks and keeps the records in order until ctx ends.
+func (b *batchParts) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { b.runner.Run(ctx) })
+	group.Go(func() { b.upkeep.Run(ctx) })
+	group.Wait()
 }
 
 // close gives up the shards. Call it after the workers have ended.
@@ -94,6 +129,17 @@
 	return ids
 }
 
+// diskHolders returns the known instances with a disk, lost ones included.
+func (d *Daemon) diskHolders() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, m := range d.board.Members.All() {
+		if m.HasDisk {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // jobFiles lets jobs be made of uploaded files.
 type jobFiles struct{ files *files.Service }
 
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -231,7 +231,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { d.workers.Run(background) })
 	group.Go(func() { d.bundles.Run(background) })
-	group.Go(func() { d.batch.runner.Run(background) })
+	group.Go(func() { d.batch.run(background) })
 	failed := servers.serve(&group)
 	klog.InfoS("Instance serves", "instance", d.self.ID, "callers", d.self.CallerAddress, "peers", d.self.PeerAddress)
 	select {
--- a/node/files/upload.go
+++ b/node/files/upload.go
@@ -38,7 +38,8 @@
 	if err != nil {
 		return files.Record{}, err
 	}
-	return s.create(ctx, files.Record{ID: id, Caller: caller, Created: time.Unix(time.Now().Unix(), 0).UTC(), Lines: lines, Bytes: size, Chunks: u.chunks})
+	now := time.Unix(time.Now().Unix(), 0).UTC()
+	return s.create(ctx, files.Record{ID: id, Caller: caller, Created: now, Uploaded: now, Lines: lines, Bytes: size, Chunks: u.chunks})
 }
 
 // upload is one file on its way to the disks.
@@ -98,7 +99,7 @@
 }
 
 // create writes the record if the file does not exist. The key names the content, so that a record found under it is this file's, also
-// after a write whose outcome is unknown; only its holders may differ, and then the record gets the holders just written to.
+// after a write whose outcome is unknown; only its holders and the time of its last upload may differ, and then the record gets the new ones.
 func (s *Service) create(ctx context.Context, record files.Record) (files.Record, error) {
 	key := files.Key(record.Caller, record.ID)
 	absent := kv.Compare{Key: key, Target: kv.CompareCreateRevision}
@@ -116,7 +117,7 @@
 		}
 		found, err := s.read(ctx, record.Caller, record.ID)
 		switch {
-		case err == nil && found.record.SameHolders(record):
+		case err == nil && found.record.SameHolders(record) && record.Uploaded.Sub(found.record.Uploaded) < files.RenewAfter:
 			return found.record, nil
 		case err == nil:
 			record.Created = found.record.Created
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -116,6 +116,9 @@
 	c.atLeast("workers", int64(s.Workers), 1)
 	c.positive("store.call_timeout", s.Store.CallTimeout)
 	c.positive("instance_list.poll", s.InstanceList.Poll)
+	if s.Batch.Retention < minRetention {
+		c.add("batch.retention", "is %s, must be at least %s", s.Batch.Retention, minRetention)
+	}
 	c.positive("drain.entrypoint_ttl", s.Drain.EntrypointTTL)
 	c.positive("drain.grace", s.Drain.Grace)
 }
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -14,6 +14,7 @@
 	Operators    Operators    `yaml:"operators"`
 	Bundle       Bundle       `yaml:"bundle"`
 	Requests     Requests     `yaml:"requests"`
+	Batch        Batch        `yaml:"batch"`
 	Drain        Drain        `yaml:"drain"`
 	Log          Log          `yaml:"log"`
 	Workers      int          `yaml:"workers"` // size of the controllers' pool; default 4
@@ -91,6 +92,12 @@
 	SubsetSize     int   `yaml:"subset_size"`      // targets of one model or service that this instance uses; default 24
 }
 
+// Batch sets how long batch data is kept.
+type Batch struct {
+	// Retention is the time from the end of a job, and from the upload of a file, to their removal; default 168h, at least 1h.
+	Retention time.Duration `yaml:"retention"`
+}
+
 // Drain times the shutdown.
 type Drain struct {
 	EntrypointTTL time.Duration `yaml:"entrypoint_ttl"` // how long callers keep an address; default 10s
@@ -112,6 +119,8 @@
 	DefaultSubsetSize     = 24
 	DefaultEntrypointTTL  = 10 * time.Second
 	DefaultGrace          = 15 * time.Minute
+	DefaultRetention      = 7 * 24 * time.Hour
+	minRetention          = time.Hour // an upload may take 30 minutes before its record names its blobs
 	DefaultWorkers        = 4
 	DefaultDataQuotaBytes = 10 << 30
 )
@@ -124,6 +133,7 @@
 	setDefault(&s.Requests.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&s.Requests.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&s.Requests.SubsetSize, DefaultSubsetSize)
+	setDefault(&s.Batch.Retention, DefaultRetention)
 	setDefault(&s.Drain.EntrypointTTL, DefaultEntrypointTTL)
 	setDefault(&s.Drain.Grace, DefaultGrace)
 	setDefault(&s.Workers, DefaultWorkers)
--- a/standin/sessions/jobs_faults_test.go
+++ b/standin/sessions/jobs_faults_test.go
@@ -80,6 +80,12 @@
 				require.NoError(j.t, j.fleet.Crash(j.fleet.Instances[1]))
 				j.line("instance-2, a disk holder, is lost")
 				id := j.accept(file, completions, "")
+				time.Sleep(10 * time.Minute) // the repair delay is 2 minutes
+				j.line("ten minutes later the input is held by %v, the results by %v", j.inputHolders(id), j.resultHolders(id))
+				j.await(id)
+				require.NoError(j.t, j.fleet.Crash(j.fleet.Instances[0]))
+				j.line("instance-1, the other disk holder, is lost")
+				j.spoken = 2
 				j.await(id)
 			},
 		},
--- a/standin/sessions/jobs_helpers_test.go
+++ b/standin/sessions/jobs_helpers_test.go
@@ -265,6 +265,16 @@
 	return slices.Compact(holders)
 }
 
+// resultHolders returns the instances that hold results of the job.
+func (j *jobSession) resultHolders(id batch.JobID) []corefleet.InstanceID {
+	var holders []corefleet.InstanceID
+	for _, chunk := range j.chunks(id) {
+		holders = append(holders, chunk.Results.Holders...)
+	}
+	slices.Sort(holders)
+	return slices.Compact(holders)
+}
+
 // owner returns the index of the instance that owns the job's shard, and the epoch.
 func (j *jobSession) owner(id batch.JobID) (int, uint64) {
 	for end := time.Now().Add(time.Minute); ; time.Sleep(time.Second) {
