Test repairs, retention and the collector's view of the records

Seen failing on purpose: repair of a claimed chunk of an open job; writes without the comparison of the epoch or of the job's revision; blobs that count as unused while the store is down or at the first look; removal of open jobs; marks that stay behind; no walk when a holder is lost.

--- /dev/null
+++ b/node/control/upkeep/upkeep_test.go
@@ -0,0 +1,251 @@
+package upkeep
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/files"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/internal/memkv"
+)
+
+const (
+	retention = 7 * 24 * time.Hour
+	epoch     = 3
+	jobID     = batch.JobID("0000000000000000000000000000000000000000000000000000000000000007")
+	shard     = batch.Shard(7)
+)
+
+// world is a store with records of one shard, and copies that are replaced once the holder "lost" is known to be gone.
+type world struct {
+	t       *testing.T
+	store   *memkv.Store
+	gone    bool
+	repairs int
+}
+
+func (w *world) Owned() []shards.Ownership          { return []shards.Ownership{{Shard: shard, Epoch: epoch}} }
+func (w *world) Epoch(s batch.Shard) (uint64, bool) { return epoch, s == shard }
+func (w *world) Replaceable(h []fleet.InstanceID) (lost []fleet.InstanceID) {
+	if w.gone && slices.Contains(h, "lost") {
+		lost = append(lost, "lost")
+	}
+	return lost
+}
+
+func (w *world) Repair(_ context.Context, ref batch.BlobRef) (batch.BlobRef, bool, error) {
+	w.repairs++
+	if !w.gone || !slices.Contains(ref.Holders, "lost") {
+		return ref, false, nil
+	}
+	ref.Holders = []fleet.InstanceID{"kept", "new"}
+	return ref, true, nil
+}
+
+func newWorld(t *testing.T) (*world, *Keeper) {
+	w := &world{t: t, store: memkv.New()}
+	w.put(shard.EpochKey(), batch.EncodeEpoch(epoch), nil)
+	k := New(Config{Store: w.store, Shards: w, Bulk: w, Retention: retention, Holders: func() []fleet.InstanceID { return nil }})
+	return w, k
+}
+
+func (w *world) put(key string, value []byte, err error) {
+	require.NoError(w.t, err)
+	_, err = w.store.Txn(w.t.Context(), kv.Txn{Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: value}}})
+	require.NoError(w.t, err)
+}
+
+func blob(n int) batch.BlobRef {
+	return batch.BlobRef{Digest: fmt.Sprintf("%064x", n), Bytes: 1, Holders: []fleet.InstanceID{"lost", "kept"}}
+}
+
+// job stores a job of n chunks of one item each, of which the last one is claimed and the others are recorded.
+func (w *world) job(state batch.JobState, n int) batch.Job {
+	job := batch.Job{ID: jobID, Caller: "c", Items: n, State: state}
+	if state != batch.JobAccepted {
+		job.Finished = time.Now()
+	}
+	for i := range n {
+		job.Chunks = append(job.Chunks, batch.InputChunk{BlobRef: blob(i), Lines: 1})
+		results := blob(1000 + i)
+		chunk := batch.Chunk{Epoch: 1, State: batch.ChunkRecorded, Covered: 1, Results: &results}
+		if i == n-1 {
+			chunk.State = batch.ChunkClaimed
+		}
+		value, err := chunk.Encode()
+		w.put(jobID.ChunkKey(i), value, err)
+	}
+	value, err := job.Encode()
+	w.put(jobID.Key(), value, err)
+	w.put(jobID.CallerKey("c"), nil, nil)
+	return job
+}
+
+// file stores a file of a caller whose digest belongs to the shard.
+func (w *world) file() string {
+	caller := fleet.CallerID("c")
+	for n := 0; !strings.HasPrefix(files.Prefix(caller), files.ShardPrefix(shard)); n++ {
+		caller = fleet.CallerID(fmt.Sprintf("c%d", n))
+	}
+	now := time.Unix(time.Now().Unix(), 0)
+	record := files.Record{ID: "file-1", Caller: caller, Created: now, Uploaded: now, Lines: 1, Chunks: []files.Chunk{{Lines: 1, Blob: blob(2000)}}}
+	value, err := record.Encode()
+	w.put(files.Key(caller, record.ID), value, err)
+	return files.Key(caller, record.ID)
+}
+
+// keys returns the number of keys beside the shard's epoch.
+func (w *world) keys() int {
+	listing, err := w.store.List(w.t.Context(), "/eelgrass/")
+	require.NoError(w.t, err)
+	return len(listing.Items) - 1
+}
+
+// namesLost tells whether the record names the lost holder.
+func (w *world) namesLost(key string) bool {
+	found, err := w.store.Get(w.t.Context(), key)
+	require.NoError(w.t, err)
+	return strings.Contains(string(found.Value), `"lost"`)
+}
+
+func during(t *testing.T, k *Keeper, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(passEvery) {
+		k.Pass(t.Context())
+	}
+}
+
+// Guards against records that go on naming a lost holder, and against a repair that makes the owner of a running chunk give it up.
+func TestALostHolderIsReplacedInAllRecordsButThatOfARunningChunk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, k := newWorld(t)
+		w.job(batch.JobAccepted, 3)
+		file := w.file()
+		during(t, k, 2*firstWalkWithin)
+		asked := w.repairs
+		require.Equal(t, 6, asked, "a whole walk looks at each final blob once")
+		during(t, k, walkEvery/2)
+		require.Equal(t, asked, w.repairs, "nothing is due")
+		w.gone = true
+		during(t, k, time.Minute)
+		for _, key := range []string{jobID.Key(), jobID.ChunkKey(0), jobID.ChunkKey(1), file} {
+			require.False(t, w.namesLost(key), key)
+		}
+		require.True(t, w.namesLost(jobID.ChunkKey(2)), "the record of a claimed chunk belongs to the runner")
+		w.job(batch.JobCancelled, 3)
+		during(t, k, walkEvery)
+		require.False(t, w.namesLost(jobID.ChunkKey(2)))
+	})
+}
+
+// Guards against a repair that undoes a cancel, and one that a former owner writes.
+func TestARepairDoesNotOverwriteWhatChangedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, k := newWorld(t)
+		job := w.job(batch.JobAccepted, 1)
+		w.gone = true
+		cancelled := false
+		w.store.OnTxn(func(txn kv.Txn) {
+			if cancelled || len(txn.Compares) == 0 {
+				return
+			}
+			cancelled = true
+			ended, err := job.Cancel(time.Now())
+			require.NoError(t, err)
+			value, err := ended.Encode()
+			w.put(jobID.Key(), value, err)
+		}, nil)
+		during(t, k, 5*time.Minute)
+		found, err := w.store.Get(t.Context(), jobID.Key())
+		require.NoError(t, err)
+		now, err := batch.DecodeJob(found.Value)
+		require.NoError(t, err)
+		require.Equal(t, batch.JobCancelled, now.State)
+		require.False(t, w.namesLost(jobID.Key()), "the repair is done again")
+
+		w, k = newWorld(t)
+		w.job(batch.JobAccepted, 2)
+		w.put(shard.EpochKey(), batch.EncodeEpoch(epoch+1), nil)
+		w.gone = true
+		during(t, k, 5*time.Minute)
+		require.True(t, w.namesLost(jobID.Key()), "another owner has the shard")
+	})
+}
+
+// Guards against records that stay for ever, and against results that end before the retention time.
+func TestJobsAndFilesEndWithAllTheirRecordsAfterTheRetentionTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, k := newWorld(t)
+		w.job(batch.JobCompleted, 70)
+		w.file()
+		all := w.keys()
+		time.Sleep(retention - 3*walkEvery)
+		during(t, k, 2*walkEvery)
+		require.Equal(t, all, w.keys())
+		during(t, k, 3*walkEvery)
+		require.Zero(t, w.keys())
+
+		w.job(batch.JobAccepted, 70)
+		all = w.keys()
+		time.Sleep(2 * retention)
+		during(t, k, 2*walkEvery)
+		require.Equal(t, all, w.keys(), "an open job has not ended")
+	})
+}
+
+// looks is a collection that only asks which blobs are in use.
+type looks struct {
+	digests []string
+	inUse   func(string) bool
+	found   map[string]bool
+}
+
+// Reconcile implements Collection.
+func (l *looks) Reconcile(context.Context) error {
+	l.found = map[string]bool{}
+	for _, digest := range l.digests {
+		l.found[digest] = l.inUse(digest)
+	}
+	return nil
+}
+
+// Guards against the removal of a blob that a record names, or that one may name while the store is down.
+func TestABlobIsCollectedOnlyIfNoRecordNamedItTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := newWorld(t)
+		w.job(batch.JobCompleted, 2)
+		w.file()
+		look := &looks{digests: []string{}}
+		for _, n := range []int{0, 1, 1000, 1001, 2000, 9} {
+			look.digests = append(look.digests, blob(n).Digest)
+		}
+		c := NewCollector(w.store, func(inUse func(string) bool) Collection {
+			look.inUse = inUse
+			return look
+		})
+		pass := func() map[string]bool {
+			require.NoError(t, c.Reconcile(t.Context()))
+			return look.found
+		}
+		named := map[string]bool{}
+		for _, digest := range look.digests {
+			named[digest] = true
+		}
+		require.Equal(t, named, pass(), "nothing is removed at the first look")
+		w.store.SetDown(true)
+		time.Sleep(time.Hour)
+		require.Equal(t, named, pass(), "nothing is removed while the store is down")
+		w.store.SetDown(false)
+		named[blob(9).Digest] = false
+		require.Equal(t, named, pass())
+	})
+}
