Log a decision for each batch outcome that is not completed

Nothing was logged when an attempt of a batch item failed or gave way, or when an item ended as failed, unknown or expired. The dispatcher now logs each failed attempt with its target and reason, and the runner each item that did not complete, under the item's request id.

--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -42,7 +42,9 @@
 	}
 	lost := t.chunk.Lost()
 	for i := lost.From; i < lost.To; i++ {
-		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the instance that ran the item was lost"}))
+		result := t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the instance that ran the item was lost"})
+		r.ended(t, result)
+		t.results = append(t.results, result)
 	}
 	return nil
 }
@@ -81,7 +83,9 @@
 	}
 	t.results = nil
 	for i := range t.chunk.Covered {
-		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the stored results were lost"}))
+		result := t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the stored results were lost"})
+		r.ended(t, result)
+		t.results = append(t.results, result)
 	}
 	return nil
 }
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -45,6 +45,7 @@
 			result, ok := r.runItem(t, i, claimed)
 			if ok {
 				results[i-items.From] = result
+				r.ended(t, result)
 				return
 			}
 			mu.Lock()
@@ -60,6 +61,13 @@
 	return nil
 }
 
+// ended tells of an item that did not complete.
+func (r *Runner) ended(t *task, result batch.Result) {
+	if result.Status != batch.ItemCompleted {
+		r.config.Ended(t.record, result)
+	}
+}
+
 // runItem makes attempts until the item has a result. It returns false if the item has none because the task ended or the shard is not
 // owned, and then the last attempt certainly did not run or the item is repeatable.
 func (r *Runner) runItem(t *task, i int, claimed *uint64) (batch.Result, bool) {
--- a/node/batch/runner.go
+++ b/node/batch/runner.go
@@ -87,6 +87,9 @@
 	ChunkItems  int // items of one chunk in flight at once; 0 means 64
 	MaxUnsaved  int // finished chunks that wait for the store, about 1 KB each; 0 means 1024
 	StoreWaitMs int // pause before a store or bulk call is tried again, in milliseconds; 0 means 1000
+
+	// Ended is told of each item that ends otherwise than completed, with its reason; nil ignores them. It must not block.
+	Ended func(batch.Job, batch.Result)
 }
 
 func (c Config) withDefaults() Config {
@@ -96,6 +99,9 @@
 		maxUnsaved  = 1024
 		storeWaitMs = 1000
 	)
+	if c.Ended == nil {
+		c.Ended = func(batch.Job, batch.Result) {}
+	}
 	c.Workers = orDefault(c.Workers, workers)
 	c.ChunkItems = orDefault(c.ChunkItems, chunkItems)
 	c.MaxUnsaved = orDefault(c.MaxUnsaved, maxUnsaved)
--- a/node/daemon/batch.go
+++ b/node/daemon/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"eelgrassproxy.example/node/bulk"
 	"eelgrassproxy.example/node/control/shards"
 	"eelgrassproxy.example/node/control/upkeep"
+	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/files"
 	"eelgrassproxy.example/node/items"
 	"eelgrassproxy.example/node/jobs"
@@ -60,7 +62,7 @@
 		Busy:  func(s batch.Shard) bool { return b.runner.Busy(s) },
 		Seed:  d.env.Seed,
 	})
-	b.runner = nodebatch.New(d.store, b.bulk, b.keeper, items.New(d.board, d.dispatcher), nodebatch.Config{})
+	b.runner = nodebatch.New(d.store, b.bulk, b.keeper, items.New(d.board, d.dispatcher), nodebatch.Config{Ended: d.itemEnded})
 	b.assembleUpkeep(d)
 	return b, nil
 }
@@ -118,6 +120,16 @@
 // handlers serves blobs to peers; it is empty without a disk.
 func (b *batchParts) handlers() peer.BlobHandlers { return bulk.Handlers(b.disk) }
 
+// itemEnded logs why an item did not complete, under the request id of its attempts.
+func (d *Daemon) itemEnded(job batch.Job, result batch.Result) {
+	d.decisions.Write(decisionlog.Entry{
+		Request: items.RequestID(job.ID, result.Index),
+		Caller:  job.Caller,
+		Kind:    decisionlog.KindOutcome,
+		Reason:  fmt.Sprintf("batch item ended as %s: %s", result.Status, result.Reason),
+	})
+}
+
 // owners returns the instances that may own shards: those that are alive and not draining.
 func (d *Daemon) owners() []fleet.InstanceID {
 	var ids []fleet.InstanceID
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -58,6 +58,7 @@
 	pools      *pools.Pools
 	callers    *limits.CallerLimits
 	claims     *claims.Claimer
+	decisions  *decisionlog.Log
 	dispatcher *dispatch.Dispatcher
 	bundles    *bundlesync.Controller
 	members    *memberParts
@@ -170,6 +171,7 @@
 		Self:     coreclaims.Owner{Instance: d.self.ID, Incarnation: fleet.ProcessOf(d.self.Incarnation)},
 		Liveness: dispatch.LivenessFrom(d.board.Members, d.started),
 	})
+	d.decisions = decisionlog.New(d.self.ID, d.board.Decisions)
 	d.dispatcher = dispatch.New(dispatch.Parts{
 		Instance:       d.self.ID,
 		Process:        fleet.ProcessOf(d.self.Incarnation),
@@ -181,7 +183,7 @@
 		Services:       service.NewClient(targets),
 		Claims:         d.claims,
 		Callers:        d.callers,
-		Log:            decisionlog.New(d.self.ID, d.board.Decisions),
+		Log:            d.decisions,
 		Metrics:        d.scope(),
 		MaxAnswerBytes: d.settings.Requests.MaxAnswerBytes,
 		Seed:           d.env.Seed,
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -35,7 +35,14 @@
 	answer := &wholeAnswer{header: make(http.Header)}
 	x.writer = answer
 	if f := x.runBatch(ctx, target); f != nil {
-		return BatchAnswer{}, batchProblem(f)
+		failed := batchProblem(f)
+		d.log(x.request, decisionlog.Entry{
+			Kind:    decisionlog.KindOutcome,
+			Attempt: x.request.Attempt,
+			Target:  target.Target,
+			Reason:  "batch: " + failed.Error(),
+		})
+		return BatchAnswer{}, failed
 	}
 	return BatchAnswer{Status: answer.status, Body: answer.body.Bytes()}, nil
 }
--- a/node/files/files_test.go
+++ b/node/files/files_test.go
@@ -170,6 +170,23 @@
 	assert.Len(t, store.items, 1)
 }
 
+// Guards against a file that ends by the retention time although it was uploaded again a moment ago.
+func TestAnUploadRenewsTheTimeFromWhichAFileIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, blobs := newStore(), newBlobs()
+		first, err := New(store, blobs, Options{}).Upload(t.Context(), "c", strings.NewReader(batchText(3)))
+		require.NoError(t, err)
+		time.Sleep(3 * files.RenewAfter)
+		again, err := New(store, blobs, Options{}).Upload(t.Context(), "c", strings.NewReader(batchText(3)))
+		require.NoError(t, err)
+		stored, err := New(store, blobs, Options{}).Get(t.Context(), "c", first.ID)
+		require.NoError(t, err)
+		assert.Equal(t, again, stored)
+		assert.Equal(t, first.Created, stored.Created)
+		assert.Equal(t, first.Uploaded.Add(3*files.RenewAfter), stored.Uploaded)
+	})
+}
+
 // Guards against a file that is acknowledged or listed although the upload failed.
 func TestAFailedUploadLeavesNoFile(t *testing.T) {
 	cut := errors.New("connection lost")
--- a/node/items/items.go
+++ b/node/items/items.go
@@ -52,6 +52,11 @@
 	Body json.RawMessage `json:"body"`
 }
 
+// RequestID returns the request id of all attempts of an item.
+func RequestID(job batch.JobID, index int) fleet.RequestID {
+	return fleet.RequestID(fmt.Sprintf("%s.%d", job, index))
+}
+
 // Execute implements batch.Executor.
 func (e *Executor) Execute(ctx context.Context, item nodebatch.Item) nodebatch.ItemOutcome {
 	active := e.board.Bundle.Current()
@@ -101,7 +106,7 @@
 		return nil, fmt.Errorf("caller %q is not in the bundle in force", item.Caller)
 	}
 	r := &request.Request{
-		ID:             fleet.RequestID(fmt.Sprintf("%s.%d", item.Job, item.Index)),
+		ID:             RequestID(item.Job, item.Index),
 		Caller:         caller,
 		Bundle:         active,
 		Batch:          true,
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -43,6 +43,7 @@
 		"too many signatures":   {valid + "  required_signatures: 2\n", "settings.yaml:18: bundle.required_signatures: must be from 1 to the number of trusted keys, which is 1"},
 		"missing identity":      {replace(valid, "  id: i1\n", ""), "settings.yaml:2: instance.id: is required"},
 		"wrong type":            {valid + "workers: many\n", "settings.yaml:18: cannot unmarshal"},
+		"retention too short":   {valid + "batch:\n  retention: 59m\n", "settings.yaml:19: batch.retention: is 59m0s, must be at least 1h0m0s"},
 		"duration without unit": {valid + "drain:\n  grace: -5s\n", "settings.yaml:19: drain.grace: is -5s, must be positive"},
 	}
 	for name, c := range cases {
--- a/standin/sessions/jobs_faults_test.go
+++ b/standin/sessions/jobs_faults_test.go
@@ -97,6 +97,7 @@
 				j.awaitCalls(batch.GroupItems + 5) // within the second group of claims
 				j.crashOwner(id)
 				j.await(id)
+				j.outcomes(id)
 				j.line("%s", executions(j.fleet.Ledger.Executions()))
 			},
 		},
--- a/standin/sessions/jobs_helpers_test.go
+++ b/standin/sessions/jobs_helpers_test.go
@@ -20,6 +20,8 @@
 	callerapi "eelgrassproxy.example/api/caller"
 	"eelgrassproxy.example/core/batch"
 	corefleet "eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/decisionlog"
+	"eelgrassproxy.example/node/items"
 	"eelgrassproxy.example/standin/fleet"
 )
 
@@ -39,6 +41,7 @@
 	golden bytes.Buffer
 	store  *kv.Client
 	spoken int // index of the instance that the caller speaks to
+	lost   int // index of the instance that was lost, -1 if none was
 }
 
 func newJobSession(t *testing.T, adjust func(*fleet.Options)) *jobSession {
@@ -53,7 +56,7 @@
 		observer.CloseIdleConnections()
 		time.Sleep(time.Minute) // lets closed connections and retries end; time stands still once the bubble's function returns
 	})
-	return &jobSession{session: s, store: store}
+	return &jobSession{session: s, store: store, lost: -1}
 }
 
 // line adds a line to the golden file.
@@ -275,6 +278,29 @@
 	return slices.Compact(holders)
 }
 
+// outcomes records the decisions about items that did not complete, counted by their text. What a lost instance saw of its end is left
+// out, since it has no order.
+func (j *jobSession) outcomes(id batch.JobID) {
+	counts := map[string]int{}
+	for index := range j.record(id).Items {
+		for n, i := range j.fleet.Instances {
+			if n == j.lost {
+				continue
+			}
+			for _, line := range i.Daemon.Board().Decisions.Find(items.RequestID(id, index)) {
+				var e decisionlog.Entry
+				require.NoError(j.t, json.Unmarshal([]byte(line), &e))
+				if e.Kind == decisionlog.KindOutcome {
+					counts[fmt.Sprintf("attempt %d: %s", e.Attempt, addresses.ReplaceAllString(e.Reason, "ADDRESS"))]++
+				}
+			}
+		}
+	}
+	for _, text := range sortedKeys(counts) {
+		j.line("    decision log: %d times %s", counts[text], text)
+	}
+}
+
 // owner returns the index of the instance that owns the job's shard, and the epoch.
 func (j *jobSession) owner(id batch.JobID) (int, uint64) {
 	for end := time.Now().Add(time.Minute); ; time.Sleep(time.Second) {
@@ -328,5 +354,6 @@
 	owner, _ := j.owner(id)
 	j.line("instance-%d, the owner of the job's shard, is lost", owner+1)
 	require.NoError(j.t, j.fleet.Crash(j.fleet.Instances[owner]))
+	j.lost = owner
 	j.spoken = (owner + 1) % len(j.fleet.Instances)
 }
--- a/standin/sessions/jobs_submissions_test.go
+++ b/standin/sessions/jobs_submissions_test.go
@@ -54,7 +54,9 @@
 					item(8, completions, `"model":"no-such-model","prompt":"p"`) +
 					item(9, completions, `"model":"bench-assist","max_tokens":-1,"prompt":"p"`) +
 					item(10, completions, `"prompt":"no model"`)
-				j.await(j.accept(j.upload(lines), completions, ""))
+				id := j.accept(j.upload(lines), completions, "")
+				j.await(id)
+				j.outcomes(id)
 			},
 		},
 		{
@@ -68,10 +70,14 @@
 				}
 				lookup := "/v1/services/quotes/lookup"
 				lines := item(0, lookup, `"lamp":1`) + item(1, lookup, `"lamp":2`)
-				j.await(j.accept(j.upload(lines), lookup, ""))
+				id := j.accept(j.upload(lines), lookup, "")
+				j.await(id)
+				j.outcomes(id)
 				j.line("the service ran %d operations for 2 items", len(j.fleet.Ledger.Executions()))
 				lines = item(0, issuing, `"lamp":1`) + item(1, issuing, `"lamp":2`)
-				j.await(j.accept(j.upload(lines), issuing, ""))
+				id = j.accept(j.upload(lines), issuing, "")
+				j.await(id)
+				j.outcomes(id)
 				j.line("%s", executions(j.fleet.Ledger.Executions()[2*batch.MaxAttempts:]))
 			},
 		},
