--- a/standin/sessions/jobs_test.go
+++ b/standin/sessions/jobs_test.go
@@ -25,6 +25,7 @@
 func TestJobSessions(t *testing.T) {
 	for _, c := range slices.Concat(jobScenarios(), jobFaults(), jobSubmissions()) {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel() // each session has its own time; in turn they take minutes under the race detector
 			synctest.Test(t, func(t *testing.T) {
 				j := newJobSession(t, c.adjust)
 				c.play(j)
