Follow shard owners without losing pace with the watch

The store's client hands over watch events one by one on an unbuffered channel, and the keeper read it without waiting once a second: it saw about one event a second. After the kill of an instance that owned 256 shards the takeover took 47 s and 53 s instead of lease plus a few seconds (measured in the process test), since only the listing once a minute told of the free shards. Unit tests did not see it, as the fake of the store buffered its events.

The fake now delivers as the client does (two tests of the keeper failed), and a goroutine gathers the events for the next pass.

--- a/node/control/shards/view.go
+++ b/node/control/shards/view.go
@@ -23,7 +23,7 @@
 // view is the state of all shards by one watch and periodic listings.
 type view struct {
 	shards [batch.Shards]entry
-	watch  <-chan kv.WatchEvent // nil while there is none
+	watch  *feed // nil while there is none
 	listAt time.Time
 }
 
@@ -59,27 +59,22 @@
 	if k.view.watch != nil {
 		return nil
 	}
-	k.view.watch, err = k.store.Watch(ctx, batch.ShardsPrefix, listing.Revision)
+	events, err := k.store.Watch(ctx, batch.ShardsPrefix, listing.Revision)
 	if err != nil {
-		k.view.watch = nil
 		k.view.listAt = now
+		return err
 	}
-	return err
+	k.view.watch = newFeed(events)
+	return nil
 }
 
 // drain applies the delivered changes; false if the watch has ended.
 func (v *view) drain(now time.Time) bool {
-	for {
-		select {
-		case event, open := <-v.watch:
-			if !open || event.Err != nil {
-				return false
-			}
-			v.apply(event.KeyValue, event.Deleted, now)
-		default:
-			return true
-		}
+	events, open := v.watch.take()
+	for _, event := range events {
+		v.apply(event.KeyValue, event.Deleted, now)
 	}
+	return open
 }
 
 // replace applies a listing: keys that it lacks do not exist at its revision.
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -200,7 +200,23 @@
 	ch := make(chan kv.WatchEvent, 1024)
 	s.watches[ch] = prefix
 	context.AfterFunc(ctx, func() { s.endWatch(ch) })
-	return ch, nil
+	return unbuffered(ctx, ch), nil
+}
+
+// unbuffered passes the events on one by one, as the client of the real store does: an event is there only while its receiver waits.
+func unbuffered(ctx context.Context, events <-chan kv.WatchEvent) <-chan kv.WatchEvent {
+	out := make(chan kv.WatchEvent)
+	go func() {
+		defer close(out)
+		for event := range events {
+			select {
+			case out <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
 }
 
 func (s *Store) endWatch(ch chan kv.WatchEvent) {
