Ask for the ownership of a job right before an item is sent

After a pause beyond its lease (SIGSTOP, SIGCONT) an owner sent the items that had been waiting for room at a target, although the next owner had recorded them as outcome_unknown: 197 and 201 executions after the job was complete. Each ran once, but after its outcome was told.

The dispatcher now asks whether the shard is still owned, under the epoch of the claim, once a target has room. Seen failing first with 201.

--- a/cmd/eelgrassproxy/batch_process_test.go
+++ b/cmd/eelgrassproxy/batch_process_test.go
@@ -149,5 +149,7 @@
 		times[e.IdempotencyKey]++
 		require.Equal(t, 1, times[e.IdempotencyKey], "item %s ran twice", e.IdempotencyKey)
 	}
+	// Only requests that were already on their way when the owner was frozen may still run.
+	require.LessOrEqual(t, len(p.fleet.Ledger.Executions())-atEnd, batch.GroupItems, "items that were told as unknown ran after the owner woke")
 	t.Logf("executions: %d when the owner was frozen, %d at the end of the job, %d after it woke", atStop, atEnd, len(p.fleet.Ledger.Executions()))
 }
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -79,7 +79,7 @@
 		if !r.mayDispatch(ctx, t, claimed) {
 			break
 		}
-		last = r.executor.Execute(ctx, t.item(i, try))
+		last = r.executor.Execute(ctx, r.item(t, i, try, claimed))
 		if last.Kind != batch.AttemptNotRun {
 			ran++
 		}
@@ -113,7 +113,7 @@
 	return false
 }
 
-func (t *task) item(i, try int) Item {
+func (r *Runner) item(t *task, i, try int, claimed *uint64) Item {
 	return Item{
 		Job:        t.id.job,
 		Caller:     t.record.Caller,
@@ -124,6 +124,10 @@
 		Repeatable: t.record.Repeatable,
 		Deadline:   t.record.Deadline,
 		AtRisk:     t.atRisk,
+		MayRun: func() bool {
+			epoch, owned := r.shards.Epoch(t.id.job.Shard())
+			return owned && (claimed == nil || *claimed == epoch)
+		},
 	}
 }
 
--- a/node/batch/runner.go
+++ b/node/batch/runner.go
@@ -53,6 +53,9 @@
 	Repeatable bool   // false: dispatch must not repeat it unless it certainly did not run
 	Deadline   time.Time
 	AtRisk     bool // the job may miss its deadline
+	// MayRun tells whether the item's shard is still owned. Ask right before the item is sent: the wait for room at a target, or a pause
+	// of the process, may outlast the lease.
+	MayRun func() bool
 }
 
 // ItemOutcome is the outcome of one attempt.
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return BatchAnswer{}, problem.NotRun(problem.CodeOverloaded, "no room for batch: %v", err)
 	}
+	if r.MayRun != nil && !r.MayRun() {
+		return BatchAnswer{}, problem.NotRun(problem.CodeOverloaded, "this instance no longer owns the item's job")
+	}
 	attempted := *r
 	attempted.Deadline = time.Now().Add(r.AttemptTimeout)
 	x.request = &attempted
--- a/node/items/items.go
+++ b/node/items/items.go
@@ -113,6 +113,7 @@
 		AtRisk:         item.AtRisk,
 		Attempt:        item.Try,
 		AttemptTimeout: attemptTimeout,
+		MayRun:         item.MayRun,
 		Body:           l.Body,
 	}
 	if service, ok := strings.CutPrefix(l.URL, "/v1/services/"); ok {
--- a/node/request/request.go
+++ b/node/request/request.go
@@ -28,6 +28,7 @@
 	Batch          bool          // an item of a job; gives way to online requests
 	AtRisk         bool          // a batch item whose job may miss its deadline
 	AttemptTimeout time.Duration // for a batch item: longest time of one attempt
+	MayRun         func() bool   // for a batch item: asked when a target has room; false gives the attempt up; nil means true
 }
 
 // EngineModel is the name by which engines know a model: the adapter, or the base with its version.
