--- a/standin/sessions/jobs_faults_test.go
+++ b/standin/sessions/jobs_faults_test.go
@@ -23,8 +23,14 @@
 				_, before := j.owner(id)
 				j.awaitCalls(60)
 				j.crashOwner(id)
-				j.await(id)
+				lost := time.Now()
 				owner, after := j.owner(id)
+				for owner == j.lost {
+					time.Sleep(time.Second)
+					owner, after = j.owner(id)
+				}
+				require.Less(j.t, time.Since(lost), 30*time.Second, "takeover: the lease ends within 15 s, then shards are acquired")
+				j.await(id)
 				require.Greater(j.t, after, before)
 				j.line("instance-%d owns the job's shard under a higher epoch", owner+1)
 			},
