--- a/adapters/peer/probe_capacity_test.go
+++ b/adapters/peer/probe_capacity_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package peer
 
 import (
--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -42,14 +42,16 @@
 	}
 	lost := t.chunk.Lost()
 	for i := lost.From; i < lost.To; i++ {
-		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the instance that ran the item was lost"}))
+		result := t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the instance that ran the item was lost"})
+		r.ended(t, result)
+		t.results = append(t.results, result)
 	}
 	return nil
 }
 
 // readLines fetches the bodies. After the deadline items end without theirs.
 func (r *Runner) readLines(t *task) error {
-	data, err := r.get(t, t.record.Chunks[t.id.n])
+	data, err := r.get(t, t.record.Chunks[t.id.n].BlobRef)
 	if err != nil && !t.late() {
 		return err
 	}
@@ -81,7 +83,9 @@
 	}
 	t.results = nil
 	for i := range t.chunk.Covered {
-		t.results = append(t.results, t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the stored results were lost"}))
+		result := t.result(i, batch.ItemUnknown, ItemOutcome{Reason: "the stored results were lost"})
+		r.ended(t, result)
+		t.results = append(t.results, result)
 	}
 	return nil
 }
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -45,6 +45,7 @@
 			result, ok := r.runItem(t, i, claimed)
 			if ok {
 				results[i-items.From] = result
+				r.ended(t, result)
 				return
 			}
 			mu.Lock()
@@ -60,6 +61,13 @@
 	return nil
 }
 
+// ended tells of an item that did not complete.
+func (r *Runner) ended(t *task, result batch.Result) {
+	if result.Status != batch.ItemCompleted {
+		r.config.Ended(t.record, result)
+	}
+}
+
 // runItem makes attempts until the item has a result. It returns false if the item has none because the task ended or the shard is not
 // owned, and then the last attempt certainly did not run or the item is repeatable.
 func (r *Runner) runItem(t *task, i int, claimed *uint64) (batch.Result, bool) {
@@ -71,7 +79,7 @@
 		if !r.mayDispatch(ctx, t, claimed) {
 			break
 		}
-		last = r.executor.Execute(ctx, t.item(i, try))
+		last = r.executor.Execute(ctx, r.item(t, i, try, claimed))
 		if last.Kind != batch.AttemptNotRun {
 			ran++
 		}
@@ -105,17 +113,21 @@
 	return false
 }
 
-func (t *task) item(i, try int) Item {
+func (r *Runner) item(t *task, i, try int, claimed *uint64) Item {
 	return Item{
 		Job:        t.id.job,
 		Caller:     t.record.Caller,
 		Endpoint:   t.record.Endpoint,
-		Index:      t.id.n*batch.ChunkItems + i,
+		Index:      t.first + i,
 		Try:        try,
 		Line:       t.lines[i],
 		Repeatable: t.record.Repeatable,
 		Deadline:   t.record.Deadline,
 		AtRisk:     t.atRisk,
+		MayRun: func() bool {
+			epoch, owned := r.shards.Epoch(t.id.job.Shard())
+			return owned && (claimed == nil || *claimed == epoch)
+		},
 	}
 }
 
@@ -129,7 +141,7 @@
 	if len(body) > 0 && !json.Valid(body) {
 		body, _ = json.Marshal(string(o.Body))
 	}
-	result := batch.Result{Index: t.id.n*batch.ChunkItems + i, CustomID: named.CustomID, Status: status, HTTP: o.HTTP, Body: body}
+	result := batch.Result{Index: t.first + i, CustomID: named.CustomID, Status: status, HTTP: o.HTTP, Body: body}
 	if status != batch.ItemCompleted {
 		result.Reason = o.Reason
 	}
--- a/node/daemon/batch.go
+++ b/node/daemon/batch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +17,8 @@
 	nodebatch "eelgrassproxy.example/node/batch"
 	"eelgrassproxy.example/node/bulk"
 	"eelgrassproxy.example/node/control/shards"
+	"eelgrassproxy.example/node/control/upkeep"
+	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/files"
 	"eelgrassproxy.example/node/items"
 	"eelgrassproxy.example/node/jobs"
@@ -32,6 +36,9 @@
 	jobs   *jobs.Service
 	keeper *shards.Keeper
 	runner *nodebatch.Runner
+	upkeep *upkeep.Keeper
+
+	collector *upkeep.Collector // nil without a disk
 }
 
 func (d *Daemon) newBatchParts() (*batchParts, error) {
@@ -55,10 +62,29 @@
 		Busy:  func(s batch.Shard) bool { return b.runner.Busy(s) },
 		Seed:  d.env.Seed,
 	})
-	b.runner = nodebatch.New(d.store, b.bulk, b.keeper, items.New(d.board, d.dispatcher), nodebatch.Config{})
+	b.runner = nodebatch.New(d.store, b.bulk, b.keeper, items.New(d.board, d.dispatcher), nodebatch.Config{Ended: d.itemEnded})
+	b.assembleUpkeep(d)
 	return b, nil
 }
 
+func (b *batchParts) assembleUpkeep(d *Daemon) {
+	retention := d.settings.Batch.Retention
+	b.upkeep = upkeep.New(upkeep.Config{
+		Store:     d.store,
+		Shards:    b.keeper,
+		Bulk:      b.bulk,
+		Holders:   d.diskHolders,
+		Retention: retention,
+		Seed:      d.env.Seed,
+	})
+	if b.disk == nil {
+		return
+	}
+	b.collector = upkeep.NewCollector(d.store, func(inUse func(string) bool) upkeep.Collection {
+		return bulk.NewCollector(b.disk, retention, inUse)
+	})
+}
+
 func (b *batchParts) openDisk(d *Daemon) error {
 	folder := d.settings.Instance.DataFolder
 	if folder == "" {
@@ -75,6 +101,17 @@
 func (b *batchParts) register(p *workers.Pool) {
 	p.Register(b.keeper, workers.Schedule{Every: shards.ReconcileEvery})
 	p.Register(b.runner, workers.Schedule{Every: nodebatch.ReconcileEvery})
+	if b.collector != nil {
+		p.Register(b.collector, workers.Schedule{Every: upkeep.CollectEvery})
+	}
+}
+
+// run runs chunks and keeps the records in order until ctx ends.
+func (b *batchParts) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { b.runner.Run(ctx) })
+	group.Go(func() { b.upkeep.Run(ctx) })
+	group.Wait()
 }
 
 // close gives up the shards. Call it after the workers have ended.
@@ -83,6 +120,16 @@
 // handlers serves blobs to peers; it is empty without a disk.
 func (b *batchParts) handlers() peer.BlobHandlers { return bulk.Handlers(b.disk) }
 
+// itemEnded logs why an item did not complete, under the request id of its attempts.
+func (d *Daemon) itemEnded(job batch.Job, result batch.Result) {
+	d.decisions.Write(decisionlog.Entry{
+		Request: items.RequestID(job.ID, result.Index),
+		Caller:  job.Caller,
+		Kind:    decisionlog.KindOutcome,
+		Reason:  fmt.Sprintf("batch item ended as %s: %s", result.Status, result.Reason),
+	})
+}
+
 // owners returns the instances that may own shards: those that are alive and not draining.
 func (d *Daemon) owners() []fleet.InstanceID {
 	var ids []fleet.InstanceID
@@ -94,6 +141,17 @@
 	return ids
 }
 
+// diskHolders returns the known instances with a disk, lost ones included.
+func (d *Daemon) diskHolders() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, m := range d.board.Members.All() {
+		if m.HasDisk {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // jobFiles lets jobs be made of uploaded files.
 type jobFiles struct{ files *files.Service }
 
@@ -108,7 +166,7 @@
 	}
 	file := jobs.File{Items: record.Lines}
 	for _, c := range record.Chunks {
-		file.Chunks = append(file.Chunks, c.Blob)
+		file.Chunks = append(file.Chunks, batch.InputChunk{BlobRef: c.Blob, Lines: c.Lines})
 	}
 	return file, nil
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -60,6 +60,7 @@
 	pools      *pools.Pools
 	callers    *limits.CallerLimits
 	claims     *claims.Claimer
+	decisions  *decisionlog.Log
 	dispatcher *dispatch.Dispatcher
 	bundles    *bundlesync.Controller
 	members    *memberParts
@@ -177,6 +178,7 @@
 		Self:     coreclaims.Owner{Instance: d.self.ID, Incarnation: fleet.ProcessOf(d.self.Incarnation)},
 		Liveness: dispatch.LivenessFrom(d.board.Members, d.started),
 	})
+	d.decisions = decisionlog.New(d.self.ID, d.board.Decisions)
 	d.dispatcher = dispatch.New(dispatch.Parts{
 		Instance:       d.self.ID,
 		Process:        fleet.ProcessOf(d.self.Incarnation),
@@ -191,7 +193,7 @@
 		DropIdle:       targets.CloseIdleConnections,
 		Claims:         d.claims,
 		Callers:        d.callers,
-		Log:            decisionlog.New(d.self.ID, d.board.Decisions),
+		Log:            d.decisions,
 		Metrics:        d.scope(),
 		MaxAnswerBytes: d.settings.Requests.MaxAnswerBytes,
 		Yield:          d.env.yieldPolicy(),
@@ -255,7 +257,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { d.workers.Run(background) })
 	group.Go(func() { d.bundles.Run(background) })
-	group.Go(func() { d.batch.runner.Run(background) })
+	group.Go(func() { d.batch.run(background) })
 	failed := servers.serve(&group)
 	klog.InfoS("Instance serves", "instance", d.self.ID, "callers", d.self.CallerAddress, "peers", d.self.PeerAddress)
 	select {
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -14,6 +14,9 @@
 	"eelgrassproxy.example/node/request"
 )
 
+// errNotOwner means that this instance lost the item's job while the item waited for room.
+var errNotOwner = errors.New("this instance no longer owns the item's job")
+
 // BatchAnswer is the whole answer to a batch item.
 type BatchAnswer struct {
 	Status int
@@ -32,7 +35,14 @@
 	case err != nil:
 		return BatchAnswer{}, problem.NotRun(problem.CodeOverloaded, "no room for batch: %v", err)
 	case f != nil:
-		return BatchAnswer{}, batchProblem(f)
+		failed := batchProblem(f)
+		d.log(x.request, decisionlog.Entry{
+			Kind:    decisionlog.KindOutcome,
+			Attempt: x.request.Attempt,
+			Target:  f.target,
+			Reason:  "batch: " + failed.Error(),
+		})
+		return BatchAnswer{}, failed
 	}
 	return BatchAnswer{Status: answer.status, Body: answer.body.Bytes()}, nil
 }
@@ -49,6 +59,10 @@
 		release()
 		return nil, err
 	}
+	if x.request.MayRun != nil && !x.request.MayRun() {
+		release()
+		return nil, errNotOwner
+	}
 	attempted := *x.request
 	attempted.Deadline = time.Now().Add(x.request.AttemptTimeout)
 	x.request = &attempted
