--- a/node/control/bundlesync/bundlesync.go
+++ b/node/control/bundlesync/bundlesync.go
@@ -113,15 +113,19 @@
 	}
 }
 
-// note records a hint and reports whether it is of use. A generation heard of for the first time ends the backoff.
+// note records a hint and reports whether it is of use. A generation heard of for the first time ends the backoff, and so does each change
+// of the head in the store: otherwise a peer that claims a generation nobody has would delay the bundles that exist.
 func (c *Controller) note(h hint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if h.generation <= c.tracker.Accepted() {
 		return false
 	}
-	if c.tracker.Heard(h.generation) {
+	fresh := c.tracker.Heard(h.generation)
+	if fresh {
 		c.heardAt[h.generation] = time.Now()
+	}
+	if fresh || h.peer == "" {
 		c.backoff, c.retryAt = 0, time.Time{}
 	}
 	for _, known := range c.hints {
--- a/standin/sessions/jobs_faults_test.go
+++ b/standin/sessions/jobs_faults_test.go
@@ -59,7 +59,7 @@
 			guards: "items that run, or results that appear, after the cancel was acknowledged",
 			play: func(j *jobSession) {
 				quick := completionItems(batch.ChunkItems, 5)
-				slow := strings.ReplaceAll(completionItems(300, 300), `"ticket-`, `"slow-`)
+				slow := strings.ReplaceAll(completionItems(2*batch.ChunkItems, 300), `"ticket-`, `"slow-`)
 				id := j.accept(j.upload(quick+slow), completions, "")
 				j.awaitRecorded(id, 1)
 				status, answer, err := j.call(http.MethodPost, "/v1/batches/batch_"+string(id)+"/cancel", "", nil, nil)
