--- a/node/control/bundlesync/bundlesync_test.go
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -201,11 +201,15 @@
 		c := newController(s, newPeers())
 		c.Watcher = func() bool { return true }
 		require.NoError(t, c.Reconcile(t.Context()))
-		events, err := s.Watch(t.Context(), store.HeadKey, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		watch, err := s.Watch(ctx, store.HeadKey, 0)
 		require.NoError(t, err)
+		events := buffered(ctx, watch)
 		for generation := range fleet.Generation(3) {
 			rollTo(t, s, generation+2)
 		}
+		synctest.Wait()
 		first := <-events
 		latest, err := newest(events, first)
 		require.NoError(t, err)
--- a/node/control/bundlesync/watch.go
+++ b/node/control/bundlesync/watch.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	events = buffered(ctx, events)
 	check := time.NewTicker(watchCheck)
 	defer check.Stop()
 	for {
@@ -113,6 +114,25 @@
 	}
 }
 
+// watchBuffer is the number of changes gathered while a pass runs; a change has a few hundred bytes.
+const watchBuffer = 256
+
+// buffered passes the events on through a buffer: a watch hands them over one at a time, so that newest would see only one of them.
+func buffered(ctx context.Context, events <-chan kv.WatchEvent) <-chan kv.WatchEvent {
+	out := make(chan kv.WatchEvent, watchBuffer)
+	go func() {
+		defer close(out)
+		for event := range events {
+			select {
+			case out <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
 // newest returns the last change that was delivered already, so that a watcher that was paused does not go through all of them. An
 // error is that of a watch that ended.
 func newest(events <-chan kv.WatchEvent, event kv.WatchEvent) (kv.KeyValue, error) {
--- a/standin/sessions/jobs_test.go
+++ b/standin/sessions/jobs_test.go
@@ -23,7 +23,7 @@
 
 // Each session runs whole jobs through real instances on virtual time and is compared with its golden file.
 func TestJobSessions(t *testing.T) {
-	for _, c := range slices.Concat(jobScenarios(), jobFaults(), jobSubmissions()) {
+	for _, c := range slices.Concat(jobScenarios(), jobFaults(), jobSubmissions(), jobYields()) {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel() // each session has its own time; in turn they take minutes under the race detector
 			synctest.Test(t, func(t *testing.T) {
