--- a/node/control/bundlesync/bundlesync_test.go
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -224,3 +224,12 @@
 		assert.True(t, ok, "peers that are behind still get each step")
 	})
 }
+
+// Guards against a panic when a roll at this instance puts the hinted bundle in force between the choice of a pass and the pass.
+func TestCatchingUpWithoutHintsIsNoFault(t *testing.T) {
+	s := memkv.New()
+	rollTo(t, s, 1)
+	c := newController(s, newPeers())
+	require.NoError(t, c.Reconcile(t.Context()))
+	require.NoError(t, c.catchUp(t.Context()))
+}
--- a/node/control/bundlesync/passes.go
+++ b/node/control/bundlesync/passes.go
@@ -126,6 +126,9 @@
 // have a higher generation give them again with the next probe.
 func (c *Controller) catchUp(ctx context.Context) error {
 	hints := c.takeHints()
+	if len(hints) == 0 {
+		return nil // a bundle that was put in force meanwhile has answered them
+	}
 	var failures error
 	tried := 0
 	for _, h := range hints {
