--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -61,7 +61,7 @@
 	}
 	ctx, a.abort = context.WithCancelCause(ctx)
 	x.mu.Lock()
-	x.rivals = append(x.rivals, a)
+	x.launched = append(x.launched, a)
 	x.mu.Unlock()
 	x.dispatcher.Board.Loads.Started(target.Target, now)
 	return ctx, a
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -49,8 +49,8 @@
 
 // runBatch makes one attempt as soon as a target has room.
 func (x *execution) runBatch(ctx context.Context) (*failure, error) {
-	floor := x.dispatcher.floor
-	release, err := floor.turn(ctx, x.request.Pool())
+	batches := x.dispatcher.batches
+	release, err := batches.turn(ctx, x.request.Pool())
 	if err != nil {
 		return nil, err
 	}
@@ -77,10 +77,10 @@
 		preemptible: x.request.Kind == fleet.KindEngine,
 		abort:       a.abort,
 	}
-	floor.begin(run)
+	batches.begin(run)
 	release()
 	failed := a.try(ctx)
-	floor.end(run, failed == nil)
+	batches.end(run, failed == nil)
 	return failed, nil
 }
 
@@ -90,7 +90,7 @@
 	for {
 		now := time.Now()
 		candidates := d.Pools.Candidates(x.request, &x.route, now)
-		d.floor.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.Bundle.Limits().BatchHarmPercent, x.request.AtRisk)
+		d.batches.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.Bundle.Limits().BatchHarmPercent, x.request.AtRisk)
 		d.mu.Lock()
 		decision := d.Router.Decide(&x.route, candidates, d.random)
 		d.mu.Unlock()
@@ -104,7 +104,7 @@
 			})
 			return decision.Chosen, nil
 		}
-		if err := d.floor.wait(ctx); err != nil {
+		if err := d.batches.wait(ctx); err != nil {
 			return nil, err
 		}
 	}
--- a/node/dispatch/floor.go
+++ b/node/dispatch/batchlimit.go
@@ -16,11 +16,11 @@
 // errPreempted is the cause of cancelling a batch request that stood in the way of online requests.
 var errPreempted = errors.New("batch request gave way to online requests")
 
-// floorInterval is how often waiting batch items look for room that no notice announced, such as after another instance's request.
-const floorInterval = 20 * time.Millisecond
+// roomInterval is how often waiting batch items look for room that no notice announced, such as after another instance's request.
+const roomInterval = 20 * time.Millisecond
 
-// batchFloor keeps the batch requests in flight at each target and makes them give way.
-type batchFloor struct {
+// batchLimiter keeps the batch requests in flight at each target and makes them give way.
+type batchLimiter struct {
 	loads  *blackboard.LoadTable
 	policy batch.YieldPolicy // before the bundle's bound of harm
 
@@ -39,8 +39,8 @@
 	abort       context.CancelCauseFunc
 }
 
-func newBatchFloor(loads *blackboard.LoadTable, policy batch.YieldPolicy) *batchFloor {
-	return &batchFloor{
+func newBatchLimiter(loads *blackboard.LoadTable, policy batch.YieldPolicy) *batchLimiter {
+	return &batchLimiter{
 		loads:   loads,
 		policy:  policy,
 		yield:   batch.NewYield(policy),
@@ -51,7 +51,7 @@
 }
 
 // fill sets the room of each candidate under the bundle's bound of harm. loads has the same candidates with unbiased load estimates.
-func (f *batchFloor) fill(candidates, loads []routing.Candidate, harmPercent int, atRisk bool) {
+func (f *batchLimiter) fill(candidates, loads []routing.Candidate, harmPercent int, atRisk bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.yield.SetPolicy(f.policy.ForHarm(harmPercent))
@@ -62,7 +62,7 @@
 }
 
 // load describes a target; f.mu is held.
-func (f *batchFloor) load(id fleet.TargetID, maxRunning int, estimate float64) batch.TargetLoad {
+func (f *batchLimiter) load(id fleet.TargetID, maxRunning int, estimate float64) batch.TargetLoad {
 	return batch.TargetLoad{
 		MaxRunning: maxRunning,
 		Load:       estimate,
@@ -72,7 +72,7 @@
 }
 
 // begin registers a batch request.
-func (f *batchFloor) begin(run *batchRun) {
+func (f *batchLimiter) begin(run *batchRun) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[run.target] = append(f.running[run.target], run)
@@ -80,7 +80,7 @@
 
 // turn waits for the right to look for room in a pool. One item looks at a time: if all did, each would take the same free place, and
 // their looking would cost more than the work. release must be called.
-func (f *batchFloor) turn(ctx context.Context, pool request.PoolKey) (release func(), err error) {
+func (f *batchLimiter) turn(ctx context.Context, pool request.PoolKey) (release func(), err error) {
 	f.mu.Lock()
 	gate, ok := f.turns[pool]
 	if !ok {
@@ -97,7 +97,7 @@
 }
 
 // end removes a batch request. A normal end lets the target's limit grow.
-func (f *batchFloor) end(run *batchRun, normally bool) {
+func (f *batchLimiter) end(run *batchRun, normally bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.remove(run)
@@ -108,7 +108,7 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *batchFloor) remove(run *batchRun) {
+func (f *batchLimiter) remove(run *batchRun) {
 	runs := f.running[run.target]
 	for i, r := range runs {
 		if r == run {
@@ -122,11 +122,11 @@
 }
 
 // wait returns when room may have appeared or ctx ends.
-func (f *batchFloor) wait(ctx context.Context) error {
+func (f *batchLimiter) wait(ctx context.Context) error {
 	f.mu.Lock()
 	changed := f.changed
 	f.mu.Unlock()
-	timer := time.NewTimer(floorInterval)
+	timer := time.NewTimer(roomInterval)
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -138,14 +138,14 @@
 }
 
 // own returns this instance's batch requests in flight at the target.
-func (f *batchFloor) own(id fleet.TargetID) int {
+func (f *batchLimiter) own(id fleet.TargetID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(f.running[id])
 }
 
 // pressure records online demand at the target and cancels up to count of its batch requests, the newest first, which lose least work.
-func (f *batchFloor) pressure(id fleet.TargetID, count int) {
+func (f *batchLimiter) pressure(id fleet.TargetID, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.yield.Pressure(id, time.Now()) {
@@ -161,7 +161,7 @@
 }
 
 // reported reacts to a load report: batch gives way when the target is fuller than batch may make it.
-func (f *batchFloor) reported(id fleet.TargetID, report fleet.LoadReport) {
+func (f *batchLimiter) reported(id fleet.TargetID, report fleet.LoadReport) {
 	f.mu.Lock()
 	excess := 0
 	if runs := f.running[id]; len(runs) > 0 {
--- a/node/dispatch/claimed.go
+++ b/node/dispatch/claimed.go
@@ -80,8 +80,8 @@
 		// Runs to its end although the caller may leave, so that a resend finds the answer.
 		ctx = context.WithoutCancel(ctx)
 	}
-	fate, err := d.execute(ctx, r, recorder)
-	if err := d.record(ctx, r, claim, fate, recorder); err != nil {
+	outcome, err := d.execute(ctx, r, recorder)
+	if err := d.record(ctx, r, claim, outcome, recorder); err != nil {
 		klog.ErrorS(err, "Outcome of a claimed request was not recorded", "request", r.ID)
 	}
 	if err != nil {
@@ -90,15 +90,15 @@
 	return recorder.deliver()
 }
 
-func (d *Dispatcher) record(ctx context.Context, r *request.Request, claim *claims.Claim, f fate, recorder *recorder) error {
+func (d *Dispatcher) record(ctx context.Context, r *request.Request, claim *claims.Claim, f result, recorder *recorder) error {
 	switch {
-	case f == fateAnswered:
+	case f == resultAnswered:
 		err := d.Claims.Complete(ctx, claim, recorder.answer())
 		if errors.Is(err, coreclaims.ErrAnswerTooLarge) {
 			return d.Claims.Complete(ctx, claim, recorder.digestOnly())
 		}
 		return err
-	case f == fateNotRun, r.Idempotent():
+	case f == resultNotRun, r.Idempotent():
 		return d.Claims.Release(ctx, claim)
 	default:
 		return d.Claims.Abandon(ctx, claim)
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -55,7 +55,7 @@
 type Dispatcher struct {
 	Parts
 	gates    *admission.Gates
-	floor    *batchFloor
+	batches  *batchLimiter
 	metrics  metrics
 	sequence atomic.Uint64 // of upstream ids
 	held     atomic.Int64  // online requests
@@ -70,7 +70,7 @@
 	return &Dispatcher{
 		Parts:   parts,
 		gates:   admission.New(parts.Seed),
-		floor:   newBatchFloor(parts.Board.Loads, parts.Yield),
+		batches: newBatchLimiter(parts.Board.Loads, parts.Yield),
 		metrics: newMetrics(parts.Metrics),
 		random:  rand.New(rand.NewPCG(parts.Seed, 0)),
 		retries: limits.NewRetryBudget(limits.DefaultRetryPolicy()),
@@ -98,11 +98,11 @@
 // LoadReported takes a load report of a target; batch requests in the way of waiting ones are cancelled.
 func (d *Dispatcher) LoadReported(id fleet.TargetID, report fleet.LoadReport) {
 	d.Board.Loads.Report(id, report)
-	d.floor.reported(id, report)
+	d.batches.reported(id, report)
 }
 
 // BatchInFlight returns the batch requests of this instance at a target.
-func (d *Dispatcher) BatchInFlight(id fleet.TargetID) int { return d.floor.own(id) }
+func (d *Dispatcher) BatchInFlight(id fleet.TargetID) int { return d.batches.own(id) }
 
 // InFlight returns the online requests that this instance holds.
 func (d *Dispatcher) InFlight() int { return int(d.held.Load()) }
--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -16,13 +16,13 @@
 	"eelgrassproxy.example/node/request"
 )
 
-// fate says what is certain about a request after its execution.
-type fate int
+// result says what is certain about a request after its execution.
+type result int
 
 const (
-	fateNotRun   fate = iota // no target ran any part of it
-	fateAnswered             // the whole answer was written
-	fateUnknown              // a target may have run it
+	resultNotRun   result = iota // no target ran any part of it
+	resultAnswered               // the whole answer was written
+	resultUnknown                // a target may have run it
 )
 
 // execution is the state of one request over its attempts.
@@ -36,25 +36,25 @@
 	mayHaveRun bool // an attempt may have run at a target
 
 	// mu guards the fields below, which concurrent attempts share; a leaf.
-	mu     sync.Mutex
-	winner *attempt // the attempt that writes the answer, from its first byte on
-	rivals []*attempt
+	mu       sync.Mutex
+	winner   *attempt // the attempt that writes the answer, from its first byte on
+	launched []*attempt
 }
 
 // execute runs the request over as many attempts as allowed. The error is nil when the answer was written, or when it was begun and
 // its end told the caller that it is incomplete.
-func (d *Dispatcher) execute(ctx context.Context, r *request.Request, w http.ResponseWriter) (fate, error) {
+func (d *Dispatcher) execute(ctx context.Context, r *request.Request, w http.ResponseWriter) (result, error) {
 	x := &execution{dispatcher: d, request: r, writer: w, route: d.routeRequest(r)}
 	x.makeRoom()
 	ticket, err := d.gates.Enter(ctx, r, x.pressure)
 	if err != nil {
 		d.log(r, decisionlog.Entry{Kind: decisionlog.KindAdmission, Reason: err.Error()})
-		return fateNotRun, err
+		return resultNotRun, err
 	}
 	defer ticket.Done()
 	x.ticket = ticket
 	err = x.run(ctx)
-	return x.fate(err), err
+	return x.result(err), err
 }
 
 func (d *Dispatcher) routeRequest(r *request.Request) routing.Request {
@@ -71,7 +71,7 @@
 // the others is not known here and stays below the ceiling of batch.
 func (x *execution) pressure() admission.Pressure {
 	d := x.dispatcher
-	return d.Pools.Pressure(x.request, &x.route, time.Now(), d.floor.own)
+	return d.Pools.Pressure(x.request, &x.route, time.Now(), d.batches.own)
 }
 
 // makeRoom cancels a batch request of this instance when the pool is full, so that an online request does not wait behind it.
@@ -82,24 +82,24 @@
 		if c.Load+1 <= float64(c.MaxRunning) {
 			return
 		}
-		if c.Load > load && d.floor.own(c.Target) > 0 {
+		if c.Load > load && d.batches.own(c.Target) > 0 {
 			fullest, load = c.Target, c.Load
 		}
 	}
 	if fullest != "" {
-		d.floor.pressure(fullest, 1)
+		d.batches.pressure(fullest, 1)
 	}
 }
 
-func (x *execution) fate(err error) fate {
+func (x *execution) result(err error) result {
 	var p *problem.Error
 	switch {
 	case err == nil:
-		return fateAnswered
+		return resultAnswered
 	case errors.As(err, &p) && p.NotRun:
-		return fateNotRun
+		return resultNotRun
 	default:
-		return fateUnknown
+		return resultUnknown
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 	x.route.Excluded = append(x.route.Excluded, decision.Chosen.Target)
 	if decision.Chosen.Load+1 > float64(decision.Chosen.MaxRunning) {
-		d.floor.pressure(decision.Chosen.Target, 1)
+		d.batches.pressure(decision.Chosen.Target, 1)
 	}
 	return decision.Chosen, nil
 }
--- a/node/dispatch/hedge.go
+++ b/node/dispatch/hedge.go
@@ -109,8 +109,8 @@
 	defer x.mu.Unlock()
 	if x.winner == nil {
 		x.winner = a
-		for _, rival := range slices.DeleteFunc(slices.Clone(x.rivals), func(r *attempt) bool { return r == a }) {
-			rival.abort(errLost)
+		for _, other := range slices.DeleteFunc(slices.Clone(x.launched), func(r *attempt) bool { return r == a }) {
+			other.abort(errLost)
 		}
 	}
 	return x.winner == a
