--- a/cmd/eelgrassctl/bundlecmd/local.go
+++ b/cmd/eelgrassctl/bundlecmd/local.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"crypto/rand"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -105,6 +106,8 @@
 		return err
 	}
 	fmt.Fprintf(c.stdout, "wrote %s.key (keep it secret) and %s.pub\n", base, base)
+	fmt.Fprintf(c.stdout, "entry of bundle.trusted_keys in the instances' settings:\n  - operator: %s\n    public_key: %s\n",
+		*operator, base64.StdEncoding.EncodeToString(public))
 	return nil
 }
 
--- a/node/settings/reference_test.go
+++ b/node/settings/reference_test.go
@@ -32,3 +32,9 @@
 	}
 	return all
 }
+
+// Guards against an example that the instance refuses.
+func TestExampleSettingsAreValid(t *testing.T) {
+	_, err := Load("../../docs/examples/settings.yaml")
+	require.NoError(t, err)
+}
