Let answers outlast the bound on reading a request; recognise resends across versions

Cause: the read deadline for a slow body stayed set after the body; when it passed, the server's background read cancelled the request, so that every stream over 30 s was cut off. And the digest of a request with an Idempotency-Key covered the engine's name of the model, so that a resend after a bundle with a new version got 422. Change: the deadline ends with the body; the digest is of what the caller sent.

--- a/node/dispatch/claimed.go
+++ b/node/dispatch/claimed.go
@@ -57,7 +57,7 @@
 		Caller:         r.Caller.ID,
 		IdempotencyKey: r.IdempotencyKey,
 		Operation:      operation,
-		Digest:         coreclaims.Digest(operation, r.Body),
+		Digest:         r.Fingerprint,
 	}
 }
 
--- a/node/entry/handler.go
+++ b/node/entry/handler.go
@@ -10,6 +10,7 @@
 
 	"eelgrassproxy.example/api/caller"
 	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/claims"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/membership"
 	"eelgrassproxy.example/node/blackboard"
@@ -92,6 +93,7 @@
 	r.Service, r.Operation = service, operation
 	r.Path = operation.Name
 	r.Body = req
+	r.Fingerprint = claims.Digest(service.Name+"/"+operation.Name, req)
 	if !r.Idempotent() && r.IdempotencyKey == "" {
 		return problem.NotRun(problem.CodeKeyRequired, "operation %s/%s is not idempotent and needs an Idempotency-Key header", service.Name, operation.Name)
 	}
--- a/node/entry/resolve.go
+++ b/node/entry/resolve.go
@@ -10,6 +10,7 @@
 
 	"eelgrassproxy.example/api/caller"
 	"eelgrassproxy.example/core/bundle"
+	"eelgrassproxy.example/core/claims"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/routing"
 	"eelgrassproxy.example/node/problem"
@@ -53,6 +54,9 @@
 	r.Path = in.path
 	r.Stream = in.stream
 	r.Prefix = routing.PrefixOf(model.Base+"@"+model.Version, in.prompt)
+	if err := fingerprint(r, in); err != nil {
+		return err
+	}
 	r.Body, err = in.encode(request.EngineModel(model))
 	if err != nil {
 		return problem.NotRun(problem.CodeInvalidRequest, "request body cannot be encoded: %v", err)
@@ -60,6 +64,20 @@
 	return h.dispatch(ctx, r, w)
 }
 
+// fingerprint identifies the request as the caller sent it: a resend is the same request although the bundle may have changed the version
+// of the model meanwhile.
+func fingerprint(r *request.Request, in inference) error {
+	if r.IdempotencyKey == "" {
+		return nil
+	}
+	body, err := in.encode(in.model)
+	if err != nil {
+		return problem.NotRun(problem.CodeInvalidRequest, "request body cannot be encoded: %v", err)
+	}
+	r.Fingerprint = claims.Digest(in.path, body)
+	return nil
+}
+
 // wholeAnswerTimeout is the default for answers in one piece: 1,000 tokens at 60 ms each.
 const wholeAnswerTimeout = time.Minute
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -57,14 +58,40 @@
 		if files != nil && isUpload(r) {
 			r = boundUpload(w, r, files.MaxBytes())
 		} else {
-			r.Body = http.MaxBytesReader(w, r.Body, o.MaxBodyBytes)
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+			r.Body = boundBody(w, r, o.MaxBodyBytes)
 		}
 		ctx := context.WithValue(r.Context(), attemptKey{}, limits.ParseAttempt(r.Header.Get(limits.RetryAttemptHeader)))
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// boundBody limits the size of the body and the time to read it.
+func boundBody(w http.ResponseWriter, r *http.Request, maxBytes int64) io.ReadCloser {
+	limited := http.MaxBytesReader(w, r.Body, maxBytes)
+	if r.Body == http.NoBody {
+		return limited
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	return &timedBody{ReadCloser: limited, control: control}
+}
+
+// timedBody ends the deadline on reading with the body. Left in place, it would cancel the request's context when it passes, since the
+// server goes on reading to notice that the caller has gone, and cut off answers that last longer.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 type attemptKey struct{}
 
 // authenticator checks API keys against the bundle in force.
--- a/node/request/request.go
+++ b/node/request/request.go
@@ -22,6 +22,7 @@
 	Body           []byte            // JSON as sent to the target
 	Stream         bool              // the caller asked for a stream of events
 	IdempotencyKey string
+	Fingerprint    string    // digest of what the caller asked for, before the bundle resolved it; set with an IdempotencyKey
 	Attempt        int       // retries made before this instance got the request
 	Deadline       time.Time // by which the caller expects the first byte
 	Prefix         routing.Prefix
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -274,6 +274,37 @@
 				return []string{"i2"}
 			},
 		},
+		{
+			name:   "long-stream",
+			guards: "a stream that is cut off because it lasts longer than a bound on reading the request",
+			play: func(s *session) []string {
+				a := s.send(chat(0, "long", true, 6000), nil)
+				requireWhole(s.t, a, 6000)
+				s.events = s.events[:2] // the answer's 6,000 events do not belong into the golden file
+				return nil
+			},
+		},
+		{
+			name:   "version-change-between-resends",
+			guards: "a resend that is told to be another request because the bundle has changed the model's version meanwhile",
+			play: func(s *session) []string {
+				first := chat(0, "v1", false, 3)
+				first.key = "k6"
+				a := s.send(first, nil)
+				require.Equal(s.t, 200, a.status)
+				doc := fleet.Draadwerk().Document(2)
+				doc.Models[0].Base, doc.Models[0].Version = "bench-assist", "2"
+				require.NoError(s.t, s.fleet.Roll(s.t.Context(), doc))
+				time.Sleep(5 * time.Second)
+				s.note("a bundle with version 2 of the model is rolled")
+				first.id, first.instance = "v2", 1
+				first.body = chat(0, "v1", false, 3).body
+				b := s.send(first, nil)
+				require.Equal(s.t, 200, b.status, b.body)
+				require.Equal(s.t, a.body, b.body)
+				return nil
+			},
+		},
 		{
 			name:   "drain-during-stream",
 			guards: "a graceful shutdown that cuts off a request, or that is not announced",
