Ask callers to close connections during a drain; follow the bundle's queue bound

Cause: at the end of a drain the server closes idle connections, on which a caller may just be sending; and a queue bound changed by a bundle was not followed by queues that existed. Change: answers during a drain carry Connection: close; the bound is taken from the bundle of each request. The session drain-during-stream sends a request during the drain. Its new check was not seen failing separately.

--- a/core/limits/fairqueue_expire.go
+++ b/core/limits/fairqueue_expire.go
@@ -19,3 +19,6 @@
 	}
 	return expired
 }
+
+// SetMaxWait changes the time that an entry may wait, for entries pushed from now on.
+func (q *FairQueue[T]) SetMaxWait(d time.Duration) { q.maxWait = d }
--- a/node/admission/gate.go
+++ b/node/admission/gate.go
@@ -71,7 +71,7 @@
 	key := r.Pool()
 	found, ok := g.gates[key]
 	if !ok {
-		wait := time.Duration(r.Bundle.Limits().QueueTimeoutMs) * time.Millisecond
+		wait := queueTimeout(r)
 		found = &gate{
 			queue:   limits.NewFairQueue[chan bool](queueLength, wait),
 			maxWait: wait,
@@ -82,6 +82,11 @@
 	return found
 }
 
+// queueTimeout is the longest wait by the bundle that the request came under.
+func queueTimeout(r *request.Request) time.Duration {
+	return time.Duration(r.Bundle.Limits().QueueTimeoutMs) * time.Millisecond
+}
+
 // gate admits the requests of one pool.
 type gate struct {
 	mu       sync.Mutex // guards all fields below; a leaf
@@ -114,6 +119,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pressure = pressure
+	if wait := queueTimeout(r); wait != g.maxWait {
+		g.maxWait = wait
+		g.queue.SetMaxWait(wait)
+	}
 	load := limits.Load{
 		Capacity: int(current.Capacity * headroom),
 		InFlight: current.inFlight(),
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -154,10 +154,8 @@
 
 // Ready tells why the instance does not serve yet, or nil.
 func (d *Daemon) Ready() error {
-	select {
-	case <-d.drained:
+	if d.draining() {
 		return errors.New("instance is draining")
-	default:
 	}
 	if d.board.Bundle.Current() == nil {
 		return errors.New("no bundle is in force yet")
@@ -165,6 +163,15 @@
 	return nil
 }
 
+func (d *Daemon) draining() bool {
+	select {
+	case <-d.drained:
+		return true
+	default:
+		return false
+	}
+}
+
 // Board returns the tables of the instance, for status and tests.
 func (d *Daemon) Board() *blackboard.Board { return d.board }
 
--- a/node/daemon/listeners.go
+++ b/node/daemon/listeners.go
@@ -100,6 +100,7 @@
 	return entry.NewServer(handler, entry.Options{
 		MaxBodyBytes: d.settings.Requests.MaxBodyBytes,
 		MaxInFlight:  d.settings.Requests.MaxInFlight,
+		Draining:     d.draining,
 	})
 }
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -28,6 +28,8 @@
 type Options struct {
 	MaxBodyBytes int64
 	MaxInFlight  int // requests held at once, from their header to the end of their answer
+	// Draining tells whether the instance is shutting down; answers then ask callers to close their connections. nil means never.
+	Draining func() bool
 }
 
 // NewServer returns the HTTP server of the callers' listener.
@@ -55,6 +57,10 @@
 			return
 		}
 		defer func() { <-slots }()
+		if o.Draining != nil && o.Draining() {
+			// The server closes idle connections at the end of a drain. A caller that sends at that moment would lose its request.
+			w.Header().Set("Connection", "close")
+		}
 		if files != nil && isUpload(r) {
 			r = boundUpload(w, r, files.MaxBytes())
 		} else {
--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -155,6 +155,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool // the instance asked to close the connection
 	err    error
 }
 
@@ -220,7 +221,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := readBody(resp.Body, onEvent)
-	return answer{status: resp.StatusCode, header: resp.Header, body: body, err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: body, closes: resp.Close, err: err}
 }
 
 func readBody(r io.Reader, onEvent func(n int)) (string, error) {
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -309,15 +309,21 @@
 			name:   "drain-during-stream",
 			guards: "a graceful shutdown that cuts off a request, or that is not announced",
 			play: func(s *session) []string {
+				var late answer
 				a := s.send(chat(0, "drain", true, 1500), func(n int) {
-					if n == 2 {
+					switch n {
+					case 2:
 						s.fleet.Instances[0].Drain()
 						s.note("instance-1 is asked to shut down")
+					case 100:
+						late = s.do(chat(0, "late", true, 2), nil)
+						requireWhole(s.t, late, 2)
 					}
 				})
 				require.Equal(s.t, 1502, strings.Count(a.body, "data: "))
 				require.Contains(s.t, a.body, "[DONE]")
 				require.NoError(s.t, s.fleet.Instances[0].Wait())
+				require.True(s.t, late.closes, "a request during the drain is served and its connection is closed afterwards")
 				s.events = s.events[:2] // the answer's 1,500 events do not belong into the golden file
 				return nil
 			},
