--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -148,6 +148,7 @@
 	body     string
 	apiKey   string
 	timeout  time.Duration // X-Request-Timeout-Ms
+	leaves   int           // event after which the caller gives up; 0 means never
 }
 
 // answer is what came back.
@@ -200,7 +201,9 @@
 
 func (s *session) do(r request, onEvent func(n int)) answer {
 	url := "http://" + s.fleet.Instances[r.instance].Settings.Listen.Callers + r.path
-	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, url, strings.NewReader(r.body))
+	ctx, leave := context.WithCancel(s.t.Context())
+	defer leave()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(r.body))
 	require.NoError(s.t, err)
 	apiKey := r.apiKey
 	if apiKey == "" {
@@ -220,7 +223,14 @@
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp.Body, onEvent)
+	body, err := readBody(resp.Body, func(n int) {
+		if onEvent != nil {
+			onEvent(n)
+		}
+		if r.leaves > 0 && n == r.leaves {
+			leave()
+		}
+	})
 	return answer{status: resp.StatusCode, header: resp.Header, body: body, closes: resp.Close, err: err}
 }
 
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -77,6 +77,34 @@
 				return nil
 			},
 		},
+		{
+			name:   "bad-input",
+			guards: "bad input that reaches a target, or is answered without a typed error or a true not_run",
+			play: func(s *session) []string {
+				for _, c := range []struct {
+					body   string
+					status int
+					code   string
+				}{
+					{`{"model":`, 400, "invalid_request"},
+					{`{"model":"bench-assist","messages":[]}`, 400, "invalid_request"},
+					{`{"model":"bench-assist","messages":"none"}`, 400, "invalid_request"},
+					{`[1,2,3]`, 400, "invalid_request"},
+					{"", 400, "invalid_request"},
+					{`{"model":"bench-assist","messages":[{"role":"` + strings.Repeat("x", 1<<20) + `"}]}`, 413, "body_too_large"},
+				} {
+					a := s.do(request{instance: 0, path: "/v1/chat/completions", id: "bad", body: c.body}, nil)
+					require.Equal(s.t, c.status, a.status, a.body)
+					require.Contains(s.t, a.body, `"code":"`+c.code+`"`)
+					require.Contains(s.t, a.body, `"not_run":true`)
+				}
+				a := s.do(request{instance: 0, path: "/v1/chat/completions", id: strings.Repeat("y", 20<<10), body: "{}"}, nil)
+				require.Equal(s.t, 431, a.status)
+				require.Equal(s.t, 400, s.do(request{instance: 0, path: "/v1/chat/completions", id: "a/b", body: chat(0, "x", true, 1).body}, nil).status)
+				requireWhole(s.t, s.send(chat(0, "good", true, 2), nil), 2)
+				return nil
+			},
+		},
 		{
 			name:   "service-once",
 			guards: "a resend, at the same or another instance, that runs a non-idempotent operation again",
@@ -274,6 +302,20 @@
 				return []string{"i2"}
 			},
 		},
+		{
+			name:   "caller-leaves",
+			guards: "an engine that goes on generating for a caller that has gone",
+			play: func(s *session) []string {
+				r := chat(0, "gone", true, 500)
+				r.leaves = 3
+				require.Error(s.t, s.do(r, nil).err)
+				time.Sleep(time.Second)
+				target := s.servedBy("gone")
+				require.Equal(s.t, 1, s.fleet.Engines[target].Cancelled())
+				require.Less(s.t, s.fleet.Engines[target].Tokens(), 50)
+				return nil
+			},
+		},
 		{
 			name:   "long-stream",
 			guards: "a stream that is cut off because it lasts longer than a bound on reading the request",
