Reuse the connections of ended streams

Cause: the body of a stream was closed after its last event and before its end, so that net/http closed the connection and each request paid for a new one; the profile of BenchmarkAddedLatency showed the dialling. Change: the rest of the body, usually already there, is read within 50 ms.

--- a/node/dispatch/events.go
+++ b/node/dispatch/events.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -103,6 +104,7 @@
 		}
 		switch {
 		case r.tracker.Ended():
+			drain(answer.body, watchdog)
 			return nil
 		case readErr == nil:
 			continue
@@ -114,6 +116,19 @@
 	}
 }
 
+const (
+	// drainTime and drainBytes bound the reading of what follows the last event.
+	drainTime  = 50 * time.Millisecond
+	drainBytes = 4 << 10
+)
+
+// drain reads to the end of a body whose last event was seen, so that its connection can be used again: without the end of the body,
+// net/http closes the connection, and the next request pays for a new one. The watchdog closes a body that does not end.
+func drain(body io.Reader, watchdog *time.Timer) {
+	watchdog.Reset(drainTime)
+	_, _ = io.CopyN(io.Discard, body, drainBytes)
+}
+
 // silence ends a connection without progress. Before the first event the request may still wait in the engine's queue, so that only
 // the deadline bounds how often that is asked; a broken path is left behind with each new connection.
 func (r *relay) silence() error {
