--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -87,6 +87,9 @@
 	return s
 }
 
+// poolPause is virtual time in which ended connections return to their pools.
+const poolPause = 20 * time.Millisecond
+
 // settle is virtual time in which the platform's lists and the probes come to rest.
 const settle = 5 * time.Second
 
@@ -231,6 +234,8 @@
 			leave()
 		}
 	})
+	// Ended connections return to their pools in goroutines of their own; without this pause, the next request would find them or not.
+	defer time.Sleep(poolPause)
 	return answer{status: resp.StatusCode, header: resp.Header, body: body, closes: resp.Close, err: err}
 }
 
