Charge the region link and hold batch back on it

Cause: the link budget had no caller, so that batch could fill the slow, paid link between the regions. Change: each serving instance has an equal part of the bundle's budget; requests to targets of another region are charged with their bytes, batch items go there only while online requests leave room. Not measured under load.

--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -44,6 +44,7 @@
 	started    time.Time
 	firstByte  time.Duration // 0 until the first byte of the answer came
 	abort      context.CancelCauseFunc
+	received   int64 // bytes of the answer's body
 }
 
 // begin claims the target and registers the attempt. It returns nil if the target's circuit opened meanwhile.
@@ -82,6 +83,7 @@
 	failed := a.run(ctx)
 	a.dispatcher.Board.Loads.Ended(a.target.Target, time.Now())
 	a.observe(ctx, failed)
+	a.accountLink()
 	return failed
 }
 
--- a/node/dispatch/batch.go
+++ b/node/dispatch/batch.go
@@ -87,13 +87,21 @@
 // awaitRoom returns the target of the next batch attempt as soon as one has room.
 func (x *execution) awaitRoom(ctx context.Context) (*routing.Candidate, error) {
 	d := x.dispatcher
+	remote := true // targets of other regions may be used
 	for {
 		now := time.Now()
 		candidates := d.Pools.Candidates(x.request, &x.route, now)
 		d.batches.fill(candidates, d.Pools.Unbiased(x.request, &x.route, now), x.request.Bundle.Limits().BatchHarmPercent, x.request.AtRisk)
+		if !remote {
+			keepRegion(candidates)
+		}
 		d.mu.Lock()
 		decision := d.Router.Decide(&x.route, candidates, d.random)
 		d.mu.Unlock()
+		if c := decision.Chosen; c != nil && c.Distance == fleet.OtherRegion && !d.link.tryBatch(x.request.Bundle.Link(), d.Pools.Serving(), x.batchEstimate(), now) {
+			remote = false // online requests need the link; look again among the targets of the own region
+			continue
+		}
 		if decision.Chosen != nil {
 			d.log(x.request, decisionlog.Entry{
 				Kind:       decisionlog.KindRoute,
@@ -107,6 +115,16 @@
 		if err := d.batches.wait(ctx); err != nil {
 			return nil, err
 		}
+		remote = true
+	}
+}
+
+// keepRegion takes the room of targets in other regions away.
+func keepRegion(candidates []routing.Candidate) {
+	for i := range candidates {
+		if candidates[i].Distance == fleet.OtherRegion {
+			candidates[i].BatchRoom = 0
+		}
 	}
 }
 
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -56,6 +56,7 @@
 	Parts
 	gates    *admission.Gates
 	batches  *batchLimiter
+	link     linkMeter
 	metrics  metrics
 	sequence atomic.Uint64 // of upstream ids
 	held     atomic.Int64  // online requests
--- a/node/dispatch/events.go
+++ b/node/dispatch/events.go
@@ -92,6 +92,7 @@
 	for {
 		n, readErr := answer.body.Read(r.decoder.Buffer())
 		r.decoder.Advance(n)
+		r.received += int64(n)
 		before := r.tracker.Next()
 		err := r.take()
 		if r.tracker.Next() > before {
--- a/node/dispatch/whole.go
+++ b/node/dispatch/whole.go
@@ -24,6 +24,7 @@
 func (a *attempt) relayWhole(ctx context.Context, answer *upstream) *failure {
 	limit := a.dispatcher.MaxAnswerBytes
 	body, err := io.ReadAll(io.LimitReader(answer.body, limit+1))
+	a.received = int64(len(body))
 	if err != nil {
 		return a.failed(ctx, fmt.Errorf("read answer: %w", err))
 	}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -94,15 +94,21 @@
 	return pressure
 }
 
-// Sharers is the number of instances that send to the same target of the pool: all that serve while every instance uses the whole pool,
-// fewer when each uses a subset.
-func (p *Pools) Sharers(key request.PoolKey) int {
+// Serving is the number of instances that serve.
+func (p *Pools) Serving() int {
 	serving := 0
 	for _, m := range p.board.Members.All() {
 		if m.State == fleet.MemberAlive || m.State == fleet.MemberSuspect {
 			serving++
 		}
 	}
+	return serving
+}
+
+// Sharers is the number of instances that send to the same target of the pool: all that serve while every instance uses the whole pool,
+// fewer when each uses a subset.
+func (p *Pools) Sharers(key request.PoolKey) int {
+	serving := p.Serving()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pool, ok := p.pools[key]; ok && pool.eligible > 0 {
