--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/node/internal/wait"
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 )
@@ -166,18 +167,7 @@
 
 // pause waits before a call is tried again; false if ctx ended first.
 func (r *Runner) pause(ctx context.Context) bool {
-	return sleep(ctx, time.Duration(r.config.StoreWaitMs)*time.Millisecond)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, time.Duration(r.config.StoreWaitMs)*time.Millisecond)
 }
 
 // size is the number of items of the chunk.
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 // runItems gives the items of the range a result and appends those to t.results. claimed is the epoch under which the items were claimed,
@@ -87,7 +88,7 @@
 		if step.Final != "" {
 			return t.result(i, step.Final, last), true
 		}
-		if !sleep(ctx, step.Wait) {
+		if !wait.For(ctx, step.Wait) {
 			break
 		}
 	}
@@ -106,7 +107,7 @@
 		if owned {
 			return claimed == nil || *claimed == epoch
 		}
-		if !sleep(ctx, poll) {
+		if !wait.For(ctx, poll) {
 			return false
 		}
 	}
--- a/node/claims/acquire.go
+++ b/node/claims/acquire.go
@@ -8,6 +8,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/claims"
+	"eelgrassproxy.example/node/internal/wait"
 	"github.com/rotisserie/eris"
 )
 
@@ -182,14 +183,7 @@
 
 // sleep waits for about d; false if ctx ended first. The jitter keeps waiting instances from polling in step.
 func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d - time.Duration(rand.Int64N(int64(d)/4)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, d-time.Duration(rand.Int64N(int64(d)/4)))
 }
 
 // noEffect tells whether a failed write certainly had no effect. An invalid record is one that the write's comparison
--- a/node/control/bundlesync/bundlesync_test.go
+++ b/node/control/bundlesync/bundlesync_test.go
@@ -11,6 +11,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/internal/wait"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -144,7 +145,7 @@
 		require.NoError(t, c.Reconcile(ctx))
 		go c.Run(ctx)
 		go func() {
-			for pause(ctx, time.Second) {
+			for wait.For(ctx, time.Second) {
 				_ = c.Reconcile(ctx)
 			}
 		}()
--- a/node/control/bundlesync/spread_test.go
+++ b/node/control/bundlesync/spread_test.go
@@ -20,6 +20,7 @@
 	"eelgrassproxy.example/node/control/membership"
 	"eelgrassproxy.example/node/control/roll"
 	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/workers"
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
@@ -240,8 +241,8 @@
 
 func (n *spreadNode) pollHead(ctx context.Context, every time.Duration) {
 	random := rand.New(rand.NewPCG(n.seed, 3))
-	pause(ctx, time.Duration(random.Int64N(int64(every))))
-	for pause(ctx, every) {
+	wait.For(ctx, time.Duration(random.Int64N(int64(every))))
+	for wait.For(ctx, every) {
 		if head, err := (storeSource{n.fleet.store}).head(ctx); err == nil {
 			n.bundles.Hint(head.Generation, "")
 		}
--- a/node/control/bundlesync/watch.go
+++ b/node/control/bundlesync/watch.go
@@ -9,6 +9,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/bundle/store"
+	"eelgrassproxy.example/node/internal/wait"
 	"k8s.io/klog/v2"
 )
 
@@ -33,7 +34,7 @@
 			return
 		case <-c.wake:
 		}
-		if !pause(ctx, c.spread()) {
+		if !wait.For(ctx, c.spread()) {
 			return
 		}
 		c.pass(ctx)
@@ -55,11 +56,11 @@
 
 // followHead keeps a watch while this instance is a watcher. A watch that ends is renewed after a growing, jittered wait.
 func (c *Controller) followHead(ctx context.Context) {
-	wait := firstBackoff
+	delay := firstBackoff
 	for ctx.Err() == nil {
 		if !c.Watcher() {
-			wait = firstBackoff
-			pause(ctx, watchCheck)
+			delay = firstBackoff
+			wait.For(ctx, watchCheck)
 			continue
 		}
 		started := time.Now()
@@ -67,10 +68,10 @@
 			klog.V(1).InfoS("Bundle watch ended", "reason", err.Error())
 		}
 		if time.Since(started) > maxBackoff {
-			wait = firstBackoff
+			delay = firstBackoff
 		}
-		pause(ctx, c.jittered(wait))
-		wait = min(2*wait, maxBackoff)
+		wait.For(ctx, c.jittered(delay))
+		delay = min(2*delay, maxBackoff)
 	}
 }
 
@@ -175,15 +176,3 @@
 		c.pass(ctx)
 	}
 }
-
-// pause waits and returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/node/daemon/environment.go
+++ b/node/daemon/environment.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -51,13 +50,3 @@
 func platformClient(dial httpcall.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 16}}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/daemon/listeners.go
+++ b/node/daemon/listeners.go
@@ -17,6 +17,7 @@
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/entry"
+	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/operations"
 )
 
@@ -157,7 +158,7 @@
 	d.drainOnce.Do(func() { close(d.drained) })
 	ctx := context.Background()
 	d.members.prober.Drain(ctx)
-	sleep(ctx, d.settings.Drain.EntrypointTTL+drainMargin)
+	wait.For(ctx, d.settings.Drain.EntrypointTTL+drainMargin)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain.Grace)
 	defer cancel()
 	if err := servers.callers.Shutdown(ctx); err != nil {
--- a/node/dispatch/batchlimit.go
+++ b/node/dispatch/batchlimit.go
@@ -144,6 +144,13 @@
 	return len(f.running[id])
 }
 
+// idle tells whether no batch request of this instance is in flight.
+func (f *batchLimiter) idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.running) == 0
+}
+
 // pressure records online demand at the target and cancels up to count of its batch requests, the newest first, which lose least work.
 func (f *batchLimiter) pressure(id fleet.TargetID, count int) {
 	f.mu.Lock()
--- a/node/dispatch/events.go
+++ b/node/dispatch/events.go
@@ -13,6 +13,7 @@
 	"eelgrassproxy.example/adapters/engine"
 	"eelgrassproxy.example/core/stream"
 	"eelgrassproxy.example/node/decisionlog"
+	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/problem"
 )
 
@@ -202,21 +203,11 @@
 		if errors.Is(err, engine.ErrUnknownStream) {
 			break
 		}
-		pause(ctx, resumeBackoff)
+		wait.For(ctx, resumeBackoff)
 	}
 	return nil, cause
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // resumeOnce bounds the wait for the answer's header by the progress timeout; the body that follows is bounded by connection.
 func (r *relay) resumeOnce(ctx context.Context) (*engine.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -77,6 +77,9 @@
 // makeRoom cancels a batch request of this instance when the pool is full, so that an online request does not wait behind it.
 func (x *execution) makeRoom() {
 	d := x.dispatcher
+	if d.batches.idle() {
+		return // nothing to give way; spares most requests the look at every target
+	}
 	fullest, load := fleet.TargetID(""), 0.0
 	for _, c := range d.Pools.Candidates(x.request, &x.route, time.Now()) {
 		if c.Load+1 <= float64(c.MaxRunning) {
--- /dev/null
+++ b/node/internal/wait/wait.go
@@ -0,0 +1,19 @@
+// Package wait waits for a time that a context can cut short.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and returns false if ctx ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
