Ignore claims of an incarnation that no clock gives

Cause: the fuzz target of the probe decoder found an update that names this instance with the largest incarnation: refuting it added one and overflowed the 63 bits on the wire, so that peers refused this instance's probes as malformed from then on. Change: a claim at or above 2^62 is not refuted. The input found is kept in the corpus; it failed before and passes now, as do 20,000 further executions.

--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -45,12 +45,15 @@
 	}
 }
 
+// maxIncarnation is above every incarnation that a clock gives. Refuting a higher claim would overflow the 63 bits that travel.
+const maxIncarnation = 1 << 62
+
 // refute raises this instance's incarnation above a claim that it is suspected, dead or of another life, and spreads that.
 // Incarnations are unix milliseconds at start, so that the next life of this instance still starts higher.
 func (d *Detector) refute(u Update) {
 	stale := u.Incarnation < d.self.Incarnation
 	agrees := u.Incarnation == d.self.Incarnation && u.State <= d.self.State && u.State != fleet.MemberSuspect
-	if stale || agrees {
+	if stale || agrees || u.Incarnation >= maxIncarnation {
 		return
 	}
 	d.self.Incarnation = u.Incarnation + 1
