Serve opaque requests on the users' platform: streams, directory, readiness

Cause: the platform's clients, targets and store speak their own protocol. Change: a gateway in node/ routes by host and longest prefix, shares slot counts with all peers by datagrams, and relays streams event by event; platform/ translates settings, store, configuration, target list and headers. Batch jobs are refused for now.

--- /dev/null
+++ b/adapters/rawhttp/client.go
@@ -0,0 +1,295 @@
+// Package rawhttp sends opaque HTTP/1.1 requests over connections of its own. Unlike net/http's transport it never sends a request
+// twice, looks at a pooled connection before it writes to it, and skips a response that belongs to an earlier request.
+package rawhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/adapters/httpcall"
+)
+
+// ErrForeignResponse means that the connection kept delivering responses of other requests.
+var ErrForeignResponse = eris.New("response belongs to another request")
+
+const (
+	// maxIdlePerAddress bounds the pooled connections to one target; a target serves about ten requests of an instance at once.
+	maxIdlePerAddress = 32
+	// maxForeign bounds the responses of other requests that are skipped on one connection.
+	maxForeign = 2
+	// maxForeignBytes bounds the body of a skipped response.
+	maxForeignBytes = 64 << 10
+	// readBuffer is the size in bytes of a connection's read buffer. It holds a response's header and several events.
+	readBuffer = 4 << 10
+	// defaultIdle is how long a connection is pooled when the target states no timeout.
+	defaultIdle = 10 * time.Second
+	// idleMargin is subtracted from a stated timeout, so that a request does not cross the target's close.
+	idleMargin = 700 * time.Millisecond
+)
+
+// Request is one request. Its header must name neither Host, Connection nor a length of the body.
+type Request struct {
+	Method string
+	URI    string // request target as it appears in the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Mine tells from the header whether a response is the one to this request; nil means always.
+	Mine func(http.Header) bool
+	// MaxIdle bounds the age of a pooled connection that may carry this request; 0 means no bound of its own.
+	MaxIdle time.Duration
+}
+
+// Response is a response whose body is still to be read. Body must be closed: a body read to its end returns the connection to the
+// pool, any other one closes it, which makes the target stop working on the request.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Framed tells that the end of the body is marked by its length or by chunks, and not by the end of the connection.
+	Framed bool
+}
+
+// Client keeps connections to targets. It is safe for concurrent use.
+type Client struct {
+	dial httpcall.DialFunc
+
+	mu     sync.Mutex // guards idle and dialed; a leaf
+	idle   map[string][]*conn
+	dialed int64
+}
+
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	since   time.Time // when it became idle
+	expires time.Time
+}
+
+// New returns a client that opens connections with dial, bounded by httpcall.ConnectTimeout.
+func New(dial httpcall.DialFunc) *Client {
+	return &Client{dial: dial, idle: make(map[string][]*conn)}
+}
+
+// Dialed returns the number of connections opened so far.
+func (c *Client) Dialed() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialed
+}
+
+// CloseIdle closes the pooled connections to an address.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, k := range list {
+		k.Close()
+	}
+}
+
+// Do sends the request once and returns the response as soon as its header is there. When ctx ends, the connection is closed, also
+// while the body is read. Errors: httpcall.ErrNotSent if no byte was written, otherwise httpcall.ErrOutcomeUnknown.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	k, err := c.get(ctx, address, r.MaxIdle)
+	if err != nil {
+		return nil, httpcall.NotSent(err)
+	}
+	stop := context.AfterFunc(ctx, func() { k.Close() })
+	response, err := exchange(k, r)
+	if err != nil {
+		stop()
+		k.Close()
+		if ctx.Err() != nil {
+			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		}
+		return nil, httpcall.OutcomeUnknown(err)
+	}
+	body := &responseBody{client: c, conn: k, stop: stop, response: response}
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Framed: framed(response)}, nil
+}
+
+// get returns a pooled connection that is still open, or a new one.
+func (c *Client) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	for {
+		k := c.take(address)
+		if k == nil {
+			break
+		}
+		now := time.Now()
+		if now.Before(k.expires) && (maxIdle == 0 || now.Sub(k.since) < maxIdle) && quiet(k.Conn) {
+			return k, nil
+		}
+		k.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, httpcall.ConnectTimeout)
+	defer cancel()
+	raw, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.dialed++
+	c.mu.Unlock()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: address}, nil
+}
+
+// take removes the connection used last, which is the least likely to have been closed.
+func (c *Client) take(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	k := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return k
+}
+
+// put pools a connection whose response was read to its end.
+func (c *Client) put(k *conn, header http.Header) {
+	k.since = time.Now()
+	k.expires = k.since.Add(keepAlive(header))
+	c.mu.Lock()
+	list := append(c.idle[k.address], k)
+	var oldest *conn
+	if len(list) > maxIdlePerAddress {
+		oldest, list = list[0], list[1:]
+	}
+	c.idle[k.address] = list
+	c.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+}
+
+// keepAlive returns how long an idle connection may be used, from the target's Keep-Alive header.
+func keepAlive(header http.Header) time.Duration {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && seconds >= 0 {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
+
+// exchange writes the request and reads the header of its response.
+func exchange(k *conn, r *Request) (*http.Response, error) {
+	if _, err := k.Write(encode(r)); err != nil {
+		return nil, fmt.Errorf("write request: %w", err)
+	}
+	asked := &http.Request{Method: r.Method}
+	for range maxForeign + 1 {
+		response, err := readFinal(k.reader, asked)
+		if err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
+		}
+		if r.Mine == nil || r.Mine(response.Header) {
+			return response, nil
+		}
+		if !framed(response) || response.Close {
+			return nil, ErrForeignResponse
+		}
+		if n, err := io.CopyN(io.Discard, response.Body, maxForeignBytes); err != io.EOF {
+			return nil, fmt.Errorf("%w: skipped %d bytes: %w", ErrForeignResponse, n, err)
+		}
+	}
+	return nil, ErrForeignResponse
+}
+
+// readFinal reads response headers until one is not informational.
+func readFinal(reader *bufio.Reader, asked *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+func framed(response *http.Response) bool {
+	chunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[len(response.TransferEncoding)-1] == "chunked"
+	return response.ContentLength >= 0 || chunked
+}
+
+// encode returns the whole request as it goes over the connection.
+func encode(r *Request) []byte {
+	buffer := make([]byte, 0, 512+len(r.Body))
+	buffer = append(buffer, r.Method...)
+	buffer = append(buffer, ' ')
+	buffer = append(buffer, r.URI...)
+	buffer = append(buffer, " HTTP/1.1\r\nHost: "...)
+	buffer = append(buffer, r.Host...)
+	buffer = append(buffer, "\r\n"...)
+	for name, values := range r.Header {
+		for _, value := range values {
+			buffer = append(buffer, name...)
+			buffer = append(buffer, ": "...)
+			buffer = append(buffer, value...)
+			buffer = append(buffer, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		buffer = append(buffer, "Content-Length: "...)
+		buffer = strconv.AppendInt(buffer, int64(len(r.Body)), 10)
+		buffer = append(buffer, "\r\n"...)
+	}
+	buffer = append(buffer, "\r\n"...)
+	return append(buffer, r.Body...)
+}
+
+// responseBody returns its connection to the pool once it was read to the end.
+type responseBody struct {
+	client   *Client
+	conn     *conn
+	stop     func() bool // ends the watch on the request's context
+	response *http.Response
+	ended    bool
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	alive := b.stop()
+	if alive && b.ended && !b.response.Close && framed(b.response) && b.conn.reader.Buffered() == 0 {
+		b.client.put(b.conn, b.response.Header)
+		return nil
+	}
+	return b.conn.Close()
+}
--- a/cmd/eelgrassproxy/main.go
+++ b/cmd/eelgrassproxy/main.go
@@ -34,6 +34,9 @@
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "platform" {
+		return runPlatform(ctx, args[1:], stdout, stderr)
+	}
 	flags := flag.NewFlagSet("eelgrassproxy", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "settings file in YAML (required)")
--- /dev/null
+++ b/cmd/eelgrassproxy/platform.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"eelgrassproxy.example/node/logging"
+	"eelgrassproxy.example/platform"
+)
+
+// runPlatform runs the instance on the users' platform, whose settings file the environment names.
+func runPlatform(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("eelgrassproxy platform", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	check := flags.Bool("check-settings", false, "check the settings file and exit")
+	verbosity := flags.Int("v", 0, "verbosity of the log")
+	if err := flags.Parse(args); err != nil {
+		if err == flag.ErrHelp {
+			return exitOK
+		}
+		return exitUsage
+	}
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if *check {
+		fmt.Fprintln(stdout, "settings are valid")
+		return exitOK
+	}
+	if err := logging.Setup(stdout, *verbosity); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if err := platform.Run(ctx, settings); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/core/stream/splitter.go
@@ -0,0 +1,96 @@
+package stream
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// RawEvent is one whole event as it came, with the fields that a relay needs. Its slices are valid until the splitter's next call.
+type RawEvent struct {
+	Raw   []byte // all bytes of the event, the blank line included
+	ID    int64
+	HasID bool
+	Data  []byte // values of the data fields, joined by newlines
+}
+
+// Splitter cuts a byte stream into whole events and leaves their bytes unchanged, so that an opaque stream can be relayed without ever
+// passing on part of an event. Use it like a Decoder.
+type Splitter struct {
+	maxEvent int
+	buffer   []byte
+	begin    int // start of the first event not yet returned
+	scanned  int // no event ends before here
+}
+
+// NewSplitter returns a splitter that fails on events of more than maxEvent bytes.
+func NewSplitter(maxEvent int) *Splitter { return &Splitter{maxEvent: maxEvent} }
+
+// Add takes bytes of the stream.
+func (s *Splitter) Add(p []byte) {
+	if s.begin > 0 {
+		s.buffer = append(s.buffer[:0], s.buffer[s.begin:]...)
+		s.scanned -= s.begin
+		s.begin = 0
+	}
+	s.buffer = append(s.buffer, p...)
+}
+
+// Pending returns the number of bytes of an event that is not whole yet.
+func (s *Splitter) Pending() int { return len(s.buffer) - s.begin }
+
+// Next returns the next whole event. It returns false when more bytes are needed. Errors: ErrEventTooLarge, ErrMalformedEvent.
+func (s *Splitter) Next() (RawEvent, bool, error) {
+	from := max(s.begin, s.scanned-3) // the blank line may have been cut
+	end := eventEnd(s.buffer[from:])
+	if end < 0 {
+		s.scanned = len(s.buffer)
+		if s.Pending() > s.maxEvent {
+			return RawEvent{}, false, fmt.Errorf("%w of %d bytes", ErrEventTooLarge, s.maxEvent)
+		}
+		return RawEvent{}, false, nil
+	}
+	raw := s.buffer[s.begin : from+end]
+	s.begin = from + end
+	s.scanned = s.begin
+	event, err := parseRaw(raw)
+	return event, err == nil, err
+}
+
+// eventEnd returns the index behind the first blank line, or -1.
+func eventEnd(b []byte) int {
+	lf := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\n\r\n"))
+	switch {
+	case lf < 0 && crlf < 0:
+		return -1
+	case crlf < 0 || lf >= 0 && lf < crlf:
+		return lf + 2
+	default:
+		return crlf + 3
+	}
+}
+
+func parseRaw(raw []byte) (RawEvent, error) {
+	event := RawEvent{Raw: raw}
+	first := true
+	for line := range bytes.Lines(raw) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			id, err := strconv.ParseInt(string(value), 10, 64)
+			if err != nil || event.HasID {
+				return event, fmt.Errorf("%w: id %q", ErrMalformedEvent, value)
+			}
+			event.ID, event.HasID = id, true
+		case "data":
+			if !first {
+				event.Data = append(append(bytes.Clone(event.Data), '\n'), value...)
+				continue
+			}
+			event.Data, first = value, false
+		}
+	}
+	return event, nil
+}
--- a/node/control/membership/prober.go
+++ b/node/control/membership/prober.go
@@ -115,7 +115,7 @@
 }
 
 func (p *Prober) probeIndirect(ctx context.Context, r membership.IndirectRequest) {
-	result, err := p.transport.ProbeIndirect(ctx, p.view.self().ID, r)
+	result, err := p.transport.ProbeIndirect(ctx, p.view.Self().ID, r)
 	if ctx.Err() != nil {
 		return
 	}
--- a/node/control/membership/registrar.go
+++ b/node/control/membership/registrar.go
@@ -12,7 +12,6 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
-	"eelgrassproxy.example/core/membership"
 )
 
 // Times of the membership record.
@@ -35,21 +34,31 @@
 	ErrRecordContended = eris.New("membership record is written by another process")
 )
 
+// RecordSource is what a Registrar needs of the view of the members.
+type RecordSource interface {
+	// Self returns the member that this process is.
+	Self() fleet.Member
+	// Loaded takes the records of all members, read once after a start or an outage of the store.
+	Loaded(members []fleet.Member)
+}
+
 // Registrar keeps this instance's record in the store under a lease. Store errors never change the view of the members.
 type Registrar struct {
-	view     *View
-	store    kv.Store
-	lease    kv.LeaseID
-	written  []byte      // value in the store under the lease; nil if unknown
-	revision kv.Revision // modification of the key that was last seen; 0 if the key did not exist
-	backoff  time.Duration
-	retryAt  time.Time
-	loaded   bool // the records of the others were read since the last outage
+	view  RecordSource
+	store kv.Store
+	// LastBackoff bounds the pause after failed attempts; set it before the first Reconcile. The default is 30 s.
+	LastBackoff time.Duration
+	lease       kv.LeaseID
+	written     []byte      // value in the store under the lease; nil if unknown
+	revision    kv.Revision // modification of the key that was last seen; 0 if the key did not exist
+	backoff     time.Duration
+	retryAt     time.Time
+	loaded      bool // the records of the others were read since the last outage
 }
 
 // NewRegistrar returns a registrar.
-func NewRegistrar(view *View, store kv.Store) *Registrar {
-	return &Registrar{view: view, store: store}
+func NewRegistrar(view RecordSource, store kv.Store) *Registrar {
+	return &Registrar{view: view, store: store, LastBackoff: lastBackoff}
 }
 
 // Name implements workers.Controller.
@@ -77,7 +86,7 @@
 // delay sets the next attempt after a jittered backoff, so that a recovered store does not meet all instances at once.
 func (r *Registrar) delay() {
 	r.loaded = false
-	r.backoff = min(max(2*r.backoff, firstBackoff), lastBackoff)
+	r.backoff = min(max(2*r.backoff, min(firstBackoff, r.LastBackoff)), r.LastBackoff)
 	r.retryAt = time.Now().Add(r.backoff/2 + rand.N(r.backoff))
 }
 
@@ -93,7 +102,7 @@
 		}
 		r.lease = lease
 	}
-	value, err := EncodeRecord(r.view.self())
+	value, err := EncodeRecord(r.view.Self())
 	if err != nil {
 		return err
 	}
@@ -150,7 +159,7 @@
 	if found.CreateRevision == 0 {
 		return nil
 	}
-	if m, err := DecodeRecord(found.Value); err == nil && m.Incarnation > r.view.self().Incarnation {
+	if m, err := DecodeRecord(found.Value); err == nil && m.Incarnation > r.view.Self().Incarnation {
 		return eris.Wrapf(ErrSuperseded, "incarnation %d", m.Incarnation)
 	}
 	return nil
@@ -171,7 +180,7 @@
 		}
 		members = append(members, m)
 	}
-	r.view.update(func(d *membership.Detector, now time.Time) { d.ObserveStore(now, members) })
+	r.view.Loaded(members)
 	r.loaded = true
 	return nil
 }
@@ -188,4 +197,4 @@
 	return eris.Wrap(r.store.Revoke(ctx, lease), "revoke the lease of the membership record")
 }
 
-func (r *Registrar) key() string { return MembersPrefix + string(r.view.self().ID) }
+func (r *Registrar) key() string { return MembersPrefix + string(r.view.Self().ID) }
--- a/node/control/membership/view.go
+++ b/node/control/membership/view.go
@@ -74,7 +74,13 @@
 	return v.detector.Members(now), v.detector.TakeEvents()
 }
 
-func (v *View) self() fleet.Member {
+// Loaded implements RecordSource.
+func (v *View) Loaded(members []fleet.Member) {
+	v.update(func(d *membership.Detector, now time.Time) { d.ObserveStore(now, members) })
+}
+
+// Self implements RecordSource.
+func (v *View) Self() fleet.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.detector.Self()
--- /dev/null
+++ b/node/gateway/board.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+)
+
+// Board guards the shared view of the targets and tells others of its changes. It is safe for concurrent use.
+type Board struct {
+	mu     sync.Mutex // guards view, room and yield; released before notify or yield is called
+	view   *slots.View
+	room   chan struct{} // closed and replaced when room for a request may have appeared
+	notify func()        // called after each change of this instance's own counts; must not block
+	yield  func(map[fleet.TargetID]int)
+}
+
+// NewBoard returns a board over the view.
+func NewBoard(view *slots.View) *Board {
+	return &Board{view: view, room: make(chan struct{}), notify: func() {}, yield: func(map[fleet.TargetID]int) {}}
+}
+
+// OnChange sets what is called after each change of this instance's own counts. Call it before the first request.
+func (b *Board) OnChange(notify func()) { b.notify = notify }
+
+// OnYield sets what is called with the number of batch items that must end at each target. Call it before the first request.
+func (b *Board) OnYield(yield func(map[fleet.TargetID]int)) { b.yield = yield }
+
+// Held is the right to use a slot of a target, until Release.
+type Held struct {
+	Target slots.Target
+	board  *Board
+	mu     sync.Mutex // guards count; taken before the board's mutex
+	count  slots.Count
+}
+
+// Online takes a place at a target for an online request, or returns nil if there is none.
+func (b *Board) Online(service, salt string, exclude map[fleet.TargetID]bool) *Held {
+	now := time.Now()
+	b.mu.Lock()
+	target, ok := b.view.Place(service, salt, exclude, now)
+	if !ok {
+		b.mu.Unlock()
+		return nil
+	}
+	held := b.take(target, slots.Count{Online: 1})
+	excess := b.view.Excess(now)
+	b.mu.Unlock()
+	b.notify()
+	if excess != nil {
+		b.yield(excess)
+	}
+	return held
+}
+
+// Batch takes a place at a target for a batch item, or returns nil if there is no room. An urgent item does not give way.
+func (b *Board) Batch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool) *Held {
+	b.mu.Lock()
+	target, ok := b.view.PlaceBatch(service, salt, exclude, urgent, time.Now())
+	if !ok {
+		b.mu.Unlock()
+		return nil
+	}
+	count := slots.Count{Yieldable: 1}
+	if urgent {
+		count = slots.Count{Firm: 1}
+	}
+	held := b.take(target, count)
+	b.mu.Unlock()
+	b.notify()
+	return held
+}
+
+// take counts a request at a target; b.mu is held.
+func (b *Board) take(target slots.Target, count slots.Count) *Held {
+	b.view.Add(target.ID, count)
+	return &Held{Target: target, board: b, count: count}
+}
+
+// Release gives the place back. Further calls do nothing.
+func (h *Held) Release() { h.change(slots.Count{}) }
+
+// Firm keeps a batch item from giving way. It does nothing after Release.
+func (h *Held) Firm() {
+	h.mu.Lock()
+	released := h.count == (slots.Count{})
+	h.mu.Unlock()
+	if !released {
+		h.change(slots.Count{Firm: 1})
+	}
+}
+
+// change replaces what the holder counts as.
+func (h *Held) change(next slots.Count) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.count == next {
+		return
+	}
+	b := h.board
+	b.mu.Lock()
+	b.view.Add(h.Target.ID, slots.Count{
+		Online:    next.Online - h.count.Online,
+		Firm:      next.Firm - h.count.Firm,
+		Yieldable: next.Yieldable - h.count.Yieldable,
+	})
+	b.mayHaveRoom()
+	b.mu.Unlock()
+	h.count = next
+	b.notify()
+}
+
+// mayHaveRoom wakes those that wait for room; b.mu is held.
+func (b *Board) mayHaveRoom() {
+	close(b.room)
+	b.room = make(chan struct{})
+}
+
+// Room returns a channel that is closed when room may have appeared.
+func (b *Board) Room() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.room
+}
+
+// Heard takes the counts of a peer.
+func (b *Board) Heard(peer fleet.InstanceID, counts map[fleet.TargetID]slots.Count) {
+	now := time.Now()
+	b.mu.Lock()
+	b.view.Heard(peer, counts, now)
+	excess := b.view.Excess(now)
+	b.mayHaveRoom()
+	b.mu.Unlock()
+	if excess != nil {
+		b.yield(excess)
+	}
+}
+
+// Forget drops a peer that is gone.
+func (b *Board) Forget(peer fleet.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.Forget(peer)
+	b.mayHaveRoom()
+}
+
+// Own returns this instance's counts.
+func (b *Board) Own() map[fleet.TargetID]slots.Count {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Own()
+}
+
+// SetTargets replaces the list of targets.
+func (b *Board) SetTargets(list []slots.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.SetTargets(list)
+	b.mayHaveRoom()
+}
+
+// Pool returns the state of a service's targets.
+func (b *Board) Pool(service string) slots.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Pool(service, time.Now())
+}
+
+// Avoid keeps new requests from a target for a time, unless nothing else is left.
+func (b *Board) Avoid(id fleet.TargetID, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.Avoid(id, time.Now().Add(d))
+}
+
+// Trust ends what Avoid began.
+func (b *Board) Trust(id fleet.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.Trust(id)
+}
--- /dev/null
+++ b/node/gateway/peers.go
@@ -0,0 +1,387 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/control/membership"
+	"eelgrassproxy.example/node/kvmirror"
+)
+
+const (
+	// heartbeat is the longest pause between two datagrams to a peer.
+	heartbeat = 250 * time.Millisecond
+	// silentAfter is the silence after which a peer is suspected: four heartbeats, so that three lost datagrams in a row do no harm.
+	silentAfter = 4*heartbeat + heartbeat/2
+	// sendPause is the least time between two datagrams to all peers, for each peer. With it an instance sends at most about 400
+	// datagrams a second, whatever the size of the fleet.
+	sendPause = 2500 * time.Microsecond
+	// maxDatagram bounds a datagram that is read.
+	maxDatagram = 32 << 10
+	// recordRetry is the longest pause between two attempts to write the membership record.
+	recordRetry = time.Second
+	// registerPeriod is how often the membership record is checked; a restarted store is then registered with soon.
+	registerPeriod = membership.RegisterPeriod
+)
+
+// datagram is what instances tell each other after each change.
+type datagram struct {
+	From     fleet.InstanceID          `json:"i"`
+	Process  uint64                    `json:"p"` // incarnation of the process; a higher one replaces a lower one
+	Sequence uint64                    `json:"n"` // rises with each datagram of a process
+	Draining bool                      `json:"d,omitempty"`
+	Counts   map[fleet.TargetID][3]int `json:"c,omitempty"` // online, firm and yieldable requests at each target
+	Waiting  map[string]int64          `json:"w,omitempty"` // tokens of unfinished batch items by route
+}
+
+// Peers knows the other instances: from their records in the store, and from the datagrams by which all tell each other how many
+// requests they hold at each target. It is safe for concurrent use.
+type Peers struct {
+	self     fleet.Member
+	board    *Board
+	conn     net.PacketConn
+	dirty    chan struct{}
+	waiting  func() map[string]int64
+	onLost   func(fleet.Member)
+	registry *membership.Registrar
+
+	mu       sync.Mutex // guards the fields below; a leaf
+	draining bool
+	sequence uint64
+	peers    map[fleet.InstanceID]*peerState
+}
+
+type peerState struct {
+	member   fleet.Member
+	listed   bool // its record is in the store
+	address  netip.AddrPort
+	process  uint64 // of the last datagram
+	sequence uint64
+	heard    time.Time
+	silent   bool // reported as lost since it was heard
+	waiting  map[string]int64
+}
+
+// NewPeers returns the peers of self, which listens for datagrams on conn.
+func NewPeers(self fleet.Member, store kv.Store, board *Board, conn net.PacketConn) *Peers {
+	p := &Peers{
+		self:    self,
+		board:   board,
+		conn:    conn,
+		dirty:   make(chan struct{}, 1),
+		waiting: func() map[string]int64 { return nil },
+		onLost:  func(fleet.Member) {},
+		peers:   make(map[fleet.InstanceID]*peerState),
+	}
+	p.registry = membership.NewRegistrar(p, store)
+	p.registry.LastBackoff = recordRetry
+	board.OnChange(p.Changed)
+	return p
+}
+
+// OnWaiting sets the source of the tokens that wait. Call it before Run.
+func (p *Peers) OnWaiting(waiting func() map[string]int64) { p.waiting = waiting }
+
+// OnLost sets what is called when a peer fell silent, lost its record or was replaced by a new process. Call it before Run.
+func (p *Peers) OnLost(lost func(fleet.Member)) { p.onLost = lost }
+
+// Changed asks for a datagram soon.
+func (p *Peers) Changed() {
+	select {
+	case p.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Self implements membership.RecordSource.
+func (p *Peers) Self() fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.self
+	if p.draining {
+		self.State = fleet.MemberDraining
+	}
+	return self
+}
+
+// Loaded implements membership.RecordSource.
+func (p *Peers) Loaded(members []fleet.Member) {
+	for _, m := range members {
+		p.listed(m)
+	}
+}
+
+// Drain tells all that this instance takes no new callers.
+func (p *Peers) Drain(ctx context.Context) {
+	p.mu.Lock()
+	p.draining = true
+	p.mu.Unlock()
+	p.Changed()
+	p.register(ctx)
+}
+
+// Close removes the record of this instance.
+func (p *Peers) Close(ctx context.Context) error { return p.registry.Close(ctx) }
+
+// Run keeps the record of this instance and the exchange with the others until ctx ends.
+func (p *Peers) Run(ctx context.Context, store kv.Store) {
+	var group sync.WaitGroup
+	group.Go(func() { kvmirror.New(store, membership.MembersPrefix, p.records).Run(ctx) })
+	group.Go(func() { p.keepRegistered(ctx) })
+	group.Go(func() { p.send(ctx) })
+	group.Go(p.receive)
+	<-ctx.Done()
+	p.conn.Close()
+	group.Wait()
+}
+
+func (p *Peers) keepRegistered(ctx context.Context) {
+	for {
+		period := registerPeriod
+		if !p.register(ctx) {
+			period = recordRetry
+		}
+		select {
+		case <-time.After(period):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Peers) register(ctx context.Context) bool {
+	err := p.registry.Reconcile(ctx)
+	if err != nil && ctx.Err() == nil {
+		klog.ErrorS(err, "Membership record was not written")
+	}
+	return err == nil
+}
+
+// records applies a change of the members' records.
+func (p *Peers) records(change kvmirror.Change) {
+	for _, item := range change.Put {
+		member, err := membership.DecodeRecord(item.Value)
+		if err != nil {
+			klog.ErrorS(err, "Membership record skipped", "key", item.Key)
+			continue
+		}
+		p.listed(member)
+	}
+	for _, key := range change.Removed {
+		p.unlisted(fleet.InstanceID(key[len(membership.MembersPrefix):]))
+	}
+}
+
+func (p *Peers) listed(m fleet.Member) {
+	if m.ID == p.self.ID {
+		return
+	}
+	address, err := netip.ParseAddrPort(m.PeerAddress)
+	if err != nil {
+		klog.ErrorS(err, "Membership record without a peer address skipped", "instance", m.ID)
+		return
+	}
+	p.mu.Lock()
+	state, known := p.peers[m.ID]
+	if !known {
+		state = &peerState{}
+		p.peers[m.ID] = state
+	}
+	replaced := known && state.member.Incarnation < m.Incarnation
+	old := state.member
+	state.member, state.address, state.listed = m, address, true
+	p.mu.Unlock()
+	if !known || replaced {
+		klog.InfoS("Peer is known", "instance", m.ID, "incarnation", m.Incarnation, "address", m.PeerAddress, "draining", m.State == fleet.MemberDraining)
+		p.Changed()
+	}
+	if replaced {
+		p.onLost(old)
+	}
+}
+
+// unlisted handles a record that is gone. A peer that is still heard stays: the store may have lost its lease, not the peer.
+func (p *Peers) unlisted(id fleet.InstanceID) {
+	p.mu.Lock()
+	state, known := p.peers[id]
+	if known {
+		state.listed = false
+		if time.Since(state.heard) > silentAfter {
+			delete(p.peers, id)
+		}
+	}
+	p.mu.Unlock()
+	if known {
+		klog.InfoS("Peer's record is gone", "instance", id)
+		p.board.Forget(id)
+		p.onLost(state.member)
+	}
+}
+
+// send tells the peers of each change, and of no change once in a heartbeat.
+func (p *Peers) send(ctx context.Context) {
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.dirty:
+		case <-timer.C:
+			p.findSilent()
+		case <-ctx.Done():
+			return
+		}
+		count := p.sendOnce()
+		timer.Reset(heartbeat)
+		select {
+		case <-time.After(time.Duration(max(count, 1)) * sendPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sendOnce sends one datagram to each peer and returns their number.
+func (p *Peers) sendOnce() int {
+	message := datagram{From: p.self.ID, Process: p.self.Incarnation, Counts: encodeCounts(p.board.Own()), Waiting: p.waiting()}
+	p.mu.Lock()
+	p.sequence++
+	message.Sequence, message.Draining = p.sequence, p.draining
+	addresses := make([]netip.AddrPort, 0, len(p.peers))
+	for _, state := range p.peers {
+		addresses = append(addresses, state.address)
+	}
+	p.mu.Unlock()
+	raw, err := json.Marshal(message)
+	if err != nil {
+		klog.ErrorS(err, "Datagram to peers could not be encoded")
+		return 0
+	}
+	for _, address := range addresses {
+		// A datagram that is lost is made good by the next one; a peer that cannot be reached falls silent.
+		_, _ = p.conn.WriteTo(raw, net.UDPAddrFromAddrPort(address))
+	}
+	return len(addresses)
+}
+
+func encodeCounts(counts map[fleet.TargetID]slots.Count) map[fleet.TargetID][3]int {
+	encoded := make(map[fleet.TargetID][3]int, len(counts))
+	for id, c := range counts {
+		encoded[id] = [3]int{c.Online, c.Firm, c.Yieldable}
+	}
+	return encoded
+}
+
+// receive takes datagrams until the connection is closed.
+func (p *Peers) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.conn.ReadFrom(buffer)
+		if err != nil {
+			if n == 0 && isClosed(err) {
+				return
+			}
+			continue
+		}
+		var message datagram
+		if err := json.Unmarshal(buffer[:n], &message); err != nil {
+			klog.ErrorS(err, "Datagram of a peer skipped", "bytes", n)
+			continue
+		}
+		p.take(&message)
+	}
+}
+
+func (p *Peers) take(message *datagram) {
+	counts := make(map[fleet.TargetID]slots.Count, len(message.Counts))
+	for id, c := range message.Counts {
+		counts[id] = slots.Count{Online: clamp(c[0]), Firm: clamp(c[1]), Yieldable: clamp(c[2])}
+	}
+	if !p.accept(message) {
+		return
+	}
+	p.board.Heard(message.From, counts)
+}
+
+func clamp(n int) int { return min(max(n, 0), math.MaxInt16) }
+
+// accept records a datagram of a known peer. It returns false for one that is older than what is known.
+func (p *Peers) accept(message *datagram) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state, ok := p.peers[message.From]
+	if !ok || message.Process < state.process || message.Process == state.process && message.Sequence <= state.sequence {
+		return false
+	}
+	state.process, state.sequence = message.Process, message.Sequence
+	state.heard, state.waiting = time.Now(), message.Waiting
+	if state.silent {
+		klog.InfoS("Peer is heard again", "instance", message.From, "process", message.Process)
+		state.silent = false
+	}
+	if message.Draining && message.Process == state.member.Incarnation {
+		state.member.State = fleet.MemberDraining
+	}
+	return true
+}
+
+// findSilent reports peers that fell silent.
+func (p *Peers) findSilent() {
+	var lost []fleet.Member
+	now := time.Now()
+	p.mu.Lock()
+	for id, state := range p.peers {
+		if state.heard.IsZero() || state.silent || now.Sub(state.heard) < silentAfter {
+			continue
+		}
+		state.silent = true
+		lost = append(lost, state.member)
+		if !state.listed {
+			delete(p.peers, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, m := range lost {
+		klog.InfoS("Peer fell silent", "instance", m.ID, "incarnation", m.Incarnation, "silent_ms", silentAfter.Milliseconds())
+		p.board.Forget(m.ID)
+		p.onLost(m)
+	}
+}
+
+// Members returns all instances, self included. A listed peer that was not heard lately is suspected.
+func (p *Peers) Members() []fleet.Member {
+	members := []fleet.Member{p.Self()}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, state := range p.peers {
+		m := state.member
+		if m.State == fleet.MemberAlive && now.Sub(state.heard) > silentAfter {
+			m.State = fleet.MemberSuspect
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+// Waiting returns the tokens of unfinished batch items on a route at all peers, as last heard.
+func (p *Peers) Waiting(route string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum int64
+	for _, state := range p.peers {
+		if !state.silent {
+			sum += state.waiting[route]
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/node/gateway/try.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"eelgrassproxy.example/adapters/httpcall"
+	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/stream"
+)
+
+// errNotRun means that the target said that it did not run the request.
+var errNotRun = errors.New("target did not run the request")
+
+// isNotRun tells whether a try certainly left no work at its target.
+func isNotRun(err error) bool {
+	return errors.Is(err, errNotRun) || errors.Is(err, httpcall.ErrNotSent)
+}
+
+// Progress is how far a stream has come, over all of its tries.
+type Progress struct {
+	Last   int64         // id of the last event that was passed on
+	Events int           // events that were passed on
+	First  time.Duration // from the arrival of the request to the first event or the whole answer; 0 before
+}
+
+// try sends the request to the held target and relays the answer. It returns nil when the whole answer was passed on.
+func (x *execution) try(ctx context.Context, held *Held) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	suspect := time.AfterFunc(x.options.Suspect, func() { x.board.Avoid(held.Target.ID, x.options.SuspectFor) })
+	defer suspect.Stop()
+	watchdog := x.watchdog(cancel)
+	defer watchdog.Stop()
+
+	response, err := x.client.Do(ctx, held.Target.Address, x.outgoing(held))
+	if err != nil {
+		return x.sendFailed(ctx, held, err)
+	}
+	defer response.Body.Close()
+	reply := x.protocol.Reply(response.Status, response.Header)
+	if suspect.Stop() && !reply.NotRun {
+		x.board.Trust(held.Target.ID)
+	}
+	switch {
+	case reply.OtherTarget:
+		x.board.Avoid(held.Target.ID, x.options.SuspectFor)
+		return fmt.Errorf("%w: another target has its address", errNotRun)
+	case reply.NotRun:
+		return fmt.Errorf("%w: status %d", errNotRun, response.Status)
+	case reply.Events:
+		x.status = response.Status
+		return x.relay(ctx, response, reply, watchdog)
+	}
+	return x.whole(ctx, held.Target.ID, response, reply)
+}
+
+// outgoing builds the message of a try.
+func (x *execution) outgoing(held *Held) *rawhttp.Request {
+	r := x.request
+	attempt := Attempt{
+		Target:    held.Target,
+		Remaining: time.Until(r.Deadline),
+		Resume:    x.progress.Events > 0,
+		After:     x.progress.Last,
+	}
+	out := &rawhttp.Request{
+		Method: r.Method,
+		URI:    r.URI,
+		Host:   r.Host,
+		Header: x.protocol.Header(r, attempt),
+		Body:   r.Body,
+		Mine:   func(header http.Header) bool { return x.protocol.Mine(r.ID, header) },
+	}
+	if !r.Route.Repeatable() {
+		out.MaxIdle = x.options.FreshWithin
+	}
+	return out
+}
+
+// watchdog ends the try after a silence, if the request can go on elsewhere. Otherwise the target's answer may still come, and the
+// deadline ends the wait.
+func (x *execution) watchdog(cancel context.CancelCauseFunc) *watchdog {
+	if !x.request.Route.Repeatable() || x.tries.Ran+1 >= x.request.Route.MaxAttempts {
+		return &watchdog{}
+	}
+	return &watchdog{period: x.options.Progress, timer: time.AfterFunc(x.options.Progress, func() { cancel(errSilent) })}
+}
+
+// watchdog is a timer that may be absent.
+type watchdog struct {
+	period time.Duration
+	timer  *time.Timer
+}
+
+func (w *watchdog) progressed() {
+	if w.timer != nil {
+		w.timer.Reset(w.period)
+	}
+}
+
+// Stop ends the watchdog.
+func (w *watchdog) Stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// sendFailed learns from a request that got no response header.
+func (x *execution) sendFailed(ctx context.Context, held *Held, err error) error {
+	switch {
+	case errors.Is(err, httpcall.ErrNotSent) && ctx.Err() == nil:
+		x.board.Avoid(held.Target.ID, x.options.UnreachableFor)
+		x.client.CloseIdle(held.Target.Address)
+	case errors.Is(context.Cause(ctx), errSilent):
+		x.board.Avoid(held.Target.ID, x.options.SuspectFor)
+		x.client.CloseIdle(held.Target.Address)
+	}
+	return err
+}
+
+const (
+	// maxEventBytes bounds one event; an event of some tokens has less than a kilobyte.
+	maxEventBytes = 256 << 10
+	// relayBuffer is the size in bytes of one read of a stream.
+	relayBuffer = 4 << 10
+)
+
+// relay passes whole events on as they come and checks that their ids follow each other.
+func (x *execution) relay(ctx context.Context, response *rawhttp.Response, reply Reply, watchdog *watchdog) error {
+	if !reply.Complete && response.Status < http.StatusMultipleChoices {
+		return errIncomplete
+	}
+	splitter := stream.NewSplitter(maxEventBytes)
+	buffer := make([]byte, relayBuffer)
+	var out []byte
+	for {
+		n, readErr := response.Body.Read(buffer)
+		splitter.Add(buffer[:n])
+		var err error
+		out, err = x.events(splitter, out[:0])
+		if len(out) > 0 {
+			watchdog.progressed()
+			if err := x.pass(response, out); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err != nil:
+			return err
+		case readErr == io.EOF && splitter.Pending() == 0 && x.progress.Events > 0:
+			return nil
+		case readErr == io.EOF:
+			return fmt.Errorf("%w after %d events", errBroken, x.progress.Events)
+		case readErr != nil && ctx.Err() != nil:
+			return fmt.Errorf("%w: %w", errBroken, context.Cause(ctx))
+		case readErr != nil:
+			return fmt.Errorf("%w after %d events: %w", errBroken, x.progress.Events, readErr)
+		}
+	}
+}
+
+// events appends the whole events that are there to out.
+func (x *execution) events(splitter *stream.Splitter, out []byte) ([]byte, error) {
+	for {
+		event, ok, err := splitter.Next()
+		if err != nil || !ok {
+			return out, err
+		}
+		if event.HasID {
+			if x.progress.Events > 0 && event.ID != x.progress.Last+1 {
+				return out, fmt.Errorf("%w: id %d follows %d", errOrder, event.ID, x.progress.Last)
+			}
+			x.progress.Last = event.ID
+		}
+		x.progress.Events++
+		out = append(out, event.Raw...)
+	}
+}
+
+// pass writes events to the sink, after the header of the first target that had one.
+func (x *execution) pass(response *rawhttp.Response, events []byte) error {
+	if err := x.start(response.Status, response.Header); err != nil {
+		return err
+	}
+	if err := x.sink.Write(events); err != nil {
+		return fmt.Errorf("%w: %w", ErrSinkGone, err)
+	}
+	return nil
+}
+
+func (x *execution) start(status int, header http.Header) error {
+	if x.began {
+		return nil
+	}
+	x.began = true
+	x.progress.First = time.Since(x.request.Arrived)
+	x.metrics.Tagged(map[string]string{"route": x.request.Route.Name}).Histogram("first_byte", latencyBuckets).RecordDuration(x.progress.First)
+	if err := x.sink.Start(status, header); err != nil {
+		return fmt.Errorf("%w: %w", ErrSinkGone, err)
+	}
+	return nil
+}
+
+// wholeAnswer is an answer in one piece.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (w *wholeAnswer) write(x *execution) error {
+	if err := x.start(w.status, w.header); err != nil {
+		return err
+	}
+	if err := x.sink.Write(w.body); err != nil {
+		return fmt.Errorf("%w: %w", ErrSinkGone, err)
+	}
+	return nil
+}
+
+// whole reads an answer in one piece before any of it is passed on. A failure that may be repeated elsewhere is kept instead, and passed
+// on if nothing better comes.
+func (x *execution) whole(ctx context.Context, id fleet.TargetID, response *rawhttp.Response, reply Reply) error {
+	limit := x.options.MaxAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return fmt.Errorf("%w: %w", errBroken, context.Cause(ctx))
+	case err != nil:
+		return fmt.Errorf("%w: %w", errBroken, err)
+	case int64(len(body)) > limit:
+		return fmt.Errorf("answer exceeds %d bytes", limit)
+	}
+	answer := &wholeAnswer{status: response.Status, header: response.Header, body: body}
+	success := response.Status < http.StatusMultipleChoices
+	switch {
+	case success && !reply.Complete:
+		return errIncomplete
+	case x.began:
+		return fmt.Errorf("target answered status %d to a resumed stream", response.Status)
+	case response.Status >= http.StatusInternalServerError && x.request.Route.Repeatable():
+		x.failure = answer
+		return fmt.Errorf("target answered status %d", response.Status)
+	}
+	x.status = response.Status
+	return answer.write(x)
+}
