--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -110,7 +110,8 @@
 type execution struct {
 	*Forwarder
 	request  *Request
-	sink     Sink
+	sink     Sink         // nil for a batch item
+	onEvent  func([]byte) // takes the data of each event of a batch item
 	progress *Progress
 	tries    limits.Tries
 	excluded map[fleet.TargetID]bool
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -47,13 +47,13 @@
 // Peers knows the other instances: from their records in the store, and from the datagrams by which all tell each other how many
 // requests they hold at each target. It is safe for concurrent use.
 type Peers struct {
-	self     fleet.Member
-	board    *Board
-	conn     net.PacketConn
-	dirty    chan struct{}
-	waiting  func() map[string]int64
-	onLost   func(fleet.Member)
-	registry *membership.Registrar
+	self      fleet.Member
+	board     *Board
+	conn      net.PacketConn
+	dirty     chan struct{}
+	waiting   func() map[string]int64
+	onMembers func()
+	registry  *membership.Registrar
 
 	mu       sync.Mutex // guards the fields below; a leaf
 	draining bool
@@ -75,13 +75,13 @@
 // NewPeers returns the peers of self, which listens for datagrams on conn.
 func NewPeers(self fleet.Member, store kv.Store, board *Board, conn net.PacketConn) *Peers {
 	p := &Peers{
-		self:    self,
-		board:   board,
-		conn:    conn,
-		dirty:   make(chan struct{}, 1),
-		waiting: func() map[string]int64 { return nil },
-		onLost:  func(fleet.Member) {},
-		peers:   make(map[fleet.InstanceID]*peerState),
+		self:      self,
+		board:     board,
+		conn:      conn,
+		dirty:     make(chan struct{}, 1),
+		waiting:   func() map[string]int64 { return nil },
+		onMembers: func() {},
+		peers:     make(map[fleet.InstanceID]*peerState),
 	}
 	p.registry = membership.NewRegistrar(p, store)
 	p.registry.LastBackoff = recordRetry
@@ -92,8 +92,9 @@
 // OnWaiting sets the source of the tokens that wait. Call it before Run.
 func (p *Peers) OnWaiting(waiting func() map[string]int64) { p.waiting = waiting }
 
-// OnLost sets what is called when a peer fell silent, lost its record or was replaced by a new process. Call it before Run.
-func (p *Peers) OnLost(lost func(fleet.Member)) { p.onLost = lost }
+// OnMembers sets what is called when a peer fell silent, was heard again, lost its record or was replaced by a new process. It must not
+// block. Call it before Run.
+func (p *Peers) OnMembers(changed func()) { p.onMembers = changed }
 
 // Changed asks for a datagram soon.
 func (p *Peers) Changed() {
@@ -198,7 +199,6 @@
 		p.peers[m.ID] = state
 	}
 	replaced := known && state.member.Incarnation < m.Incarnation
-	old := state.member
 	state.member, state.address, state.listed = m, address, true
 	p.mu.Unlock()
 	if !known || replaced {
@@ -206,7 +206,7 @@
 		p.Changed()
 	}
 	if replaced {
-		p.onLost(old)
+		p.onMembers()
 	}
 }
 
@@ -224,7 +224,7 @@
 	if known {
 		klog.InfoS("Peer's record is gone", "instance", id)
 		p.board.Forget(id)
-		p.onLost(state.member)
+		p.onMembers()
 	}
 }
 
@@ -327,6 +327,7 @@
 	if state.silent {
 		klog.InfoS("Peer is heard again", "instance", message.From, "process", message.Process)
 		state.silent = false
+		p.onMembers()
 	}
 	if message.Draining && message.Process == state.member.Incarnation {
 		state.member.State = fleet.MemberDraining
@@ -353,7 +354,7 @@
 	for _, m := range lost {
 		klog.InfoS("Peer fell silent", "instance", m.ID, "incarnation", m.Incarnation, "silent_ms", silentAfter.Milliseconds())
 		p.board.Forget(m.ID)
-		p.onLost(m)
+		p.onMembers()
 	}
 }
 
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -179,12 +179,18 @@
 			x.progress.Last = event.ID
 		}
 		x.progress.Events++
+		if x.onEvent != nil {
+			x.onEvent(event.Data)
+		}
 		out = append(out, event.Raw...)
 	}
 }
 
 // pass writes events to the sink, after the header of the first target that had one.
 func (x *execution) pass(response *rawhttp.Response, events []byte) error {
+	if x.sink == nil {
+		return nil
+	}
 	if err := x.start(response.Status, response.Header); err != nil {
 		return err
 	}
@@ -242,6 +248,8 @@
 	switch {
 	case success && !reply.Complete:
 		return errIncomplete
+	case x.sink == nil:
+		return &statusError{response.Status}
 	case x.began:
 		return fmt.Errorf("target answered status %d to a resumed stream", response.Status)
 	case response.Status >= http.StatusInternalServerError && x.request.Route.Repeatable():
@@ -251,3 +259,9 @@
 	x.status = response.Status
 	return answer.write(x)
 }
+
+// statusError is a target's answer in one piece to a batch item.
+type statusError struct{ status int }
+
+// Error implements error.
+func (e *statusError) Error() string { return fmt.Sprintf("target answered status %d", e.status) }
--- /dev/null
+++ b/node/itemjobs/owners.go
@@ -0,0 +1,329 @@
+package itemjobs
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/rendezvous"
+	"eelgrassproxy.example/node/gateway"
+)
+
+const (
+	// scanPeriod is how often an instance compares the open jobs with the living instances, beside each change of these.
+	scanPeriod = 2 * time.Second
+	// scanTimeout bounds one look with all that it takes up.
+	scanTimeout = 4 * time.Second
+	// settleDelay lets the view of the members settle after a change, so that instances agree on who takes a job up.
+	settleDelay = 150 * time.Millisecond
+)
+
+// watchOwners takes up open jobs whose owner is gone, and drops jobs that others took.
+func (s *Service) watchOwners(ctx context.Context) {
+	for ctx.Err() == nil {
+		stale := false
+		select {
+		case <-s.scan:
+			time.Sleep(settleDelay)
+		case <-time.After(scanPeriod/2 + rand.N(scanPeriod)):
+			stale = true // a periodic look is the second line; data that is seconds old will do
+		case <-ctx.Done():
+			return
+		}
+		if err := s.look(ctx, stale); err != nil && ctx.Err() == nil {
+			klog.ErrorS(err, "Open jobs were not looked at")
+		}
+	}
+}
+
+// look compares the open marks with the members once.
+func (s *Service) look(ctx context.Context, stale bool) error {
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-owners"), scanTimeout)
+	defer cancel()
+	listing := ctx
+	if stale {
+		listing = kv.AllowStale(ctx)
+	}
+	asOf := time.Now()
+	open, err := s.Store.List(listing, openPrefix)
+	if err != nil {
+		return err
+	}
+	living := s.living()
+	orphaned := make(map[string]int64)
+	marks := make(map[itemjob.ID]openMark, len(open.Items))
+	for _, item := range open.Items {
+		var mark openMark
+		if err := decode(item.Value, &mark); err != nil {
+			klog.ErrorS(err, "Open mark skipped", "key", item.Key)
+			continue
+		}
+		id := jobOf(item.Key, openPrefix)
+		marks[id] = mark
+		if s.isOrphan(id, mark, living) {
+			orphaned[mark.Route] += mark.Tokens
+			s.takeUp(ctx, id, living)
+		}
+	}
+	s.mu.Lock()
+	s.orphaned = orphaned
+	s.mu.Unlock()
+	s.verify(ctx, marks, asOf)
+	return nil
+}
+
+// living returns the processes of all instances that were heard lately.
+func (s *Service) living() map[fleet.InstanceID]uint64 {
+	living := make(map[fleet.InstanceID]uint64)
+	for _, m := range s.Peers.Members() {
+		if m.State == fleet.MemberAlive || m.State == fleet.MemberDraining {
+			living[m.ID] = m.Incarnation
+		}
+	}
+	return living
+}
+
+// isOrphan tells whether nobody works on a job. This process may be named as the owner without knowing it, when the answer of the store to
+// a submission was lost.
+func (s *Service) isOrphan(id itemjob.ID, mark openMark, living map[fleet.InstanceID]uint64) bool {
+	if mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation {
+		_, known := s.owned(id)
+		return !known
+	}
+	process, lives := living[mark.Owner]
+	return !lives || process != mark.Process
+}
+
+// takeUp makes this instance the owner of an orphaned job if it is the one to do so.
+func (s *Service) takeUp(ctx context.Context, id itemjob.ID, living map[fleet.InstanceID]uint64) {
+	if s.successor(id, living) != s.Self.ID {
+		return
+	}
+	if err := s.Adopt(ctx, id); err != nil {
+		klog.ErrorS(err, "Job was not taken up", "job", id)
+	}
+}
+
+// successor returns the instance that takes a job up: all that see the same members choose the same one.
+func (s *Service) successor(id itemjob.ID, living map[fleet.InstanceID]uint64) fleet.InstanceID {
+	var ids []string
+	for _, m := range s.Peers.Members() {
+		if _, lives := living[m.ID]; lives && m.State == fleet.MemberAlive {
+			ids = append(ids, string(m.ID))
+		}
+	}
+	chosen := rendezvous.Rendezvous(string(id), ids, 1)
+	if len(chosen) == 0 {
+		return ""
+	}
+	return fleet.InstanceID(chosen[0])
+}
+
+// errContended means that another instance changed the job at the same time.
+var errContended = eris.New("record of the job changed meanwhile")
+
+// Adopt takes a job up: it writes this instance into the record, so that the former owner can record nothing more, and loads what is
+// recorded.
+func (s *Service) Adopt(ctx context.Context, id itemjob.ID) error {
+	if _, ok := s.owned(id); ok {
+		return nil
+	}
+	record, revision, err := s.getRecord(ctx, id)
+	if err != nil {
+		return err
+	}
+	if record.Ended {
+		return nil
+	}
+	former := record.Owner
+	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
+	ops, err := putJSON(recordKey(id), record, openKey(id), markOf(&record))
+	if err != nil {
+		return err
+	}
+	result, err := s.Store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{{Key: recordKey(id), Target: kv.CompareModRevision, Revision: revision}},
+		Then:     ops,
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Succeeded {
+		return errContended
+	}
+	return s.resume(ctx, record, result.Revision, former)
+}
+
+// resume goes on with a job that this instance has just become the owner of.
+func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID) error {
+	items, err := s.loadItems(ctx, &record)
+	if err != nil {
+		return err
+	}
+	results, err := s.load(ctx, record.ID)
+	if err != nil {
+		return err
+	}
+	job := itemjob.NewJob(record, items, results)
+	continued := s.restorePartial(ctx, job)
+	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
+		"due_in_ms", time.Until(record.Due).Milliseconds())
+	s.own(context.WithoutCancel(ctx), job, revision)
+	return nil
+}
+
+// restorePartial gives items the events that the former owner left when it gave the job up. It returns their number.
+func (s *Service) restorePartial(ctx context.Context, job *itemjob.Job) int {
+	found, err := s.Store.Get(ctx, partialKey(job.ID))
+	if err != nil {
+		if !errors.Is(err, kv.ErrNotFound) {
+			klog.ErrorS(err, "Events of unfinished items were not read, they run from the start", "job", job.ID)
+		}
+		return 0
+	}
+	var partials []partial
+	if err := decode(found.Value, &partials); err != nil {
+		klog.ErrorS(err, "Events of unfinished items cannot be read, they run from the start", "job", job.ID)
+		return 0
+	}
+	continued := 0
+	for _, p := range partials {
+		if p.Index < 0 || p.Index >= len(job.Tasks) || job.Tasks[p.Index].Phase != itemjob.Waiting {
+			continue
+		}
+		t := job.Tasks[p.Index]
+		t.Last, t.Events, t.Output = p.Last, p.Events, p.Output
+		continued++
+	}
+	return continued
+}
+
+// verify drops jobs that the store says are not this instance's any more.
+func (s *Service) verify(ctx context.Context, marks map[itemjob.ID]openMark, asOf time.Time) {
+	s.mu.Lock()
+	var doubtful []*owned
+	for id, j := range s.jobs {
+		mark, open := marks[id]
+		mine := open && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
+		if !mine && !j.Complete() && j.Submitted.Before(asOf) {
+			doubtful = append(doubtful, j)
+		}
+	}
+	s.mu.Unlock()
+	for _, j := range doubtful {
+		record, revision, err := s.getRecord(ctx, j.ID)
+		if err == nil && (revision != j.revision || record.Ended) || errors.Is(err, ErrNotFound) {
+			s.drop(j, "another instance owns it, or it ended")
+		}
+	}
+}
+
+// Drain gives all jobs up to other instances: items in flight end, and their events so far are kept for the next owner.
+func (s *Service) Drain(ctx context.Context) {
+	ctx = kv.WithPurpose(ctx, "job-drain")
+	s.mu.Lock()
+	s.draining = true
+	var open []*owned
+	var runs []*run
+	for _, j := range s.jobs {
+		if !j.gone && !j.Complete() {
+			open = append(open, j)
+			runs = append(runs, s.runsOf(j)...)
+		}
+	}
+	for _, r := range runs {
+		r.ended = true
+	}
+	s.mu.Unlock()
+	for _, r := range runs {
+		r.cancel(gateway.ErrYielded)
+		r.held.Release()
+	}
+	time.Sleep(settleDelay) // the runs add their events to their tasks
+	for _, j := range open {
+		s.settle(ctx, j)
+		s.giveUp(ctx, j)
+	}
+}
+
+// settleResults is how long a drain waits for the results of a job to be recorded.
+const settleResults = time.Second
+
+// settle records what is finished of a job at once.
+func (s *Service) settle(ctx context.Context, j *owned) {
+	ctx, cancel := context.WithTimeout(ctx, settleResults)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		j.Hurry = true
+		poke(j.flush)
+		pending, changed := j.Pending(), j.changed
+		s.mu.Unlock()
+		if pending == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// giveUp clears the owner of a job and asks another instance to take it up.
+func (s *Service) giveUp(ctx context.Context, j *owned) {
+	s.mu.Lock()
+	record, revision := j.Record, j.revision
+	var partials []partial
+	size := 0
+	for _, t := range j.Tasks {
+		if t.Phase != itemjob.Waiting || t.Events == 0 {
+			continue
+		}
+		for _, data := range t.Output {
+			size += len(data) + partialOverhead
+		}
+		if size > maxPartialBytes {
+			break
+		}
+		partials = append(partials, partial{Index: t.Index, Last: t.Last, Events: t.Events, Output: t.Output})
+	}
+	s.mu.Unlock()
+	record.Owner, record.Process = "", 0
+	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), partials)
+	if err == nil {
+		var result kv.TxnResult
+		result, err = s.Store.Txn(ctx, kv.Txn{
+			Compares: []kv.Compare{{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: revision}},
+			Then:     ops,
+		})
+		if err == nil && !result.Succeeded {
+			err = errContended
+		}
+	}
+	if err != nil {
+		klog.ErrorS(err, "Job was not given up, others take it up when this instance is gone", "job", j.ID)
+		return
+	}
+	s.drop(j, "this instance drains")
+	next := s.successor(j.ID, s.living())
+	if address, ok := s.peerAddress(next); ok {
+		if err := s.calls.adopt(ctx, address, j.ID); err != nil {
+			klog.ErrorS(err, "Successor was not told of a job and finds it by itself", "job", j.ID, "successor", next)
+		}
+	}
+}
+
+const (
+	// partialOverhead is what JSON adds to an event's data.
+	partialOverhead = 4
+	// maxPartialBytes bounds the events that are handed on; the rest of the items run from the start.
+	maxPartialBytes = 600 << 10
+)
--- /dev/null
+++ b/node/itemjobs/peercalls.go
@@ -0,0 +1,137 @@
+package itemjobs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/httpcall"
+	"eelgrassproxy.example/core/itemjob"
+)
+
+const (
+	// peerTimeout bounds a call to a peer beyond the time that the peer may wait for a result. Regions are 12 ms apart.
+	peerTimeout = 400 * time.Millisecond
+	// maxPeerAnswer bounds an answer of a peer: a page of results.
+	maxPeerAnswer = 4 << 20
+	// maxPeerWait bounds how long a peer may keep a reader waiting.
+	maxPeerWait = 5 * time.Second
+)
+
+// errNotOwner means that the peer does not own the job.
+var errNotOwner = eris.New("peer does not own the job")
+
+// peerCalls are the calls between instances about jobs.
+type peerCalls struct{ client *http.Client }
+
+func newPeerCalls() peerCalls {
+	dialer := &net.Dialer{Timeout: peerTimeout}
+	return peerCalls{client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}}
+}
+
+func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, patience time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience+peerTimeout)
+	defer cancel()
+	target := httpcall.BaseURL(address)
+	target.Path, target.RawQuery = path, query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
+	switch {
+	case err != nil:
+		return nil, err
+	case response.StatusCode == http.StatusNotFound:
+		return nil, errNotOwner
+	case response.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("peer answered status %d", response.StatusCode)
+	}
+	return body, nil
+}
+
+func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, patience time.Duration) (Page, error) {
+	query := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(patience.Milliseconds(), 10)}}
+	body, err := c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/results", query, patience)
+	if err != nil {
+		return Page{}, err
+	}
+	var page Page
+	return page, json.Unmarshal(body, &page)
+}
+
+func (c peerCalls) body(ctx context.Context, address string, id itemjob.ID, item string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/body", url.Values{"item": {item}}, 0)
+}
+
+func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID) error {
+	_, err := c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/adopt", nil, adoptTimeout)
+	return err
+}
+
+// adoptTimeout bounds the store calls by which a peer takes a job up.
+const adoptTimeout = 2 * time.Second
+
+// PeerHandler answers the calls of peers.
+func (s *Service) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/item-jobs/{job}/results", s.servePage)
+	mux.HandleFunc("GET /v1/item-jobs/{job}/body", s.serveBody)
+	mux.HandleFunc("POST /v1/item-jobs/{job}/adopt", s.serveAdopt)
+	return mux
+}
+
+func (s *Service) servePage(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	wait, errWait := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil || errWait != nil || after < 0 || wait < 0 {
+		http.Error(w, "after and wait_ms must be numbers of at least 0", http.StatusBadRequest)
+		return
+	}
+	page, ok := s.ReadOwned(r.Context(), itemjob.ID(r.PathValue("job")), after, min(time.Duration(wait)*time.Millisecond, maxPeerWait))
+	if !ok {
+		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
+		return
+	}
+	body, err := json.Marshal(page)
+	if err != nil {
+		klog.ErrorS(err, "Page of results cannot be encoded", "job", r.PathValue("job"))
+		http.Error(w, "page cannot be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // a peer that has gone reads the store
+}
+
+func (s *Service) serveBody(w http.ResponseWriter, r *http.Request) {
+	body, ok := s.BodyOwned(itemjob.ID(r.PathValue("job")), r.URL.Query().Get("item"))
+	if !ok {
+		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
+		return
+	}
+	_, _ = io.Copy(w, bytes.NewReader(body)) // as above
+}
+
+func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
+	err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")))
+	if err != nil && !errors.Is(err, errContended) {
+		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/node/itemjobs/read.go
@@ -0,0 +1,245 @@
+package itemjobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+)
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int              `json:"total"`   // items of the job
+	Results []itemjob.Result `json:"results"` // from the position asked for
+	Next    int              `json:"next"`    // position behind them
+}
+
+const (
+	// maxPageBytes bounds the output in a page; clients take a megabyte of JSON.
+	maxPageBytes = 600 << 10
+	// readTime bounds the store calls of a read.
+	readTime = 2 * time.Second
+)
+
+// pageOf returns the results from a position.
+func pageOf(total int, results []itemjob.Result, after int) Page {
+	page := Page{Total: total, Results: []itemjob.Result{}, Next: after}
+	size := 0
+	for i := after; i < len(results); i++ {
+		size += len(results[i].Output)
+		if i > after && size > maxPageBytes {
+			break
+		}
+		page.Results = append(page.Results, results[i])
+		page.Next++
+	}
+	return page
+}
+
+// Read returns results from a position on. It waits for one at most for the time given. Errors: ErrNotFound, ErrUnavailable.
+func (s *Service) Read(ctx context.Context, id itemjob.ID, after int, patience time.Duration) (Page, error) {
+	if page, ok := s.ReadOwned(ctx, id, after, patience); ok {
+		return page, nil
+	}
+	if owner, ok := s.ownerOf(id); ok {
+		if page, err := s.calls.read(ctx, owner, id, after, patience); err == nil {
+			return page, nil
+		}
+	}
+	return s.readStored(kv.WithPurpose(ctx, "job-read"), id, after, patience)
+}
+
+// ReadOwned reads a job that this instance owns; ok is false for another one.
+func (s *Service) ReadOwned(ctx context.Context, id itemjob.ID, after int, patience time.Duration) (page Page, ok bool) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		j, owned := s.jobs[id]
+		if !owned || j.gone {
+			s.mu.Unlock()
+			return Page{}, false
+		}
+		changed := j.changed
+		page = pageOf(len(j.Tasks), j.Results, after)
+		complete := j.Complete()
+		s.mu.Unlock()
+		if len(page.Results) > 0 || complete || patience <= 0 {
+			return page, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, true
+		case <-ctx.Done():
+			return page, true
+		}
+	}
+}
+
+// ownerOf returns the peer address of the last known owner of a job.
+func (s *Service) ownerOf(id itemjob.ID) (string, bool) {
+	s.mu.Lock()
+	owner, ok := s.owners[id]
+	s.mu.Unlock()
+	if !ok {
+		return "", false
+	}
+	return s.peerAddress(owner)
+}
+
+// peerAddress returns the address of a peer that was heard lately.
+func (s *Service) peerAddress(id fleet.InstanceID) (string, bool) {
+	for _, m := range s.Peers.Members() {
+		if m.ID == id && id != s.Self.ID && m.State != fleet.MemberSuspect && m.State != fleet.MemberDead {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+// readStored reads from the store, and from the owner that the record names while the job is open.
+func (s *Service) readStored(ctx context.Context, id itemjob.ID, after int, patience time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime+patience)
+	defer cancel()
+	record, _, err := s.getRecord(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	if address, ok := s.learnOwner(&record); ok {
+		if page, err := s.calls.read(ctx, address, id, after, patience); err == nil {
+			return page, nil
+		}
+	}
+	results, err := s.load(ctx, id)
+	if err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	return pageOf(record.Items, results, after), nil
+}
+
+// maxOwners bounds the remembered owners; the oldest are not told apart, so that all are forgotten at once.
+const maxOwners = 10_000
+
+// learnOwner remembers the owner of a job and returns its address.
+func (s *Service) learnOwner(record *itemjob.Record) (string, bool) {
+	if record.Owner == "" || record.Ended {
+		return "", false
+	}
+	s.mu.Lock()
+	if len(s.owners) >= maxOwners {
+		clear(s.owners)
+	}
+	s.owners[record.ID] = record.Owner
+	s.mu.Unlock()
+	return s.peerAddress(record.Owner)
+}
+
+// Body returns the body of an item. Errors: ErrNotFound, ErrUnavailable.
+func (s *Service) Body(ctx context.Context, id itemjob.ID, item string) ([]byte, error) {
+	if body, ok := s.BodyOwned(id, item); ok {
+		return body, nil
+	}
+	if owner, ok := s.ownerOf(id); ok {
+		if body, err := s.calls.body(ctx, owner, id, item); err == nil {
+			return body, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-body"), readTime)
+	defer cancel()
+	record, _, err := s.getRecord(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if record.Ended {
+		return nil, ErrNotFound
+	}
+	items, err := s.loadItems(ctx, &record)
+	if err != nil {
+		return nil, errors.Join(ErrUnavailable, err)
+	}
+	for i := range items {
+		if items[i].ID == item {
+			return items[i].Body, nil
+		}
+	}
+	return nil, ErrNotFound
+}
+
+// BodyOwned returns the body of an item of a job that this instance owns.
+func (s *Service) BodyOwned(id itemjob.ID, item string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	if !ok || j.gone {
+		return nil, false
+	}
+	task := j.Task(item)
+	if task == nil {
+		return nil, false
+	}
+	return task.Item.Body, true
+}
+
+const (
+	// endTime bounds the attempts to end a job.
+	endTime = 3 * time.Second
+	// endedMarkTTL is how long the mark that tells owners of the end is kept.
+	endedMarkTTL = time.Minute
+)
+
+// End ends a job for its client: no further items start, and no further results are recorded. Errors: ErrNotFound, ErrUnavailable.
+func (s *Service) End(ctx context.Context, id itemjob.ID) error {
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTime)
+	defer cancel()
+	for {
+		record, revision, err := s.getRecord(ctx, id)
+		if err != nil {
+			return err
+		}
+		if record.Ended {
+			return nil
+		}
+		done, err := s.endOnce(ctx, record, revision)
+		if err != nil {
+			return errors.Join(ErrUnavailable, err)
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+// endOnce ends the job if its record is still at the revision.
+func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) (bool, error) {
+	lease, err := s.Store.Grant(ctx, endedMarkTTL)
+	if err != nil {
+		return false, err
+	}
+	record.Ended, record.Owner, record.Process = true, "", 0
+	ops, err := putJSON(recordKey(record.ID), record, endedKey(record.ID), struct{}{})
+	if err != nil {
+		return false, err
+	}
+	ops[1].Lease = lease
+	result, err := s.Store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{{Key: recordKey(record.ID), Target: kv.CompareModRevision, Revision: revision}},
+		Then:     append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(record.ID)}),
+	})
+	if err != nil {
+		return false, err
+	}
+	if result.Succeeded {
+		s.endHere(record.ID)
+	}
+	return result.Succeeded, nil
+}
+
+func (s *Service) endHere(id itemjob.ID) {
+	if j, ok := s.owned(id); ok {
+		s.drop(j, "client ended it")
+	}
+}
--- /dev/null
+++ b/node/itemjobs/records.go
@@ -0,0 +1,143 @@
+package itemjobs
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+)
+
+// Keys in the store. A job has one record, one or more parts with its items, one key for each group of results that was recorded together,
+// and, until all results are recorded, an open mark.
+const (
+	root          = "/eelgrass/item-jobs/"
+	recordPrefix  = root + "record/"
+	openPrefix    = root + "open/"
+	partPrefix    = root + "part/"
+	resultPrefix  = root + "result/"
+	partialPrefix = root + "partial/"
+	endedPrefix   = root + "ended/"
+)
+
+// ErrBadRecord means that a value in the store cannot be read.
+var ErrBadRecord = eris.New("value of a job cannot be read")
+
+func recordKey(id itemjob.ID) string  { return recordPrefix + string(id) }
+func openKey(id itemjob.ID) string    { return openPrefix + string(id) }
+func partialKey(id itemjob.ID) string { return partialPrefix + string(id) }
+func endedKey(id itemjob.ID) string   { return endedPrefix + string(id) }
+
+func partKey(id itemjob.ID, n int) string { return fmt.Sprintf("%s%s/%04d", partPrefix, id, n) }
+
+// resultKey names the group of results that begins at a position. Keys sort by position.
+func resultKey(id itemjob.ID, position int) string {
+	return fmt.Sprintf("%s%s/%06d", resultPrefix, id, position)
+}
+
+// openMark is the value of an open mark: what other instances need to know without reading the record.
+type openMark struct {
+	Owner   fleet.InstanceID `json:"owner,omitempty"`
+	Process uint64           `json:"process,omitempty"`
+	Route   string           `json:"route"`
+	Tokens  int64            `json:"tokens"`
+}
+
+func markOf(r *itemjob.Record) openMark {
+	return openMark{Owner: r.Owner, Process: r.Process, Route: r.Route, Tokens: r.Tokens}
+}
+
+// partial is what a run received of an item before its owner gave the job up.
+type partial struct {
+	Index  int      `json:"index"`
+	Last   int64    `json:"last"`
+	Events int      `json:"events"`
+	Output []string `json:"output"`
+}
+
+func decode(value []byte, into any) error {
+	if err := json.Unmarshal(value, into); err != nil {
+		return eris.Wrap(ErrBadRecord, err.Error())
+	}
+	return nil
+}
+
+// maxPartBytes bounds the items in one key; the store takes values of a megabyte.
+const maxPartBytes = 900 << 10
+
+// encodeParts packs items into values of bounded size. A value holds, for each item, the length of its JSON, the length of its body, and
+// both: bodies are not text, so that JSON would make them a third larger.
+func encodeParts(items []itemjob.Item) ([][]byte, error) {
+	var parts [][]byte
+	var current []byte
+	for i := range items {
+		head, err := json.Marshal(&items[i])
+		if err != nil {
+			return nil, err
+		}
+		size := len(head) + len(items[i].Body) + 2*binary.MaxVarintLen32
+		if size > maxPartBytes {
+			return nil, fmt.Errorf("item %q has %d bytes, at most %d can be kept", items[i].ID, size, maxPartBytes)
+		}
+		if len(current) > 0 && len(current)+size > maxPartBytes {
+			parts = append(parts, current)
+			current = nil
+		}
+		current = binary.AppendUvarint(current, uint64(len(head)))
+		current = binary.AppendUvarint(current, uint64(len(items[i].Body)))
+		current = append(current, head...)
+		current = append(current, items[i].Body...)
+	}
+	return append(parts, current), nil
+}
+
+// decodePart unpacks what encodeParts packed.
+func decodePart(value []byte) ([]itemjob.Item, error) {
+	var items []itemjob.Item
+	reader := bytes.NewReader(value)
+	for reader.Len() > 0 {
+		head, err := takeBytes(reader, 2)
+		if err != nil {
+			return nil, err
+		}
+		var item itemjob.Item
+		if err := decode(head[0], &item); err != nil {
+			return nil, err
+		}
+		item.Body = head[1]
+		items = append(items, item)
+	}
+	return items, nil
+}
+
+// takeBytes reads the lengths of n byte strings and the strings.
+func takeBytes(reader *bytes.Reader, n int) ([][]byte, error) {
+	lengths := make([]uint64, n)
+	for i := range lengths {
+		length, err := binary.ReadUvarint(reader)
+		if err != nil {
+			return nil, eris.Wrap(ErrBadRecord, err.Error())
+		}
+		lengths[i] = length
+	}
+	strings := make([][]byte, n)
+	for i, length := range lengths {
+		if length > uint64(reader.Len()) {
+			return nil, eris.Wrapf(ErrBadRecord, "%d bytes stated, %d left", length, reader.Len())
+		}
+		strings[i] = make([]byte, length)
+		_, _ = reader.Read(strings[i]) // cannot fail: the bytes are there
+	}
+	return strings, nil
+}
+
+// jobOf returns the job's id in a key under a prefix.
+func jobOf(key, prefix string) itemjob.ID {
+	id, _, _ := strings.Cut(strings.TrimPrefix(key, prefix), "/")
+	return itemjob.ID(id)
+}
--- /dev/null
+++ b/node/itemjobs/results.go
@@ -0,0 +1,182 @@
+package itemjobs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/internal/wait"
+)
+
+const (
+	// recordRetry is the pause after a failed attempt to record results.
+	recordRetry = 250 * time.Millisecond
+	// recordTimeout bounds one attempt, with the reads after a conflict.
+	recordTimeout = 3 * time.Second
+)
+
+// putJSON returns the operations that write the JSON of values under keys, given in turn.
+func putJSON(pairs ...any) ([]kv.Op, error) {
+	var ops []kv.Op
+	for i := 0; i+1 < len(pairs); i += 2 {
+		value, err := json.Marshal(pairs[i+1])
+		if err != nil {
+			return nil, err
+		}
+		ops = append(ops, kv.Op{Kind: kv.OpPut, Key: pairs[i].(string), Value: value})
+	}
+	return ops, nil
+}
+
+// recordResults records the results of a job in groups until all are recorded or the job is no longer owned.
+func (s *Service) recordResults(ctx context.Context, j *owned) {
+	for {
+		s.mu.Lock()
+		group, pause := j.Group(time.Now())
+		done := j.gone || j.Complete()
+		s.mu.Unlock()
+		switch {
+		case done || ctx.Err() != nil:
+			return
+		case len(group) > 0:
+			for !s.recordGroup(ctx, j, group) && wait.For(ctx, recordRetry) {
+				if s.isGone(j) {
+					return
+				}
+			}
+			continue
+		case pause == 0:
+			pause = time.Minute // woken by the next result
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-j.flush:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Service) isGone(j *owned) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return j.gone
+}
+
+// recordGroup writes one group under the condition that the job's record is as this owner left it. It returns false if the attempt is to
+// be repeated, with the same group: its outcome may be unknown.
+func (s *Service) recordGroup(ctx context.Context, j *owned, group []itemjob.Result) bool {
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-results"), recordTimeout)
+	defer cancel()
+	s.mu.Lock()
+	position, revision, total := len(j.Results), j.revision, len(j.Tasks)
+	s.mu.Unlock()
+	key := resultKey(j.ID, position)
+	ops, err := putJSON(key, group)
+	if err != nil {
+		klog.ErrorS(err, "Results cannot be encoded", "job", j.ID)
+		return false
+	}
+	if position+len(group) == total {
+		ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(j.ID)})
+	}
+	result, err := s.Store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{
+			{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: revision},
+			{Key: key, Target: kv.CompareCreateRevision},
+		},
+		Then: ops,
+		Else: []kv.Op{{Kind: kv.OpGet, Key: recordKey(j.ID)}, {Kind: kv.OpGet, Key: key}},
+	})
+	switch {
+	case err != nil:
+		klog.ErrorS(err, "Results were not recorded yet", "job", j.ID, "position", position, "results", len(group))
+		return false
+	case result.Succeeded:
+		s.recorded(j, position, group)
+		return true
+	}
+	return s.conflict(j, position, group, ops[0].Value, result)
+}
+
+// conflict handles a failed condition: an earlier attempt took effect, or the job is no longer this owner's.
+func (s *Service) conflict(j *owned, position int, group []itemjob.Result, value []byte, result kv.TxnResult) bool {
+	if len(result.Gets) != 2 {
+		return false
+	}
+	record, existing := result.Gets[0], result.Gets[1]
+	if record.ModRevision == j.revision && bytes.Equal(existing.Value, value) {
+		s.recorded(j, position, group)
+		return true
+	}
+	s.drop(j, "its record changed")
+	return true
+}
+
+func (s *Service) recorded(j *owned, position int, group []itemjob.Result) {
+	now := time.Now()
+	s.mu.Lock()
+	j.Recorded(len(group), now)
+	complete := j.Complete()
+	if complete {
+		j.forget = j.Submitted.Add(s.Kept)
+	}
+	s.notifyLocked(j)
+	s.mu.Unlock()
+	klog.InfoS("Results recorded", "job", j.ID, "position", position, "results", len(group), "total", len(j.Tasks), "complete", complete,
+		"due_in_ms", j.Due.Sub(now).Milliseconds())
+}
+
+// load reads the recorded results of a job.
+func (s *Service) load(ctx context.Context, id itemjob.ID) ([]itemjob.Result, error) {
+	listing, err := s.Store.List(ctx, resultPrefix+string(id)+"/")
+	if err != nil {
+		return nil, err
+	}
+	var results []itemjob.Result
+	for _, item := range listing.Items {
+		var group []itemjob.Result
+		if err := decode(item.Value, &group); err != nil {
+			return nil, err
+		}
+		results = append(results, group...)
+	}
+	return results, nil
+}
+
+// loadItems reads the items of a job.
+func (s *Service) loadItems(ctx context.Context, record *itemjob.Record) ([]itemjob.Item, error) {
+	var items []itemjob.Item
+	for n := range record.Parts {
+		found, err := s.Store.Get(ctx, partKey(record.ID, n))
+		if err != nil {
+			return nil, err
+		}
+		part, err := decodePart(found.Value)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, part...)
+	}
+	return items, nil
+}
+
+// getRecord reads the record of a job. Errors: ErrNotFound, ErrUnavailable.
+func (s *Service) getRecord(ctx context.Context, id itemjob.ID) (itemjob.Record, kv.Revision, error) {
+	var record itemjob.Record
+	found, err := s.Store.Get(ctx, recordKey(id))
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return record, 0, ErrNotFound
+	case err != nil:
+		return record, 0, errors.Join(ErrUnavailable, err)
+	}
+	return record, found.ModRevision, decode(found.Value, &record)
+}
--- /dev/null
+++ b/node/itemjobs/run.go
@@ -0,0 +1,290 @@
+package itemjobs
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/node/gateway"
+)
+
+const (
+	// idleLook is how often the scheduler looks for items that became urgent or whose pause ended.
+	idleLook = 100 * time.Millisecond
+	// lookSpread spreads the looks of all instances after the same freed slot, so that they do not all take it.
+	lookSpread = 15 * time.Millisecond
+	// brokenPause keeps an item whose run broke off from taking the next slot at once.
+	brokenPause = 50 * time.Millisecond
+)
+
+// run is an item in flight.
+type run struct {
+	job    *owned
+	task   *itemjob.Task
+	held   *gateway.Held
+	cancel context.CancelCauseFunc
+	firm   bool
+	ended  bool         // asked to give way
+	events atomic.Int64 // received so far, over all runs of the item
+}
+
+// schedule starts items as room appears.
+func (s *Service) schedule(ctx context.Context) {
+	timer := time.NewTimer(idleLook)
+	defer timer.Stop()
+	for {
+		room := s.Board.Room()
+		s.fill(ctx)
+		pause := idleLook
+		select {
+		case <-room:
+			pause = rand.N(lookSpread)
+		case <-s.wake:
+			pause = 0
+		case <-timer.C:
+			pause = 0
+		case <-ctx.Done():
+			return
+		}
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+		timer.Reset(idleLook)
+	}
+}
+
+// fill starts items while there is room for them.
+func (s *Service) fill(ctx context.Context) {
+	s.expire()
+	s.hold()
+	for s.startNext(ctx) {
+	}
+}
+
+// startNext starts one item and returns false if none may start or there is no room.
+func (s *Service) startNext(ctx context.Context) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	jobs := make([]*itemjob.Job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		if !j.gone && !j.Complete() {
+			jobs = append(jobs, j.Job)
+		}
+	}
+	choice, ok := itemjob.Next(jobs, &s.pace, time.Now())
+	if !ok {
+		return false
+	}
+	j := s.jobs[choice.Job.ID]
+	table := s.Routes.Current()
+	if table == nil {
+		return false
+	}
+	route := table.Match(j.Host, path(choice.Task.Item.Path))
+	if route == nil {
+		s.deadLetter(j, choice.Task, itemjob.RouteRemoved)
+		return true
+	}
+	service := route.Backend(rand.Float64())
+	held := s.Board.Batch(service, choice.Task.Item.ID, nil, choice.Urgent)
+	if held == nil {
+		return false
+	}
+	s.start(ctx, j, choice, route, table, service, held)
+	return true
+}
+
+func path(uri string) string {
+	p, _, _ := strings.Cut(uri, "?")
+	return p
+}
+
+// start runs an item at the held target; s.mu is held.
+func (s *Service) start(ctx context.Context, j *owned, choice itemjob.Choice, route *routetable.Route, table *routetable.Table, service string, held *gateway.Held) {
+	task := choice.Task
+	task.Phase = itemjob.Running
+	ctx, cancel := context.WithCancelCause(ctx)
+	r := &run{job: j, task: task, held: held, cancel: cancel, firm: choice.Urgent}
+	r.events.Store(int64(task.Events))
+	id := held.Target.ID
+	s.runs[id] = append(s.runs[id], r)
+	header := make(http.Header, len(task.Item.Headers))
+	for name, value := range task.Item.Headers {
+		header.Set(name, value)
+	}
+	request := &gateway.Request{
+		ID:      fleet.RequestID(task.Item.ID),
+		Method:  http.MethodPost,
+		URI:     task.Item.Path,
+		Host:    j.Host,
+		Header:  header,
+		Body:    task.Item.Body,
+		Route:   itemRoute(route),
+		Service: service,
+		Version: table.Version,
+		Arrived: time.Now(),
+	}
+	progress := &gateway.Progress{Last: task.Last, Events: task.Events}
+	klog.V(1).InfoS("Item starts", "job", j.ID, "item", task.Item.ID, "target", id, "urgent", choice.Urgent, "resume_after", task.Last, "events", task.Events)
+	s.running.Go(func() {
+		defer cancel(nil)
+		s.runItem(ctx, r, request, progress)
+	})
+}
+
+// itemRoute is the route of an item's run: it is a stream that any target may continue, as often as needed.
+func itemRoute(route *routetable.Route) *routetable.Route {
+	r := *route
+	r.Kind, r.Resumable, r.MaxAttempts = routetable.Stream, true, maxItemAttempts
+	return &r
+}
+
+// maxItemAttempts keeps the watch on silence of every run of an item: the item's own count of failures bounds its runs.
+const maxItemAttempts = 1 << 20
+
+func (s *Service) runItem(ctx context.Context, r *run, request *gateway.Request, progress *gateway.Progress) {
+	before := progress.Events
+	var received []string
+	outcome := s.Forwarder.RunItem(ctx, request, r.held, progress, func(data []byte) {
+		received = append(received, string(data))
+		r.events.Add(1)
+	})
+	r.held.Release()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetRun(r)
+	task := r.task
+	task.Last, task.Events = progress.Last, progress.Events
+	task.Output = append(task.Output, received...)
+	if r.job.gone {
+		return
+	}
+	switch outcome.Verdict {
+	case gateway.Answered:
+		s.pace.Observe(task.Events, task.Events-before, now.Sub(request.Arrived))
+		r.job.Finish(task, true, now)
+		poke(r.job.flush)
+	case gateway.Yielded:
+		r.job.Interrupted(task, 0, now)
+	case gateway.Rejected:
+		if reason := r.job.Failed(task, outcome.Status == http.StatusUnprocessableEntity, now); reason != "" {
+			s.deadLetter(r.job, task, reason)
+		}
+	default:
+		r.job.Interrupted(task, brokenPause, now)
+	}
+	poke(s.wake)
+}
+
+// deadLetter gives an item up; s.mu is held.
+func (s *Service) deadLetter(j *owned, task *itemjob.Task, reason itemjob.Reason) {
+	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures)
+	j.Finish(task, false, time.Now())
+	poke(j.flush)
+}
+
+// expire gives up the items of jobs whose time has passed.
+func (s *Service) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, j := range s.jobs {
+		if j.gone || j.Complete() {
+			continue
+		}
+		for _, task := range j.Expired(now) {
+			s.deadLetter(j, task, itemjob.TooLate)
+		}
+	}
+}
+
+// hold keeps running items that became urgent from giving way.
+func (s *Service) hold() {
+	var firm []*run
+	now := time.Now()
+	s.mu.Lock()
+	for _, list := range s.runs {
+		for _, r := range list {
+			if !r.firm && !r.ended && s.pace.Urgent(r.job.Due, int(r.events.Load()), now) {
+				r.firm = true
+				firm = append(firm, r)
+			}
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range firm {
+		r.held.Firm()
+	}
+}
+
+// yield ends items at targets that hold more requests than slots, those of the jobs that are due last first.
+func (s *Service) yield(excess map[fleet.TargetID]int) {
+	var ended []*run
+	s.mu.Lock()
+	for id, count := range excess {
+		for range count {
+			r := s.latest(id)
+			if r == nil {
+				break
+			}
+			r.ended = true
+			ended = append(ended, r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range ended {
+		r.cancel(gateway.ErrYielded)
+		r.held.Release()
+	}
+}
+
+// latest returns the yieldable run at a target whose job is due last; s.mu is held.
+func (s *Service) latest(id fleet.TargetID) *run {
+	var best *run
+	for _, r := range s.runs[id] {
+		if !r.firm && !r.ended && (best == nil || r.job.Due.After(best.job.Due)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// forgetRun removes a run that ended; s.mu is held.
+func (s *Service) forgetRun(r *run) {
+	id := r.held.Target.ID
+	list := s.runs[id]
+	for i := range list {
+		if list[i] == r {
+			s.runs[id] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(s.runs[id]) == 0 {
+		delete(s.runs, id)
+	}
+}
+
+// runsOf returns the items of a job in flight; s.mu is held.
+func (s *Service) runsOf(j *owned) []*run {
+	var runs []*run
+	for _, list := range s.runs {
+		for _, r := range list {
+			if r.job == j {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/node/itemjobs/service.go
@@ -0,0 +1,175 @@
+// Package itemjobs accepts jobs of opaque items, keeps them in the store, runs their items, and gives their results to any client.
+//
+// The instance that accepts a job owns it. Every write of an owner is conditional on the revision of the job's record, which changes when
+// another instance takes the job over or the client ends it, so that an owner that was paused or cut off cannot add results.
+//
+// Lock order: Service.mu, then the mutexes of the gateway's Board and Peers. It is not held across I/O.
+package itemjobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/kvmirror"
+)
+
+// Parts are what a Service works with.
+type Parts struct {
+	Self      fleet.Member
+	Store     kv.Store
+	Board     *gateway.Board
+	Forwarder *gateway.Forwarder
+	Routes    *gateway.Routes
+	Peers     *gateway.Peers
+	// Kept is how long results stay readable after the job was submitted.
+	Kept time.Duration
+}
+
+// Service is the batch part of an instance. It is safe for concurrent use.
+type Service struct {
+	Parts
+	calls peerCalls
+	wake  chan struct{} // asks the scheduler to look
+	scan  chan struct{} // asks for a look at the open marks
+
+	mu       sync.Mutex // guards the fields below and the jobs they hold
+	jobs     map[itemjob.ID]*owned
+	owners   map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
+	orphaned map[string]int64                // tokens, by route, of open jobs without a living owner, as of the last look
+	runs     map[fleet.TargetID][]*run       // items in flight, oldest first
+	pace     itemjob.Pace
+	draining bool
+	running  sync.WaitGroup
+	starts   int // items started so far, for the scheduler's pause
+}
+
+// owned is a job that this instance owns.
+type owned struct {
+	*itemjob.Job
+	revision kv.Revision   // of the record, under which results are recorded
+	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
+	flush    chan struct{} // asks the recorder to look
+	gone     bool          // another instance owns it, or the client ended it
+	forget   time.Time     // when the results are dropped from memory
+}
+
+// New returns a service.
+func New(parts Parts) *Service {
+	s := &Service{
+		Parts:    parts,
+		wake:     make(chan struct{}, 1),
+		scan:     make(chan struct{}, 1),
+		jobs:     make(map[itemjob.ID]*owned),
+		owners:   make(map[itemjob.ID]fleet.InstanceID),
+		orphaned: make(map[string]int64),
+		runs:     make(map[fleet.TargetID][]*run),
+	}
+	s.calls = newPeerCalls()
+	parts.Board.OnYield(s.yield)
+	parts.Peers.OnWaiting(s.waiting)
+	parts.Peers.OnMembers(func() { poke(s.scan) })
+	return s
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run schedules items and looks after the jobs of lost instances until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.schedule(ctx) })
+	group.Go(func() { s.watchOwners(ctx) })
+	group.Go(func() { kvmirror.New(s.Store, endedPrefix, s.ended).Run(ctx) })
+	group.Go(func() { s.collect(ctx) })
+	group.Wait()
+	s.running.Wait()
+}
+
+// waiting returns the tokens of unfinished items by route.
+func (s *Service) waiting() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sums map[string]int64
+	for _, j := range s.jobs {
+		if j.gone || j.Complete() {
+			continue
+		}
+		if sums == nil {
+			sums = make(map[string]int64)
+		}
+		sums[j.Route] += j.WaitingTokens()
+	}
+	return sums
+}
+
+// own takes a job up. It is called after the store says that this instance owns it.
+func (s *Service) own(ctx context.Context, job *itemjob.Job, revision kv.Revision) *owned {
+	j := &owned{Job: job, revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
+	s.mu.Lock()
+	if known, ok := s.jobs[job.ID]; ok && !known.gone {
+		s.mu.Unlock()
+		return known
+	}
+	s.jobs[job.ID] = j
+	delete(s.owners, job.ID)
+	s.mu.Unlock()
+	s.running.Go(func() { s.recordResults(ctx, j) })
+	poke(s.wake)
+	s.Peers.Changed()
+	return j
+}
+
+// drop ends the ownership of a job and its runs.
+func (s *Service) drop(j *owned, reason string) {
+	s.mu.Lock()
+	if j.gone {
+		s.mu.Unlock()
+		return
+	}
+	j.gone = true
+	if s.jobs[j.ID] == j {
+		delete(s.jobs, j.ID)
+	}
+	runs := s.runsOf(j)
+	s.notifyLocked(j)
+	s.mu.Unlock()
+	for _, r := range runs {
+		r.cancel(errDropped)
+	}
+	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", len(j.Results), "runs", len(runs))
+}
+
+// notifyLocked wakes readers and the recorder of a job; s.mu is held.
+func (s *Service) notifyLocked(j *owned) {
+	close(j.changed)
+	j.changed = make(chan struct{})
+	poke(j.flush)
+}
+
+// owned returns a job that this instance owns.
+func (s *Service) owned(id itemjob.ID) (*owned, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	return j, ok
+}
+
+// ended drops jobs that clients ended at other instances.
+func (s *Service) ended(change kvmirror.Change) {
+	for _, item := range change.Put {
+		if j, ok := s.owned(jobOf(item.Key, endedPrefix)); ok {
+			s.drop(j, "client ended it")
+		}
+	}
+}
--- /dev/null
+++ b/node/itemjobs/submit.go
@@ -0,0 +1,180 @@
+package itemjobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/node/internal/wait"
+)
+
+// Errors of the service.
+var (
+	// ErrNotFound means that no such job, or no such item of it, exists.
+	ErrNotFound = eris.New("job does not exist")
+	// ErrUnavailable means that the call had no effect, since the store does not answer.
+	ErrUnavailable = eris.New("job cannot be looked up or changed now")
+	// ErrOutcomeUnknown means that the job may have been accepted.
+	ErrOutcomeUnknown = eris.New("job may have been accepted")
+	// ErrNoRoom means that the tokens of the job do not fit under the limit of its route.
+	ErrNoRoom = eris.New("tokens of the job do not fit under the limit of its route")
+	// ErrInvalid means that the job cannot be kept as it is.
+	ErrInvalid = eris.New("job is invalid")
+
+	errDropped = eris.New("job is no longer owned")
+)
+
+// Submission is a job as its client sent it.
+type Submission struct {
+	ID      itemjob.ID
+	Host    string
+	Route   *routetable.Route
+	Items   []itemjob.Item
+	Arrived time.Time
+}
+
+const (
+	// submitTime bounds the attempts to record a job. Clients wait a few seconds and then come again at another instance.
+	submitTime = 2 * time.Second
+	// submitPause is the pause after an attempt whose outcome is not known.
+	submitPause = 50 * time.Millisecond
+)
+
+// Submit records the job, once over all repeats at any instance. nil means that the job is accepted. Errors: ErrNoRoom, ErrUnavailable
+// and ErrInvalid, after which no part of it runs unless another submission is accepted; ErrOutcomeUnknown.
+func (s *Service) Submit(ctx context.Context, sub Submission) error {
+	if _, ok := s.owned(sub.ID); ok {
+		return nil
+	}
+	// A client that leaves does not undo what the store may have recorded.
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-submit"), submitTime)
+	defer cancel()
+	record := s.newRecord(sub)
+	if limit, waiting := sub.Route.TokenLimit, s.allWaiting(sub.Route.Name); !itemjob.Fits(limit, waiting, record.Tokens) {
+		return s.withoutRoom(ctx, sub, waiting)
+	}
+	parts, err := encodeParts(sub.Items)
+	if err != nil {
+		return eris.Wrap(ErrInvalid, err.Error())
+	}
+	record.Parts = len(parts)
+	txn, err := createTxn(record, parts)
+	if err != nil {
+		return err
+	}
+	return s.create(ctx, sub, record, txn)
+}
+
+func (s *Service) newRecord(sub Submission) itemjob.Record {
+	r := itemjob.Record{
+		ID:          sub.ID,
+		Token:       ulid.Make().String(),
+		Route:       sub.Route.Name,
+		Host:        sub.Host,
+		Items:       len(sub.Items),
+		Submitted:   sub.Arrived,
+		Due:         sub.Arrived.Add(sub.Route.JobDue),
+		GiveUp:      sub.Arrived.Add(sub.Route.JobRetain),
+		MaxAttempts: sub.Route.MaxAttempts,
+		Owner:       s.Self.ID,
+		Process:     s.Self.Incarnation,
+	}
+	for _, item := range sub.Items {
+		r.Tokens += item.Tokens
+	}
+	return r
+}
+
+// allWaiting returns the tokens that wait on a route over all instances.
+func (s *Service) allWaiting(route string) int64 {
+	own := s.waiting()[route]
+	s.mu.Lock()
+	orphaned := s.orphaned[route]
+	s.mu.Unlock()
+	return own + orphaned + s.Peers.Waiting(route)
+}
+
+// withoutRoom refuses a job that does not fit, unless it was accepted before.
+func (s *Service) withoutRoom(ctx context.Context, sub Submission, waiting int64) error {
+	_, err := s.Store.Get(ctx, recordKey(sub.ID))
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, kv.ErrNotFound):
+		klog.InfoS("Job refused", "job", sub.ID, "route", sub.Route.Name, "waiting_tokens", waiting, "limit_tokens", sub.Route.TokenLimit)
+		return ErrNoRoom
+	}
+	return eris.Wrap(ErrUnavailable, err.Error())
+}
+
+// createTxn writes all keys of a new job at once.
+func createTxn(record itemjob.Record, parts [][]byte) (kv.Txn, error) {
+	mark := markOf(&record)
+	puts, err := putJSON(recordKey(record.ID), record, openKey(record.ID), mark)
+	if err != nil {
+		return kv.Txn{}, err
+	}
+	for i, part := range parts {
+		puts = append(puts, kv.Op{Kind: kv.OpPut, Key: partKey(record.ID, i), Value: part})
+	}
+	return kv.Txn{
+		Compares: []kv.Compare{{Key: recordKey(record.ID), Target: kv.CompareCreateRevision}},
+		Then:     puts,
+		Else:     []kv.Op{{Kind: kv.OpGet, Key: recordKey(record.ID)}},
+	}, nil
+}
+
+// create runs the transaction until its outcome is known or the time is up.
+func (s *Service) create(ctx context.Context, sub Submission, record itemjob.Record, txn kv.Txn) error {
+	unknown := false
+	for {
+		result, err := s.Store.Txn(ctx, txn)
+		switch {
+		case err == nil && result.Succeeded:
+			s.accepted(sub, record, result.Revision)
+			return nil
+		case err == nil:
+			return s.exists(sub, record, result)
+		case errors.Is(err, kv.ErrOutcomeUnknown):
+			unknown = true
+		case !unknown:
+			klog.ErrorS(err, "Job refused, it cannot be recorded", "job", sub.ID)
+			return eris.Wrap(ErrUnavailable, err.Error())
+		}
+		if !wait.For(ctx, submitPause) {
+			klog.ErrorS(err, "Job may have been accepted", "job", sub.ID)
+			return eris.Wrap(ErrOutcomeUnknown, err.Error())
+		}
+	}
+}
+
+func (s *Service) accepted(sub Submission, record itemjob.Record, revision kv.Revision) {
+	klog.InfoS("Job accepted", "job", sub.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
+		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(sub.Arrived).Milliseconds())
+	s.own(context.Background(), itemjob.NewJob(record, sub.Items, nil), revision)
+}
+
+// exists handles a job whose record is there: from an earlier submission, or from an attempt of this one whose answer was lost.
+func (s *Service) exists(sub Submission, record itemjob.Record, result kv.TxnResult) error {
+	var found itemjob.Record
+	if len(result.Gets) == 0 {
+		return eris.Wrap(ErrUnavailable, "the store did not show the job")
+	}
+	if err := decode(result.Gets[0].Value, &found); err != nil {
+		return fmt.Errorf("job %s: %w", sub.ID, err)
+	}
+	if found.Token == record.Token && found.Owner == record.Owner && found.Process == record.Process {
+		s.accepted(sub, record, result.Gets[0].ModRevision)
+		return nil
+	}
+	klog.InfoS("Job was accepted before", "job", sub.ID, "owner", found.Owner, "ended", found.Ended)
+	return nil
+}
