--- a/cmd/eelgrassproxy/platform.go
+++ b/cmd/eelgrassproxy/platform.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"eelgrassproxy.example/node/logging"
 	"eelgrassproxy.example/platform"
@@ -35,7 +38,10 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	if err := platform.Run(ctx, settings); err != nil {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	if err := platform.Run(ctx, settings, reload); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
