Bring an instance forward from its peers while the store is out of its reach

Items that could not be in time any more kept their slots against online requests. Ruled out: load (processors at 3 %).

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -6,6 +6,7 @@
 package itemjob
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -198,8 +199,8 @@
 	return j.pending[:len(j.pending):len(j.pending)], 0
 }
 
-// Pending returns the number of results that are not recorded yet.
-func (j *Job) Pending() int { return len(j.pending) }
+// Unrecorded returns the results that are not recorded yet.
+func (j *Job) Unrecorded() []Result { return slices.Clone(j.pending) }
 
 // Recorded moves the first n pending results to the recorded ones.
 func (j *Job) Recorded(n int, now time.Time) {
--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -44,9 +44,19 @@
 	return time.Duration(left * p.perEvent * slowRun * float64(time.Second))
 }
 
-// Urgent tells whether an item that has received some events is late for a due time, or will be unless it runs without a pause from now on.
+// Urgent tells whether an item that has received some events will miss its due time unless it runs without a pause from now on. An item
+// that cannot make it any more is not urgent: online requests, which still can, go before it.
 func (p *Pace) Urgent(due time.Time, events int, now time.Time) bool {
-	return due.Sub(now) < p.Remaining(events)+startMargin
+	left := due.Sub(now)
+	return left < p.Remaining(events)+startMargin && left > p.shortest(events)
+}
+
+// shortest returns the least time that an item of usual length needs.
+func (p *Pace) shortest(events int) time.Duration {
+	if p.events == 0 {
+		return 0
+	}
+	return time.Duration(max(p.events-float64(events), 0) * p.perEvent * float64(time.Second))
 }
 
 // Choice is a task that may start.
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -40,6 +40,9 @@
 	Process  uint64                    `json:"p"` // incarnation of the process; a higher one replaces a lower one
 	Sequence uint64                    `json:"n"` // rises with each datagram of a process
 	Draining bool                      `json:"d,omitempty"`
+	Lost     bool                      `json:"l,omitempty"` // the store is out of the sender's reach
+	Version  int64                     `json:"v,omitempty"` // of the sender's routing table
+	Member   json.RawMessage           `json:"m,omitempty"` // the sender's membership record, in one datagram of a few
 	Counts   map[fleet.TargetID][3]int `json:"c,omitempty"` // online, firm and yieldable requests at each target
 	Waiting  map[string]int64          `json:"w,omitempty"` // tokens of unfinished batch items by route
 }
@@ -53,11 +56,14 @@
 	dirty     chan struct{}
 	waiting   func() map[string]int64
 	onMembers func()
+	state     func() (lost bool, version int64)
 	registry  *membership.Registrar
+	records   *kvmirror.Mirror
 
 	mu       sync.Mutex // guards the fields below; a leaf
 	draining bool
 	sequence uint64
+	told     time.Time // when the membership record was last sent
 	peers    map[fleet.InstanceID]*peerState
 }
 
@@ -69,6 +75,8 @@
 	sequence uint64
 	heard    time.Time
 	silent   bool // reported as lost since it was heard
+	lost     bool // the store is out of its reach
+	version  int64
 	waiting  map[string]int64
 }
 
@@ -81,10 +89,12 @@
 		dirty:     make(chan struct{}, 1),
 		waiting:   func() map[string]int64 { return nil },
 		onMembers: func() {},
+		state:     func() (bool, int64) { return false, 0 },
 		peers:     make(map[fleet.InstanceID]*peerState),
 	}
 	p.registry = membership.NewRegistrar(p, store)
 	p.registry.LastBackoff = recordRetry
+	p.records = kvmirror.New(store, membership.MembersPrefix, p.applyRecords)
 	board.OnChange(p.Changed)
 	return p
 }
@@ -96,6 +106,12 @@
 // block. Call it before Run.
 func (p *Peers) OnMembers(changed func()) { p.onMembers = changed }
 
+// OnState sets the source of what peers are told of this instance's reach of the store and of its routing table. Call it before Run.
+func (p *Peers) OnState(state func() (lost bool, version int64)) { p.state = state }
+
+// Records returns the mirror of the membership records.
+func (p *Peers) Records() *kvmirror.Mirror { return p.records }
+
 // Changed asks for a datagram soon.
 func (p *Peers) Changed() {
 	select {
@@ -118,7 +134,7 @@
 // Loaded implements membership.RecordSource.
 func (p *Peers) Loaded(members []fleet.Member) {
 	for _, m := range members {
-		p.listed(m)
+		p.know(m, true)
 	}
 }
 
@@ -135,9 +151,9 @@
 func (p *Peers) Close(ctx context.Context) error { return p.registry.Close(ctx) }
 
 // Run keeps the record of this instance and the exchange with the others until ctx ends.
-func (p *Peers) Run(ctx context.Context, store kv.Store) {
+func (p *Peers) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { kvmirror.New(store, membership.MembersPrefix, p.records).Run(ctx) })
+	group.Go(func() { p.records.Run(ctx) })
 	group.Go(func() { p.keepRegistered(ctx) })
 	group.Go(func() { p.send(ctx) })
 	group.Go(p.receive)
@@ -168,22 +184,23 @@
 	return err == nil
 }
 
-// records applies a change of the members' records.
-func (p *Peers) records(change kvmirror.Change) {
+// applyRecords applies a change of the members' records.
+func (p *Peers) applyRecords(change kvmirror.Change) {
 	for _, item := range change.Put {
 		member, err := membership.DecodeRecord(item.Value)
 		if err != nil {
 			klog.ErrorS(err, "Membership record skipped", "key", item.Key)
 			continue
 		}
-		p.listed(member)
+		p.know(member, true)
 	}
 	for _, key := range change.Removed {
 		p.unlisted(fleet.InstanceID(key[len(membership.MembersPrefix):]))
 	}
 }
 
-func (p *Peers) listed(m fleet.Member) {
+// know takes a peer's record, from the store or from the peer itself.
+func (p *Peers) know(m fleet.Member, listed bool) {
 	if m.ID == p.self.ID {
 		return
 	}
@@ -199,7 +216,10 @@
 		p.peers[m.ID] = state
 	}
 	replaced := known && state.member.Incarnation < m.Incarnation
-	state.member, state.address, state.listed = m, address, true
+	if !known || m.Incarnation >= state.member.Incarnation {
+		state.member, state.address = m, address
+	}
+	state.listed = state.listed || listed
 	p.mu.Unlock()
 	if !known || replaced {
 		klog.InfoS("Peer is known", "instance", m.ID, "incarnation", m.Incarnation, "address", m.PeerAddress, "draining", m.State == fleet.MemberDraining)
@@ -253,6 +273,8 @@
 // sendOnce sends one datagram to each peer and returns their number.
 func (p *Peers) sendOnce() int {
 	message := datagram{From: p.self.ID, Process: p.self.Incarnation, Counts: encodeCounts(p.board.Own()), Waiting: p.waiting()}
+	message.Lost, message.Version = p.state()
+	p.introduce(&message)
 	p.mu.Lock()
 	p.sequence++
 	message.Sequence, message.Draining = p.sequence, p.draining
@@ -273,6 +295,29 @@
 	return len(addresses)
 }
 
+// introducePeriod is how often a datagram holds the membership record, for peers that cannot read it in the store.
+const introducePeriod = time.Second
+
+// introduce adds the membership record to a datagram from time to time.
+func (p *Peers) introduce(message *datagram) {
+	now := time.Now()
+	p.mu.Lock()
+	due := now.Sub(p.told) >= introducePeriod
+	if due {
+		p.told = now
+	}
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	record, err := membership.EncodeRecord(p.Self())
+	if err != nil {
+		klog.ErrorS(err, "Membership record could not be encoded")
+		return
+	}
+	message.Member = record
+}
+
 func encodeCounts(counts map[fleet.TargetID]slots.Count) map[fleet.TargetID][3]int {
 	encoded := make(map[fleet.TargetID][3]int, len(counts))
 	for id, c := range counts {
@@ -306,6 +351,11 @@
 	for id, c := range message.Counts {
 		counts[id] = slots.Count{Online: clamp(c[0]), Firm: clamp(c[1]), Yieldable: clamp(c[2])}
 	}
+	if len(message.Member) > 0 {
+		if member, err := membership.DecodeRecord(message.Member); err == nil && member.ID == message.From {
+			p.know(member, false)
+		}
+	}
 	if !p.accept(message) {
 		return
 	}
@@ -324,6 +374,7 @@
 	}
 	state.process, state.sequence = message.Process, message.Sequence
 	state.heard, state.waiting = time.Now(), message.Waiting
+	state.lost, state.version = message.Lost, message.Version
 	if state.silent {
 		klog.InfoS("Peer is heard again", "instance", message.From, "process", message.Process)
 		state.silent = false
@@ -374,6 +425,42 @@
 	return members
 }
 
+// Sources returns the peer addresses of instances that were heard lately and know more than this one may: those that reach the store, or,
+// if none does, those with a routing table of a higher version.
+func (p *Peers) Sources(version int64) []string {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var reach, newer []string
+	for _, state := range p.peers {
+		switch {
+		case now.Sub(state.heard) > silentAfter:
+		case !state.lost:
+			reach = append(reach, state.member.PeerAddress)
+		case state.version > version:
+			newer = append(newer, state.member.PeerAddress)
+		}
+	}
+	if len(reach) > 0 {
+		return reach
+	}
+	return newer
+}
+
+// Reaching returns the peers that were heard lately, reach the store and do not drain.
+func (p *Peers) Reaching() []fleet.Member {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []fleet.Member
+	for _, state := range p.peers {
+		if !state.lost && state.member.State == fleet.MemberAlive && now.Sub(state.heard) <= silentAfter {
+			members = append(members, state.member)
+		}
+	}
+	return members
+}
+
 // Waiting returns the tokens of unfinished batch items on a route at all peers, as last heard.
 func (p *Peers) Waiting(route string) int64 {
 	p.mu.Lock()
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -28,6 +28,7 @@
 // watchOwners takes up open jobs whose owner is gone, and drops jobs that others took.
 func (s *Service) watchOwners(ctx context.Context) {
 	for ctx.Err() == nil {
+		s.handOverLost(ctx)
 		stale := false
 		select {
 		case <-s.scan:
@@ -106,7 +107,7 @@
 	if s.successor(id, living) != s.Self.ID {
 		return
 	}
-	if err := s.Adopt(ctx, id); err != nil {
+	if err := s.Adopt(ctx, id, nil); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", id)
 	}
 }
@@ -130,8 +131,8 @@
 var errContended = eris.New("record of the job changed meanwhile")
 
 // Adopt takes a job up: it writes this instance into the record, so that the former owner can record nothing more, and loads what is
-// recorded.
-func (s *Service) Adopt(ctx context.Context, id itemjob.ID) error {
+// recorded. given is the former owner's progress; nil means that it may be in the store.
+func (s *Service) Adopt(ctx context.Context, id itemjob.ID, given *progress) error {
 	if _, ok := s.owned(id); ok {
 		return nil
 	}
@@ -158,11 +159,11 @@
 	if !result.Succeeded {
 		return errContended
 	}
-	return s.resume(ctx, record, result.Revision, former)
+	return s.resume(ctx, record, result.Revision, former, given)
 }
 
 // resume goes on with a job that this instance has just become the owner of.
-func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID) error {
+func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, given *progress) error {
 	items, err := s.loadItems(ctx, &record)
 	if err != nil {
 		return err
@@ -172,37 +173,27 @@
 		return err
 	}
 	job := itemjob.NewJob(record, items, results)
-	continued := s.restorePartial(ctx, job)
+	if given == nil {
+		given = s.storedProgress(ctx, record.ID)
+	}
+	continued := given.apply(job, time.Now())
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
 		"due_in_ms", time.Until(record.Due).Milliseconds())
-	s.own(context.WithoutCancel(ctx), job, revision)
+	s.own(job, revision)
 	return nil
 }
 
-// restorePartial gives items the events that the former owner left when it gave the job up. It returns their number.
-func (s *Service) restorePartial(ctx context.Context, job *itemjob.Job) int {
-	found, err := s.Store.Get(ctx, partialKey(job.ID))
-	if err != nil {
-		if !errors.Is(err, kv.ErrNotFound) {
-			klog.ErrorS(err, "Events of unfinished items were not read, they run from the start", "job", job.ID)
-		}
-		return 0
-	}
-	var partials []partial
-	if err := decode(found.Value, &partials); err != nil {
-		klog.ErrorS(err, "Events of unfinished items cannot be read, they run from the start", "job", job.ID)
-		return 0
+// storedProgress reads what the former owner left in the store when it gave the job up.
+func (s *Service) storedProgress(ctx context.Context, id itemjob.ID) *progress {
+	p := &progress{}
+	found, err := s.Store.Get(ctx, partialKey(id))
+	if err == nil {
+		err = decode(found.Value, p)
 	}
-	continued := 0
-	for _, p := range partials {
-		if p.Index < 0 || p.Index >= len(job.Tasks) || job.Tasks[p.Index].Phase != itemjob.Waiting {
-			continue
-		}
-		t := job.Tasks[p.Index]
-		t.Last, t.Events, t.Output = p.Last, p.Events, p.Output
-		continued++
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		klog.ErrorS(err, "Progress of unfinished items was not read, they run from the start", "job", id)
 	}
-	return continued
+	return p
 }
 
 // verify drops jobs that the store says are not this instance's any more.
@@ -230,6 +221,17 @@
 	ctx = kv.WithPurpose(ctx, "job-drain")
 	s.mu.Lock()
 	s.draining = true
+	s.mu.Unlock()
+	for _, j := range s.interrupt() {
+		if !s.handOver(ctx, j) {
+			s.release(ctx, j)
+		}
+	}
+}
+
+// interrupt ends the runs of all open jobs and returns the jobs.
+func (s *Service) interrupt() []*owned {
+	s.mu.Lock()
 	var open []*owned
 	var runs []*run
 	for _, j := range s.jobs {
@@ -246,58 +248,42 @@
 		r.cancel(gateway.ErrYielded)
 		r.held.Release()
 	}
-	time.Sleep(settleDelay) // the runs add their events to their tasks
-	for _, j := range open {
-		s.settle(ctx, j)
-		s.giveUp(ctx, j)
+	if len(runs) > 0 {
+		time.Sleep(settleDelay) // the runs add their events to their tasks
 	}
+	return open
 }
 
-// settleResults is how long a drain waits for the results of a job to be recorded.
-const settleResults = time.Second
-
-// settle records what is finished of a job at once.
-func (s *Service) settle(ctx context.Context, j *owned) {
-	ctx, cancel := context.WithTimeout(ctx, settleResults)
-	defer cancel()
-	for {
-		s.mu.Lock()
-		j.Hurry = true
-		poke(j.flush)
-		pending, changed := j.Pending(), j.changed
-		s.mu.Unlock()
-		if pending == 0 {
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+// handOver asks an instance that reaches the store to take a job up, with the progress of its items.
+func (s *Service) handOver(ctx context.Context, j *owned) bool {
+	reaching := make(map[fleet.InstanceID]string)
+	var ids []string
+	for _, m := range s.Peers.Reaching() {
+		reaching[m.ID] = m.PeerAddress
+		ids = append(ids, string(m.ID))
+	}
+	chosen := rendezvous.Rendezvous(string(j.ID), ids, 1)
+	if len(chosen) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	given := progressOf(j.Job)
+	s.mu.Unlock()
+	if err := s.calls.adopt(ctx, reaching[fleet.InstanceID(chosen[0])], j.ID, given); err != nil {
+		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
+		return false
 	}
+	s.drop(j, "handed over to "+chosen[0])
+	return true
 }
 
-// giveUp clears the owner of a job and asks another instance to take it up.
-func (s *Service) giveUp(ctx context.Context, j *owned) {
+// release clears the owner of a job and leaves the progress of its items in the store; another instance finds it there.
+func (s *Service) release(ctx context.Context, j *owned) {
 	s.mu.Lock()
-	record, revision := j.Record, j.revision
-	var partials []partial
-	size := 0
-	for _, t := range j.Tasks {
-		if t.Phase != itemjob.Waiting || t.Events == 0 {
-			continue
-		}
-		for _, data := range t.Output {
-			size += len(data) + partialOverhead
-		}
-		if size > maxPartialBytes {
-			break
-		}
-		partials = append(partials, partial{Index: t.Index, Last: t.Last, Events: t.Events, Output: t.Output})
-	}
+	record, revision, left := j.Record, j.revision, progressOf(j.Job)
 	s.mu.Unlock()
 	record.Owner, record.Process = "", 0
-	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), partials)
+	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), left)
 	if err == nil {
 		var result kv.TxnResult
 		result, err = s.Store.Txn(ctx, kv.Txn{
@@ -309,21 +295,20 @@
 		}
 	}
 	if err != nil {
-		klog.ErrorS(err, "Job was not given up, others take it up when this instance is gone", "job", j.ID)
+		klog.ErrorS(err, "Job was not released, others take it up when this instance is gone", "job", j.ID)
 		return
 	}
-	s.drop(j, "this instance drains")
-	next := s.successor(j.ID, s.living())
-	if address, ok := s.peerAddress(next); ok {
-		if err := s.calls.adopt(ctx, address, j.ID); err != nil {
-			klog.ErrorS(err, "Successor was not told of a job and finds it by itself", "job", j.ID, "successor", next)
-		}
-	}
+	s.drop(j, "released")
 }
 
-const (
-	// partialOverhead is what JSON adds to an event's data.
-	partialOverhead = 4
-	// maxPartialBytes bounds the events that are handed on; the rest of the items run from the start.
-	maxPartialBytes = 600 << 10
-)
+// handOverLost hands all open jobs over when the store is out of this instance's reach and a peer reaches it: results could not be recorded
+// here.
+func (s *Service) handOverLost(ctx context.Context) {
+	if !s.Lost() || len(s.Peers.Reaching()) == 0 {
+		return
+	}
+	for _, j := range s.interrupt() {
+		s.handOver(ctx, j)
+	}
+	poke(s.wake)
+}
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/httpcall"
+	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
 )
 
@@ -40,12 +41,12 @@
 	return peerCalls{client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}}
 }
 
-func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, patience time.Duration) ([]byte, error) {
+func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, body []byte, patience time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience+peerTimeout)
 	defer cancel()
 	target := httpcall.BaseURL(address)
 	target.Path, target.RawQuery = path, query.Encode()
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -54,21 +55,41 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
 	switch {
 	case err != nil:
 		return nil, err
-	case response.StatusCode == http.StatusNotFound:
-		return nil, errNotOwner
-	case response.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("peer answered status %d", response.StatusCode)
+	case response.StatusCode == http.StatusOK:
+		return answer, nil
 	}
-	return body, nil
+	if known, ok := peerErrors[response.StatusCode]; ok {
+		return nil, known
+	}
+	return nil, fmt.Errorf("peer answered status %d", response.StatusCode)
+}
+
+// peerErrors are the errors that a status stands for between instances.
+var peerErrors = map[int]error{
+	http.StatusNotFound:              errNotOwner,
+	http.StatusTooManyRequests:       ErrNoRoom,
+	http.StatusServiceUnavailable:    ErrUnavailable,
+	http.StatusRequestEntityTooLarge: ErrInvalid,
+}
+
+// writePeerError answers a peer with the status of an error.
+func writePeerError(w http.ResponseWriter, err error) {
+	for status, known := range peerErrors {
+		if errors.Is(err, known) {
+			http.Error(w, err.Error(), status)
+			return
+		}
+	}
+	http.Error(w, err.Error(), http.StatusInternalServerError)
 }
 
 func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, patience time.Duration) (Page, error) {
 	query := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(patience.Milliseconds(), 10)}}
-	body, err := c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/results", query, patience)
+	body, err := c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/results", query, nil, patience)
 	if err != nil {
 		return Page{}, err
 	}
@@ -77,24 +98,50 @@
 }
 
 func (c peerCalls) body(ctx context.Context, address string, id itemjob.ID, item string) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/body", url.Values{"item": {item}}, 0)
+	return c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
 }
 
-func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID) error {
-	_, err := c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/adopt", nil, adoptTimeout)
+func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, given progress) error {
+	body, err := json.Marshal(given)
+	if err != nil {
+		return err
+	}
+	_, err = c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/adopt", nil, body, adoptTimeout)
 	return err
 }
 
+// submission is a job that an instance passes on. The items are packed as in the store.
+type submission struct {
+	Record itemjob.Record `json:"record"`
+	Parts  [][]byte       `json:"parts"`
+}
+
+// submit passes a job on. Errors are those of Submit.
+func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+	parts, err := encodeParts(items)
+	if err != nil {
+		return eris.Wrap(ErrInvalid, err.Error())
+	}
+	body, err := json.Marshal(submission{record, parts})
+	if err != nil {
+		return eris.Wrap(ErrInvalid, err.Error())
+	}
+	_, err = c.do(ctx, http.MethodPost, address, "/v1/item-jobs", nil, body, submitTime)
+	if err == nil || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrUnavailable) || errors.Is(err, ErrInvalid) {
+		return err
+	}
+	return eris.Wrap(ErrOutcomeUnknown, err.Error())
+}
+
 // adoptTimeout bounds the store calls by which a peer takes a job up.
 const adoptTimeout = 2 * time.Second
 
-// PeerHandler answers the calls of peers.
-func (s *Service) PeerHandler() http.Handler {
-	mux := http.NewServeMux()
+// Handle adds the calls that peers make to the mux.
+func (s *Service) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/item-jobs/{job}/results", s.servePage)
 	mux.HandleFunc("GET /v1/item-jobs/{job}/body", s.serveBody)
 	mux.HandleFunc("POST /v1/item-jobs/{job}/adopt", s.serveAdopt)
-	return mux
+	mux.HandleFunc("POST /v1/item-jobs", s.serveSubmit)
 }
 
 func (s *Service) servePage(w http.ResponseWriter, r *http.Request) {
@@ -129,9 +176,50 @@
 }
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
-	err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")))
-	if err != nil && !errors.Is(err, errContended) {
+	var given progress
+	if !readPeer(w, r, &given) {
+		return
+	}
+	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &given); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		writePeerError(w, err)
+	}
+}
+
+func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	var sub submission
+	if !readPeer(w, r, &sub) {
+		return
+	}
+	var items []itemjob.Item
+	for _, part := range sub.Parts {
+		unpacked, err := decodePart(part)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		items = append(items, unpacked...)
+	}
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(r.Context()), "job-submit"), submitTime)
+	defer cancel()
+	if err := s.Accept(ctx, sub.Record, items); err != nil {
+		writePeerError(w, err)
+	}
+}
+
+// maxPeerRequest bounds the body of a peer's call: a job of the largest size that clients may send.
+const maxPeerRequest = 16 << 20
+
+// readPeer decodes the body of a peer's call. It answers and returns false if that fails.
+func readPeer(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerRequest))
+	if err == nil {
+		err = json.Unmarshal(body, into)
+	}
+	if err != nil {
+		klog.ErrorS(err, "Call of a peer cannot be read", "path", r.URL.Path)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
 	}
+	return true
 }
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -60,6 +61,59 @@
 	Output []string `json:"output"`
 }
 
+// progress is what an owner hands on with a job beside what is recorded.
+type progress struct {
+	Finished []itemjob.Result `json:"finished,omitempty"` // results that are not recorded yet
+	Partials []partial        `json:"partials,omitempty"`
+}
+
+// apply gives the unfinished items of a job the progress, and returns the number of items that it helps.
+func (p *progress) apply(job *itemjob.Job, now time.Time) int {
+	helped := 0
+	for _, r := range p.Finished {
+		if t := job.Task(r.Item); t != nil && t.Phase == itemjob.Waiting {
+			t.Output = []string{r.Output}
+			job.Finish(t, r.Completed, now)
+			helped++
+		}
+	}
+	for _, q := range p.Partials {
+		if q.Index < 0 || q.Index >= len(job.Tasks) || job.Tasks[q.Index].Phase != itemjob.Waiting {
+			continue
+		}
+		t := job.Tasks[q.Index]
+		t.Last, t.Events, t.Output = q.Last, q.Events, q.Output
+		helped++
+	}
+	return helped
+}
+
+const (
+	// eventOverhead is what JSON adds to an event's data.
+	eventOverhead = 4
+	// maxProgressBytes bounds the output that is handed on; the rest of the items run from the start.
+	maxProgressBytes = 600 << 10
+)
+
+// progressOf returns what is not recorded of a job.
+func progressOf(job *itemjob.Job) progress {
+	p := progress{Finished: job.Unrecorded()}
+	size := 0
+	for _, t := range job.Tasks {
+		if t.Phase != itemjob.Waiting || t.Events == 0 {
+			continue
+		}
+		for _, data := range t.Output {
+			size += len(data) + eventOverhead
+		}
+		if size > maxProgressBytes {
+			break
+		}
+		p.Partials = append(p.Partials, partial{Index: t.Index, Last: t.Last, Events: t.Events, Output: t.Output})
+	}
+	return p
+}
+
 func decode(value []byte, into any) error {
 	if err := json.Unmarshal(value, into); err != nil {
 		return eris.Wrap(ErrBadRecord, err.Error())
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -30,12 +30,16 @@
 	Peers     *gateway.Peers
 	// Kept is how long results stay readable after the job was submitted.
 	Kept time.Duration
+	// Lost tells whether the store is out of this instance's reach.
+	Lost func() bool
 }
 
 // Service is the batch part of an instance. It is safe for concurrent use.
 type Service struct {
 	Parts
 	calls peerCalls
+	life  context.Context // ends with the service
+	stop  context.CancelFunc
 	wake  chan struct{} // asks the scheduler to look
 	scan  chan struct{} // asks for a look at the open marks
 
@@ -72,6 +76,7 @@
 		runs:     make(map[fleet.TargetID][]*run),
 	}
 	s.calls = newPeerCalls()
+	s.life, s.stop = context.WithCancel(context.Background())
 	parts.Board.OnYield(s.yield)
 	parts.Peers.OnWaiting(s.waiting)
 	parts.Peers.OnMembers(func() { poke(s.scan) })
@@ -93,6 +98,7 @@
 	group.Go(func() { kvmirror.New(s.Store, endedPrefix, s.ended).Run(ctx) })
 	group.Go(func() { s.collect(ctx) })
 	group.Wait()
+	s.stop()
 	s.running.Wait()
 }
 
@@ -114,20 +120,19 @@
 }
 
 // own takes a job up. It is called after the store says that this instance owns it.
-func (s *Service) own(ctx context.Context, job *itemjob.Job, revision kv.Revision) *owned {
+func (s *Service) own(job *itemjob.Job, revision kv.Revision) {
 	j := &owned{Job: job, revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
 	s.mu.Lock()
-	if known, ok := s.jobs[job.ID]; ok && !known.gone {
+	if known, ok := s.jobs[job.ID]; ok && !known.gone && known.revision >= revision {
 		s.mu.Unlock()
-		return known
+		return
 	}
 	s.jobs[job.ID] = j
 	delete(s.owners, job.ID)
 	s.mu.Unlock()
-	s.running.Go(func() { s.recordResults(ctx, j) })
+	s.running.Go(func() { s.recordResults(s.life, j) })
 	poke(s.wake)
 	s.Peers.Changed()
-	return j
 }
 
 // drop ends the ownership of a job and its runs.
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -49,7 +50,8 @@
 )
 
 // Submit records the job, once over all repeats at any instance. nil means that the job is accepted. Errors: ErrNoRoom, ErrUnavailable
-// and ErrInvalid, after which no part of it runs unless another submission is accepted; ErrOutcomeUnknown.
+// and ErrInvalid, after which no part of it runs unless another submission is accepted; ErrOutcomeUnknown. An instance that cannot record
+// the job, or should not own it, passes it on to one that can.
 func (s *Service) Submit(ctx context.Context, sub Submission) error {
 	if _, ok := s.owned(sub.ID); ok {
 		return nil
@@ -61,16 +63,48 @@
 	if limit, waiting := sub.Route.TokenLimit, s.allWaiting(sub.Route.Name); !itemjob.Fits(limit, waiting, record.Tokens) {
 		return s.withoutRoom(ctx, sub, waiting)
 	}
-	parts, err := encodeParts(sub.Items)
+	if !s.isDraining() {
+		err := s.Accept(ctx, record, sub.Items)
+		if !errors.Is(err, ErrUnavailable) {
+			return err
+		}
+	}
+	address, ok := s.reachingPeer()
+	if !ok {
+		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
+	}
+	klog.InfoS("Job is passed on", "job", sub.ID, "peer", address)
+	return s.calls.submit(ctx, address, record, sub.Items)
+}
+
+// Accept records a job with this instance as its owner. Errors are those of Submit.
+func (s *Service) Accept(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
+	parts, err := encodeParts(items)
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
 	record.Parts = len(parts)
+	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
 	txn, err := createTxn(record, parts)
 	if err != nil {
 		return err
 	}
-	return s.create(ctx, sub, record, txn)
+	return s.create(ctx, record, items, txn)
+}
+
+func (s *Service) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// reachingPeer returns a peer that reaches the store.
+func (s *Service) reachingPeer() (string, bool) {
+	reaching := s.Peers.Reaching()
+	if len(reaching) == 0 {
+		return "", false
+	}
+	return reaching[rand.IntN(len(reaching))].PeerAddress, true
 }
 
 func (s *Service) newRecord(sub Submission) itemjob.Record {
@@ -84,8 +118,6 @@
 		Due:         sub.Arrived.Add(sub.Route.JobDue),
 		GiveUp:      sub.Arrived.Add(sub.Route.JobRetain),
 		MaxAttempts: sub.Route.MaxAttempts,
-		Owner:       s.Self.ID,
-		Process:     s.Self.Incarnation,
 	}
 	for _, item := range sub.Items {
 		r.Tokens += item.Tokens
@@ -133,48 +165,48 @@
 }
 
 // create runs the transaction until its outcome is known or the time is up.
-func (s *Service) create(ctx context.Context, sub Submission, record itemjob.Record, txn kv.Txn) error {
+func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) error {
 	unknown := false
 	for {
 		result, err := s.Store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Succeeded:
-			s.accepted(sub, record, result.Revision)
+			s.accepted(record, items, result.Revision)
 			return nil
 		case err == nil:
-			return s.exists(sub, record, result)
+			return s.exists(record, items, result)
 		case errors.Is(err, kv.ErrOutcomeUnknown):
 			unknown = true
 		case !unknown:
-			klog.ErrorS(err, "Job refused, it cannot be recorded", "job", sub.ID)
+			klog.ErrorS(err, "Job cannot be recorded", "job", record.ID)
 			return eris.Wrap(ErrUnavailable, err.Error())
 		}
 		if !wait.For(ctx, submitPause) {
-			klog.ErrorS(err, "Job may have been accepted", "job", sub.ID)
+			klog.ErrorS(err, "Job may have been accepted", "job", record.ID)
 			return eris.Wrap(ErrOutcomeUnknown, err.Error())
 		}
 	}
 }
 
-func (s *Service) accepted(sub Submission, record itemjob.Record, revision kv.Revision) {
-	klog.InfoS("Job accepted", "job", sub.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
-		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(sub.Arrived).Milliseconds())
-	s.own(context.Background(), itemjob.NewJob(record, sub.Items, nil), revision)
+func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision) {
+	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
+		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
+	s.own(itemjob.NewJob(record, items, nil), revision)
 }
 
 // exists handles a job whose record is there: from an earlier submission, or from an attempt of this one whose answer was lost.
-func (s *Service) exists(sub Submission, record itemjob.Record, result kv.TxnResult) error {
+func (s *Service) exists(record itemjob.Record, items []itemjob.Item, result kv.TxnResult) error {
 	var found itemjob.Record
 	if len(result.Gets) == 0 {
 		return eris.Wrap(ErrUnavailable, "the store did not show the job")
 	}
 	if err := decode(result.Gets[0].Value, &found); err != nil {
-		return fmt.Errorf("job %s: %w", sub.ID, err)
+		return fmt.Errorf("job %s: %w", record.ID, err)
 	}
 	if found.Token == record.Token && found.Owner == record.Owner && found.Process == record.Process {
-		s.accepted(sub, record, result.Gets[0].ModRevision)
+		s.accepted(record, items, result.Gets[0].ModRevision)
 		return nil
 	}
-	klog.InfoS("Job was accepted before", "job", sub.ID, "owner", found.Owner, "ended", found.Ended)
+	klog.InfoS("Job was accepted before", "job", record.ID, "owner", found.Owner, "ended", found.Ended)
 	return nil
 }
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -1,10 +1,12 @@
-// Package kvmirror keeps a copy of the keys under a prefix of the store and tells its owner of each change.
+// Package kvmirror keeps a copy of the keys under a prefix of the store and tells its owner of each change. While the store is out of
+// reach, the copy can be brought forward from that of a peer.
 package kvmirror
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,7 +23,7 @@
 	outageAfter = 500 * time.Millisecond
 )
 
-// Change is what an Owner is told.
+// Change is what an owner is told.
 type Change struct {
 	Put     []kv.KeyValue
 	Removed []string
@@ -29,18 +31,27 @@
 	AfterOutage bool
 }
 
-// Mirror follows one prefix. Run it once.
+// Snapshot is a copy as of a revision of the store.
+type Snapshot struct {
+	Revision kv.Revision   `json:"revision"`
+	Items    []kv.KeyValue `json:"items"`
+}
+
+// Mirror follows one prefix. Run it once; the other methods are safe for concurrent use.
 type Mirror struct {
 	store  kv.Store
 	prefix string
 	apply  func(Change)
-	items  map[string]kv.Revision
-	failed time.Time // since when calls fail; zero while they succeed
+
+	mu       sync.Mutex // guards the fields below, and is held while apply runs, so that changes arrive in order
+	items    map[string]kv.KeyValue
+	revision kv.Revision // of the newest listing or event
+	failed   time.Time   // since when calls fail; zero while they succeed
 }
 
-// New returns a mirror that calls apply, from one goroutine, with each change, beginning with the first listing.
+// New returns a mirror that calls apply with each change, one at a time, beginning with the first listing. apply must not call the mirror.
 func New(store kv.Store, prefix string, apply func(Change)) *Mirror {
-	return &Mirror{store: store, prefix: prefix, apply: apply, items: make(map[string]kv.Revision)}
+	return &Mirror{store: store, prefix: prefix, apply: apply, items: make(map[string]kv.KeyValue)}
 }
 
 // Run lists and watches until ctx ends.
@@ -53,7 +64,10 @@
 			pause = firstRetry
 			err = m.watch(ctx, revision)
 		}
-		if errors.Is(err, kv.ErrCompacted) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, kv.ErrCompacted) {
 			klog.InfoS("Store dropped the history of a watch, listing again", "prefix", m.prefix)
 			continue
 		}
@@ -63,40 +77,84 @@
 	}
 }
 
+// Lost returns for how long the store has been out of reach, 0 while it answers.
+func (m *Mirror) Lost() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failed.IsZero() {
+		return 0
+	}
+	return time.Since(m.failed)
+}
+
+// Snapshot returns the copy.
+func (m *Mirror) Snapshot() Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := Snapshot{Revision: m.revision, Items: make([]kv.KeyValue, 0, len(m.items))}
+	for _, item := range m.items {
+		s.Items = append(s.Items, item)
+	}
+	return s
+}
+
+// Merge takes over a peer's copy if it is newer and the store is out of reach. It returns whether it was taken.
+func (m *Mirror) Merge(s Snapshot) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failed.IsZero() || s.Revision <= m.revision {
+		return false
+	}
+	klog.InfoS("Peer's copy is taken over while the store is out of reach", "prefix", m.prefix, "revision", s.Revision, "before", m.revision, "keys", len(s.Items))
+	m.replace(s, false)
+	return true
+}
+
 func (m *Mirror) lost(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.failed.IsZero() {
 		m.failed = time.Now()
-		klog.ErrorS(err, "Store is lost, keeping what is known", "prefix", m.prefix, "keys", len(m.items))
+		klog.ErrorS(err, "Store is lost, keeping what is known", "prefix", m.prefix, "keys", len(m.items), "revision", m.revision)
 	}
 }
 
-// list replaces the copy.
+// list replaces the copy by the store's.
 func (m *Mirror) list(ctx context.Context) (kv.Revision, error) {
 	listing, err := m.store.List(ctx, m.prefix)
 	if err != nil {
 		return 0, err
 	}
-	change := Change{AfterOutage: !m.failed.IsZero() && time.Since(m.failed) > outageAfter}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	afterOutage := !m.failed.IsZero() && time.Since(m.failed) > outageAfter
 	if !m.failed.IsZero() {
 		klog.InfoS("Store is back", "prefix", m.prefix, "revision", listing.Revision, "outage_ms", time.Since(m.failed).Milliseconds())
 		m.failed = time.Time{}
 	}
-	seen := make(map[string]bool, len(listing.Items))
-	for _, item := range listing.Items {
+	m.replace(Snapshot{Revision: listing.Revision, Items: listing.Items}, afterOutage)
+	return listing.Revision, nil
+}
+
+// replace makes the copy equal to a newer one; m.mu is held.
+func (m *Mirror) replace(s Snapshot, afterOutage bool) {
+	change := Change{AfterOutage: afterOutage}
+	seen := make(map[string]bool, len(s.Items))
+	for _, item := range s.Items {
 		seen[item.Key] = true
-		if m.items[item.Key] != item.ModRevision {
-			m.items[item.Key] = item.ModRevision
+		if m.items[item.Key].ModRevision < item.ModRevision {
+			m.items[item.Key] = item
 			change.Put = append(change.Put, item)
 		}
 	}
-	for key := range m.items {
-		if !seen[key] {
+	for key, item := range m.items {
+		if !seen[key] && item.ModRevision <= s.Revision {
 			delete(m.items, key)
 			change.Removed = append(change.Removed, key)
 		}
 	}
+	m.revision = max(m.revision, s.Revision)
 	m.apply(change)
-	return listing.Revision, nil
 }
 
 // watch applies events until the watch fails.
@@ -118,18 +176,21 @@
 
 // event applies one change. An event that is not newer than the copy repeats what a listing showed.
 func (m *Mirror) event(e kv.WatchEvent) {
-	known := m.items[e.KeyValue.Key]
-	if e.KeyValue.ModRevision <= known {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := e.KeyValue.Key
+	known, exists := m.items[key]
+	if e.KeyValue.ModRevision <= known.ModRevision {
 		return
 	}
-	if e.Deleted {
-		if known == 0 {
-			return
-		}
-		delete(m.items, e.KeyValue.Key)
-		m.apply(Change{Removed: []string{e.KeyValue.Key}})
+	m.revision = max(m.revision, e.KeyValue.ModRevision)
+	if !e.Deleted {
+		m.items[key] = e.KeyValue
+		m.apply(Change{Put: []kv.KeyValue{e.KeyValue}})
 		return
 	}
-	m.items[e.KeyValue.Key] = e.KeyValue.ModRevision
-	m.apply(Change{Put: []kv.KeyValue{e.KeyValue}})
+	if exists {
+		delete(m.items, key)
+		m.apply(Change{Removed: []string{key}})
+	}
 }
