Keep views fresh near, and spend fewer store calls, in a large fleet

Change: peers of the own failure domain, and those near the targets in use, hear each change, the others once a second; a few instances of a region follow the target list, the others compare digests and read a peer's copy; owners announce new jobs; a job's end is told to its owner directly; items that give way stay in their owner's failure domain; a target elsewhere is used only when the near ones are full.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -36,6 +36,9 @@
 	// RegionPenalty and RemotePenalty are the requests by which a target of the own region, or of another one, must be emptier than a
 	// target of the own failure domain to be preferred: bytes that cross these borders are paid for.
 	RegionPenalty, RemotePenalty float64
+	// StalePenalty is added, in units of a target's slots, for targets of other failure domains in a fleet whose instances hear of these only
+	// now and then: such a target is used when those of the own failure domain are full of requests that do not give way.
+	StalePenalty float64
 	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
 	BatchReserve int
 	// MaxQueue is the number of requests that may wait at a target beyond its slots.
@@ -44,7 +47,7 @@
 
 // DefaultPolicy suits targets of about eight slots that serve an online request in under a second.
 func DefaultPolicy() Policy {
-	return Policy{PeerExpiry: 1500 * time.Millisecond, RegionPenalty: 0.5, RemotePenalty: 1.5, BatchReserve: 1, MaxQueue: 16}
+	return Policy{PeerExpiry: 2500 * time.Millisecond, RegionPenalty: 0.5, RemotePenalty: 1.5, StalePenalty: 1, BatchReserve: 1, MaxQueue: 16}
 }
 
 // Target is what the view needs to know of a target.
@@ -70,6 +73,7 @@
 	domain   fleet.FailureDomain
 	topology fleet.Topology
 	policy   Policy
+	stale    bool // instances of other failure domains are heard only now and then
 	targets  map[fleet.TargetID]*target
 	byPool   map[string][]*target
 	peers    map[fleet.InstanceID]*peer
@@ -88,6 +92,9 @@
 	}
 }
 
+// SetStale tells whether instances of other failure domains are heard only now and then.
+func (v *View) SetStale(stale bool) { v.stale = stale }
+
 // SetTargets replaces the list of targets. Counts of targets that are gone stay until their requests have ended.
 func (v *View) SetTargets(list []Target) {
 	seen := make(map[fleet.TargetID]bool, len(list))
@@ -154,6 +161,17 @@
 	return own
 }
 
+// Domains returns the failure domains of the targets that hold requests of this instance.
+func (v *View) Domains() map[fleet.FailureDomain]bool {
+	domains := make(map[fleet.FailureDomain]bool)
+	for _, t := range v.targets {
+		if t.own != (Count{}) {
+			domains[t.FailureDomain] = true
+		}
+	}
+	return domains
+}
+
 // Heard takes the counts that a peer sent.
 func (v *View) Heard(id fleet.InstanceID, counts map[fleet.TargetID]Count, now time.Time) {
 	v.peers[id] = &peer{heard: now, counts: counts}
@@ -203,13 +221,17 @@
 
 // distance returns the penalty of a target's place, in requests.
 func (v *View) distance(t *target) float64 {
+	stale := 0.0
+	if v.stale {
+		stale = v.policy.StalePenalty * float64(t.Slots)
+	}
 	switch v.topology.Distance(v.domain, t.FailureDomain) {
 	case fleet.SameFailureDomain:
 		return 0
 	case fleet.SameRegion:
-		return v.policy.RegionPenalty
+		return v.policy.RegionPenalty + stale
 	}
-	return v.policy.RemotePenalty
+	return v.policy.RemotePenalty + stale
 }
 
 // tieBreak orders equal targets differently for each request, so that instances that decide at the same moment spread.
@@ -259,13 +281,15 @@
 	return float64(slots + load.Online + load.Firm)
 }
 
-// PlaceBatch returns the target for a batch item, or false if there is no room. An urgent item may take the reserve as well.
+// PlaceBatch returns the target for a batch item, or false if there is no room. An urgent item may take the reserve as well. In a fleet
+// whose instances hear of other failure domains only now and then, items that must give way stay where their owner hears at once of the
+// online requests there.
 func (v *View) PlaceBatch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool, now time.Time) (Target, bool) {
 	var best *target
 	var bestScore float64
 	var bestTie uint64
 	for _, t := range v.byPool[service] {
-		if exclude[t.ID] || !t.usable(now) {
+		if exclude[t.ID] || !t.usable(now) || v.stale && !urgent && t.FailureDomain != v.domain {
 			continue
 		}
 		room := t.Slots - v.policy.BatchReserve
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -31,6 +31,7 @@
 // Held is the right to use a slot of a target, until Release.
 type Held struct {
 	Target slots.Target
+	Load   slots.Count // of the target when it was chosen
 	board  *Board
 	mu     sync.Mutex // guards count; taken before the board's mutex
 	count  slots.Count
@@ -75,8 +76,9 @@
 
 // take counts a request at a target; b.mu is held.
 func (b *Board) take(target slots.Target, count slots.Count) *Held {
+	load := b.view.Load(target.ID, time.Now())
 	b.view.Add(target.ID, count)
-	return &Held{Target: target, board: b, count: count}
+	return &Held{Target: target, Load: load, board: b, count: count}
 }
 
 // Release gives the place back. Further calls do nothing.
@@ -146,11 +148,11 @@
 	b.mayHaveRoom()
 }
 
-// Own returns this instance's counts.
-func (b *Board) Own() map[fleet.TargetID]slots.Count {
+// Own returns this instance's counts and the failure domains of their targets.
+func (b *Board) Own() (map[fleet.TargetID]slots.Count, map[fleet.FailureDomain]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.view.Own()
+	return b.view.Own(), b.view.Domains()
 }
 
 // SetTargets replaces the list of targets.
@@ -161,6 +163,13 @@
 	b.mayHaveRoom()
 }
 
+// SetStale tells whether instances of other failure domains are heard only now and then.
+func (b *Board) SetStale(stale bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.SetStale(stale)
+}
+
 // Pool returns the state of a service's targets.
 func (b *Board) Pool(service string) slots.Pool {
 	b.mu.Lock()
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -8,11 +8,15 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/httpcall"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/membership"
 	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/kvmirror"
 )
@@ -30,32 +34,63 @@
 	statePath = "/v1/state"
 )
 
-// CatchUp keeps the copies of the store's keys current from peers while the store is out of this instance's reach.
+// CatchUp keeps the copies of the store's keys current from peers: all of them while the store is out of this instance's reach, and the
+// list of targets at instances that do not follow it in the store. That list changes with every beat of every target, so that only a few
+// instances of each region follow it; the others read the list of one of these when its digest differs from theirs.
 type CatchUp struct {
+	self    fleet.Member
 	peers   *Peers
 	routes  *Routes
-	mirrors map[string]*kvmirror.Mirror // by a name that all instances share
-	seeds   []string                    // peer addresses to ask while no peer is known
+	list    *TargetList
+	copies  Copies
+	region  fleet.Topology
+	seeds   []string // peer addresses to ask while no peer is known
 	client  *http.Client
+	follows atomic.Bool
 }
 
-// NewCatchUp returns a CatchUp over the mirrors.
-func NewCatchUp(peers *Peers, routes *Routes, mirrors map[string]*kvmirror.Mirror, seeds []string) *CatchUp {
+// Copies are the mirrors of an instance.
+type Copies struct {
+	Config  *kvmirror.Mirror
+	Targets *kvmirror.Mirror
+	Members *kvmirror.Mirror
+}
+
+// named returns the mirrors by the names that instances use between them.
+func (c Copies) named() map[string]*kvmirror.Mirror {
+	return map[string]*kvmirror.Mirror{"config": c.Config, "targets": c.Targets, "members": c.Members}
+}
+
+const (
+	// followersPerRegion is the number of instances of each region that follow the list of targets. Two let one be lost without delay.
+	followersPerRegion = 2
+	// allFollow is the largest fleet in which every instance does.
+	allFollow = maxNear
+)
+
+// NewCatchUp returns a CatchUp of an instance.
+func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, seeds []string) *CatchUp {
 	dialer := &net.Dialer{Timeout: catchUpTimeout}
 	c := &CatchUp{
-		peers:   peers,
-		routes:  routes,
-		mirrors: mirrors,
-		seeds:   seeds,
-		client:  &http.Client{Timeout: catchUpTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 5 * time.Second}},
+		self:   self,
+		region: topology,
+		peers:  peers,
+		routes: routes,
+		list:   list,
+		copies: copies,
+		seeds:  seeds,
+		client: &http.Client{Timeout: catchUpTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 5 * time.Second}},
 	}
+	c.follows.Store(true)
+	copies.Targets.OnlyIf(c.follows.Load)
 	peers.OnState(c.state)
 	return c
 }
 
-// state returns whether the store is out of reach, and the version of the routing table.
-func (c *CatchUp) state() (bool, int64) {
-	return c.lost() > catchUpAfter, c.version()
+// state is what peers are told.
+func (c *CatchUp) state() State {
+	digest := c.list.Digest()
+	return State{Lost: c.Lost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision()}
 }
 
 func (c *CatchUp) version() int64 {
@@ -65,38 +100,71 @@
 	return 0
 }
 
-// lost returns for how long the store has been out of reach.
-func (c *CatchUp) lost() time.Duration {
-	longest := time.Duration(0)
-	for _, m := range c.mirrors {
-		longest = max(longest, m.Lost())
-	}
-	return longest
-}
-
 // Lost tells whether the store is out of this instance's reach.
-func (c *CatchUp) Lost() bool { return c.lost() > catchUpAfter }
+func (c *CatchUp) Lost() bool {
+	return max(c.copies.Config.Lost(), c.copies.Members.Lost()) > catchUpAfter
+}
 
 // Run asks peers while that is needed, until ctx ends.
 func (c *CatchUp) Run(ctx context.Context) {
 	for wait.For(ctx, catchUpPeriod/2+rand.N(catchUpPeriod)) {
-		if c.lost() < catchUpAfter {
+		told := c.peers.Told()
+		c.arrange(told)
+		source, ok := c.source(told)
+		if !ok {
 			continue
 		}
-		sources := c.peers.Sources(c.version())
-		if len(sources) == 0 && c.version() == 0 {
-			sources = c.seeds
-		}
-		if len(sources) == 0 {
-			continue
-		}
-		source := sources[rand.IntN(len(sources))]
 		if err := c.pull(ctx, source); err != nil {
 			klog.ErrorS(err, "Peer's copy of the store's keys was not read", "peer", source)
 		}
 	}
 }
 
+// arrange decides whether this instance follows the list of targets in the store.
+func (c *CatchUp) arrange(told []Told) {
+	members := []fleet.Member{c.peers.Self()}
+	if c.Lost() {
+		members = nil
+	}
+	for _, t := range told {
+		if !t.Lost && t.Member.State == fleet.MemberAlive {
+			members = append(members, t.Member)
+		}
+	}
+	follows := len(told) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
+	if c.follows.Swap(follows) != follows {
+		klog.InfoS("Following the list of targets in the store", "follows", follows, "peers", len(told))
+	}
+}
+
+// source returns the peer to read from, if any is needed.
+func (c *CatchUp) source(told []Told) (string, bool) {
+	var sources []string
+	for _, t := range told {
+		if c.helps(t) {
+			sources = append(sources, t.Member.PeerAddress)
+		}
+	}
+	if len(sources) == 0 && c.version() == 0 && c.Lost() {
+		sources = c.seeds
+	}
+	if len(sources) == 0 {
+		return "", false
+	}
+	return sources[rand.IntN(len(sources))], true
+}
+
+// helps tells whether a peer knows more than this instance.
+func (c *CatchUp) helps(t Told) bool {
+	switch {
+	case c.Lost():
+		return !t.Lost || t.Version > c.version()
+	case c.follows.Load():
+		return false
+	}
+	return !t.Lost && t.Targets != c.list.Digest() && t.Revision > c.copies.Targets.Revision()
+}
+
 // pull merges the copies of one peer.
 func (c *CatchUp) pull(ctx context.Context, address string) error {
 	target := httpcall.BaseURL(address)
@@ -118,7 +186,7 @@
 		return err
 	}
 	for name, snapshot := range state {
-		if m, ok := c.mirrors[name]; ok {
+		if m, ok := c.copies.named()[name]; ok {
 			m.Merge(snapshot)
 		}
 	}
@@ -128,8 +196,11 @@
 // Handle adds the call that peers make to the mux.
 func (c *CatchUp) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
-		state := make(map[string]kvmirror.Snapshot, len(c.mirrors))
-		for name, m := range c.mirrors {
+		state := make(map[string]kvmirror.Snapshot)
+		for name, m := range c.copies.named() {
+			if m == c.copies.Targets && !c.list.Settled() {
+				continue // the copy lacks targets that are about to come back
+			}
 			state[name] = m.Snapshot()
 		}
 		body, err := json.Marshal(state)
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -144,6 +144,7 @@
 		err := x.try(ctx, held)
 		held.Release()
 		if err == nil {
+			x.trail = append(x.trail, trailOf(held))
 			return Outcome{Verdict: Answered, Status: x.status}
 		}
 		if end, ended := x.afterFailure(ctx, held, err); ended {
@@ -152,6 +153,11 @@
 	}
 }
 
+// trailOf names a target with what was known of it when it was chosen: its online, firm and yieldable requests and its slots.
+func trailOf(held *Held) string {
+	return fmt.Sprintf("%s at %d+%d+%d of %d", held.Target.ID, held.Load.Online, held.Load.Firm, held.Load.Yieldable, held.Target.Slots)
+}
+
 // afterFailure decides what follows a failed try.
 func (x *execution) afterFailure(ctx context.Context, held *Held, err error) (Outcome, bool) {
 	mayHaveRun := !isNotRun(err)
@@ -160,7 +166,7 @@
 		x.tries.Ran++
 	}
 	x.excluded[held.Target.ID] = true
-	x.trail = append(x.trail, fmt.Sprintf("%s: %v", held.Target.ID, err))
+	x.trail = append(x.trail, trailOf(held)+": "+err.Error())
 	switch {
 	case errors.Is(err, ErrSinkGone):
 		return Outcome{Verdict: Gone, Cause: err}, true
--- a/node/gateway/item.go
+++ b/node/gateway/item.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"time"
 
 	"eelgrassproxy.example/core/fleet"
 )
@@ -27,7 +25,7 @@
 	case isNotRun(err):
 		outcome.Verdict = NotRun
 	}
-	x.trail = []string{fmt.Sprintf("%s after %d ms", held.Target.ID, time.Since(r.Arrived).Milliseconds())}
+	x.trail = []string{trailOf(held)}
 	x.record(outcome)
 	return outcome
 }
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -19,10 +19,14 @@
 )
 
 const (
-	// heartbeat is the longest pause between two datagrams to a peer.
+	// heartbeat is the longest pause between two datagrams to a near peer.
 	heartbeat = 250 * time.Millisecond
-	// silentAfter is the silence after which a peer is suspected: four heartbeats, so that three lost datagrams in a row do no harm.
-	silentAfter = 4*heartbeat + heartbeat/2
+	// farHeartbeat is the pause between two datagrams to a far peer, whose bytes are paid for.
+	farHeartbeat = time.Second
+	// maxNear is the largest fleet in which all peers are near. In a larger one, those of the own failure domain are.
+	maxNear = 12
+	// missedHeartbeats is the number of heartbeats after which a silent peer is suspected, so that some lost datagrams in a row do no harm.
+	missedHeartbeats = 4
 	// sendPause is the least time between two datagrams to all peers, for each peer. With it an instance sends at most about 400
 	// datagrams a second, whatever the size of the fleet.
 	sendPause = 2500 * time.Microsecond
@@ -34,17 +38,25 @@
 	registerPeriod = membership.RegisterPeriod
 )
 
+// State is what an instance tells its peers of its copies of the store's keys.
+type State struct {
+	Lost     bool        `json:"l,omitempty"` // the store is out of the sender's reach
+	Version  int64       `json:"v,omitempty"` // of the sender's routing table
+	Targets  uint64      `json:"t,omitempty"` // digest of the sender's list of targets
+	Revision kv.Revision `json:"r,omitempty"` // of the store as of that list
+}
+
 // datagram is what instances tell each other after each change.
 type datagram struct {
-	From     fleet.InstanceID          `json:"i"`
-	Process  uint64                    `json:"p"` // incarnation of the process; a higher one replaces a lower one
-	Sequence uint64                    `json:"n"` // rises with each datagram of a process
-	Draining bool                      `json:"d,omitempty"`
-	Lost     bool                      `json:"l,omitempty"` // the store is out of the sender's reach
-	Version  int64                     `json:"v,omitempty"` // of the sender's routing table
-	Member   json.RawMessage           `json:"m,omitempty"` // the sender's membership record, in one datagram of a few
-	Counts   map[fleet.TargetID][3]int `json:"c,omitempty"` // online, firm and yieldable requests at each target
-	Waiting  map[string]int64          `json:"w,omitempty"` // tokens of unfinished batch items by route
+	From     fleet.InstanceID `json:"i"`
+	Process  uint64           `json:"p"` // incarnation of the process; a higher one replaces a lower one
+	Sequence uint64           `json:"n"` // rises with each datagram of a process
+	Draining bool             `json:"d,omitempty"`
+	State
+	Member  json.RawMessage           `json:"m,omitempty"` // the sender's membership record, in one datagram of a few
+	Counts  map[fleet.TargetID][3]int `json:"c,omitempty"` // online, firm and yieldable requests at each target
+	Waiting map[string]int64          `json:"w,omitempty"` // tokens of unfinished batch items by route
+	Jobs    []string                  `json:"j,omitempty"` // jobs that the sender has owned for a few seconds at most
 }
 
 // Peers knows the other instances: from their records in the store, and from the datagrams by which all tell each other how many
@@ -54,20 +66,32 @@
 	board     *Board
 	conn      net.PacketConn
 	dirty     chan struct{}
-	waiting   func() map[string]int64
+	waiting   func() (tokens map[string]int64, newJobs []string)
+	onJobs    func(owner fleet.InstanceID, jobs []string)
 	onMembers func()
-	state     func() (lost bool, version int64)
+	state     func() State
 	registry  *membership.Registrar
 	records   *kvmirror.Mirror
 
 	mu       sync.Mutex // guards the fields below; a leaf
 	draining bool
 	sequence uint64
-	told     time.Time // when the membership record was last sent
+	told     time.Time                    // when the membership record was last sent
+	toldFar  time.Time                    // when far peers were last sent to
+	used     map[fleet.FailureDomain]bool // where this instance held requests as of the last datagram
 	peers    map[fleet.InstanceID]*peerState
 }
 
+// silentAfter is the silence after which a peer is suspected.
+func (s *peerState) silentAfter() time.Duration {
+	if s.near {
+		return missedHeartbeats*heartbeat + heartbeat/2
+	}
+	return missedHeartbeats*farHeartbeat + farHeartbeat/2
+}
+
 type peerState struct {
+	near     bool
 	member   fleet.Member
 	listed   bool // its record is in the store
 	address  netip.AddrPort
@@ -75,8 +99,7 @@
 	sequence uint64
 	heard    time.Time
 	silent   bool // reported as lost since it was heard
-	lost     bool // the store is out of its reach
-	version  int64
+	state    State
 	waiting  map[string]int64
 }
 
@@ -87,9 +110,10 @@
 		board:     board,
 		conn:      conn,
 		dirty:     make(chan struct{}, 1),
-		waiting:   func() map[string]int64 { return nil },
+		waiting:   func() (map[string]int64, []string) { return nil, nil },
+		onJobs:    func(fleet.InstanceID, []string) {},
 		onMembers: func() {},
-		state:     func() (bool, int64) { return false, 0 },
+		state:     func() State { return State{} },
 		peers:     make(map[fleet.InstanceID]*peerState),
 	}
 	p.registry = membership.NewRegistrar(p, store)
@@ -99,15 +123,28 @@
 	return p
 }
 
-// OnWaiting sets the source of the tokens that wait. Call it before Run.
-func (p *Peers) OnWaiting(waiting func() map[string]int64) { p.waiting = waiting }
+// OnWaiting sets the source of the tokens that wait, and of the jobs that this instance has owned for a short time. Call it before Run.
+func (p *Peers) OnWaiting(waiting func() (tokens map[string]int64, newJobs []string)) {
+	p.waiting = waiting
+}
+
+// OnJobs sets what is told of the jobs that peers own. It must not block. Call it before Run.
+func (p *Peers) OnJobs(told func(owner fleet.InstanceID, jobs []string)) { p.onJobs = told }
+
+// Announce asks for a datagram to all peers soon.
+func (p *Peers) Announce() {
+	p.mu.Lock()
+	p.toldFar = time.Time{}
+	p.mu.Unlock()
+	p.Changed()
+}
 
 // OnMembers sets what is called when a peer fell silent, was heard again, lost its record or was replaced by a new process. It must not
 // block. Call it before Run.
 func (p *Peers) OnMembers(changed func()) { p.onMembers = changed }
 
 // OnState sets the source of what peers are told of this instance's reach of the store and of its routing table. Call it before Run.
-func (p *Peers) OnState(state func() (lost bool, version int64)) { p.state = state }
+func (p *Peers) OnState(state func() State) { p.state = state }
 
 // Records returns the mirror of the membership records.
 func (p *Peers) Records() *kvmirror.Mirror { return p.records }
@@ -220,7 +257,9 @@
 		state.member, state.address = m, address
 	}
 	state.listed = state.listed || listed
+	allNear := p.arrange()
 	p.mu.Unlock()
+	p.board.SetStale(!allNear)
 	if !known || replaced {
 		klog.InfoS("Peer is known", "instance", m.ID, "incarnation", m.Incarnation, "address", m.PeerAddress, "draining", m.State == fleet.MemberDraining)
 		p.Changed()
@@ -230,13 +269,22 @@
 	}
 }
 
+// arrange decides which peers are near and returns whether all are; p.mu is held.
+func (p *Peers) arrange() bool {
+	all := len(p.peers) < maxNear
+	for _, state := range p.peers {
+		state.near = all || state.member.FailureDomain == p.self.FailureDomain
+	}
+	return all
+}
+
 // unlisted handles a record that is gone. A peer that is still heard stays: the store may have lost its lease, not the peer.
 func (p *Peers) unlisted(id fleet.InstanceID) {
 	p.mu.Lock()
 	state, known := p.peers[id]
 	if known {
 		state.listed = false
-		if time.Since(state.heard) > silentAfter {
+		if time.Since(state.heard) > state.silentAfter() {
 			delete(p.peers, id)
 		}
 	}
@@ -272,16 +320,15 @@
 
 // sendOnce sends one datagram to each peer and returns their number.
 func (p *Peers) sendOnce() int {
-	message := datagram{From: p.self.ID, Process: p.self.Incarnation, Counts: encodeCounts(p.board.Own()), Waiting: p.waiting()}
-	message.Lost, message.Version = p.state()
+	own, domains := p.board.Own()
+	message := datagram{From: p.self.ID, Process: p.self.Incarnation, Counts: encodeCounts(own)}
+	message.Waiting, message.Jobs = p.waiting()
+	message.State = p.state()
 	p.introduce(&message)
 	p.mu.Lock()
 	p.sequence++
 	message.Sequence, message.Draining = p.sequence, p.draining
-	addresses := make([]netip.AddrPort, 0, len(p.peers))
-	for _, state := range p.peers {
-		addresses = append(addresses, state.address)
-	}
+	addresses := p.audience(domains, time.Now())
 	p.mu.Unlock()
 	raw, err := json.Marshal(message)
 	if err != nil {
@@ -295,6 +342,25 @@
 	return len(addresses)
 }
 
+// audience returns the near peers, those near the targets that this instance uses or used until now, and all from time to time; p.mu is
+// held.
+func (p *Peers) audience(domains map[fleet.FailureDomain]bool, now time.Time) []netip.AddrPort {
+	used := p.used
+	p.used = domains
+	all := now.Sub(p.toldFar) >= farHeartbeat
+	if all {
+		p.toldFar = now
+	}
+	addresses := make([]netip.AddrPort, 0, len(p.peers))
+	for _, state := range p.peers {
+		domain := state.member.FailureDomain
+		if all || state.near || used[domain] || domains[domain] {
+			addresses = append(addresses, state.address)
+		}
+	}
+	return addresses
+}
+
 // introducePeriod is how often a datagram holds the membership record, for peers that cannot read it in the store.
 const introducePeriod = time.Second
 
@@ -302,7 +368,7 @@
 func (p *Peers) introduce(message *datagram) {
 	now := time.Now()
 	p.mu.Lock()
-	due := now.Sub(p.told) >= introducePeriod
+	due := now.Sub(p.told) >= introducePeriod || now.Sub(p.toldFar) >= farHeartbeat
 	if due {
 		p.told = now
 	}
@@ -360,6 +426,9 @@
 		return
 	}
 	p.board.Heard(message.From, counts)
+	if len(message.Jobs) > 0 {
+		p.onJobs(message.From, message.Jobs)
+	}
 }
 
 func clamp(n int) int { return min(max(n, 0), math.MaxInt16) }
@@ -374,7 +443,7 @@
 	}
 	state.process, state.sequence = message.Process, message.Sequence
 	state.heard, state.waiting = time.Now(), message.Waiting
-	state.lost, state.version = message.Lost, message.Version
+	state.state = message.State
 	if state.silent {
 		klog.InfoS("Peer is heard again", "instance", message.From, "process", message.Process)
 		state.silent = false
@@ -392,7 +461,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	for id, state := range p.peers {
-		if state.heard.IsZero() || state.silent || now.Sub(state.heard) < silentAfter {
+		if state.heard.IsZero() || state.silent || now.Sub(state.heard) < state.silentAfter() {
 			continue
 		}
 		state.silent = true
@@ -403,7 +472,7 @@
 	}
 	p.mu.Unlock()
 	for _, m := range lost {
-		klog.InfoS("Peer fell silent", "instance", m.ID, "incarnation", m.Incarnation, "silent_ms", silentAfter.Milliseconds())
+		klog.InfoS("Peer fell silent", "instance", m.ID, "incarnation", m.Incarnation)
 		p.board.Forget(m.ID)
 		p.onMembers()
 	}
@@ -417,7 +486,7 @@
 	defer p.mu.Unlock()
 	for _, state := range p.peers {
 		m := state.member
-		if m.State == fleet.MemberAlive && now.Sub(state.heard) > silentAfter {
+		if m.State == fleet.MemberAlive && now.Sub(state.heard) > state.silentAfter() {
 			m.State = fleet.MemberSuspect
 		}
 		members = append(members, m)
@@ -425,37 +494,32 @@
 	return members
 }
 
-// Sources returns the peer addresses of instances that were heard lately and know more than this one may: those that reach the store, or,
-// if none does, those with a routing table of a higher version.
-func (p *Peers) Sources(version int64) []string {
+// Told is what a peer that was heard lately told of its copies.
+type Told struct {
+	Member fleet.Member
+	State
+}
+
+// Told returns what the peers that were heard lately told.
+func (p *Peers) Told() []Told {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var reach, newer []string
+	var told []Told
 	for _, state := range p.peers {
-		switch {
-		case now.Sub(state.heard) > silentAfter:
-		case !state.lost:
-			reach = append(reach, state.member.PeerAddress)
-		case state.version > version:
-			newer = append(newer, state.member.PeerAddress)
+		if now.Sub(state.heard) <= state.silentAfter() {
+			told = append(told, Told{state.member, state.state})
 		}
 	}
-	if len(reach) > 0 {
-		return reach
-	}
-	return newer
+	return told
 }
 
 // Reaching returns the peers that were heard lately, reach the store and do not drain.
 func (p *Peers) Reaching() []fleet.Member {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var members []fleet.Member
-	for _, state := range p.peers {
-		if !state.lost && state.member.State == fleet.MemberAlive && now.Sub(state.heard) <= silentAfter {
-			members = append(members, state.member)
+	for _, t := range p.Told() {
+		if !t.Lost && t.Member.State == fleet.MemberAlive {
+			members = append(members, t.Member)
 		}
 	}
 	return members
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -74,6 +78,14 @@
 	mu      sync.Mutex // guards the fields below; taken before the board's mutex
 	targets map[fleet.TargetID]slots.Target
 	lapsed  map[fleet.TargetID]time.Time // when targets of before an outage are given up
+	digest  uint64
+}
+
+// Digest returns a number that is the same at all instances with the same list.
+func (l *TargetList) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest
 }
 
 // NewTargetList returns an empty list of the entries under prefix.
@@ -87,6 +99,13 @@
 	}
 }
 
+// Settled tells whether no target of before an outage is kept that the store does not list.
+func (l *TargetList) Settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.lapsed) == 0
+}
+
 // Apply takes changes of the entries.
 func (l *TargetList) Apply(change kvmirror.Change) {
 	l.mu.Lock()
@@ -161,5 +180,11 @@
 	for _, t := range l.targets {
 		list = append(list, t)
 	}
+	slices.SortFunc(list, func(a, b slots.Target) int { return cmp.Compare(a.ID, b.ID) })
+	digest := xxhash.New()
+	for _, t := range list {
+		fmt.Fprintln(digest, t) // a hash takes all writes
+	}
+	l.digest = digest.Sum64()
 	l.board.SetTargets(list)
 }
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -133,6 +133,14 @@
 	return eris.Wrap(ErrOutcomeUnknown, err.Error())
 }
 
+func (c peerCalls) ended(ctx context.Context, address string, id itemjob.ID) error {
+	_, err := c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/ended", nil, nil, 0)
+	if errors.Is(err, errNotOwner) {
+		return nil
+	}
+	return err
+}
+
 // adoptTimeout bounds the store calls by which a peer takes a job up.
 const adoptTimeout = 2 * time.Second
 
@@ -141,6 +149,7 @@
 	mux.HandleFunc("GET /v1/item-jobs/{job}/results", s.servePage)
 	mux.HandleFunc("GET /v1/item-jobs/{job}/body", s.serveBody)
 	mux.HandleFunc("POST /v1/item-jobs/{job}/adopt", s.serveAdopt)
+	mux.HandleFunc("POST /v1/item-jobs/{job}/ended", s.serveEnded)
 	mux.HandleFunc("POST /v1/item-jobs", s.serveSubmit)
 }
 
@@ -186,6 +195,12 @@
 	}
 }
 
+func (s *Service) serveEnded(w http.ResponseWriter, r *http.Request) {
+	if !s.EndOwned(itemjob.ID(r.PathValue("job"))) {
+		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
+	}
+}
+
 func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	var sub submission
 	if !readPeer(w, r, &sub) {
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
@@ -121,19 +123,13 @@
 	return pageOf(record.Items, results, after), nil
 }
 
-// maxOwners bounds the remembered owners; the oldest are not told apart, so that all are forgotten at once.
-const maxOwners = 10_000
-
 // learnOwner remembers the owner of a job and returns its address.
 func (s *Service) learnOwner(record *itemjob.Record) (string, bool) {
 	if record.Owner == "" || record.Ended {
 		return "", false
 	}
 	s.mu.Lock()
-	if len(s.owners) >= maxOwners {
-		clear(s.owners)
-	}
-	s.owners[record.ID] = record.Owner
+	s.rememberOwner(record.ID, record.Owner)
 	s.mu.Unlock()
 	return s.peerAddress(record.Owner)
 }
@@ -184,12 +180,8 @@
 	return task.Item.Body, true
 }
 
-const (
-	// endTime bounds the attempts to end a job.
-	endTime = 3 * time.Second
-	// endedMarkTTL is how long the mark that tells owners of the end is kept.
-	endedMarkTTL = time.Minute
-)
+// endTime bounds the attempts to end a job.
+const endTime = 3 * time.Second
 
 // End ends a job for its client: no further items start, and no further results are recorded. Errors: ErrNotFound, ErrUnavailable.
 func (s *Service) End(ctx context.Context, id itemjob.ID) error {
@@ -208,6 +200,7 @@
 			return errors.Join(ErrUnavailable, err)
 		}
 		if done {
+			s.tellEnded(ctx, &record)
 			return nil
 		}
 	}
@@ -215,31 +208,38 @@
 
 // endOnce ends the job if its record is still at the revision.
 func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) (bool, error) {
-	lease, err := s.Store.Grant(ctx, endedMarkTTL)
-	if err != nil {
-		return false, err
-	}
 	record.Ended, record.Owner, record.Process = true, "", 0
-	ops, err := putJSON(recordKey(record.ID), record, endedKey(record.ID), struct{}{})
+	ops, err := putJSON(recordKey(record.ID), record)
 	if err != nil {
 		return false, err
 	}
-	ops[1].Lease = lease
 	result, err := s.Store.Txn(ctx, kv.Txn{
 		Compares: []kv.Compare{{Key: recordKey(record.ID), Target: kv.CompareModRevision, Revision: revision}},
 		Then:     append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(record.ID)}),
 	})
-	if err != nil {
-		return false, err
+	return result.Succeeded, err
+}
+
+// tellEnded stops the items of a job at its owner. An owner that is not reached finds out when it looks at the open marks, or at its next
+// write.
+func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) {
+	if s.EndOwned(record.ID) {
+		return
+	}
+	address, ok := s.peerAddress(record.Owner)
+	if !ok {
+		return
 	}
-	if result.Succeeded {
-		s.endHere(record.ID)
+	if err := s.calls.ended(ctx, address, record.ID); err != nil {
+		klog.ErrorS(err, "Owner was not told that a job ended", "job", record.ID, "owner", record.Owner)
 	}
-	return result.Succeeded, nil
 }
 
-func (s *Service) endHere(id itemjob.ID) {
-	if j, ok := s.owned(id); ok {
+// EndOwned drops a job that its client ended; it returns false if this instance does not own it.
+func (s *Service) EndOwned(id itemjob.ID) bool {
+	j, ok := s.owned(id)
+	if ok {
 		s.drop(j, "client ended it")
 	}
+	return ok
 }
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -23,7 +23,6 @@
 	partPrefix    = root + "part/"
 	resultPrefix  = root + "result/"
 	partialPrefix = root + "partial/"
-	endedPrefix   = root + "ended/"
 )
 
 // ErrBadRecord means that a value in the store cannot be read.
@@ -32,7 +31,6 @@
 func recordKey(id itemjob.ID) string  { return recordPrefix + string(id) }
 func openKey(id itemjob.ID) string    { return openPrefix + string(id) }
 func partialKey(id itemjob.ID) string { return partialPrefix + string(id) }
-func endedKey(id itemjob.ID) string   { return endedPrefix + string(id) }
 
 func partKey(id itemjob.ID, n int) string { return fmt.Sprintf("%s%s/%04d", partPrefix, id, n) }
 
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -17,7 +17,6 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/node/gateway"
-	"eelgrassproxy.example/node/kvmirror"
 )
 
 // Parts are what a Service works with.
@@ -57,6 +56,7 @@
 // owned is a job that this instance owns.
 type owned struct {
 	*itemjob.Job
+	since    time.Time     // when this instance became the owner
 	revision kv.Revision   // of the record, under which results are recorded
 	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
 	flush    chan struct{} // asks the recorder to look
@@ -78,7 +78,8 @@
 	s.calls = newPeerCalls()
 	s.life, s.stop = context.WithCancel(context.Background())
 	parts.Board.OnYield(s.yield)
-	parts.Peers.OnWaiting(s.waiting)
+	parts.Peers.OnWaiting(s.announced)
+	parts.Peers.OnJobs(s.told)
 	parts.Peers.OnMembers(func() { poke(s.scan) })
 	return s
 }
@@ -95,7 +96,6 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.schedule(ctx) })
 	group.Go(func() { s.watchOwners(ctx) })
-	group.Go(func() { kvmirror.New(s.Store, endedPrefix, s.ended).Run(ctx) })
 	group.Go(func() { s.collect(ctx) })
 	group.Wait()
 	s.stop()
@@ -119,9 +119,27 @@
 	return sums
 }
 
+// announceFor is how long a job is announced to peers after this instance became its owner: long enough for some datagrams to be lost.
+const announceFor = 3 * time.Second
+
+// announced returns what peers are told: the tokens of unfinished items by route, and the jobs owned since a short time.
+func (s *Service) announced() (map[string]int64, []string) {
+	tokens := s.waiting()
+	var fresh []string
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, j := range s.jobs {
+		if !j.gone && now.Sub(j.since) < announceFor {
+			fresh = append(fresh, string(id))
+		}
+	}
+	return tokens, fresh
+}
+
 // own takes a job up. It is called after the store says that this instance owns it.
 func (s *Service) own(job *itemjob.Job, revision kv.Revision) {
-	j := &owned{Job: job, revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
+	j := &owned{Job: job, since: time.Now(), revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
 	s.mu.Lock()
 	if known, ok := s.jobs[job.ID]; ok && !known.gone && known.revision >= revision {
 		s.mu.Unlock()
@@ -132,7 +150,7 @@
 	s.mu.Unlock()
 	s.running.Go(func() { s.recordResults(s.life, j) })
 	poke(s.wake)
-	s.Peers.Changed()
+	s.Peers.Announce()
 }
 
 // drop ends the ownership of a job and its runs.
@@ -170,11 +188,22 @@
 	return j, ok
 }
 
-// ended drops jobs that clients ended at other instances.
-func (s *Service) ended(change kvmirror.Change) {
-	for _, item := range change.Put {
-		if j, ok := s.owned(jobOf(item.Key, endedPrefix)); ok {
-			s.drop(j, "client ended it")
-		}
+// told remembers the owners of jobs that peers announce.
+func (s *Service) told(owner fleet.InstanceID, jobs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range jobs {
+		s.rememberOwner(itemjob.ID(id), owner)
+	}
+}
+
+// maxOwners bounds the remembered owners; the oldest are not told apart, so that all are forgotten at once.
+const maxOwners = 10_000
+
+// rememberOwner notes who owns a job; s.mu is held.
+func (s *Service) rememberOwner(id itemjob.ID, owner fleet.InstanceID) {
+	if len(s.owners) >= maxOwners {
+		clear(s.owners)
 	}
+	s.owners[id] = owner
 }
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -23,6 +23,12 @@
 	outageAfter = 500 * time.Millisecond
 )
 
+// followCheck is how often a mirror that does not ask the store looks whether it should.
+const followCheck = 200 * time.Millisecond
+
+// errNotFollowing ends a watch of a mirror that is to live on the copies of peers.
+var errNotFollowing = errors.New("not following the store")
+
 // Change is what an owner is told.
 type Change struct {
 	Put     []kv.KeyValue
@@ -42,6 +48,7 @@
 	store  kv.Store
 	prefix string
 	apply  func(Change)
+	follow func() bool // whether the store is asked at all
 
 	mu       sync.Mutex // guards the fields below, and is held while apply runs, so that changes arrive in order
 	items    map[string]kv.KeyValue
@@ -51,7 +58,17 @@
 
 // New returns a mirror that calls apply with each change, one at a time, beginning with the first listing. apply must not call the mirror.
 func New(store kv.Store, prefix string, apply func(Change)) *Mirror {
-	return &Mirror{store: store, prefix: prefix, apply: apply, items: make(map[string]kv.KeyValue)}
+	return &Mirror{store: store, prefix: prefix, apply: apply, follow: func() bool { return true }, items: make(map[string]kv.KeyValue)}
+}
+
+// OnlyIf lets the mirror ask the store only while follow returns true; otherwise it lives on the copies of peers. Call it before Run.
+func (m *Mirror) OnlyIf(follow func() bool) { m.follow = follow }
+
+// Revision returns the revision of the copy.
+func (m *Mirror) Revision() kv.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
 }
 
 // Run lists and watches until ctx ends.
@@ -59,6 +76,10 @@
 	ctx = kv.WithPurpose(ctx, "mirror")
 	pause := firstRetry
 	for ctx.Err() == nil {
+		if !m.follow() && m.known() {
+			wait.For(ctx, followCheck)
+			continue
+		}
 		revision, err := m.list(ctx)
 		if err == nil {
 			pause = firstRetry
@@ -67,6 +88,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errNotFollowing) {
+			continue
+		}
 		if errors.Is(err, kv.ErrCompacted) {
 			klog.InfoS("Store dropped the history of a watch, listing again", "prefix", m.prefix)
 			continue
@@ -77,6 +101,13 @@
 	}
 }
 
+// known tells whether there is a copy.
+func (m *Mirror) known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision > 0
+}
+
 // Lost returns for how long the store has been out of reach, 0 while it answers.
 func (m *Mirror) Lost() time.Duration {
 	m.mu.Lock()
@@ -102,10 +133,10 @@
 func (m *Mirror) Merge(s Snapshot) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failed.IsZero() || s.Revision <= m.revision {
+	if m.failed.IsZero() && m.follow() || s.Revision <= m.revision {
 		return false
 	}
-	klog.InfoS("Peer's copy is taken over while the store is out of reach", "prefix", m.prefix, "revision", s.Revision, "before", m.revision, "keys", len(s.Items))
+	klog.InfoS("Peer's copy is taken over", "prefix", m.prefix, "revision", s.Revision, "before", m.revision, "keys", len(s.Items))
 	m.replace(s, false)
 	return true
 }
@@ -170,6 +201,9 @@
 			return e.Err
 		}
 		m.event(e)
+		if !m.follow() {
+			return errNotFollowing
+		}
 	}
 	return ctx.Err()
 }
