--- /dev/null
+++ b/core/itemjob/itemjob_test.go
@@ -0,0 +1,141 @@
+package itemjob_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/itemjob"
+)
+
+var now = time.Unix(1000, 0)
+
+func newJob(id itemjob.ID, due time.Duration, items ...string) *itemjob.Job {
+	record := itemjob.Record{ID: id, Items: len(items), MaxAttempts: 3, Submitted: now, Due: now.Add(due), GiveUp: now.Add(time.Minute)}
+	var list []itemjob.Item
+	for _, item := range items {
+		list = append(list, itemjob.Item{ID: item, Tokens: 10})
+	}
+	return itemjob.NewJob(record, list, nil)
+}
+
+func finish(j *itemjob.Job, item string, output ...string) {
+	task := j.Task(item)
+	task.Output = output
+	j.Finish(task, true, now)
+}
+
+// Guards against one store write for each item, and against results that wait although nothing more comes or the job is due.
+func TestResultsAreGrouped(t *testing.T) {
+	j := newJob("j", 20*time.Second, "a", "b", "c")
+	group, wait := j.Group(now)
+	require.Empty(t, group)
+	require.Zero(t, wait)
+	finish(j, "b", "x", "y")
+	group, wait = j.Group(now)
+	require.Empty(t, group)
+	require.Positive(t, wait)
+	group, _ = j.Group(now.Add(wait))
+	require.Equal(t, []itemjob.Result{{Item: "b", Completed: true, Output: "x\ny"}}, group)
+	group, _ = j.Group(now.Add(19 * time.Second))
+	require.Len(t, group, 1, "the job is nearly due")
+	finish(j, "a")
+	finish(j, "c")
+	group, _ = j.Group(now)
+	require.Len(t, group, 3, "all results are there")
+}
+
+// Guards against values beyond what the store takes.
+func TestGroupsAreBounded(t *testing.T) {
+	j := newJob("j", 0, "a", "b", "c")
+	large := string(make([]byte, 300<<10))
+	for _, item := range []string{"a", "b", "c"} {
+		finish(j, item, large)
+	}
+	group, _ := j.Group(now)
+	require.Len(t, group, 1)
+	j.Recorded(1, now)
+	group, _ = j.Group(now)
+	require.Equal(t, "b", group[0].Item)
+}
+
+// Guards against a result that takes two positions, or a position that changes.
+func TestAResultTakesOnePosition(t *testing.T) {
+	j := newJob("j", 0, "a", "b")
+	finish(j, "b", "first")
+	finish(j, "b", "second")
+	j.Recorded(1, now)
+	finish(j, "b", "third")
+	group, _ := j.Group(now)
+	require.Empty(t, group)
+	require.Equal(t, []itemjob.Result{{Item: "b", Completed: true, Output: "first"}}, j.Results)
+	require.False(t, j.Complete())
+	require.Equal(t, int64(10), j.WaitingTokens())
+}
+
+// Guards against an owner that runs items again whose results a former owner recorded.
+func TestRecordedItemsDoNotRunAgain(t *testing.T) {
+	record := itemjob.Record{ID: "j", Items: 2, Due: now.Add(time.Second)}
+	j := itemjob.NewJob(record, []itemjob.Item{{ID: "a"}, {ID: "b"}}, []itemjob.Result{{Item: "a", Completed: true}})
+	choice, ok := itemjob.Next([]*itemjob.Job{j}, &itemjob.Pace{}, now)
+	require.True(t, ok)
+	require.Equal(t, "b", choice.Task.Item.ID)
+	choice.Task.Phase = itemjob.Running
+	_, ok = itemjob.Next([]*itemjob.Job{j}, &itemjob.Pace{}, now)
+	require.False(t, ok)
+}
+
+// Guards against items that are given up too soon, or that run for ever.
+func TestFailedItemsAreGivenUp(t *testing.T) {
+	j := newJob("j", 0, "a", "b")
+	a, b := j.Task("a"), j.Task("b")
+	require.Empty(t, j.Failed(a, false, now))
+	require.Empty(t, j.Failed(a, false, now))
+	require.Equal(t, itemjob.FailedOften, j.Failed(a, false, now))
+	require.Equal(t, itemjob.Impossible, j.Failed(b, true, now))
+	j.Interrupted(b, 0, now)
+	require.Equal(t, 1, b.Failures, "a run that broke off is no failure of the item")
+	require.Empty(t, j.Expired(now.Add(59*time.Second)))
+	require.Len(t, j.Expired(now.Add(time.Minute)), 2)
+}
+
+// Guards against a failed item that takes each free slot at once, and against an order that lets an early job wait behind a late one.
+func TestNextIsTheItemDueFirst(t *testing.T) {
+	late, early := newJob("late", 20*time.Second, "l"), newJob("early", 10*time.Second, "e1", "e2", "e3")
+	jobs := []*itemjob.Job{late, early}
+	next := func() string {
+		choice, ok := itemjob.Next(jobs, &itemjob.Pace{}, now)
+		require.True(t, ok)
+		choice.Task.Phase = itemjob.Running
+		return choice.Task.Item.ID
+	}
+	early.Task("e2").Events = 4
+	require.Equal(t, "e2", next(), "an item that was begun before")
+	require.Equal(t, "e1", next())
+	early.Failed(early.Task("e3"), false, now)
+	require.Equal(t, "l", next(), "a failed item pauses")
+	early.Ended = true
+	_, ok := itemjob.Next(jobs, &itemjob.Pace{}, now.Add(time.Second))
+	require.False(t, ok, "items of an ended job do not start")
+}
+
+// Guards against items that give way until they miss their due time, and against late ones that hold slots which online requests need.
+func TestUrgentOnlyWhileItHelps(t *testing.T) {
+	var pace itemjob.Pace
+	pace.Observe(200, 200, 4*time.Second)
+	due := func(d time.Duration) time.Time { return now.Add(d) }
+	require.False(t, pace.Urgent(due(15*time.Second), 0, now), "time enough")
+	require.True(t, pace.Urgent(due(8*time.Second), 0, now))
+	require.False(t, pace.Urgent(due(8*time.Second), 190, now), "nearly done")
+	require.False(t, pace.Urgent(due(3*time.Second), 0, now), "it cannot be in time")
+	require.True(t, pace.Urgent(due(time.Second), 190, now), "the rest can")
+	require.False(t, pace.Urgent(due(-time.Second), 190, now), "it is late already")
+}
+
+// Guards against a limit that is overrun, and against a refusal without one.
+func TestTokensFitUnderTheLimit(t *testing.T) {
+	require.True(t, itemjob.Fits(100, 60, 40))
+	require.False(t, itemjob.Fits(100, 61, 40))
+	require.True(t, itemjob.Fits(0, 1<<40, 1))
+}
--- a/core/routetable/routetable.go
+++ b/core/routetable/routetable.go
@@ -60,11 +60,6 @@
 	return r.Backends[0].Service
 }
 
-// Sends tells whether the route sends requests to the service.
-func (r *Route) Sends(service string) bool {
-	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && (b.Weight > 0 || len(r.Backends) == 1) })
-}
-
 // Limits bound what a client may send.
 type Limits struct {
 	MaxBodyBytes int64 // 0 means no limit
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -37,7 +37,7 @@
 	// target of the own failure domain to be preferred: bytes that cross these borders are paid for.
 	RegionPenalty, RemotePenalty float64
 	// StalePenalty is added, in units of a target's slots, for targets of other failure domains in a fleet whose instances hear of these only
-	// now and then: such a target is used when those of the own failure domain are full of requests that do not give way.
+	// now and then: such a target is used when those of the own failure domain have no free slot and hold more requests that do not give way.
 	StalePenalty float64
 	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
 	BatchReserve int
--- /dev/null
+++ b/core/slots/slots_test.go
@@ -0,0 +1,180 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+)
+
+var now = time.Unix(1000, 0)
+
+var topology = fleet.Topology{RegionOf: map[fleet.FailureDomain]fleet.Region{"a1": "a", "a2": "a", "b1": "b"}}
+
+func target(id string, domain fleet.FailureDomain) slots.Target {
+	t := slots.Target{Slots: 8}
+	t.ID, t.Service, t.Address, t.FailureDomain, t.State = fleet.TargetID(id), "s", id+":80", domain, fleet.TargetLive
+	return t
+}
+
+func newView(self fleet.InstanceID, list ...slots.Target) *slots.View {
+	v := slots.NewView(self, "a1", topology, slots.DefaultPolicy())
+	v.SetTargets(list)
+	return v
+}
+
+func place(t *testing.T, v *slots.View, exclude ...fleet.TargetID) fleet.TargetID {
+	excluded := make(map[fleet.TargetID]bool)
+	for _, id := range exclude {
+		excluded[id] = true
+	}
+	chosen, ok := v.Place("s", "r", excluded, now)
+	require.True(t, ok)
+	return chosen.ID
+}
+
+// Guards against online requests that wait at a full target while another one has a free slot, or where batch would give way.
+func TestPlacePrefersFreeSlotsThenBatchThatGivesWay(t *testing.T) {
+	v := newView("i1", target("t1", "a1"), target("t2", "a1"), target("t3", "a1"))
+	v.Add("t1", slots.Count{Online: 8})
+	v.Add("t2", slots.Count{Online: 4, Yieldable: 4})
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"t3": {Online: 7}}, now)
+	require.Equal(t, fleet.TargetID("t3"), place(t, v), "the only free slot, known from a peer")
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"t3": {Online: 8}}, now)
+	require.Equal(t, fleet.TargetID("t2"), place(t, v), "batch gives way")
+	require.Equal(t, fleet.TargetID("t3"), place(t, v, "t1", "t2"), "what is excluded is not used")
+}
+
+// Guards against requests to leaving, unknown or overfull targets, and against giving up while an avoided target is left.
+func TestPlaceUsesAvoidedTargetsLast(t *testing.T) {
+	leaving := target("t3", "a1")
+	leaving.State = fleet.TargetLeaving
+	v := newView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
+	v.Avoid("t1", now.Add(time.Second))
+	v.Add("t2", slots.Count{Online: 20})
+	require.Equal(t, fleet.TargetID("t2"), place(t, v))
+	require.Equal(t, fleet.TargetID("t1"), place(t, v, "t2"))
+	v.Trust("t1")
+	require.Equal(t, fleet.TargetID("t1"), place(t, v))
+	v.Add("t1", slots.Count{Online: 24})
+	v.Add("t2", slots.Count{Online: 4})
+	_, ok := v.Place("s", "r", nil, now)
+	require.False(t, ok, "every queue is full")
+	_, ok = v.Place("other", "r", nil, now)
+	require.False(t, ok)
+}
+
+// Guards against counts of a silent peer that block slots for good.
+func TestCountsOfASilentPeerExpire(t *testing.T) {
+	v := newView("i1", target("t1", "a1"))
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"t1": {Online: 5}}, now)
+	require.Equal(t, 5, v.Load("t1", now).Total())
+	require.Zero(t, v.Load("t1", now.Add(slots.DefaultPolicy().PeerExpiry)).Total())
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"t1": {Online: 5}}, now)
+	v.Forget("i2")
+	require.Zero(t, v.Load("t1", now).Total())
+}
+
+// Guards against counts that are lost or kept when a target leaves the list while it holds requests.
+func TestCountsOutliveTheListing(t *testing.T) {
+	v := newView("i1", target("t1", "a1"))
+	v.Add("t1", slots.Count{Online: 1})
+	v.SetTargets(nil)
+	require.Equal(t, map[fleet.TargetID]slots.Count{"t1": {Online: 1}}, v.Own())
+	v.Add("t1", slots.Count{Online: -1})
+	v.SetTargets(nil)
+	require.Empty(t, v.Own())
+	_, ok := v.Place("s", "r", nil, now)
+	require.False(t, ok)
+}
+
+// Guards against batch that takes the slots kept for the first requests of a burst, and against urgent items that wait for nothing.
+func TestBatchLeavesAReserve(t *testing.T) {
+	v := newView("i1", target("t1", "a1"))
+	v.Add("t1", slots.Count{Online: 7})
+	_, ok := v.PlaceBatch("s", "i", nil, false, now)
+	require.False(t, ok)
+	_, ok = v.PlaceBatch("s", "i", nil, true, now)
+	require.True(t, ok)
+	v.Add("t1", slots.Count{Firm: 1})
+	_, ok = v.PlaceBatch("s", "i", nil, true, now)
+	require.False(t, ok)
+}
+
+// Guards against an excess that two instances both give way for, or neither.
+func TestExcessIsDividedWithoutOverlap(t *testing.T) {
+	counts := map[fleet.InstanceID]slots.Count{"i1": {Yieldable: 3}, "i2": {Online: 2, Yieldable: 2}, "i3": {Yieldable: 4}, "i4": {Online: 2}}
+	for over := range 10 {
+		sum := 0
+		for self, own := range counts {
+			v := newView(self, target("t1", "a1"))
+			v.Add("t1", own)
+			for peer, c := range counts {
+				if peer == "i4" {
+					c.Online += over - 5 // 13 requests without it
+				}
+				if peer != self {
+					v.Heard(peer, map[fleet.TargetID]slots.Count{"t1": c}, now)
+				} else if peer == "i4" {
+					v.Add("t1", slots.Count{Online: over - 5})
+				}
+			}
+			mine := v.Excess(now)["t1"]
+			require.LessOrEqual(t, mine, own.Yieldable)
+			sum += mine
+		}
+		require.Equal(t, min(over, 9), sum, "excess of %d", over)
+	}
+}
+
+// Guards against traffic over paid links while a near target has room, and against a full near target that is used all the same.
+func TestNearTargetsArePreferred(t *testing.T) {
+	v := newView("i1", target("far", "b1"), target("near", "a1"), target("region", "a2"))
+	require.Equal(t, fleet.TargetID("near"), place(t, v))
+	v.Add("near", slots.Count{Online: 1})
+	require.Equal(t, fleet.TargetID("region"), place(t, v))
+	v.Add("region", slots.Count{Online: 1})
+	v.Add("near", slots.Count{Online: 1})
+	require.Equal(t, fleet.TargetID("far"), place(t, v))
+}
+
+// Guards against requests to far targets by old news of them: what gives way near is used first, and batch that must give way stays near.
+func TestStaleViewsKeepRequestsNear(t *testing.T) {
+	v := newView("i1", target("near", "a1"), target("far", "b1"))
+	v.SetStale(true)
+	v.Add("near", slots.Count{Online: 7})
+	require.Equal(t, fleet.TargetID("near"), place(t, v), "a free slot")
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"far": {Online: 7}}, now)
+	v.Add("near", slots.Count{Yieldable: 1})
+	require.Equal(t, fleet.TargetID("near"), place(t, v), "batch gives way, and the far target is as full")
+	v.Forget("i2")
+	require.Equal(t, fleet.TargetID("far"), place(t, v))
+	v.Add("near", slots.Count{Online: 1, Yieldable: -1})
+	_, ok := v.PlaceBatch("s", "i", nil, false, now)
+	require.False(t, ok)
+	urgent, ok := v.PlaceBatch("s", "i", nil, true, now)
+	require.True(t, ok)
+	require.Equal(t, fleet.TargetID("far"), urgent.ID)
+}
+
+// Guards against herds: equal targets are chosen by request, so that instances that decide at the same moment spread.
+func TestEqualTargetsAreSpread(t *testing.T) {
+	var list []slots.Target
+	for i := range 8 {
+		list = append(list, target(fmt.Sprintf("t%d", i), "a1"))
+	}
+	v := newView("i1", list...)
+	chosen := map[fleet.TargetID]int{}
+	for i := range 800 {
+		c, _ := v.Place("s", fmt.Sprintf("r%d", i), nil, now)
+		chosen[c.ID]++
+	}
+	for id, n := range chosen {
+		require.InDelta(t, 100, n, 50, "share of %s", id)
+	}
+	require.Len(t, chosen, len(list))
+}
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -14,7 +11,6 @@
 
 	"k8s.io/klog/v2"
 
-	"eelgrassproxy.example/adapters/httpcall"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/membership"
 	"eelgrassproxy.example/node/internal/wait"
@@ -26,10 +22,6 @@
 	catchUpPeriod = 500 * time.Millisecond
 	// catchUpAfter is how long the store is out of reach before a peer is asked.
 	catchUpAfter = 200 * time.Millisecond
-	// catchUpTimeout bounds a call to a peer.
-	catchUpTimeout = 500 * time.Millisecond
-	// maxState bounds a peer's answer: a few hundred bytes for each target and route.
-	maxState = 8 << 20
 
 	statePath = "/v1/state"
 )
@@ -45,7 +37,7 @@
 	copies  Copies
 	region  fleet.Topology
 	seeds   []string // peer addresses to ask while no peer is known
-	client  *http.Client
+	client  *PeerClient
 	follows atomic.Bool
 }
 
@@ -69,8 +61,8 @@
 )
 
 // NewCatchUp returns a CatchUp of an instance.
-func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, seeds []string) *CatchUp {
-	dialer := &net.Dialer{Timeout: catchUpTimeout}
+func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, client *PeerClient,
+	seeds []string) *CatchUp {
 	c := &CatchUp{
 		self:   self,
 		region: topology,
@@ -79,7 +71,7 @@
 		list:   list,
 		copies: copies,
 		seeds:  seeds,
-		client: &http.Client{Timeout: catchUpTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 5 * time.Second}},
+		client: client,
 	}
 	c.follows.Store(true)
 	copies.Targets.OnlyIf(c.follows.Load)
@@ -167,22 +159,12 @@
 
 // pull merges the copies of one peer.
 func (c *CatchUp) pull(ctx context.Context, address string) error {
-	target := httpcall.BaseURL(address)
-	target.Path = statePath
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, nil, nil, 0)
 	if err != nil {
 		return err
 	}
-	response, err := c.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("peer answered status %d", response.StatusCode)
-	}
 	var state map[string]kvmirror.Snapshot
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&state); err != nil {
+	if err := json.Unmarshal(body, &state); err != nil {
 		return err
 	}
 	for name, snapshot := range state {
--- /dev/null
+++ b/node/gateway/forward_test.go
@@ -0,0 +1,464 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/standin/memnet"
+)
+
+// wire is a protocol for tests with headers of its own.
+type wire struct{}
+
+func (wire) Header(r *gateway.Request, a gateway.Attempt) http.Header {
+	h := http.Header{"Id": {string(r.ID)}}
+	if a.Resume {
+		h.Set("After", strconv.FormatInt(a.After, 10))
+	}
+	return h
+}
+
+func (wire) Mine(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
+
+func (wire) Reply(status int, h http.Header) gateway.Reply {
+	return gateway.Reply{
+		NotRun:      h.Get("Refused") != "",
+		OtherTarget: status == http.StatusMisdirectedRequest,
+		Events:      h.Get("Content-Type") == "text/event-stream",
+		Complete:    h.Get("Signed") != "",
+	}
+}
+
+// exchange is one request as a target saw it.
+type exchange struct{ target, after string }
+
+// world is a gateway with scripted targets. A script writes raw bytes after the request was read; the connection is closed when it returns
+// false.
+type world struct {
+	t         *testing.T
+	network   *memnet.Network
+	board     *gateway.Board
+	forward   *gateway.Forwarder
+	mu        sync.Mutex
+	seen      []exchange
+	closed    map[string]time.Time // when a connection to the target ended
+	route     routetable.Route
+	listeners []net.Listener
+}
+
+type script func(w io.Writer, r *http.Request) bool
+
+func newWorld(t *testing.T, scripts map[string]script) *world {
+	w := &world{t: t, network: memnet.New(), closed: make(map[string]time.Time)}
+	w.route = routetable.Route{Name: "r", Kind: routetable.Stream, Timeout: 5 * time.Second, MaxAttempts: 2, Resumable: true}
+	var list []slots.Target
+	for name, run := range scripts {
+		target := slots.Target{Slots: 8}
+		target.ID, target.Service, target.Address, target.State = fleet.TargetID(name), "s", "10.0.0."+name[1:]+":80", fleet.TargetLive
+		list = append(list, target)
+		w.serve(name, target.Address, run)
+	}
+	view := slots.NewView("i1", "a", fleet.Topology{}, slots.DefaultPolicy())
+	w.board = gateway.NewBoard(view)
+	w.board.SetTargets(list)
+	client := rawhttp.New(w.network.DialContext("10.1.0.1"))
+	w.forward = gateway.NewForwarder(w.board, client, wire{}, gateway.DefaultOptions(), tally.NoopScope)
+	return w
+}
+
+func (w *world) serve(name, address string, run script) {
+	listener, err := w.network.Listen(address)
+	require.NoError(w.t, err)
+	w.listeners = append(w.listeners, listener)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go w.connection(name, c, run)
+		}
+	}()
+}
+
+func (w *world) connection(name string, c net.Conn, run script) {
+	defer func() {
+		c.Close()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.closed[name] = time.Now()
+	}()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.mu.Lock()
+		w.seen = append(w.seen, exchange{name, r.Header.Get("After")})
+		w.mu.Unlock()
+		if !run(c, r) {
+			return
+		}
+	}
+}
+
+func (w *world) close() {
+	for _, l := range w.listeners {
+		_ = l.Close()
+	}
+	w.network.Close()
+}
+
+// first makes a target the one that is chosen first: it is the emptiest.
+func (w *world) first(name string) {
+	w.board.Heard("peer", map[fleet.TargetID]slots.Count{})
+	counts := make(map[fleet.TargetID]slots.Count)
+	for _, other := range []string{"t1", "t2", "t3"} {
+		if other != name {
+			counts[fleet.TargetID(other)] = slots.Count{Online: 3}
+		}
+	}
+	w.board.Heard("peer", counts)
+}
+
+type sink struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	fail   error
+}
+
+func (s *sink) Start(status int, header http.Header) error {
+	s.status, s.header = status, header
+	return s.fail
+}
+
+func (s *sink) Write(p []byte) error {
+	s.body.Write(p)
+	return s.fail
+}
+
+func (w *world) do(ctx context.Context, out *sink) gateway.Outcome {
+	now := time.Now()
+	route := w.route
+	return w.forward.Do(ctx, &gateway.Request{
+		ID: "q1", Method: http.MethodPost, URI: "/p/1", Host: "h", Body: []byte("b"), Route: &route, Service: "s",
+		Arrived: now, Deadline: now.Add(route.Timeout),
+	}, out)
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// events writes a whole stream of the events from a to b.
+func events(a, b int) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead)
+		for i := a; i <= b; i++ {
+			_, _ = io.WriteString(w, chunk(event(i)))
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	}
+}
+
+// broken writes events and part of another one, and then ends the connection.
+func broken(a, b int) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead)
+		for i := a; i <= b; i++ {
+			_, _ = io.WriteString(w, chunk(event(i)))
+		}
+		_, _ = io.WriteString(w, chunk("id: 99\nda"))
+		return false
+	}
+}
+
+// silent reads the request and writes nothing until the other end closes the connection.
+func silent(w io.Writer, _ *http.Request) bool {
+	_, _ = w.(net.Conn).Read(make([]byte, 1))
+	return false
+}
+
+func refusing(w io.Writer, _ *http.Request) bool {
+	_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nId: q1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+func whole(status int, body string) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nId: q1\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+		return true
+	}
+}
+
+func allEvents(a, b int) string {
+	var all strings.Builder
+	for i := a; i <= b; i++ {
+		all.WriteString(event(i))
+	}
+	return all.String()
+}
+
+// Guards against streams that are changed on their way, or cut.
+func TestStreamIsRelayedUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": events(0, 4)})
+		defer w.close()
+		var out sink
+		outcome := w.do(t.Context(), &out)
+		require.Equal(t, gateway.Answered, outcome.Verdict)
+		require.Equal(t, allEvents(0, 4), out.body.String())
+		require.Equal(t, 200, out.status)
+		require.Equal(t, "yes", out.header.Get("Signed"))
+	})
+}
+
+// Guards against a hole, a repeat or half an event where a stream continues at another target.
+func TestBrokenStreamContinuesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": broken(0, 2), "t2": events(3, 5)})
+		defer w.close()
+		w.first("t1")
+		var out sink
+		outcome := w.do(t.Context(), &out)
+		require.Equal(t, gateway.Answered, outcome.Verdict)
+		require.Equal(t, allEvents(0, 5), out.body.String())
+		require.Equal(t, []exchange{{"t1", ""}, {"t2", "2"}}, w.seen)
+	})
+}
+
+// Guards against a stream that repeats events, or leaves some out, and is passed on as whole.
+func TestEventsOutOfOrderAreNotPassedOn(t *testing.T) {
+	for name, from := range map[string]int{"repeated": 2, "left out": 4} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, map[string]script{"t1": broken(0, 2), "t2": events(from, 5)})
+				defer w.close()
+				w.first("t1")
+				var out sink
+				outcome := w.do(t.Context(), &out)
+				require.Equal(t, gateway.Incomplete, outcome.Verdict)
+				require.Equal(t, allEvents(0, 2), out.body.String())
+			})
+		})
+	}
+}
+
+// Guards against a second run of a request that must not run twice, whatever its target did with it.
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	for name, run := range map[string]script{"broken before an event": broken(0, -1), "connection closed": func(io.Writer, *http.Request) bool { return false }} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, map[string]script{"t1": run, "t2": events(0, 5)})
+				defer w.close()
+				w.route.Resumable = false
+				w.first("t1")
+				var out sink
+				outcome := w.do(t.Context(), &out)
+				require.Equal(t, gateway.Unknown, outcome.Verdict)
+				require.Zero(t, out.status)
+				require.Len(t, w.seen, 1)
+			})
+		})
+	}
+}
+
+// Guards against refusals that reach the caller while another target has room, and against a "not run" that is not true.
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": refusing, "t2": events(0, 1)})
+		defer w.close()
+		w.route.Resumable, w.route.MaxAttempts = false, 1
+		w.first("t1")
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+
+		all := newWorld(t, map[string]script{"t1": refusing, "t2": refusing})
+		defer all.close()
+		outcome := all.do(t.Context(), &out)
+		require.Equal(t, gateway.NotRun, outcome.Verdict)
+		require.Positive(t, outcome.RetryAfter)
+		require.Len(t, all.seen, 2)
+	})
+}
+
+// Guards against requests that fail because one target cannot be reached, and against further ones that try it at once.
+func TestUnreachableTargetIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": events(0, 1), "t2": events(0, 1)})
+		defer w.close()
+		w.network.Refuse("10.0.0.1:80")
+		w.route.Resumable = false
+		w.first("t1")
+		for range 3 {
+			var out sink
+			require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		}
+		require.Equal(t, []exchange{{"t2", ""}, {"t2", ""}, {"t2", ""}}, w.seen)
+		require.Equal(t, 1, w.board.Pool("s").Usable)
+	})
+}
+
+// Guards against streams that wait out their deadline at a target that fell silent.
+func TestSilentTargetIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stalls := func(c io.Writer, r *http.Request) bool {
+			_, _ = io.WriteString(c, streamHead+chunk(event(0)))
+			return silent(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": stalls, "t2": events(1, 3)})
+		defer w.close()
+		w.first("t1")
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 3), out.body.String())
+		require.Less(t, time.Since(started), 2*time.Second)
+		synctest.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		require.Contains(t, w.closed, "t1", "the silent target stops")
+	})
+}
+
+// Guards against an answer at the deadline that claims that nothing ran, and against one that comes after it.
+func TestDeadlineEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": silent})
+		defer w.close()
+		w.route.Resumable = false
+		started := time.Now()
+		var out sink
+		outcome := w.do(t.Context(), &out)
+		require.Equal(t, gateway.TimedOut, outcome.Verdict)
+		require.Equal(t, w.route.Timeout, time.Since(started))
+	})
+}
+
+// Guards against targets that go on working for a caller that has left.
+func TestCallerThatLeavesStopsTheTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": silent})
+		defer w.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		var out sink
+		outcome := w.do(ctx, &out)
+		require.Equal(t, gateway.Gone, outcome.Verdict)
+		require.Zero(t, w.board.Pool("s").Load.Total(), "its slot is free again")
+	})
+}
+
+// Guards against a target's own failure that is replaced by one of ours.
+func TestFailureOfATargetIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": whole(500, "sorry"), "t2": whole(500, "sorry")})
+		defer w.close()
+		w.route.Kind, w.route.Resumable = routetable.Safe, false
+		var out sink
+		outcome := w.do(t.Context(), &out)
+		require.Equal(t, gateway.Answered, outcome.Verdict)
+		require.Equal(t, 500, out.status)
+		require.Equal(t, "sorry", out.body.String())
+		require.Len(t, w.seen, 2, "a safe request is tried elsewhere first")
+
+		unsafe := newWorld(t, map[string]script{"t1": whole(422, "no"), "t2": whole(200, "yes")})
+		defer unsafe.close()
+		unsafe.route.Kind, unsafe.route.Resumable = routetable.Unsafe, false
+		unsafe.first("t1")
+		out = sink{}
+		require.Equal(t, gateway.Answered, unsafe.do(t.Context(), &out).Verdict)
+		require.Equal(t, 422, out.status)
+	})
+}
+
+// Guards against the answer of an earlier request that arrives late on a kept connection.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := func(c io.Writer, r *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: other\r\nSigned: yes\r\nContent-Length: 5\r\n\r\nother")
+			return whole(200, "mine")(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": late})
+		defer w.close()
+		w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, "mine", out.body.String())
+	})
+}
+
+// Guards against a success without the mark that makes it count.
+func TestUnmarkedSuccessIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unmarked := func(c io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 2\r\n\r\nhi")
+			return true
+		}
+		w := newWorld(t, map[string]script{"t1": unmarked})
+		defer w.close()
+		w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+		var out sink
+		require.Equal(t, gateway.Unknown, w.do(t.Context(), &out).Verdict)
+	})
+}
+
+// Guards against an item that keeps its slot while an online request waits, and against its events being lost.
+func TestItemGivesWayAndKeepsItsEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(c io.Writer, r *http.Request) bool {
+			_, _ = io.WriteString(c, streamHead+chunk(event(0))+chunk(event(1)))
+			return silent(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": slow})
+		defer w.close()
+		held := w.board.Batch("s", "i", nil, false)
+		require.NotNil(t, held)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(500*time.Millisecond, func() { cancel(gateway.ErrYielded) })
+		var progress gateway.Progress
+		var received []string
+		route := w.route
+		route.MaxAttempts = 10
+		request := &gateway.Request{ID: "q1", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &route, Service: "s", Arrived: time.Now()}
+		outcome := w.forward.RunItem(ctx, request, held, &progress, func(data []byte) { received = append(received, string(data)) })
+		require.Equal(t, gateway.Yielded, outcome.Verdict)
+		require.Equal(t, []string{"e0", "e1"}, received)
+		require.Equal(t, int64(1), progress.Last)
+	})
+}
+
+// Guards against a client whose connection failed and whose stream goes on.
+func TestFailedSinkEndsTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": events(0, 3)})
+		defer w.close()
+		out := sink{fail: errors.New("broken pipe")}
+		require.Equal(t, gateway.Gone, w.do(t.Context(), &out).Verdict)
+	})
+}
--- /dev/null
+++ b/node/gateway/peerclient.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"eelgrassproxy.example/adapters/httpcall"
+)
+
+const (
+	// peerTimeout bounds a call to a peer beyond the time that the peer needs by itself. Regions are 12 ms apart.
+	peerTimeout = 400 * time.Millisecond
+	// maxPeerAnswer bounds an answer of a peer: a page of results, or the copies of the store's keys.
+	maxPeerAnswer = 8 << 20
+	// maxPeerIdle and peerIdleTimeout bound the pooled connections to each peer.
+	maxPeerIdle     = 4
+	peerIdleTimeout = 10 * time.Second
+)
+
+// PeerStatusError is an answer of a peer with another status than 200.
+type PeerStatusError struct{ Status int }
+
+// Error implements error.
+func (e *PeerStatusError) Error() string { return fmt.Sprintf("peer answered status %d", e.Status) }
+
+// PeerClient calls other instances by HTTP. It is safe for concurrent use.
+type PeerClient struct{ client *http.Client }
+
+// NewPeerClient returns a client that opens connections with dial.
+func NewPeerClient(dial httpcall.DialFunc) *PeerClient {
+	return &PeerClient{client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxPeerIdle, IdleConnTimeout: peerIdleTimeout}}}
+}
+
+// CloseIdle closes the pooled connections.
+func (c *PeerClient) CloseIdle() { c.client.CloseIdleConnections() }
+
+// Do makes one call and returns the body of its answer. patience is the time that the peer may take beside the network. An answer with
+// another status than 200 is a *PeerStatusError.
+func (c *PeerClient) Do(ctx context.Context, method, address, path string, query url.Values, body []byte, patience time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience+peerTimeout)
+	defer cancel()
+	target := httpcall.BaseURL(address)
+	target.Path, target.RawQuery = path, query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, &PeerStatusError{response.StatusCode}
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/node/gateway/peers_test.go
@@ -0,0 +1,352 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/kvmirror"
+	"eelgrassproxy.example/standin/memnet"
+)
+
+// member is one instance with its view of the fleet.
+type member struct {
+	id      fleet.InstanceID
+	address string
+	board   *gateway.Board
+	peers   *gateway.Peers
+	routes  *gateway.Routes
+	targets *kvmirror.Mirror
+	catchUp *gateway.CatchUp
+	store   *switched
+	stop    func()
+}
+
+// switched is a store that can be taken away from one instance.
+type switched struct {
+	kv.Store
+	mu    sync.Mutex
+	off   bool
+	lists int // of the targets
+}
+
+func (s *switched) set(off bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.off = off
+}
+
+func (s *switched) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	s.mu.Lock()
+	off := s.off
+	if prefix == "t/" {
+		s.lists++
+	}
+	s.mu.Unlock()
+	if off {
+		return kv.Listing{}, kv.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Watch ends soon, so that a store that is taken away is noticed.
+func (s *switched) Watch(ctx context.Context, prefix string, after kv.Revision) (<-chan kv.WatchEvent, error) {
+	events, err := s.Store.Watch(ctx, prefix, after)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan kv.WatchEvent)
+	go func() {
+		defer close(out)
+		timer := time.NewTimer(300 * time.Millisecond)
+		defer timer.Stop()
+		for {
+			select {
+			case e, ok := <-events:
+				if !ok {
+					return
+				}
+				out <- e
+			case <-timer.C:
+				select {
+				case out <- kv.WatchEvent{Err: kv.ErrCompacted}:
+				case <-ctx.Done():
+				}
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
+
+// party is a fleet over one store.
+type party struct {
+	t       *testing.T
+	network *memnet.Network
+	store   *memkv.Store
+	members []*member
+}
+
+func newParty(t *testing.T) *party { return &party{t: t, network: memnet.New(), store: memkv.New()} }
+
+func (p *party) put(key, value string) {
+	_, err := p.store.Txn(context.Background(), kv.Txn{Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: []byte(value)}}})
+	require.NoError(p.t, err)
+}
+
+// join starts an instance in a failure domain.
+func (p *party) join(id fleet.InstanceID, domain fleet.FailureDomain, reaches bool, seeds ...string) *member {
+	m := &member{id: id, address: fmt.Sprintf("10.0.0.%d:7720", len(p.members)+1), store: &switched{Store: p.store, off: !reaches}}
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: m.address, CallerAddress: m.address, FailureDomain: domain}
+	packets, err := p.network.ListenPacket(m.address)
+	require.NoError(p.t, err)
+	listener, err := p.network.Listen(m.address)
+	require.NoError(p.t, err)
+	m.board = gateway.NewBoard(slots.NewView(id, domain, topology, slots.DefaultPolicy()))
+	m.peers = gateway.NewPeers(self, m.store, m.board, packets)
+	m.routes = gateway.NewRoutes(func(value []byte) (*routetable.Table, error) {
+		return routetable.New(int64(len(value)), routetable.Limits{}, nil), nil
+	})
+	list := gateway.NewTargetList(m.board, "t/", func(key string, value []byte) (slots.Target, error) {
+		if string(value) == "broken" {
+			return slots.Target{}, fmt.Errorf("entry is broken")
+		}
+		target := slots.Target{Slots: 8}
+		target.ID, target.Service, target.State = fleet.TargetID(key[2:]), "s", fleet.TargetState(value)
+		return target, nil
+	})
+	config := kvmirror.New(m.store, "config", m.routes.Apply)
+	m.targets = kvmirror.New(m.store, "t/", list.Apply)
+	client := gateway.NewPeerClient(p.network.DialContext(m.address))
+	copies := gateway.Copies{Config: config, Targets: m.targets, Members: m.peers.Records()}
+	m.catchUp = gateway.NewCatchUp(self, topology, m.peers, m.routes, list, copies, client, seeds)
+	mux := http.NewServeMux()
+	m.catchUp.Handle(mux)
+	server := &http.Server{Handler: mux}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, run := range []func(context.Context){m.peers.Run, m.catchUp.Run, config.Run, m.targets.Run} {
+		group.Go(func() { run(ctx) })
+	}
+	group.Go(func() { _ = server.Serve(listener) })
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = server.Close()
+		group.Wait()
+		client.CloseIdle()
+	})
+	p.members = append(p.members, m)
+	return m
+}
+
+// lists returns how often each instance listed the targets in the store.
+func (p *party) lists() []int {
+	var counts []int
+	for _, m := range p.members {
+		m.store.mu.Lock()
+		counts = append(counts, m.store.lists)
+		m.store.mu.Unlock()
+	}
+	return counts
+}
+
+func (p *party) close() {
+	for _, m := range p.members {
+		m.stop()
+	}
+	p.network.Close()
+	time.Sleep(time.Second)
+}
+
+var topology = fleet.Topology{RegionOf: map[fleet.FailureDomain]fleet.Region{"a1": "a", "a2": "a", "b1": "b"}}
+
+func inParty(t *testing.T, test func(*testing.T, *party)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(t)
+		p.put("config", "v")
+		p.put("t/t1", "live")
+		defer p.close()
+		test(t, p)
+	})
+}
+
+func stateOf(m *member, id fleet.InstanceID) (fleet.MemberState, bool) {
+	for _, other := range m.peers.Members() {
+		if other.ID == id {
+			return other.State, true
+		}
+	}
+	return 0, false
+}
+
+// Guards against views of the targets' load that disagree for longer than a burst takes to begin.
+func TestPeersHearOfRequestsAtOnce(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a, b := p.join("a", "a1", true), p.join("b", "b1", true)
+		time.Sleep(2 * time.Second)
+		held := a.board.Online("s", "q", nil)
+		require.NotNil(t, held)
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, 1, b.board.Pool("s").Load.Online)
+		held.Release()
+		time.Sleep(20 * time.Millisecond)
+		require.Zero(t, b.board.Pool("s").Load.Total())
+	})
+}
+
+// Guards against an instance that is gone and counts on, or stays in the answers of the directory.
+func TestSilentPeerIsSuspected(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
+		time.Sleep(2 * time.Second)
+		require.NotNil(t, b.board.Online("s", "q", nil))
+		time.Sleep(100 * time.Millisecond)
+		state, _ := stateOf(a, "b")
+		require.Equal(t, fleet.MemberAlive, state)
+		p.network.Crash(b.address)
+		time.Sleep(2 * time.Second)
+		state, known := stateOf(a, "b")
+		require.True(t, known)
+		require.Equal(t, fleet.MemberSuspect, state)
+		require.Zero(t, a.board.Pool("s").Load.Total())
+	})
+}
+
+// Guards against callers that are sent to an instance that is leaving.
+func TestDrainIsToldAtOnce(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
+		time.Sleep(2 * time.Second)
+		b.peers.Drain(t.Context())
+		time.Sleep(50 * time.Millisecond)
+		state, _ := stateOf(a, "b")
+		require.Equal(t, fleet.MemberDraining, state)
+	})
+}
+
+// Guards against an instance that starts while the store turns it away and stays without configuration, targets and peers.
+func TestInstanceWithoutTheStoreLearnsFromPeers(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a := p.join("a", "a1", true)
+		time.Sleep(2 * time.Second)
+		b := p.join("b", "a1", false, a.address)
+		time.Sleep(3 * time.Second)
+		require.NotNil(t, b.routes.Current())
+		require.Equal(t, 1, b.board.Pool("s").Usable)
+		state, known := stateOf(a, "b")
+		require.True(t, known, "it introduced itself")
+		require.Equal(t, fleet.MemberAlive, state)
+		require.True(t, b.catchUp.Lost())
+
+		p.put("config", "newer")
+		p.put("t/t1", "leaving")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, int64(5), b.routes.Current().Version)
+		require.Zero(t, b.board.Pool("s").Usable, "it hears of a target that leaves")
+		b.store.set(false)
+		time.Sleep(3 * time.Second)
+		require.False(t, b.catchUp.Lost())
+	})
+}
+
+// Guards against an older configuration that replaces a newer one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a := p.join("a", "a1", true)
+		p.put("config", "newer")
+		time.Sleep(time.Second)
+		require.Equal(t, int64(5), a.routes.Current().Version)
+		p.put("config", "old")
+		time.Sleep(time.Second)
+		require.Equal(t, int64(5), a.routes.Current().Version)
+	})
+}
+
+// Guards against targets that are dropped because their entries lapsed while the store was away, against ones that are kept for good, and
+// against a broken entry that takes others with it.
+func TestTargetsLapseAfterAnOutage(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a := p.join("a", "a1", true)
+		p.put("t/t2", "live")
+		p.put("t/t3", "broken")
+		time.Sleep(time.Second)
+		require.Equal(t, 2, a.board.Pool("s").Usable)
+		p.store.SetDown(true)
+		time.Sleep(3 * time.Second)
+		p.store.Delete("t/t1")
+		p.store.Delete("t/t2")
+		require.Equal(t, 2, a.board.Pool("s").Usable)
+		p.store.SetDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, 2, a.board.Pool("s").Usable, "they may come back")
+		p.put("t/t2", "live")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, a.board.Pool("s").Usable)
+		p.put("t/t2", "broken")
+		time.Sleep(time.Second)
+		require.Zero(t, a.board.Pool("s").Usable)
+	})
+}
+
+// Guards against store calls that grow with the fleet: in a large one a few instances follow the list of targets, and all know it.
+func TestFewInstancesFollowTheTargetList(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		for i := range 16 {
+			p.join(fleet.InstanceID(fmt.Sprintf("i%02d", i)), []fleet.FailureDomain{"a1", "a2", "b1", "b1"}[i%4], true)
+		}
+		time.Sleep(8 * time.Second)
+		before := p.lists()
+		p.put("t/t2", "live")
+		time.Sleep(4 * time.Second)
+		followers := 0
+		for i, n := range p.lists() {
+			if n > before[i] {
+				followers++
+			}
+		}
+		require.Equal(t, 4, followers, "two in each region")
+		for _, m := range p.members {
+			require.Equal(t, 2, m.board.Pool("s").Usable, "%s", m.id)
+		}
+		p.put("t/t2", "leaving")
+		time.Sleep(4 * time.Second)
+		for _, m := range p.members {
+			require.Equal(t, 1, m.board.Pool("s").Usable, "%s", m.id)
+		}
+	})
+}
+
+// Guards against a datagram that is malformed or from a stranger and changes the view.
+func TestStrangeDatagramsAreIgnored(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		a := p.join("a", "a1", true)
+		time.Sleep(time.Second)
+		stranger, err := p.network.ListenPacket("10.0.9.9:1")
+		require.NoError(t, err)
+		defer stranger.Close()
+		address, err := net.ResolveUDPAddr("udp", a.address)
+		require.NoError(t, err)
+		for _, text := range []string{"", "{", `{"i":"x","p":1,"n":1,"c":{"t1":[9,9,9]}}`, `{"i":"x","m":{"instance":"y"}}`} {
+			_, err := stranger.WriteTo([]byte(text), address)
+			require.NoError(t, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.Zero(t, a.board.Pool("s").Load.Total())
+		require.Len(t, a.peers.Members(), 1)
+	})
+}
--- /dev/null
+++ b/node/itemjobs/itemjobs_test.go
@@ -0,0 +1,356 @@
+package itemjobs_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/itemjobs"
+)
+
+// inWorld runs a test with a fleet on virtual time.
+func inWorld(t *testing.T, instances int, test func(*testing.T, *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, instances)
+		defer w.close()
+		test(t, w)
+	})
+}
+
+// Guards against results that are missing, changed or at other positions at another instance.
+func TestJobIsReadableEverywhere(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b", "c")))
+		for _, n := range w.nodes {
+			page, err := n.service.Read(t.Context(), "j", 0, 0)
+			require.NoError(t, err)
+			require.Equal(t, 3, page.Total)
+			body, err := n.service.Body(t.Context(), "j", "b")
+			require.NoError(t, err)
+			require.Equal(t, "body of b", string(body))
+		}
+		time.Sleep(5 * time.Second)
+		first := w.readAll(w.nodes[0], "j")
+		completed(t, first, "a", "b", "c")
+		for _, n := range w.nodes[1:] {
+			require.Equal(t, first, w.readAll(n, "j"))
+		}
+		page, err := w.nodes[1].service.Read(t.Context(), "j", 2, 0)
+		require.NoError(t, err)
+		require.Equal(t, first[2:], page.Results)
+		require.Equal(t, 3, page.Next)
+		_, err = w.nodes[1].service.Read(t.Context(), "none", 0, 0)
+		require.ErrorIs(t, err, itemjobs.ErrNotFound)
+		for _, item := range []string{"a", "b", "c"} {
+			require.Len(t, w.runsOf(item), 1)
+		}
+	})
+}
+
+// Guards against readers that poll for results, and against one that waits although there are some.
+func TestReaderWaitsForTheNextResult(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		started := time.Now()
+		page, err := w.nodes[1].service.Read(t.Context(), "j", 0, 5*time.Second)
+		require.NoError(t, err)
+		completed(t, page.Results, "a")
+		require.Less(t, time.Since(started), 5*time.Second)
+		started = time.Now()
+		_, err = w.nodes[1].service.Read(t.Context(), "j", 1, 5*time.Second)
+		require.NoError(t, err)
+		require.Less(t, time.Since(started), time.Second, "nothing more can come")
+	})
+}
+
+// Guards against a job that is accepted twice when its client sends it again elsewhere.
+func TestRepeatedSubmissionIsTheSameJob(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		for _, n := range []*node{w.nodes[0], w.nodes[1], w.nodes[0]} {
+			require.NoError(t, n.service.Submit(t.Context(), submission("j", "a")))
+		}
+		time.Sleep(5 * time.Second)
+		require.Len(t, w.runsOf("a"), 1)
+		require.NoError(t, w.nodes[1].service.Submit(t.Context(), submission("j", "a")), "also when it is complete")
+	})
+}
+
+// Guards against a job that is lost, or refused as not run, when the store's answer to its write is lost.
+func TestLostAnswerToASubmission(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		lost := 1
+		w.store.OnTxn(nil, func(kv.Txn) error {
+			if lost--; lost >= 0 {
+				return kv.ErrOutcomeUnknown
+			}
+			return nil
+		})
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(5 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a")
+		require.Len(t, w.runsOf("a"), 1)
+
+		w.store.OnTxn(nil, func(txn kv.Txn) error {
+			if strings.Contains(txn.Compares[0].Key, "/record/k") {
+				return kv.ErrOutcomeUnknown
+			}
+			return nil
+		})
+		err := w.nodes[0].service.Submit(t.Context(), submission("k", "b"))
+		require.ErrorIs(t, err, itemjobs.ErrOutcomeUnknown, "never a promise that nothing runs")
+		w.store.OnTxn(nil, nil)
+		time.Sleep(10 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "k"), "b")
+	})
+}
+
+// Guards against results that are recorded twice when the answer to their write is lost.
+func TestLostAnswerToResults(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		lost := 2
+		w.store.OnTxn(nil, func(txn kv.Txn) error {
+			if len(txn.Compares) == 2 && lost > 0 {
+				lost--
+				return kv.ErrOutcomeUnknown
+			}
+			return nil
+		})
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b")))
+		time.Sleep(8 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a", "b")
+		require.Zero(t, lost)
+		require.Len(t, w.runsOf("a"), 1)
+	})
+}
+
+// Guards against jobs that stop with their owner, and against items that run again although their results were recorded.
+func TestJobOfALostInstanceGoesOn(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b")))
+		time.Sleep(time.Second)
+		w.kill(w.nodes[0])
+		time.Sleep(8 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a", "b")
+		require.Equal(t, w.readAll(w.nodes[1], "j"), w.readAll(w.nodes[2], "j"))
+		require.Len(t, w.runsOf("a"), 2)
+	})
+}
+
+// Guards against an owner that was cut off, and whose job another one took over, that adds results of its own.
+func TestReplacedOwnerAddsNothing(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b", "c")))
+		others := []string{w.nodes[1].address, w.nodes[2].address}
+		w.network.Partition([]string{w.nodes[0].address}, others)
+		w.nodes[0].store.set(true)
+		time.Sleep(8 * time.Second)
+		taken := w.readAll(w.nodes[1], "j")
+		completed(t, taken, "a", "b", "c")
+		w.nodes[0].store.set(false)
+		w.network.Heal()
+		time.Sleep(4 * time.Second)
+		require.Equal(t, taken, w.readAll(w.nodes[0], "j"))
+		require.Equal(t, taken, w.readAll(w.nodes[2], "j"))
+	})
+}
+
+// Guards against an instance without the store that holds its jobs' results back while others reach it, and that refuses jobs.
+func TestJobsMoveToAnInstanceThatReachesTheStore(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(time.Second)
+		w.nodes[0].store.set(true)
+		time.Sleep(time.Second)
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("k", "b")), "passed on")
+		time.Sleep(8 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a")
+		completed(t, w.readAll(w.nodes[1], "k"), "b")
+		runs := w.runsOf("a")
+		require.Len(t, runs, 2)
+		require.NotEmpty(t, runs[1].after, "it goes on where it was")
+	})
+}
+
+// Guards against a refusal that is no promise: without any way to the store a job is refused as not run, and does not run.
+func TestJobIsRefusedWithoutTheStore(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.store.SetDown(true)
+		time.Sleep(time.Second)
+		for _, n := range w.nodes {
+			n.store.set(true)
+		}
+		time.Sleep(time.Second)
+		require.ErrorIs(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")), itemjobs.ErrUnavailable)
+		w.store.SetDown(false)
+		for _, n := range w.nodes {
+			n.store.set(false)
+		}
+		time.Sleep(10 * time.Second)
+		require.Empty(t, w.runsOf("a"))
+	})
+}
+
+// Guards against a drain that loses the progress of items, or leaves a job without an owner.
+func TestDrainHandsJobsOver(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b")))
+		time.Sleep(time.Second)
+		w.nodes[0].service.Drain(t.Context())
+		time.Sleep(6 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a", "b")
+		for _, item := range []string{"a", "b"} {
+			runs := w.runsOf(item)
+			require.Len(t, runs, 2)
+			require.NotEmpty(t, runs[1].after)
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("k", "c")), "passed on")
+		time.Sleep(6 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "k"), "c")
+	})
+}
+
+// Guards against the only instance that drains and loses the progress of its items.
+func TestDrainOfTheLastInstanceLeavesProgressInTheStore(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(time.Second)
+		w.nodes[0].service.Drain(t.Context())
+		w.nodes[0].stop()
+		next := w.start("i9", "10.0.0.9")
+		time.Sleep(12 * time.Second)
+		completed(t, w.readAll(next, "j"), "a")
+		require.NotEmpty(t, w.runsOf("a")[1].after)
+	})
+}
+
+// Guards against items of an ended job that go on, start, or get results.
+func TestEndedJobStops(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		var items []string
+		for i := range 12 { // more than the target has slots
+			items = append(items, fmt.Sprintf("a%d", i))
+		}
+		sub := submission("j", items...)
+		for i := range sub.Items {
+			sub.Items[i].Tokens = 1
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(500 * time.Millisecond)
+		require.NoError(t, w.nodes[1].service.End(t.Context(), "j"))
+		started := len(w.runs)
+		time.Sleep(10 * time.Second)
+		require.Len(t, w.runs, started)
+		require.Empty(t, w.readAll(w.nodes[0], "j"))
+		require.NoError(t, w.nodes[2].service.End(t.Context(), "j"), "ending it again")
+		_, err := w.nodes[0].service.Body(t.Context(), "j", "a0")
+		require.ErrorIs(t, err, itemjobs.ErrNotFound)
+		require.ErrorIs(t, w.nodes[0].service.End(t.Context(), "none"), itemjobs.ErrNotFound)
+		require.NoError(t, w.nodes[2].service.Submit(t.Context(), sub), "a repeat of an accepted job")
+	})
+}
+
+// Guards against items that can never be done and run for ever, or that are given up before they failed often enough.
+func TestImpossibleItemsAreDeadLettered(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.status["bad"], w.status["failing"] = 422, 500
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "bad", "failing", "good")))
+		time.Sleep(8 * time.Second)
+		results := w.readAll(w.nodes[0], "j")
+		require.Contains(t, results, itemjob.Result{Item: "bad"})
+		require.Contains(t, results, itemjob.Result{Item: "failing"})
+		require.Contains(t, results, itemjob.Result{Item: "good", Completed: true, Output: output("good")})
+		require.Len(t, w.runsOf("bad"), 1)
+		require.Len(t, w.runsOf("failing"), 3)
+	})
+}
+
+// Guards against more waiting tokens than a route allows over all instances, and against a repeat that is refused.
+func TestTokenLimitHoldsOverAllInstances(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		items := func(prefix string, n int) []string {
+			var list []string
+			for i := range n {
+				list = append(list, fmt.Sprintf("%s%d", prefix, i))
+			}
+			return list
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", items("a", 6)...)))
+		time.Sleep(time.Second)
+		require.ErrorIs(t, w.nodes[1].service.Submit(t.Context(), submission("k", items("b", 6)...)), itemjobs.ErrNoRoom)
+		require.NoError(t, w.nodes[1].service.Submit(t.Context(), submission("l", items("c", 4)...)))
+		require.NoError(t, w.nodes[1].service.Submit(t.Context(), submission("j", items("a", 6)...)), "a repeat")
+		time.Sleep(10 * time.Second)
+		require.NoError(t, w.nodes[1].service.Submit(t.Context(), submission("k", items("b", 6)...)))
+	})
+}
+
+// Guards against items that keep their slots when online requests come, and against ones that lose their events by giving way.
+func TestItemsGiveWayToOnlineRequests(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		var items []string
+		for i := range 7 {
+			items = append(items, fmt.Sprintf("a%d", i))
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", items...)))
+		time.Sleep(time.Second)
+		var online []interface{ Release() }
+		for range 6 { // at the other instance
+			held := w.nodes[1].board.Online("s", "q", nil)
+			require.NotNil(t, held)
+			online = append(online, held)
+		}
+		time.Sleep(100 * time.Millisecond)
+		own, _ := w.nodes[0].board.Own()
+		require.Equal(t, slots.Count{Yieldable: 2}, own["t1"], "six of eight slots are taken by requests with a caller")
+		time.Sleep(2 * time.Second)
+		for _, held := range online {
+			held.Release()
+		}
+		time.Sleep(8 * time.Second)
+		completed(t, w.readAll(w.nodes[0], "j"), items...)
+		for _, item := range items {
+			for _, again := range w.runsOf(item)[1:] {
+				require.NotEmpty(t, again.after)
+			}
+		}
+	})
+}
+
+// Guards against old jobs that fill the store.
+func TestOldJobsAreRemoved(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(2 * time.Minute)
+		completed(t, w.readAll(w.nodes[1], "j"), "a")
+		time.Sleep(4 * time.Minute)
+		listing, err := w.store.List(context.Background(), "/eelgrass/item-jobs/")
+		require.NoError(t, err)
+		require.Empty(t, listing.Items)
+		_, err = w.nodes[1].service.Read(t.Context(), "j", 0, 0)
+		require.ErrorIs(t, err, itemjobs.ErrNotFound)
+	})
+}
+
+// Guards against two instances that both take a job up, and against a successor that is not alive.
+func TestNextProcessOfAnInstanceDoesNotOwnItsJobsUnasked(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(500 * time.Millisecond)
+		w.kill(w.nodes[0])
+		w.network.Revive(w.nodes[0].address)
+		w.start(fleet.InstanceID("i0"), "10.0.0.1")
+		time.Sleep(10 * time.Second)
+		completed(t, w.readAll(w.nodes[1], "j"), "a")
+		completed(t, w.readAll(w.nodes[2], "j"), "a")
+		require.Len(t, w.runsOf("a"), 2)
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -14,6 +14,7 @@
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/rendezvous"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 const (
@@ -27,13 +28,13 @@
 
 // watchOwners takes up open jobs whose owner is gone, and drops jobs that others took.
 func (s *Service) watchOwners(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.Seed, seedOwners))
 	for ctx.Err() == nil {
-		s.handOverLost(ctx)
 		stale := false
 		select {
 		case <-s.scan:
 			time.Sleep(settleDelay)
-		case <-time.After(scanPeriod/2 + rand.N(scanPeriod)):
+		case <-time.After(scanPeriod/2 + time.Duration(random.Int64N(int64(scanPeriod)))):
 			stale = true // a periodic look is the second line; data that is seconds old will do
 		case <-ctx.Done():
 			return
@@ -68,9 +69,14 @@
 		}
 		id := jobOf(item.Key, openPrefix)
 		marks[id] = mark
-		if s.isOrphan(id, mark, living) {
+		switch {
+		case s.isForgotten(id, mark):
+			s.adoptOrLog(ctx, id)
+		case !isOwned(mark, living):
 			orphaned[mark.Route] += mark.Tokens
-			s.takeUp(ctx, id, living)
+			if s.successor(id, living) == s.Self.ID {
+				s.adoptOrLog(ctx, id)
+			}
 		}
 	}
 	s.mu.Lock()
@@ -91,22 +97,19 @@
 	return living
 }
 
-// isOrphan tells whether nobody works on a job. This process may be named as the owner without knowing it, when the answer of the store to
-// a submission was lost.
-func (s *Service) isOrphan(id itemjob.ID, mark openMark, living map[fleet.InstanceID]uint64) bool {
-	if mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation {
-		_, known := s.owned(id)
-		return !known
-	}
+// isForgotten tells whether this process is named as the owner of a job without knowing it: the store's answer to a submission was lost.
+func (s *Service) isForgotten(id itemjob.ID, mark openMark) bool {
+	_, known := s.owned(id)
+	return !known && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
+}
+
+// isOwned tells whether the process that owns a job lives.
+func isOwned(mark openMark, living map[fleet.InstanceID]uint64) bool {
 	process, lives := living[mark.Owner]
-	return !lives || process != mark.Process
+	return lives && process == mark.Process
 }
 
-// takeUp makes this instance the owner of an orphaned job if it is the one to do so.
-func (s *Service) takeUp(ctx context.Context, id itemjob.ID, living map[fleet.InstanceID]uint64) {
-	if s.successor(id, living) != s.Self.ID {
-		return
-	}
+func (s *Service) adoptOrLog(ctx context.Context, id itemjob.ID) {
 	if err := s.Adopt(ctx, id, nil); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", id)
 	}
@@ -229,13 +232,14 @@
 	}
 }
 
-// interrupt ends the runs of all open jobs and returns the jobs.
+// interrupt ends the runs of all open jobs, keeps their items from starting, and returns the jobs.
 func (s *Service) interrupt() []*owned {
 	s.mu.Lock()
 	var open []*owned
 	var runs []*run
 	for _, j := range s.jobs {
 		if !j.gone && !j.Complete() {
+			j.suspended = true
 			open = append(open, j)
 			runs = append(runs, s.runsOf(j)...)
 		}
@@ -301,14 +305,37 @@
 	s.drop(j, "released")
 }
 
-// handOverLost hands all open jobs over when the store is out of this instance's reach and a peer reaches it: results could not be recorded
+const (
+	// lostLook is how often an owner checks that it reaches the store.
+	lostLook = 400 * time.Millisecond
+	// lostLooks is the number of checks in a row after which it hands its jobs over, so that a short outage moves nothing.
+	lostLooks = 2
+)
+
+// watchReach hands all open jobs over when the store is out of this instance's reach and a peer reaches it: results could not be recorded
 // here.
-func (s *Service) handOverLost(ctx context.Context) {
-	if !s.Lost() || len(s.Peers.Reaching()) == 0 {
-		return
-	}
-	for _, j := range s.interrupt() {
-		s.handOver(ctx, j)
+func (s *Service) watchReach(ctx context.Context) {
+	lost := 0
+	for wait.For(ctx, lostLook) {
+		if !s.Lost() || len(s.Peers.Reaching()) == 0 {
+			lost = 0
+			continue
+		}
+		if lost++; lost < lostLooks {
+			continue
+		}
+		for _, j := range s.interrupt() {
+			if !s.handOver(ctx, j) {
+				s.goOn(j)
+			}
+		}
 	}
+}
+
+// goOn lets the items of a job start again that could not be handed over.
+func (s *Service) goOn(j *owned) {
+	s.mu.Lock()
+	j.suspended = false
+	s.mu.Unlock()
 	poke(s.wake)
 }
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -5,9 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,56 +14,29 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"eelgrassproxy.example/adapters/httpcall"
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/gateway"
 )
 
-const (
-	// peerTimeout bounds a call to a peer beyond the time that the peer may wait for a result. Regions are 12 ms apart.
-	peerTimeout = 400 * time.Millisecond
-	// maxPeerAnswer bounds an answer of a peer: a page of results.
-	maxPeerAnswer = 4 << 20
-	// maxPeerWait bounds how long a peer may keep a reader waiting.
-	maxPeerWait = 5 * time.Second
-)
+// maxPeerWait bounds how long a peer may keep a reader waiting.
+const maxPeerWait = 5 * time.Second
 
 // errNotOwner means that the peer does not own the job.
 var errNotOwner = eris.New("peer does not own the job")
 
 // peerCalls are the calls between instances about jobs.
-type peerCalls struct{ client *http.Client }
-
-func newPeerCalls() peerCalls {
-	dialer := &net.Dialer{Timeout: peerTimeout}
-	return peerCalls{client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}}
-}
+type peerCalls struct{ client *gateway.PeerClient }
 
 func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, body []byte, patience time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, patience+peerTimeout)
-	defer cancel()
-	target := httpcall.BaseURL(address)
-	target.Path, target.RawQuery = path, query.Encode()
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	response, err := c.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
-	switch {
-	case err != nil:
-		return nil, err
-	case response.StatusCode == http.StatusOK:
-		return answer, nil
-	}
-	if known, ok := peerErrors[response.StatusCode]; ok {
-		return nil, known
+	answer, err := c.client.Do(ctx, method, address, "/v1/item-jobs"+path, query, body, patience)
+	var status *gateway.PeerStatusError
+	if errors.As(err, &status) {
+		if known, ok := peerErrors[status.Status]; ok {
+			return nil, known
+		}
 	}
-	return nil, fmt.Errorf("peer answered status %d", response.StatusCode)
+	return answer, err
 }
 
 // peerErrors are the errors that a status stands for between instances.
@@ -89,7 +60,7 @@
 
 func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, patience time.Duration) (Page, error) {
 	query := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(patience.Milliseconds(), 10)}}
-	body, err := c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/results", query, nil, patience)
+	body, err := c.do(ctx, http.MethodGet, address, "/"+string(id)+"/results", query, nil, patience)
 	if err != nil {
 		return Page{}, err
 	}
@@ -98,7 +69,7 @@
 }
 
 func (c peerCalls) body(ctx context.Context, address string, id itemjob.ID, item string) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, address, "/v1/item-jobs/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
+	return c.do(ctx, http.MethodGet, address, "/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
 }
 
 func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, given progress) error {
@@ -106,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/adopt", nil, body, adoptTimeout)
+	_, err = c.do(ctx, http.MethodPost, address, "/"+string(id)+"/adopt", nil, body, adoptTimeout)
 	return err
 }
 
@@ -126,7 +97,7 @@
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
-	_, err = c.do(ctx, http.MethodPost, address, "/v1/item-jobs", nil, body, submitTime)
+	_, err = c.do(ctx, http.MethodPost, address, "", nil, body, submitTime)
 	if err == nil || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrUnavailable) || errors.Is(err, ErrInvalid) {
 		return err
 	}
@@ -134,7 +105,7 @@
 }
 
 func (c peerCalls) ended(ctx context.Context, address string, id itemjob.ID) error {
-	_, err := c.do(ctx, http.MethodPost, address, "/v1/item-jobs/"+string(id)+"/ended", nil, nil, 0)
+	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/ended", nil, nil, 0)
 	if errors.Is(err, errNotOwner) {
 		return nil
 	}
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -38,6 +38,7 @@
 
 // schedule starts items as room appears.
 func (s *Service) schedule(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.Seed, seedSchedule))
 	timer := time.NewTimer(idleLook)
 	defer timer.Stop()
 	for {
@@ -46,7 +47,7 @@
 		pause := idleLook
 		select {
 		case <-room:
-			pause = rand.N(lookSpread)
+			pause = time.Duration(random.Int64N(int64(lookSpread)))
 		case <-s.wake:
 			pause = 0
 		case <-timer.C:
@@ -78,7 +79,7 @@
 	}
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if !j.gone && !j.Complete() {
+		if !j.gone && !j.suspended && !j.Complete() {
 			jobs = append(jobs, j.Job)
 		}
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -27,12 +27,20 @@
 	Forwarder *gateway.Forwarder
 	Routes    *gateway.Routes
 	Peers     *gateway.Peers
+	Client    *gateway.PeerClient
 	// Kept is how long results stay readable after the job was submitted.
 	Kept time.Duration
 	// Lost tells whether the store is out of this instance's reach.
 	Lost func() bool
+	Seed uint64 // of the times at which the instance looks at the jobs of others
 }
 
+// Parts of the seed for the goroutines.
+const (
+	seedOwners = iota
+	seedSchedule
+)
+
 // Service is the batch part of an instance. It is safe for concurrent use.
 type Service struct {
 	Parts
@@ -60,8 +68,10 @@
 	revision kv.Revision   // of the record, under which results are recorded
 	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
 	flush    chan struct{} // asks the recorder to look
-	gone     bool          // another instance owns it, or the client ended it
-	forget   time.Time     // when the results are dropped from memory
+	// suspended keeps items from starting while the job is handed over.
+	suspended bool
+	gone      bool      // another instance owns it, or the client ended it
+	forget    time.Time // when the results are dropped from memory
 }
 
 // New returns a service.
@@ -75,7 +85,7 @@
 		orphaned: make(map[string]int64),
 		runs:     make(map[fleet.TargetID][]*run),
 	}
-	s.calls = newPeerCalls()
+	s.calls = peerCalls{parts.Client}
 	s.life, s.stop = context.WithCancel(context.Background())
 	parts.Board.OnYield(s.yield)
 	parts.Peers.OnWaiting(s.announced)
@@ -96,6 +106,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.schedule(ctx) })
 	group.Go(func() { s.watchOwners(ctx) })
+	group.Go(func() { s.watchReach(ctx) })
 	group.Go(func() { s.collect(ctx) })
 	group.Wait()
 	s.stop()
--- /dev/null
+++ b/node/itemjobs/world_test.go
@@ -0,0 +1,304 @@
+package itemjobs_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/memkv"
+	"eelgrassproxy.example/node/itemjobs"
+	"eelgrassproxy.example/node/kvmirror"
+	"eelgrassproxy.example/standin/memnet"
+)
+
+// itemEvents is the number of events of an item's output, and eventPause the time of each.
+const (
+	itemEvents = 20
+	eventPause = 200 * time.Millisecond
+)
+
+// wire is a protocol for tests with headers of its own.
+type wire struct{}
+
+func (wire) Header(r *gateway.Request, a gateway.Attempt) http.Header {
+	h := r.Header.Clone()
+	h.Set("Id", string(r.ID))
+	if a.Resume {
+		h.Set("After", strconv.FormatInt(a.After, 10))
+	}
+	return h
+}
+
+func (wire) Mine(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
+
+func (wire) Reply(status int, h http.Header) gateway.Reply {
+	return gateway.Reply{NotRun: h.Get("Refused") != "", Events: h.Get("Content-Type") == "text/event-stream", Complete: true}
+}
+
+// gate is a store that can be taken away from one instance.
+type gate struct {
+	kv.Store
+	mu   sync.Mutex
+	shut bool
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+func (g *gate) Get(ctx context.Context, key string) (kv.KeyValue, error) {
+	if err := g.err(); err != nil {
+		return kv.KeyValue{}, err
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gate) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	if err := g.err(); err != nil {
+		return kv.Listing{}, err
+	}
+	return g.Store.List(ctx, prefix)
+}
+
+func (g *gate) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if err := g.err(); err != nil {
+		return kv.TxnResult{}, err
+	}
+	return g.Store.Txn(ctx, txn)
+}
+
+// run is one run of an item as the target saw it.
+type run struct {
+	item  string
+	after string
+	from  string // address of the instance
+}
+
+// node is one instance.
+type node struct {
+	id       fleet.InstanceID
+	address  string
+	store    *gate
+	peers    *gateway.Peers
+	service  *itemjobs.Service
+	board    *gateway.Board
+	client   *gateway.PeerClient
+	listener net.Listener
+	stop     func()
+}
+
+// world is a fleet of instances over one store and one target of eight slots.
+type world struct {
+	t       *testing.T
+	network *memnet.Network
+	store   *memkv.Store
+	nodes   []*node
+	target  net.Listener
+	mu      sync.Mutex
+	runs    []run
+	status  map[string]int // answers of the target in place of a stream, by item
+}
+
+const targetAddress = "10.9.0.1:80"
+
+func newWorld(t *testing.T, instances int) *world {
+	w := &world{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int)}
+	var err error
+	w.target, err = w.network.Listen(targetAddress)
+	require.NoError(t, err)
+	go w.serveTarget()
+	for i := range instances {
+		w.start(fleet.InstanceID(fmt.Sprintf("i%d", i)), fmt.Sprintf("10.0.0.%d", i+1))
+	}
+	time.Sleep(2 * time.Second) // the instances hear of each other
+	return w
+}
+
+// start begins an instance, or its next process.
+func (w *world) start(id fleet.InstanceID, host string) *node {
+	n := &node{id: id, address: host + ":7720", store: &gate{Store: w.store}}
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a"}
+	packets, err := w.network.ListenPacket(n.address)
+	require.NoError(w.t, err)
+	n.listener, err = w.network.Listen(n.address)
+	require.NoError(w.t, err)
+	dial := w.network.DialContext(n.address)
+	n.board = gateway.NewBoard(slots.NewView(id, "a", fleet.Topology{}, slots.DefaultPolicy()))
+	target := slots.Target{Slots: 8}
+	target.ID, target.Service, target.Address, target.State = "t1", "s", targetAddress, fleet.TargetLive
+	n.board.SetTargets([]slots.Target{target})
+	n.peers = gateway.NewPeers(self, n.store, n.board, packets)
+	routes := gateway.NewRoutes(func([]byte) (*routetable.Table, error) { return table(), nil })
+	routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config"}}})
+	n.client = gateway.NewPeerClient(dial)
+	forwarder := gateway.NewForwarder(n.board, rawhttp.New(dial), wire{}, gateway.DefaultOptions(), tally.NoopScope)
+	n.peers.OnState(func() gateway.State { return gateway.State{Lost: n.store.err() != nil} })
+	n.service = itemjobs.New(itemjobs.Parts{
+		Self: self, Store: n.store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
+		Kept: 2 * time.Minute, Lost: func() bool { return n.store.err() != nil }, Seed: uint64(len(w.nodes)),
+	})
+	mux := http.NewServeMux()
+	n.service.Handle(mux)
+	server := &http.Server{Handler: mux}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { n.peers.Run(ctx) })
+	group.Go(func() { n.service.Run(ctx) })
+	group.Go(func() { _ = server.Serve(n.listener) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = server.Close()
+		group.Wait()
+		n.client.CloseIdle()
+	})
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// kill ends an instance without a word.
+func (w *world) kill(n *node) {
+	w.network.Crash(n.address)
+	n.stop()
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	_ = w.target.Close()
+	w.network.Close()
+	time.Sleep(2 * eventPause) // the target's streams end
+	synctest.Wait()
+}
+
+func table() *routetable.Table {
+	route := &routetable.Route{
+		Name: "jobs", Host: "h", Prefix: "/j/", Kind: routetable.Batch, MaxAttempts: 3, JobDue: 18 * time.Second, JobRetain: time.Minute,
+		Backends: []routetable.Backend{{Service: "s", Weight: 1}}, TokenLimit: 1000,
+	}
+	return routetable.New(1, routetable.Limits{}, []*routetable.Route{route})
+}
+
+// serveTarget answers items with a stream that goes on behind the header After.
+func (w *world) serveTarget() {
+	for {
+		c, err := w.target.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			reader := bufio.NewReader(c)
+			for w.answer(c, reader) {
+			}
+		}()
+	}
+}
+
+func (w *world) answer(c net.Conn, reader *bufio.Reader) bool {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	id, after := r.Header.Get("Id"), r.Header.Get("After")
+	w.mu.Lock()
+	w.runs = append(w.runs, run{id, after, c.RemoteAddr().String()})
+	status := w.status[id]
+	w.mu.Unlock()
+	if status != 0 {
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		return err == nil
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	first := 0
+	if n, err := strconv.Atoi(after); err == nil {
+		first = n + 1
+	}
+	for i := first; i < itemEvents; i++ {
+		time.Sleep(eventPause)
+		event := fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, id, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err = io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+func (w *world) runsOf(item string) []run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []run
+	for _, r := range w.runs {
+		if r.item == item {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// output is the text of a completed item.
+func output(item string) string {
+	text := ""
+	for i := range itemEvents {
+		if i > 0 {
+			text += "\n"
+		}
+		text += fmt.Sprintf("%s.%d", item, i)
+	}
+	return text
+}
+
+func submission(id itemjob.ID, items ...string) itemjobs.Submission {
+	sub := itemjobs.Submission{ID: id, Host: "h", Route: table().Match("h", "/j/"), Arrived: time.Now()}
+	for _, item := range items {
+		sub.Items = append(sub.Items, itemjob.Item{ID: item, Path: "/j/" + item, Body: []byte("body of " + item), Tokens: 100})
+	}
+	return sub
+}
+
+// readAll reads a job from the start at an instance.
+func (w *world) readAll(n *node, id itemjob.ID) []itemjob.Result {
+	page, err := n.service.Read(w.t.Context(), id, 0, 0)
+	require.NoError(w.t, err)
+	return page.Results
+}
+
+// completed checks that the results are those of the items, in any order, each once and whole.
+func completed(t *testing.T, results []itemjob.Result, items ...string) {
+	t.Helper()
+	require.Len(t, results, len(items))
+	for _, item := range items {
+		require.Contains(t, results, itemjob.Result{Item: item, Completed: true, Output: output(item)})
+	}
+}
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -26,6 +26,7 @@
 	crashed    map[string]bool
 	delays     map[route]time.Duration
 	dials      map[string]int // connections opened, by the address dialled
+	packets    map[string]*packetConn
 	partitions []partition
 	closed     bool
 	changed    chan struct{} // closed and replaced when partitions change
@@ -46,6 +47,7 @@
 		crashed:   map[string]bool{},
 		delays:    map[route]time.Duration{},
 		dials:     map[string]int{},
+		packets:   map[string]*packetConn{},
 		changed:   make(chan struct{}),
 	}
 }
