Let few instances follow members, scan marks by stale reads, and note the reach of the store at each call

A waiting watch also hid that all other calls were refused. Change: members are followed like targets; open marks are listed by stale reads, and what is done about one depends on its record, so that a job of a living owner is never taken by an old mark; each store call notes whether it got through. The metrics page is served. Ruled out: more clients' reads.

--- a/cmd/eelgrassproxy/platform.go
+++ b/cmd/eelgrassproxy/platform.go
@@ -19,6 +19,7 @@
 	flags.SetOutput(stderr)
 	check := flags.Bool("check-settings", false, "check the settings file and exit")
 	verbosity := flags.Int("v", 0, "verbosity of the log")
+	metricsPort := flags.Int("metrics-port", 0, "port of the metrics page, on the instance's own IP number; 0 serves none")
 	if err := flags.Parse(args); err != nil {
 		if err == flag.ErrHelp {
 			return exitOK
@@ -30,6 +31,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
+	settings.MetricsPort = *metricsPort
 	if *check {
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"eelgrassproxy.example/node/control/bundlesync"
 	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/dispatch"
+	"eelgrassproxy.example/node/metrics"
 	"eelgrassproxy.example/node/pools"
 	"eelgrassproxy.example/node/settings"
 	"eelgrassproxy.example/node/workers"
@@ -38,7 +39,7 @@
 	self     fleet.Member
 	started  time.Time
 	board    *blackboard.Board
-	metrics  *metricsServer
+	metrics  *metrics.Server
 	verifier bundle.Verifier
 
 	store      kv.KeyLister
@@ -72,7 +73,7 @@
 		env:      env,
 		started:  started,
 		board:    blackboard.New(),
-		metrics:  newMetricsServer(),
+		metrics:  metrics.New(),
 		drained:  make(chan struct{}),
 		killed:   make(chan struct{}),
 		self: fleet.Member{
@@ -105,7 +106,7 @@
 }
 
 // scope is the root of the instance's metrics.
-func (d *Daemon) scope() tally.Scope { return d.metrics.scope }
+func (d *Daemon) scope() tally.Scope { return d.metrics.Scope() }
 
 // callerSpread is the number of instances that share a caller's rate. A caller keeps to the first address that it was given, so that an
 // instance must grant it the whole rate; one that goes round all instances gets more, and the fair queue limits what it takes from others.
@@ -149,7 +150,7 @@
 	for _, closeIdle := range d.closers {
 		closeIdle()
 	}
-	return errors.Join(err, d.metrics.close())
+	return errors.Join(err, d.metrics.Close())
 }
 
 // Ready tells why the instance does not serve yet, or nil.
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/membership"
 	"eelgrassproxy.example/node/internal/wait"
@@ -20,15 +21,19 @@
 const (
 	// catchUpPeriod is how often an instance without the store asks a peer. A leaving target must be known within two seconds and more.
 	catchUpPeriod = 500 * time.Millisecond
+	// refresh is how often an instance that follows nothing reads a follower's copies even if the targets are the same, so that members that
+	// are gone for good are forgotten.
+	refresh = 30 * time.Second
 	// catchUpAfter is how long the store is out of reach before a peer is asked.
 	catchUpAfter = 200 * time.Millisecond
 
 	statePath = "/v1/state"
 )
 
-// CatchUp keeps the copies of the store's keys current from peers: all of them while the store is out of this instance's reach, and the
-// list of targets at instances that do not follow it in the store. That list changes with every beat of every target, so that only a few
-// instances of each region follow it; the others read the list of one of these when its digest differs from theirs.
+// CatchUp keeps the copies of the store's keys current from peers: all of them while the store is out of this instance's reach, and those
+// of the targets and members at instances that do not follow these in the store. The list of targets changes with every beat of every
+// target, and each change of the members would wake all, so that only a few instances of each region follow them. The others hear of
+// members from these themselves, and read the copies of a follower when the digest of its targets differs from theirs, and now and then.
 type CatchUp struct {
 	self    fleet.Member
 	peers   *Peers
@@ -36,9 +41,11 @@
 	list    *TargetList
 	copies  Copies
 	region  fleet.Topology
+	reach   *kv.Reach
 	seeds   []string // peer addresses to ask while no peer is known
 	client  *PeerClient
 	follows atomic.Bool
+	pulled  time.Time // when a peer's copies were last read; of Run's goroutine
 }
 
 // Copies are the mirrors of an instance.
@@ -61,8 +68,8 @@
 )
 
 // NewCatchUp returns a CatchUp of an instance.
-func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, client *PeerClient,
-	seeds []string) *CatchUp {
+func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, reach *kv.Reach,
+	client *PeerClient, seeds []string) *CatchUp {
 	c := &CatchUp{
 		self:   self,
 		region: topology,
@@ -70,11 +77,14 @@
 		routes: routes,
 		list:   list,
 		copies: copies,
+		reach:  reach,
 		seeds:  seeds,
 		client: client,
 	}
 	c.follows.Store(true)
-	copies.Targets.OnlyIf(c.follows.Load)
+	copies.Config.OnlyIf(func() bool { return !c.Lost() })
+	copies.Targets.OnlyIf(func() bool { return c.follows.Load() && !c.Lost() })
+	copies.Members.OnlyIf(func() bool { return c.follows.Load() && !c.Lost() })
 	peers.OnState(c.state)
 	return c
 }
@@ -94,7 +104,7 @@
 
 // Lost tells whether the store is out of this instance's reach.
 func (c *CatchUp) Lost() bool {
-	return max(c.copies.Config.Lost(), c.copies.Members.Lost()) > catchUpAfter
+	return c.reach.Lost() > catchUpAfter
 }
 
 // Run asks peers while that is needed, until ctx ends.
@@ -108,7 +118,9 @@
 		}
 		if err := c.pull(ctx, source); err != nil {
 			klog.ErrorS(err, "Peer's copy of the store's keys was not read", "peer", source)
+			continue
 		}
+		c.pulled = time.Now()
 	}
 }
 
@@ -125,7 +137,7 @@
 	}
 	follows := len(told) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
 	if c.follows.Swap(follows) != follows {
-		klog.InfoS("Following the list of targets in the store", "follows", follows, "peers", len(told))
+		klog.InfoS("Following targets and members in the store", "follows", follows, "peers", len(told))
 	}
 }
 
@@ -154,7 +166,8 @@
 	case c.follows.Load():
 		return false
 	}
-	return !t.Lost && t.Targets != c.list.Digest() && t.Revision > c.copies.Targets.Revision()
+	differs := t.Targets != c.list.Digest() || time.Since(c.pulled) > refresh
+	return !t.Lost && differs && t.Revision > c.copies.Targets.Revision()
 }
 
 // pull merges the copies of one peer.
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -22,6 +22,8 @@
 	scanPeriod = 2 * time.Second
 	// scanTimeout bounds one look with all that it takes up.
 	scanTimeout = 4 * time.Second
+	// marksLag is how far the listed marks may be behind.
+	marksLag = 3 * time.Second
 	// settleDelay lets the view of the members settle after a change, so that instances agree on who takes a job up.
 	settleDelay = 150 * time.Millisecond
 )
@@ -30,31 +32,25 @@
 func (s *Service) watchOwners(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.Seed, seedOwners))
 	for ctx.Err() == nil {
-		stale := false
 		select {
 		case <-s.scan:
 			time.Sleep(settleDelay)
 		case <-time.After(scanPeriod/2 + time.Duration(random.Int64N(int64(scanPeriod)))):
-			stale = true // a periodic look is the second line; data that is seconds old will do
 		case <-ctx.Done():
 			return
 		}
-		if err := s.look(ctx, stale); err != nil && ctx.Err() == nil {
+		if err := s.look(ctx); err != nil && ctx.Err() == nil {
 			klog.ErrorS(err, "Open jobs were not looked at")
 		}
 	}
 }
 
-// look compares the open marks with the members once.
-func (s *Service) look(ctx context.Context, stale bool) error {
+// look compares the open marks with the members once. Marks that are seconds old will do: what is done about one depends on the record.
+func (s *Service) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-owners"), scanTimeout)
 	defer cancel()
-	listing := ctx
-	if stale {
-		listing = kv.AllowStale(ctx)
-	}
 	asOf := time.Now()
-	open, err := s.Store.List(listing, openPrefix)
+	open, err := s.Store.List(kv.AllowStale(ctx), openPrefix)
 	if err != nil {
 		return err
 	}
@@ -143,7 +139,8 @@
 	if err != nil {
 		return err
 	}
-	if record.Ended {
+	mark := markOf(&record)
+	if record.Ended || given == nil && !s.isForgotten(id, mark) && isOwned(mark, s.living()) {
 		return nil
 	}
 	former := record.Owner
@@ -206,7 +203,7 @@
 	for id, j := range s.jobs {
 		mark, open := marks[id]
 		mine := open && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
-		if !mine && !j.Complete() && j.Submitted.Before(asOf) {
+		if !mine && !j.Complete() && j.since.Before(asOf.Add(-marksLag)) {
 			doubtful = append(doubtful, j)
 		}
 	}
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -108,16 +108,6 @@
 	return m.revision > 0
 }
 
-// Lost returns for how long the store has been out of reach, 0 while it answers.
-func (m *Mirror) Lost() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.failed.IsZero() {
-		return 0
-	}
-	return time.Since(m.failed)
-}
-
 // Snapshot returns the copy.
 func (m *Mirror) Snapshot() Snapshot {
 	m.mu.Lock()
--- a/node/daemon/metrics.go
+++ b/node/metrics/metrics.go
@@ -1,4 +1,5 @@
-package daemon
+// Package metrics serves an instance's counters and histograms in the Prometheus text format.
+package metrics
 
 import (
 	"io"
@@ -15,15 +16,15 @@
 // reportInterval is how often counters are handed to the scrape page.
 const reportInterval = time.Second
 
-// metricsServer serves the instance's metrics in the Prometheus text format. Each instance has its own registry, so that several
-// instances can run in one process.
-type metricsServer struct {
+// Server is the metrics of one instance. Each instance has its own registry, so that several instances can run in one process.
+type Server struct {
 	scope   tally.Scope
 	handler http.Handler
 	closer  io.Closer
 }
 
-func newMetricsServer() *metricsServer {
+// New returns metrics without values.
+func New() *Server {
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: logRegisterError})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -32,14 +33,17 @@
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
-	return &metricsServer{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	return &Server{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
 }
 
 // ServeHTTP implements http.Handler.
-func (m *metricsServer) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+func (m *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
 // logRegisterError reports a metric that cannot be registered, such as one used with other tags before.
 func logRegisterError(err error) { klog.ErrorS(err, "Metric was not registered") }
 
-// close stops the reporting.
-func (m *metricsServer) close() error { return m.closer.Close() }
+// Scope returns the scope to record in.
+func (m *Server) Scope() tally.Scope { return m.scope }
+
+// Close stops the reporting.
+func (m *Server) Close() error { return m.closer.Close() }
