Hold online requests that no target has room for in a queue that serves those still in time first; bound firm batch items

Change: at most 4 slots of a target are kept by items; a target gets 2 requests beyond its slots; the rest wait at the instance, those that can be in time first, and are refused at once when the wait would pass their deadline. A test plays a burst of twice the capacity: 45 % or more in time against less than half of that in order of arrival.

--- /dev/null
+++ b/core/slots/queue_test.go
@@ -0,0 +1,91 @@
+package slots_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/slots"
+)
+
+func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against requests that are late because they wait behind ones that are late already.
+func TestRequestsThatCanBeInTimeGoFirst(t *testing.T) {
+	q := slots.NewQueue(50 * time.Millisecond)
+	late := &slots.Waiting{Objective: at(300), Deadline: at(5000)}
+	first := &slots.Waiting{Objective: at(500), Deadline: at(5200)}
+	second := &slots.Waiting{Objective: at(550), Deadline: at(5100)}
+	for _, w := range []*slots.Waiting{late, second, first} {
+		q.Add(w)
+	}
+	var order []*slots.Waiting
+	for q.Len() > 0 {
+		next := q.Next(at(400))
+		q.Remove(next)
+		q.Remove(next)
+		order = append(order, next)
+	}
+	require.Equal(t, []*slots.Waiting{first, second, late}, order)
+	require.Nil(t, q.Next(now))
+}
+
+// discipline is an order of service.
+type discipline interface {
+	Add(*slots.Waiting)
+	Remove(*slots.Waiting)
+	Next(time.Time) *slots.Waiting
+}
+
+// inOrder serves in order of arrival, as targets do.
+type inOrder struct{ waiting []*slots.Waiting }
+
+func (q *inOrder) Add(w *slots.Waiting)  { q.waiting = append(q.waiting, w) }
+func (q *inOrder) Remove(*slots.Waiting) { q.waiting = q.waiting[1:] }
+func (q *inOrder) Next(time.Time) *slots.Waiting {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	return q.waiting[0]
+}
+
+// burst plays two seconds of arrivals at twice the capacity of the fleet and two seconds without any, and returns the share of requests
+// whose first event came in time, and the share that was served at all.
+func burst(q discipline) (inTime, served float64) {
+	const (
+		between   = 5  // ms between arrivals
+		service   = 10 // ms between free slots: for half of what arrives
+		objective = 300 * time.Millisecond
+	)
+	arrived, timely, all := 0, 0, 0
+	for ms := 0; ms < 4000; ms += between {
+		if ms < 2000 {
+			arrived++
+			q.Add(&slots.Waiting{Objective: at(ms).Add(objective), Deadline: at(ms + 5000)})
+		}
+		if ms%service != 0 {
+			continue
+		}
+		w := q.Next(at(ms))
+		if w == nil {
+			continue
+		}
+		q.Remove(w)
+		all++
+		if !at(ms + 50).After(w.Objective) {
+			timely++
+		}
+	}
+	return float64(timely) / float64(arrived), float64(all) / float64(arrived)
+}
+
+// Guards against a queue that lets a burst make each request late: half of this one fits, and that half is to be served in time. The
+// baseline is the order of arrival.
+func TestBurstBeyondCapacityIsHalfInTime(t *testing.T) {
+	inTime, served := burst(slots.NewQueue(50 * time.Millisecond))
+	require.GreaterOrEqual(t, inTime, 0.45)
+	require.Equal(t, 1.0, served, "late requests are served after the burst")
+	baseline, _ := burst(&inOrder{})
+	require.Less(t, baseline, inTime/2)
+}
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -41,13 +41,16 @@
 	StalePenalty float64
 	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
 	BatchReserve int
-	// MaxQueue is the number of requests that may wait at a target beyond its slots.
+	// MaxQueue is the number of requests that may wait at a target beyond its slots. Targets serve in order of arrival, so that more would
+	// wait there behind requests that are late already.
 	MaxQueue int
+	// FirmLimit is the number of slots of a target that batch items may keep although online requests wait.
+	FirmLimit int
 }
 
 // DefaultPolicy suits targets of about eight slots that serve an online request in under a second.
 func DefaultPolicy() Policy {
-	return Policy{PeerExpiry: 2500 * time.Millisecond, RegionPenalty: 0.5, RemotePenalty: 1.5, StalePenalty: 1, BatchReserve: 1, MaxQueue: 16}
+	return Policy{PeerExpiry: 2500 * time.Millisecond, RegionPenalty: 0.5, RemotePenalty: 1.5, StalePenalty: 1, BatchReserve: 1, MaxQueue: 2, FirmLimit: 4}
 }
 
 // Target is what the view needs to know of a target.
@@ -239,26 +242,37 @@
 	return xxhash.Sum64String(salt + "\x00" + string(id))
 }
 
-// Place returns the target for an online request, or false if every usable target has MaxQueue requests waiting. A target with a free
-// slot goes first, then one whose batch items will give way, then the shortest queue. exclude holds targets that were tried already.
-// Targets to be avoided are used only if no other is left.
-func (v *View) Place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, bool) {
-	if t, ok := v.place(service, salt, exclude, now, false); ok {
-		return t, true
+// Room says whether a target was found.
+type Room int
+
+// Results of Place.
+const (
+	Placed   Room = iota
+	Full          // every target that may be used has MaxQueue requests waiting
+	NoTarget      // no target may be used
+)
+
+// Place returns the target for an online request. A target with a free slot goes first, then one whose batch items will give way, then the
+// shortest queue. exclude holds targets that were tried already. Targets to be avoided are used only if there is no other.
+func (v *View) Place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, Room) {
+	if t, room := v.place(service, salt, exclude, now, false); room != NoTarget {
+		return t, room
 	}
 	return v.place(service, salt, exclude, now, true)
 }
 
-func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, bool) {
+func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, Room) {
 	var best *target
 	var bestScore float64
 	var bestTie uint64
+	room := NoTarget
 	for _, t := range v.byPool[service] {
 		if exclude[t.ID] || t.State != fleet.TargetLive || (!avoided && now.Before(t.avoid)) {
 			continue
 		}
 		load := v.Load(t.ID, now)
 		if load.Online+load.Firm >= t.Slots+v.policy.MaxQueue {
+			room = Full
 			continue
 		}
 		score := onlineScore(load, t.Slots) + v.distance(t)
@@ -268,9 +282,9 @@
 		}
 	}
 	if best == nil {
-		return Target{}, false
+		return Target{}, room
 	}
-	return best.Target, true
+	return best.Target, Placed
 }
 
 // onlineScore rises with the expected wait: slots in use while there is a free one; beyond that, the requests that do not give way.
@@ -281,26 +295,23 @@
 	return float64(slots + load.Online + load.Firm)
 }
 
-// PlaceBatch returns the target for a batch item, or false if there is no room. An urgent item may take the reserve as well. In a fleet
-// whose instances hear of other failure domains only now and then, items that must give way stay where their owner hears at once of the
-// online requests there.
+// PlaceBatch returns the target for a batch item, or false if there is no room. An urgent item may take the reserve as well, where few items
+// are firm. In a fleet whose instances hear of other failure domains only now and then, items that must give way stay where their owner hears
+// at once of the online requests there.
 func (v *View) PlaceBatch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool, now time.Time) (Target, bool) {
 	var best *target
 	var bestScore float64
 	var bestTie uint64
 	for _, t := range v.byPool[service] {
-		if exclude[t.ID] || !t.usable(now) || v.stale && !urgent && t.FailureDomain != v.domain {
+		if exclude[t.ID] || !t.usable(now) {
 			continue
 		}
-		room := t.Slots - v.policy.BatchReserve
-		if urgent {
-			room = t.Slots
-		}
-		load := v.Load(t.ID, now).Total()
-		if load >= room {
+		load := v.Load(t.ID, now)
+		firm := urgent && load.Firm < v.policy.FirmLimit
+		if !v.hasBatchRoom(t, load, firm) {
 			continue
 		}
-		score := float64(load) + v.distance(t)
+		score := float64(load.Total()) + v.distance(t)
 		tie := tieBreak(salt, t.ID)
 		if best == nil || score < bestScore || score == bestScore && tie < bestTie {
 			best, bestScore, bestTie = t, score, tie
@@ -312,6 +323,18 @@
 	return best.Target, true
 }
 
+func (v *View) hasBatchRoom(t *target, load Count, firm bool) bool {
+	if firm {
+		return load.Total() < t.Slots
+	}
+	return load.Total() < t.Slots-v.policy.BatchReserve && (!v.stale || t.FailureDomain == v.domain)
+}
+
+// MayBeFirm tells whether a batch item at a target may keep its slot although online requests wait.
+func (v *View) MayBeFirm(id fleet.TargetID, now time.Time) bool {
+	return v.Load(id, now).Firm < v.policy.FirmLimit
+}
+
 // Excess returns, for each target that holds more requests than slots, how many of this instance's yieldable batch items end. All
 // instances divide the excess in the same order, so that each item of it is ended by one of them.
 func (v *View) Excess(now time.Time) map[fleet.TargetID]int {
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -32,8 +32,8 @@
 	for _, id := range exclude {
 		excluded[id] = true
 	}
-	chosen, ok := v.Place("s", "r", excluded, now)
-	require.True(t, ok)
+	chosen, room := v.Place("s", "r", excluded, now)
+	require.Equal(t, slots.Placed, room)
 	return chosen.ID
 }
 
@@ -55,17 +55,19 @@
 	leaving.State = fleet.TargetLeaving
 	v := newView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
 	v.Avoid("t1", now.Add(time.Second))
-	v.Add("t2", slots.Count{Online: 20})
+	v.Add("t2", slots.Count{Online: 9})
 	require.Equal(t, fleet.TargetID("t2"), place(t, v))
 	require.Equal(t, fleet.TargetID("t1"), place(t, v, "t2"))
+	v.Add("t2", slots.Count{Online: 1})
+	_, room := v.Place("s", "r", nil, now)
+	require.Equal(t, slots.Full, room, "a full target is better than one to be avoided")
 	v.Trust("t1")
 	require.Equal(t, fleet.TargetID("t1"), place(t, v))
-	v.Add("t1", slots.Count{Online: 24})
-	v.Add("t2", slots.Count{Online: 4})
-	_, ok := v.Place("s", "r", nil, now)
-	require.False(t, ok, "every queue is full")
-	_, ok = v.Place("other", "r", nil, now)
-	require.False(t, ok)
+	v.Add("t1", slots.Count{Online: 10})
+	_, room = v.Place("s", "r", nil, now)
+	require.Equal(t, slots.Full, room)
+	_, room = v.Place("other", "r", nil, now)
+	require.Equal(t, slots.NoTarget, room)
 }
 
 // Guards against counts of a silent peer that block slots for good.
@@ -88,8 +90,19 @@
 	v.Add("t1", slots.Count{Online: -1})
 	v.SetTargets(nil)
 	require.Empty(t, v.Own())
-	_, ok := v.Place("s", "r", nil, now)
-	require.False(t, ok)
+	_, room := v.Place("s", "r", nil, now)
+	require.Equal(t, slots.NoTarget, room)
+}
+
+// Guards against urgent batch items that take a target over, so that each online request there is late.
+func TestFewItemsAreFirm(t *testing.T) {
+	v := newView("i1", target("t1", "a1"))
+	v.Add("t1", slots.Count{Firm: 3})
+	require.True(t, v.MayBeFirm("t1", now))
+	v.Heard("i2", map[fleet.TargetID]slots.Count{"t1": {Firm: 1, Online: 3}}, now)
+	require.False(t, v.MayBeFirm("t1", now))
+	_, ok := v.PlaceBatch("s", "i", nil, true, now)
+	require.False(t, ok, "the reserve is for firm items")
 }
 
 // Guards against batch that takes the slots kept for the first requests of a burst, and against urgent items that wait for nothing.
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -37,14 +37,14 @@
 	count  slots.Count
 }
 
-// Online takes a place at a target for an online request, or returns nil if there is none.
-func (b *Board) Online(service, salt string, exclude map[fleet.TargetID]bool) *Held {
+// Online takes a place at a target for an online request, or returns nil and why there is none now.
+func (b *Board) Online(service, salt string, exclude map[fleet.TargetID]bool) (*Held, slots.Room) {
 	now := time.Now()
 	b.mu.Lock()
-	target, ok := b.view.Place(service, salt, exclude, now)
-	if !ok {
+	target, room := b.view.Place(service, salt, exclude, now)
+	if room != slots.Placed {
 		b.mu.Unlock()
-		return nil
+		return nil, room
 	}
 	held := b.take(target, slots.Count{Online: 1})
 	excess := b.view.Excess(now)
@@ -53,10 +53,11 @@
 	if excess != nil {
 		b.yield(excess)
 	}
-	return held
+	return held, room
 }
 
-// Batch takes a place at a target for a batch item, or returns nil if there is no room. An urgent item does not give way.
+// Batch takes a place at a target for a batch item, or returns nil if there is no room. An urgent item does not give way, unless too many at
+// its target do not.
 func (b *Board) Batch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool) *Held {
 	b.mu.Lock()
 	target, ok := b.view.PlaceBatch(service, salt, exclude, urgent, time.Now())
@@ -65,7 +66,7 @@
 		return nil
 	}
 	count := slots.Count{Yieldable: 1}
-	if urgent {
+	if urgent && b.view.MayBeFirm(target.ID, time.Now()) {
 		count = slots.Count{Firm: 1}
 	}
 	held := b.take(target, count)
@@ -81,17 +82,32 @@
 	return &Held{Target: target, Load: load, board: b, count: count}
 }
 
+// IsFirm tells whether the holder is a batch item that does not give way.
+func (h *Held) IsFirm() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.count.Firm > 0
+}
+
 // Release gives the place back. Further calls do nothing.
 func (h *Held) Release() { h.change(slots.Count{}) }
 
-// Firm keeps a batch item from giving way. It does nothing after Release.
-func (h *Held) Firm() {
+// Firm keeps a batch item from giving way, and returns false if too many at its target do that already. It does nothing after Release.
+func (h *Held) Firm() bool {
 	h.mu.Lock()
 	released := h.count == (slots.Count{})
 	h.mu.Unlock()
-	if !released {
-		h.change(slots.Count{Firm: 1})
+	if released || !h.board.mayBeFirm(h.Target.ID) {
+		return false
 	}
+	h.change(slots.Count{Firm: 1})
+	return true
+}
+
+func (b *Board) mayBeFirm(id fleet.TargetID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.MayBeFirm(id, time.Now())
 }
 
 // change replaces what the holder counts as.
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -72,6 +72,7 @@
 // Forwarder carries requests to targets. It is safe for concurrent use.
 type Forwarder struct {
 	board    *Board
+	lines    *lines
 	client   *rawhttp.Client
 	protocol Protocol
 	options  Options
@@ -80,7 +81,7 @@
 
 // NewForwarder returns a forwarder.
 func NewForwarder(board *Board, client *rawhttp.Client, protocol Protocol, options Options, metrics tally.Scope) *Forwarder {
-	return &Forwarder{board: board, client: client, protocol: protocol, options: options, metrics: metrics.SubScope("gateway")}
+	return &Forwarder{board: board, lines: newLines(board), client: client, protocol: protocol, options: options, metrics: metrics.SubScope("gateway")}
 }
 
 // Verdict says how a request ended.
@@ -137,12 +138,14 @@
 // run makes tries until one answers or no further one is allowed.
 func (x *execution) run(ctx context.Context) Outcome {
 	for {
-		held := x.board.Online(x.request.Service, string(x.request.ID), x.excluded)
-		if held == nil {
-			return x.noTarget()
+		held, err := x.lines.enter(ctx, x.request, x.excluded)
+		if err != nil {
+			return x.notPlaced(ctx, err)
 		}
-		err := x.try(ctx, held)
+		started := time.Now()
+		err = x.try(ctx, held)
 		held.Release()
+		x.lines.ended(x.request.Service, time.Since(started))
 		if err == nil {
 			x.trail = append(x.trail, trailOf(held))
 			return Outcome{Verdict: Answered, Status: x.status}
@@ -198,9 +201,17 @@
 	return Outcome{Verdict: TimedOut, Cause: cause}
 }
 
-// noTarget is the outcome when no target is left to try.
-func (x *execution) noTarget() Outcome {
-	return x.giveUp(fmt.Errorf("no target of service %q can take the request", x.request.Service))
+// notPlaced is the outcome of a request that got no place at a target.
+func (x *execution) notPlaced(ctx context.Context, err error) Outcome {
+	if ctx.Err() != nil {
+		return x.interrupted(ctx)
+	}
+	outcome := x.giveUp(fmt.Errorf("service %q: %w", x.request.Service, err))
+	var refused *refusedError
+	if outcome.Verdict == NotRun && errors.As(err, &refused) {
+		outcome.RetryAfter = refused.retryAfter
+	}
+	return outcome
 }
 
 // giveUp ends the request after its last try. A failure that a target answered with is passed on rather than replaced by one of ours.
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -211,7 +211,7 @@
 	inParty(t, func(t *testing.T, p *party) {
 		a, b := p.join("a", "a1", true), p.join("b", "b1", true)
 		time.Sleep(2 * time.Second)
-		held := a.board.Online("s", "q", nil)
+		held, _ := a.board.Online("s", "q", nil)
 		require.NotNil(t, held)
 		time.Sleep(20 * time.Millisecond)
 		require.Equal(t, 1, b.board.Pool("s").Load.Online)
@@ -226,7 +226,8 @@
 	inParty(t, func(t *testing.T, p *party) {
 		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
 		time.Sleep(2 * time.Second)
-		require.NotNil(t, b.board.Online("s", "q", nil))
+		_, room := b.board.Online("s", "q", nil)
+		require.Equal(t, slots.Placed, room)
 		time.Sleep(100 * time.Millisecond)
 		state, _ := stateOf(a, "b")
 		require.Equal(t, fleet.MemberAlive, state)
--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -304,7 +304,7 @@
 		time.Sleep(time.Second)
 		var online []interface{ Release() }
 		for range 6 { // at the other instance
-			held := w.nodes[1].board.Online("s", "q", nil)
+			held, _ := w.nodes[1].board.Online("s", "q", nil)
 			require.NotNil(t, held)
 			online = append(online, held)
 		}
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -116,7 +116,7 @@
 	task := choice.Task
 	task.Phase = itemjob.Running
 	ctx, cancel := context.WithCancelCause(ctx)
-	r := &run{job: j, task: task, held: held, cancel: cancel, firm: choice.Urgent}
+	r := &run{job: j, task: task, held: held, cancel: cancel, firm: held.IsFirm()}
 	r.events.Store(int64(task.Events))
 	id := held.Target.ID
 	s.runs[id] = append(s.runs[id], r)
@@ -219,14 +219,17 @@
 	for _, list := range s.runs {
 		for _, r := range list {
 			if !r.firm && !r.ended && s.pace.Urgent(r.job.Due, int(r.events.Load()), now) {
-				r.firm = true
 				firm = append(firm, r)
 			}
 		}
 	}
 	s.mu.Unlock()
 	for _, r := range firm {
-		r.held.Firm()
+		if r.held.Firm() {
+			s.mu.Lock()
+			r.firm = true
+			s.mu.Unlock()
+		}
 	}
 }
 
