Let items become urgent later

Cause: an item of 5 s was urgent from 11 s before its due time on, most of its 18 s, and so held its slot through bursts. Change: a long item is taken for 1.25 times the mean and a full target for 1.1 times as slow, with a margin of 1.5 s.

--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -14,11 +14,11 @@
 	// defaultRun is the expected run of an item before any was measured.
 	defaultRun = 5 * time.Second
 	// longItem is the ratio of a long item's events to the mean: items whose length is not known are taken for long ones.
-	longItem = 1.5
+	longItem = 1.25
 	// slowRun is the ratio of a run on a full target to the mean.
-	slowRun = 1.2
+	slowRun = 1.1
 	// startMargin is the time that starting, recording and reading a result take.
-	startMargin = 2 * time.Second
+	startMargin = 1500 * time.Millisecond
 )
 
 // Observe adds a complete run of an item: its events, those of earlier runs included, and the time and events of this run.
