--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Close closes all pooled connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	all := c.idle
+	c.idle = make(map[string][]*conn)
+	c.mu.Unlock()
+	for _, list := range all {
+		for _, k := range list {
+			k.Close()
+		}
+	}
+}
+
 // Do sends the request once and returns the response as soon as its header is there. When ctx ends, the connection is closed, also
 // while the body is read. Errors: httpcall.ErrNotSent if no byte was written, otherwise httpcall.ErrOutcomeUnknown.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
--- a/cmd/eelgrassproxy/platform.go
+++ b/cmd/eelgrassproxy/platform.go
@@ -43,7 +43,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	if err := platform.Run(ctx, settings, reload); err != nil {
+	if err := platform.Run(ctx, settings, reload, platform.SystemEnvironment()); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -62,16 +62,17 @@
 // Peers knows the other instances: from their records in the store, and from the datagrams by which all tell each other how many
 // requests they hold at each target. It is safe for concurrent use.
 type Peers struct {
-	self      fleet.Member
-	board     *Board
-	conn      net.PacketConn
-	dirty     chan struct{}
-	waiting   func() (tokens map[string]int64, newJobs []string)
-	onJobs    func(owner fleet.InstanceID, jobs []string)
-	onMembers func()
-	state     func() State
-	registry  *membership.Registrar
-	records   *kvmirror.Mirror
+	self          fleet.Member
+	board         *Board
+	conn          net.PacketConn
+	dirty         chan struct{}
+	recordChanged chan struct{} // asks for the record to be written
+	waiting       func() (tokens map[string]int64, newJobs []string)
+	onJobs        func(owner fleet.InstanceID, jobs []string)
+	onMembers     func()
+	state         func() State
+	registry      *membership.Registrar
+	records       *kvmirror.Mirror
 
 	mu       sync.Mutex // guards the fields below; a leaf
 	draining bool
@@ -106,15 +107,16 @@
 // NewPeers returns the peers of self, which listens for datagrams on conn.
 func NewPeers(self fleet.Member, store kv.Store, board *Board, conn net.PacketConn) *Peers {
 	p := &Peers{
-		self:      self,
-		board:     board,
-		conn:      conn,
-		dirty:     make(chan struct{}, 1),
-		waiting:   func() (map[string]int64, []string) { return nil, nil },
-		onJobs:    func(fleet.InstanceID, []string) {},
-		onMembers: func() {},
-		state:     func() State { return State{} },
-		peers:     make(map[fleet.InstanceID]*peerState),
+		self:          self,
+		board:         board,
+		conn:          conn,
+		dirty:         make(chan struct{}, 1),
+		recordChanged: make(chan struct{}, 1),
+		waiting:       func() (map[string]int64, []string) { return nil, nil },
+		onJobs:        func(fleet.InstanceID, []string) {},
+		onMembers:     func() {},
+		state:         func() State { return State{} },
+		peers:         make(map[fleet.InstanceID]*peerState),
 	}
 	p.registry = membership.NewRegistrar(p, store)
 	p.registry.LastBackoff = recordRetry
@@ -176,18 +178,21 @@
 }
 
 // Drain tells all that this instance takes no new callers.
-func (p *Peers) Drain(ctx context.Context) {
+func (p *Peers) Drain() {
 	p.mu.Lock()
 	p.draining = true
 	p.mu.Unlock()
 	p.Changed()
-	p.register(ctx)
+	select {
+	case p.recordChanged <- struct{}{}:
+	default:
+	}
 }
 
-// Close removes the record of this instance.
-func (p *Peers) Close(ctx context.Context) error { return p.registry.Close(ctx) }
+// closeTimeout bounds the store call that removes the membership record; without it the record's lease runs out.
+const closeTimeout = 150 * time.Millisecond
 
-// Run keeps the record of this instance and the exchange with the others until ctx ends.
+// Run keeps the record of this instance and the exchange with the others until ctx ends, and then removes the record.
 func (p *Peers) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { p.records.Run(ctx) })
@@ -197,6 +202,11 @@
 	<-ctx.Done()
 	p.conn.Close()
 	group.Wait()
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if err := p.registry.Close(closing); err != nil {
+		klog.ErrorS(err, "Membership record was not removed and runs out by itself")
+	}
 }
 
 func (p *Peers) keepRegistered(ctx context.Context) {
@@ -207,12 +217,14 @@
 		}
 		select {
 		case <-time.After(period):
+		case <-p.recordChanged:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// register is called from one goroutine only, as the registrar asks.
 func (p *Peers) register(ctx context.Context) bool {
 	err := p.registry.Reconcile(ctx)
 	if err != nil && ctx.Err() == nil {
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -245,7 +245,7 @@
 	inParty(t, func(t *testing.T, p *party) {
 		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
 		time.Sleep(2 * time.Second)
-		b.peers.Drain(t.Context())
+		b.peers.Drain()
 		time.Sleep(50 * time.Millisecond)
 		state, _ := stateOf(a, "b")
 		require.Equal(t, fleet.MemberDraining, state)
