--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
 )
 
 // Count is how many requests of an instance a target holds, by how they give way.
@@ -46,11 +47,42 @@
 	MaxQueue int
 	// FirmLimit is the number of slots of a target that batch items may keep although online requests wait.
 	FirmLimit int
+	// Health says when a target that fails or is slow gets no requests for a while.
+	Health limits.OutlierPolicy
 }
 
 // DefaultPolicy suits targets of about eight slots that serve an online request in under a second.
 func DefaultPolicy() Policy {
-	return Policy{PeerExpiry: 2500 * time.Millisecond, RegionPenalty: 0.5, RemotePenalty: 1.5, StalePenalty: 1, BatchReserve: 1, MaxQueue: 2, FirmLimit: 4}
+	return Policy{
+		PeerExpiry:    2500 * time.Millisecond,
+		RegionPenalty: 0.5,
+		RemotePenalty: 1.5,
+		StalePenalty:  1,
+		BatchReserve:  1,
+		MaxQueue:      2,
+		FirmLimit:     4,
+		Health:        healthPolicy(),
+	}
+}
+
+// healthPolicy ejects a target for a second at two failures in a row and for twice as long at each further one. A target that fails part of
+// its requests, or fails them fast, would otherwise draw requests by being the emptiest. One failure is not enough: a fleet that loses a few
+// answers in a hundred would lose more by the slots that it does without.
+func healthPolicy() limits.OutlierPolicy {
+	return limits.OutlierPolicy{
+		Consecutive:    2,
+		FailureShare:   0.5,
+		MinRequests:    20,
+		SlowFactor:     4,
+		SlowAtLeast:    250 * time.Millisecond,
+		MinPeers:       3,
+		BaseEjection:   time.Second,
+		MaxEjection:    16 * time.Second,
+		ForgiveAfter:   20 * time.Second,
+		MaxEjected:     0.4,
+		ProbeTimeout:   2 * time.Second,
+		EvaluatePeriod: 3 * time.Second,
+	}
 }
 
 // Target is what the view needs to know of a target.
@@ -76,7 +108,8 @@
 	domain   fleet.FailureDomain
 	topology fleet.Topology
 	policy   Policy
-	stale    bool // instances of other failure domains are heard only now and then
+	health   map[string]*limits.Outlier // of each service's targets
+	stale    bool                       // instances of other failure domains are heard only now and then
 	targets  map[fleet.TargetID]*target
 	byPool   map[string][]*target
 	peers    map[fleet.InstanceID]*peer
@@ -89,6 +122,7 @@
 		domain:   domain,
 		topology: topology,
 		policy:   policy,
+		health:   make(map[string]*limits.Outlier),
 		targets:  make(map[fleet.TargetID]*target),
 		byPool:   make(map[string][]*target),
 		peers:    make(map[fleet.InstanceID]*peer),
@@ -118,8 +152,55 @@
 			delete(v.targets, id)
 		}
 	}
-	for _, pool := range v.byPool {
+	for service, pool := range v.byPool {
 		slices.SortFunc(pool, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+		v.healthOf(service).SetTargets(ids(pool))
+	}
+}
+
+func ids(pool []*target) []fleet.TargetID {
+	list := make([]fleet.TargetID, len(pool))
+	for i, t := range pool {
+		list[i] = t.ID
+	}
+	return list
+}
+
+func (v *View) healthOf(service string) *limits.Outlier {
+	found, ok := v.health[service]
+	if !ok {
+		found = limits.NewOutlier(v.policy.Health)
+		v.health[service] = found
+	}
+	return found
+}
+
+// Begin is called right before a request is sent to a target. After an ejection, the first one is a probe.
+func (v *View) Begin(id fleet.TargetID, now time.Time) {
+	if t, ok := v.targets[id]; ok {
+		v.healthOf(t.Service).Begin(id, now)
+	}
+}
+
+// Observe records how a request at a target ended, and returns why it is ejected if that ejected it.
+func (v *View) Observe(id fleet.TargetID, outcome limits.Outcome, now time.Time) limits.EjectReason {
+	t, ok := v.targets[id]
+	if !ok {
+		return ""
+	}
+	health := v.healthOf(t.Service)
+	ejected := health.Observe(id, outcome, now)
+	ejected = slices.Contains(health.Evaluate(now), id) || ejected
+	if !ejected {
+		return ""
+	}
+	return health.Reason(id)
+}
+
+// Unobserved ends a request that says nothing of its target's health.
+func (v *View) Unobserved(id fleet.TargetID) {
+	if t, ok := v.targets[id]; ok {
+		v.healthOf(t.Service).ProbeEnded(id)
 	}
 }
 
@@ -208,7 +289,7 @@
 func (v *View) Pool(service string, now time.Time) Pool {
 	var p Pool
 	for _, t := range v.byPool[service] {
-		if !t.usable(now) {
+		if !v.usable(t, now) {
 			continue
 		}
 		p.Usable++
@@ -218,8 +299,9 @@
 	return p
 }
 
-func (t *target) usable(now time.Time) bool {
-	return t.State == fleet.TargetLive && !now.Before(t.avoid)
+// usable tells whether a target gets requests while there are others.
+func (v *View) usable(t *target, now time.Time) bool {
+	return t.State == fleet.TargetLive && !now.Before(t.avoid) && v.healthOf(t.Service).Usable(t.ID, now)
 }
 
 // distance returns the penalty of a target's place, in requests.
@@ -267,7 +349,7 @@
 	var bestTie uint64
 	room := NoTarget
 	for _, t := range v.byPool[service] {
-		if exclude[t.ID] || t.State != fleet.TargetLive || (!avoided && now.Before(t.avoid)) {
+		if exclude[t.ID] || t.State != fleet.TargetLive || !avoided && !v.usable(t, now) {
 			continue
 		}
 		load := v.Load(t.ID, now)
@@ -303,7 +385,7 @@
 	var bestScore float64
 	var bestTie uint64
 	for _, t := range v.byPool[service] {
-		if exclude[t.ID] || !t.usable(now) {
+		if exclude[t.ID] || !v.usable(t, now) {
 			continue
 		}
 		load := v.Load(t.ID, now)
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/slots"
 )
 
@@ -174,6 +175,36 @@
 	require.Equal(t, fleet.TargetID("far"), urgent.ID)
 }
 
+// Guards against a target that fails fast and draws requests by being empty, and against ejections that leave too few targets.
+func TestFailingTargetIsLeftOut(t *testing.T) {
+	var list []slots.Target
+	for i := range 5 {
+		list = append(list, target(fmt.Sprintf("t%d", i), "a1"))
+	}
+	v := newView("i1", list...)
+	fail := func(id fleet.TargetID) limits.EjectReason {
+		return v.Observe(id, limits.Outcome{Failed: true}, now)
+	}
+	require.Empty(t, fail("t0"), "one failure is not enough")
+	require.Equal(t, limits.ConsecutiveFailures, fail("t0"))
+	fail("t1")
+	fail("t1")
+	fail("t2")
+	require.Empty(t, fail("t2"), "most of the pool stays")
+	for i := range 100 {
+		chosen, _ := v.Place("s", fmt.Sprintf("r%d", i), nil, now)
+		require.NotContains(t, []fleet.TargetID{"t0", "t1"}, chosen.ID)
+	}
+	later := now.Add(1100 * time.Millisecond)
+	require.Equal(t, 5, v.Pool("s", later).Usable, "it is tried again")
+	v.Begin("t0", later)
+	require.Equal(t, 4, v.Pool("s", later).Usable, "by one request")
+	v.Unobserved("t0")
+	v.Begin("t0", later)
+	v.Observe("t0", limits.Outcome{Latency: time.Millisecond}, later)
+	require.Equal(t, 5, v.Pool("s", later).Usable)
+}
+
 // Guards against herds: equal targets are chosen by request, so that instances that decide at the same moment spread.
 func TestEqualTargetsAreSpread(t *testing.T) {
 	var list []slots.Target
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -4,7 +4,10 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/slots"
 )
 
@@ -77,7 +80,9 @@
 
 // take counts a request at a target; b.mu is held.
 func (b *Board) take(target slots.Target, count slots.Count) *Held {
-	load := b.view.Load(target.ID, time.Now())
+	now := time.Now()
+	load := b.view.Load(target.ID, now)
+	b.view.Begin(target.ID, now)
 	b.view.Add(target.ID, count)
 	return &Held{Target: target, Load: load, board: b, count: count}
 }
@@ -200,6 +205,23 @@
 	b.view.Avoid(id, time.Now().Add(d))
 }
 
+// Observe records how a request at a target ended.
+func (b *Board) Observe(id fleet.TargetID, outcome limits.Outcome) {
+	b.mu.Lock()
+	reason := b.view.Observe(id, outcome, time.Now())
+	b.mu.Unlock()
+	if reason != "" {
+		klog.InfoS("Target is ejected", "target", id, "reason", reason, "first_event_ms", outcome.Latency.Milliseconds())
+	}
+}
+
+// Unobserved ends a request that says nothing of its target's health.
+func (b *Board) Unobserved(id fleet.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.Unobserved(id)
+}
+
 // Trust ends what Avoid began.
 func (b *Board) Trust(id fleet.TargetID) {
 	b.mu.Lock()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -48,7 +48,7 @@
 	// by the first request that it does not answer, and not only after each client's deadline.
 	Suspect    time.Duration
 	SuspectFor time.Duration
-	// UnreachableFor is how long a target that refused a connection gets no new requests.
+	// UnreachableFor is how long a target that refused a connection gets no new requests, however many do.
 	UnreachableFor time.Duration
 	// FreshWithin bounds the idle time of a pooled connection that carries a request which must not run twice. The longer a connection
 	// was idle, the likelier the target closes it while the request is on its way.
@@ -110,16 +110,17 @@
 // execution is one request on its way over its tries.
 type execution struct {
 	*Forwarder
-	request  *Request
-	sink     Sink         // nil for a batch item
-	onEvent  func([]byte) // takes the data of each event of a batch item
-	progress *Progress
-	tries    limits.Tries
-	excluded map[fleet.TargetID]bool
-	began    bool // the sink was started
-	failure  *wholeAnswer
-	status   int
-	trail    []string // one entry a try, for the log
+	request    *Request
+	sink       Sink         // nil for a batch item
+	onEvent    func([]byte) // takes the data of each event of a batch item
+	progress   *Progress
+	tries      limits.Tries
+	excluded   map[fleet.TargetID]bool
+	began      bool // the sink was started
+	failure    *wholeAnswer
+	firstEvent time.Duration // of this try, from the arrival of the request
+	status     int
+	trail      []string // one entry a try, for the log
 }
 
 // retryAfterNoTarget is about the time in which the list of targets catches up with a change.
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -11,6 +11,7 @@
 	"eelgrassproxy.example/adapters/httpcall"
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/stream"
 )
 
@@ -29,8 +30,30 @@
 	First  time.Duration // from the arrival of the request to the first event or the whole answer; 0 before
 }
 
-// try sends the request to the held target and relays the answer. It returns nil when the whole answer was passed on.
+// try sends the request to the held target, relays the answer, and lets the board know what that says of the target. It returns nil when
+// the whole answer was passed on.
 func (x *execution) try(ctx context.Context, held *Held) error {
+	started, before := time.Now(), x.progress.Events
+	x.firstEvent = 0
+	err := x.attempt(ctx, held)
+	outcome := limits.Outcome{Failed: true}
+	if x.progress.Events > before {
+		outcome.Latency = x.firstEvent - started.Sub(x.request.Arrived)
+	}
+	switch {
+	case err == nil:
+		outcome.Failed = false
+		x.board.Observe(held.Target.ID, outcome)
+	case errors.Is(err, errNotRun), errors.Is(err, ErrSinkGone), ctx.Err() != nil:
+		x.board.Unobserved(held.Target.ID)
+	default:
+		x.board.Observe(held.Target.ID, outcome)
+	}
+	return err
+}
+
+// attempt makes one try.
+func (x *execution) attempt(ctx context.Context, held *Held) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	suspect := time.AfterFunc(x.options.Suspect, func() { x.board.Avoid(held.Target.ID, x.options.SuspectFor) })
@@ -178,6 +201,9 @@
 			}
 			x.progress.Last = event.ID
 		}
+		if x.firstEvent == 0 {
+			x.firstEvent = time.Since(x.request.Arrived)
+		}
 		x.progress.Events++
 		if x.onEvent != nil {
 			x.onEvent(event.Data)
