--- a/cmd/eelgrassctl/main.go
+++ b/cmd/eelgrassctl/main.go
@@ -15,6 +15,7 @@
 	"eelgrassproxy.example/cmd/eelgrassctl/democmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/jobcmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/operatorcmd"
+	"eelgrassproxy.example/cmd/eelgrassctl/soakcmd"
 	"eelgrassproxy.example/cmd/eelgrassctl/standincmd"
 	"eelgrassproxy.example/node/version"
 )
@@ -33,6 +34,7 @@
   job       list, show and cancel batch jobs
   demo      run a whole sample fleet in one process on loopback
   standin   run one stand-in of the platform or of a target
+  soak      run real processes on loopback, inject faults, and check the promises
   version   print the version
   help      print this text
 
@@ -64,6 +66,8 @@
 		return democmd.Run(ctx, args[1:], stdout, stderr)
 	case "standin":
 		return standincmd.Run(ctx, args[1:], stdout, stderr)
+	case "soak":
+		return soakcmd.Run(ctx, args[1:], stdout, stderr)
 	case "version", "-version", "--version":
 		fmt.Fprintln(stdout, "eelgrassctl", version.String())
 		return exitOK
