--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -171,7 +171,8 @@
 }
 
 const (
-	// groupDelay is how long finished items wait for others, so that one write records several of them. Clients read twice a second.
+	// groupDelay is how long finished items wait for others, so that one write records several of them. Items of a
+	// job end over some seconds, long before they are due; what is not recorded runs again if the owner is lost.
 	groupDelay = 700 * time.Millisecond
 	// dueMargin is the time before a job is due from which results are recorded at once.
 	dueMargin = 2 * time.Second
