Write the progress of running items every two seconds

Change: an owner writes the events of its unfinished items, in one conditional transaction for all of its jobs, when they grew by thirty; a successor goes on from there.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -204,15 +204,6 @@
 	}
 }
 
-// Targets returns the listed targets of a service, sorted by id.
-func (v *View) Targets(service string) []Target {
-	var list []Target
-	for _, t := range v.byPool[service] {
-		list = append(list, t.Target)
-	}
-	return list
-}
-
 // Avoid keeps new requests from a target until a time, unless nothing else is left.
 func (v *View) Avoid(id fleet.TargetID, until time.Time) {
 	if t, ok := v.targets[id]; ok && until.After(t.avoid) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -39,7 +39,6 @@
 type Reply struct {
 	NotRun      bool // the target did not run the request and will not
 	OtherTarget bool // another target has the address
-	Leaving     bool // the target closes the connection
 	Events      bool // the body is an event stream
 	Complete    bool // the response bears the mark that makes a success count
 }
--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -145,6 +145,23 @@
 	})
 }
 
+// Guards against a loss of all instances that makes every running item start again, and against progress that stays in the store for good.
+func TestItemsGoOnAfterTheLossOfAllInstances(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b", "c", "d")))
+		time.Sleep(3 * time.Second)
+		for _, n := range w.nodes {
+			w.kill(n)
+		}
+		next := w.start("i9", "10.0.0.9")
+		time.Sleep(10 * time.Second)
+		completed(t, w.readAll(next, "j"), "a", "b", "c", "d")
+		require.NotEmpty(t, w.runsOf("a")[1].after)
+		_, err := w.store.Get(t.Context(), "/eelgrass/item-jobs/partial/j")
+		require.ErrorIs(t, err, kv.ErrNotFound)
+	})
+}
+
 // Guards against an owner that was cut off, and whose job another one took over, that adds results of its own.
 func TestReplacedOwnerAddsNothing(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -268,7 +268,8 @@
 		return false
 	}
 	s.mu.Lock()
-	given := progressOf(j.Job)
+	given := s.currentProgress(j)
+	given.Finished = j.Unrecorded()
 	s.mu.Unlock()
 	if err := s.calls.adopt(ctx, reaching[fleet.InstanceID(chosen[0])], j.ID, given); err != nil {
 		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
@@ -281,7 +282,8 @@
 // release clears the owner of a job and leaves the progress of its items in the store; another instance finds it there.
 func (s *Service) release(ctx context.Context, j *owned) {
 	s.mu.Lock()
-	record, revision, left := j.Record, j.revision, progressOf(j.Job)
+	record, revision, left := j.Record, j.revision, s.currentProgress(j)
+	left.Finished = j.Unrecorded()
 	s.mu.Unlock()
 	record.Owner, record.Process = "", 0
 	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), left)
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -93,25 +93,6 @@
 	maxProgressBytes = 600 << 10
 )
 
-// progressOf returns what is not recorded of a job.
-func progressOf(job *itemjob.Job) progress {
-	p := progress{Finished: job.Unrecorded()}
-	size := 0
-	for _, t := range job.Tasks {
-		if t.Phase != itemjob.Waiting || t.Events == 0 {
-			continue
-		}
-		for _, data := range t.Output {
-			size += len(data) + eventOverhead
-		}
-		if size > maxProgressBytes {
-			break
-		}
-		p.Partials = append(p.Partials, partial{Index: t.Index, Last: t.Last, Events: t.Events, Output: t.Output})
-	}
-	return p
-}
-
 func decode(value []byte, into any) error {
 	if err := json.Unmarshal(value, into); err != nil {
 		return eris.Wrap(ErrBadRecord, err.Error())
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	if position+len(group) == total {
-		ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(j.ID)})
+		ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(j.ID)}, kv.Op{Kind: kv.OpDelete, Key: partialKey(j.ID)})
 	}
 	result, err := s.Store.Txn(ctx, kv.Txn{
 		Compares: []kv.Compare{
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,10 @@
 	firm   bool
 	ended  bool         // asked to give way
 	events atomic.Int64 // received so far, over all runs of the item
+
+	mu       sync.Mutex // guards the fields below; a leaf
+	last     int64      // id of the last event of this run
+	received []string   // data of the events of this run
 }
 
 // schedule starts items as room appears.
@@ -157,9 +162,10 @@
 
 func (s *Service) runItem(ctx context.Context, r *run, request *gateway.Request, progress *gateway.Progress) {
 	before := progress.Events
-	var received []string
 	outcome := s.Forwarder.RunItem(ctx, request, r.held, progress, func(data []byte) {
-		received = append(received, string(data))
+		r.mu.Lock()
+		r.received, r.last = append(r.received, string(data)), progress.Last
+		r.mu.Unlock()
 		r.events.Add(1)
 	})
 	r.held.Release()
@@ -169,7 +175,7 @@
 	s.forgetRun(r)
 	task := r.task
 	task.Last, task.Events = progress.Last, progress.Events
-	task.Output = append(task.Output, received...)
+	task.Output = append(task.Output, r.received...)
 	if r.job.gone {
 		return
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -58,7 +58,6 @@
 	pace     itemjob.Pace
 	draining bool
 	running  sync.WaitGroup
-	starts   int // items started so far, for the scheduler's pause
 }
 
 // owned is a job that this instance owns.
@@ -69,9 +68,10 @@
 	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
 	flush    chan struct{} // asks the recorder to look
 	// suspended keeps items from starting while the job is handed over.
-	suspended bool
-	gone      bool      // another instance owns it, or the client ended it
-	forget    time.Time // when the results are dropped from memory
+	suspended   bool
+	savedEvents int       // in the progress that was last written
+	gone        bool      // another instance owns it, or the client ended it
+	forget      time.Time // when the results are dropped from memory
 }
 
 // New returns a service.
@@ -108,6 +108,7 @@
 	group.Go(func() { s.watchOwners(ctx) })
 	group.Go(func() { s.watchReach(ctx) })
 	group.Go(func() { s.collect(ctx) })
+	group.Go(func() { s.checkpoint(ctx) })
 	group.Wait()
 	s.stop()
 	s.running.Wait()
