Do not take jobs of owners that just started; tell an owner that it was replaced

Three instances took the job up in a row; the client's end reached the last of them, and the others went on until they looked at the open marks. Change: a peer that became known has the time to be heard; a later process is alive; who takes a job up tells the former owner to drop it. Ruled out: a lost call to the owner (it was told at once).

--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -91,6 +91,15 @@
 	return missedHeartbeats*farHeartbeat + farHeartbeat/2
 }
 
+// isSilent tells whether a peer is suspected. One that has just become known has the time to be heard.
+func (s *peerState) isSilent(now time.Time) bool {
+	since := s.heard
+	if s.known.After(since) {
+		since = s.known
+	}
+	return now.Sub(since) > s.silentAfter()
+}
+
 type peerState struct {
 	near     bool
 	member   fleet.Member
@@ -98,6 +107,7 @@
 	address  netip.AddrPort
 	process  uint64 // of the last datagram
 	sequence uint64
+	known    time.Time // when the instance, or its process, became known
 	heard    time.Time
 	silent   bool // reported as lost since it was heard
 	state    State
@@ -261,13 +271,16 @@
 	p.mu.Lock()
 	state, known := p.peers[m.ID]
 	if !known {
-		state = &peerState{}
+		state = &peerState{known: time.Now()}
 		p.peers[m.ID] = state
 	}
 	replaced := known && state.member.Incarnation < m.Incarnation
 	if !known || m.Incarnation >= state.member.Incarnation {
 		state.member, state.address = m, address
 	}
+	if replaced {
+		state.known = time.Now()
+	}
 	state.listed = state.listed || listed
 	allNear := p.arrange()
 	p.mu.Unlock()
@@ -490,7 +503,7 @@
 	}
 }
 
-// Members returns all instances, self included. A listed peer that was not heard lately is suspected.
+// Members returns all instances, self included. A peer that was not heard lately is suspected.
 func (p *Peers) Members() []fleet.Member {
 	members := []fleet.Member{p.Self()}
 	now := time.Now()
@@ -498,7 +511,7 @@
 	defer p.mu.Unlock()
 	for _, state := range p.peers {
 		m := state.member
-		if m.State == fleet.MemberAlive && now.Sub(state.heard) > state.silentAfter() {
+		if m.State == fleet.MemberAlive && state.isSilent(now) {
 			m.State = fleet.MemberSuspect
 		}
 		members = append(members, m)
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -250,6 +250,22 @@
 	})
 }
 
+// Guards against a peer that is taken for dead because it was not heard yet: whoever starts would take its jobs.
+func TestPeerThatIsNotHeardYetIsAlive(t *testing.T) {
+	inParty(t, func(t *testing.T, p *party) {
+		p.network.Partition([]string{"10.0.0.1:7720"}, []string{"10.0.0.2:7720"})
+		a := p.join("a", "a1", true)
+		p.join("b", "a1", true)
+		time.Sleep(time.Second)
+		state, known := stateOf(a, "b")
+		require.True(t, known, "by its record")
+		require.Equal(t, fleet.MemberAlive, state)
+		time.Sleep(time.Second)
+		state, _ = stateOf(a, "b")
+		require.Equal(t, fleet.MemberSuspect, state)
+	})
+}
+
 // Guards against callers that are sent to an instance that is leaving.
 func TestDrainIsToldAtOnce(t *testing.T) {
 	inParty(t, func(t *testing.T, p *party) {
--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -162,6 +163,23 @@
 	})
 }
 
+// Guards against a former owner that does not know that it was replaced and runs the items of a job that its client ends at the new owner.
+func TestReplacedOwnerIsTold(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b")))
+		time.Sleep(500 * time.Millisecond)
+		_, err := w.nodes[0].client.Do(t.Context(), http.MethodPost, w.nodes[1].address, "/v1/item-jobs/j/adopt", nil, []byte("{}"), time.Second)
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		_, owned := w.nodes[0].service.ReadOwned(t.Context(), "j", 0, 0)
+		require.False(t, owned)
+		require.NoError(t, w.nodes[0].service.End(t.Context(), "j"))
+		started := len(w.runs)
+		time.Sleep(8 * time.Second)
+		require.Len(t, w.runs, started)
+	})
+}
+
 // Guards against an owner that was cut off, and whose job another one took over, that adds results of its own.
 func TestReplacedOwnerAddsNothing(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -99,10 +99,11 @@
 	return !known && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
 }
 
-// isOwned tells whether the process that owns a job lives.
+// isOwned tells whether the process that owns a job lives. An owner that is a later process of its instance than the one that is known has
+// just started, and is not gone.
 func isOwned(mark openMark, living map[fleet.InstanceID]uint64) bool {
 	process, lives := living[mark.Owner]
-	return lives && process == mark.Process
+	return lives && process <= mark.Process
 }
 
 func (s *Service) adoptOrLog(ctx context.Context, id itemjob.ID) {
@@ -159,9 +160,21 @@
 	if !result.Succeeded {
 		return errContended
 	}
+	go s.tellFormer(context.WithoutCancel(ctx), id, former)
 	return s.resume(ctx, record, result.Revision, former, given)
 }
 
+// tellFormer lets an owner that was replaced, and may not know it, stop the items of a job.
+func (s *Service) tellFormer(ctx context.Context, id itemjob.ID, former fleet.InstanceID) {
+	address, ok := s.addressOf(former)
+	if !ok {
+		return
+	}
+	if err := s.calls.drop(ctx, address, id); err != nil {
+		klog.V(1).InfoS("Former owner was not told that it was replaced", "job", id, "former_owner", former, "error", err.Error())
+	}
+}
+
 // resume goes on with a job that this instance has just become the owner of.
 func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, given *progress) error {
 	items, err := s.loadItems(ctx, &record)
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -104,8 +104,8 @@
 	return eris.Wrap(ErrOutcomeUnknown, err.Error())
 }
 
-func (c peerCalls) ended(ctx context.Context, address string, id itemjob.ID) error {
-	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/ended", nil, nil, 0)
+func (c peerCalls) drop(ctx context.Context, address string, id itemjob.ID) error {
+	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/drop", nil, nil, 0)
 	if errors.Is(err, errNotOwner) {
 		return nil
 	}
@@ -120,7 +120,7 @@
 	mux.HandleFunc("GET /v1/item-jobs/{job}/results", s.servePage)
 	mux.HandleFunc("GET /v1/item-jobs/{job}/body", s.serveBody)
 	mux.HandleFunc("POST /v1/item-jobs/{job}/adopt", s.serveAdopt)
-	mux.HandleFunc("POST /v1/item-jobs/{job}/ended", s.serveEnded)
+	mux.HandleFunc("POST /v1/item-jobs/{job}/drop", s.serveDrop)
 	mux.HandleFunc("POST /v1/item-jobs", s.serveSubmit)
 }
 
@@ -166,8 +166,8 @@
 	}
 }
 
-func (s *Service) serveEnded(w http.ResponseWriter, r *http.Request) {
-	if !s.EndOwned(itemjob.ID(r.PathValue("job"))) {
+func (s *Service) serveDrop(w http.ResponseWriter, r *http.Request) {
+	if !s.DropOwned(itemjob.ID(r.PathValue("job")), "a peer says that it was ended or taken over") {
 		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
 	}
 }
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -103,6 +103,16 @@
 	return "", false
 }
 
+// addressOf returns the address of a known peer, also if it is suspected.
+func (s *Service) addressOf(id fleet.InstanceID) (string, bool) {
+	for _, m := range s.Peers.Members() {
+		if m.ID == id && id != s.Self.ID {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
 // readStored reads from the store, and from the owner that the record names while the job is open.
 func (s *Service) readStored(ctx context.Context, id itemjob.ID, after int, patience time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTime+patience)
@@ -223,23 +233,23 @@
 // tellEnded stops the items of a job at its owner. An owner that is not reached finds out when it looks at the open marks, or at its next
 // write.
 func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) {
-	if s.EndOwned(record.ID) {
+	if s.DropOwned(record.ID, "client ended it") {
 		return
 	}
-	address, ok := s.peerAddress(record.Owner)
+	address, ok := s.addressOf(record.Owner)
 	if !ok {
 		return
 	}
-	if err := s.calls.ended(ctx, address, record.ID); err != nil {
+	if err := s.calls.drop(ctx, address, record.ID); err != nil {
 		klog.ErrorS(err, "Owner was not told that a job ended", "job", record.ID, "owner", record.Owner)
 	}
 }
 
-// EndOwned drops a job that its client ended; it returns false if this instance does not own it.
-func (s *Service) EndOwned(id itemjob.ID) bool {
+// DropOwned drops a job that is no longer this instance's; it returns false if it was not.
+func (s *Service) DropOwned(id itemjob.ID, reason string) bool {
 	j, ok := s.owned(id)
 	if ok {
-		s.drop(j, "client ended it")
+		s.drop(j, reason)
 	}
 	return ok
 }
