--- /dev/null
+++ b/core/slots/place.go
@@ -0,0 +1,174 @@
+package slots
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"eelgrassproxy.example/core/fleet"
+)
+
+// distance returns the penalty of a target's place, in requests.
+func (v *View) distance(t *target) float64 {
+	stale := 0.0
+	if v.stale {
+		stale = v.policy.StalePenalty * float64(t.Slots)
+	}
+	switch v.topology.Distance(v.domain, t.FailureDomain) {
+	case fleet.SameFailureDomain:
+		return 0
+	case fleet.SameRegion:
+		return v.policy.RegionPenalty + stale
+	}
+	return v.policy.RemotePenalty + stale
+}
+
+// tieBreak orders equal targets differently for each request, so that instances that decide at the same moment spread.
+func tieBreak(salt string, id fleet.TargetID) uint64 {
+	return xxhash.Sum64String(salt + "\x00" + string(id))
+}
+
+// Room says whether a target was found.
+type Room int
+
+// Results of Place.
+const (
+	Placed   Room = iota
+	Full          // every target that may be used has MaxQueue requests waiting
+	NoTarget      // no target may be used
+)
+
+// Place returns the target for an online request. A target with a free slot goes first, then one whose batch items will give way, then the
+// shortest queue. exclude holds targets that were tried already. Targets to be avoided are used only if there is no other.
+func (v *View) Place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, Room) {
+	if t, room := v.place(service, salt, exclude, now, false); room != NoTarget {
+		return t, room
+	}
+	return v.place(service, salt, exclude, now, true)
+}
+
+func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, Room) {
+	var best *target
+	var bestScore float64
+	var bestTie uint64
+	room := NoTarget
+	for _, t := range v.byPool[service] {
+		if exclude[t.ID] || t.State != fleet.TargetLive || !avoided && !v.usable(t, now) {
+			continue
+		}
+		load := v.Load(t.ID, now)
+		if load.Online+load.Firm >= t.Slots+v.policy.MaxQueue {
+			room = Full
+			continue
+		}
+		score := onlineScore(load, t.Slots) + v.distance(t)
+		tie := tieBreak(salt, t.ID)
+		if best == nil || score < bestScore || score == bestScore && tie < bestTie {
+			best, bestScore, bestTie = t, score, tie
+		}
+	}
+	if best == nil {
+		return Target{}, room
+	}
+	return best.Target, Placed
+}
+
+// onlineScore rises with the expected wait: slots in use while there is a free one; beyond that, the requests that do not give way.
+func onlineScore(load Count, slots int) float64 {
+	if load.Total() < slots {
+		return float64(load.Total())
+	}
+	return float64(slots + load.Online + load.Firm)
+}
+
+// PlaceBatch returns the target for a batch item, or false if there is no room. An urgent item may take the reserve as well, where few items
+// are firm. In a fleet whose instances hear of other failure domains only now and then, items that must give way stay where their owner hears
+// at once of the online requests there.
+func (v *View) PlaceBatch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool, now time.Time) (Target, bool) {
+	var best *target
+	var bestScore float64
+	var bestTie uint64
+	for _, t := range v.byPool[service] {
+		if exclude[t.ID] || !v.usable(t, now) {
+			continue
+		}
+		load := v.Load(t.ID, now)
+		firm := urgent && load.Firm < v.policy.FirmLimit
+		if !v.hasBatchRoom(t, load, firm) {
+			continue
+		}
+		score := float64(load.Total()) + v.distance(t)
+		tie := tieBreak(salt, t.ID)
+		if best == nil || score < bestScore || score == bestScore && tie < bestTie {
+			best, bestScore, bestTie = t, score, tie
+		}
+	}
+	if best == nil {
+		return Target{}, false
+	}
+	return best.Target, true
+}
+
+func (v *View) hasBatchRoom(t *target, load Count, firm bool) bool {
+	if firm {
+		return load.Total() < t.Slots
+	}
+	return load.Total() < t.Slots-v.policy.BatchReserve && (!v.stale || t.FailureDomain == v.domain)
+}
+
+// MayBeFirm tells whether a batch item at a target may keep its slot although online requests wait.
+func (v *View) MayBeFirm(id fleet.TargetID, now time.Time) bool {
+	return v.Load(id, now).Firm < v.policy.FirmLimit
+}
+
+// Excess returns, for each target that holds more requests than slots, how many of this instance's yieldable batch items end. All
+// instances divide the excess in the same order, so that each item of it is ended by one of them.
+func (v *View) Excess(now time.Time) map[fleet.TargetID]int {
+	var result map[fleet.TargetID]int
+	for id, t := range v.targets {
+		if t.own.Yieldable == 0 {
+			continue
+		}
+		over := v.Load(id, now).Total() - t.Slots
+		if over <= 0 {
+			continue
+		}
+		if mine := v.share(id, over, now); mine > 0 {
+			if result == nil {
+				result = make(map[fleet.TargetID]int)
+			}
+			result[id] = mine
+		}
+	}
+	return result
+}
+
+// share returns this instance's part of the excess at a target. The order of instances differs by target.
+func (v *View) share(id fleet.TargetID, over int, now time.Time) int {
+	type holder struct {
+		instance fleet.InstanceID
+		batch    int
+	}
+	holders := []holder{{v.self, v.targets[id].own.Yieldable}}
+	for name, p := range v.peers {
+		if n := p.counts[id].Yieldable; n > 0 && now.Sub(p.heard) < v.policy.PeerExpiry {
+			holders = append(holders, holder{name, n})
+		}
+	}
+	slices.SortFunc(holders, func(a, b holder) int {
+		return cmp.Or(cmp.Compare(tieBreak(string(a.instance), id), tieBreak(string(b.instance), id)), cmp.Compare(a.instance, b.instance))
+	})
+	for _, h := range holders {
+		taken := min(h.batch, over)
+		if h.instance == v.self {
+			return taken
+		}
+		over -= taken
+		if over <= 0 {
+			return 0
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/slots/policy.go
@@ -0,0 +1,62 @@
+package slots
+
+import (
+	"time"
+
+	"eelgrassproxy.example/core/limits"
+)
+
+// Policy holds the weights of the decisions.
+type Policy struct {
+	// PeerExpiry is the age at which what a peer said no longer counts.
+	PeerExpiry time.Duration
+	// RegionPenalty and RemotePenalty are the requests by which a target of the own region, or of another one, must be emptier than a
+	// target of the own failure domain to be preferred: bytes that cross these borders are paid for.
+	RegionPenalty, RemotePenalty float64
+	// StalePenalty is added, in units of a target's slots, for targets of other failure domains in a fleet whose instances hear of these only
+	// now and then: such a target is used when those of the own failure domain have no free slot and hold more requests that do not give way.
+	StalePenalty float64
+	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
+	BatchReserve int
+	// MaxQueue is the number of requests that may wait at a target beyond its slots. Targets serve in order of arrival, so that more would
+	// wait there behind requests that are late already.
+	MaxQueue int
+	// FirmLimit is the number of slots of a target that batch items may keep although online requests wait.
+	FirmLimit int
+	// Health says when a target that fails or is slow gets no requests for a while.
+	Health limits.OutlierPolicy
+}
+
+// DefaultPolicy suits targets of about eight slots that serve an online request in under a second.
+func DefaultPolicy() Policy {
+	return Policy{
+		PeerExpiry:    2500 * time.Millisecond,
+		RegionPenalty: 0.5,
+		RemotePenalty: 1.5,
+		StalePenalty:  1,
+		BatchReserve:  1,
+		MaxQueue:      2,
+		FirmLimit:     4,
+		Health:        healthPolicy(),
+	}
+}
+
+// healthPolicy ejects a target for a second at two failures in a row and for twice as long at each further one. A target that fails part of
+// its requests, or fails them fast, would otherwise draw requests by being the emptiest. One failure is not enough: a fleet that loses a few
+// answers in a hundred would lose more by the slots that it does without.
+func healthPolicy() limits.OutlierPolicy {
+	return limits.OutlierPolicy{
+		Consecutive:    2,
+		FailureShare:   0.5,
+		MinRequests:    20,
+		SlowFactor:     4,
+		SlowAtLeast:    250 * time.Millisecond,
+		MinPeers:       3,
+		BaseEjection:   time.Second,
+		MaxEjection:    16 * time.Second,
+		ForgiveAfter:   20 * time.Second,
+		MaxEjected:     0.4,
+		ProbeTimeout:   2 * time.Second,
+		EvaluatePeriod: 3 * time.Second,
+	}
+}
