--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -87,12 +87,12 @@
 // Job is a job at its owner. Guarded by its owner.
 type Job struct {
 	Record
-	Tasks   []*Task
-	Results []Result // recorded, by position
-	Hurry   bool     // results are recorded without waiting for others
-	pending []Result // finished and not recorded, in the order of their positions
-	since   time.Time
-	byItem  map[string]*Task
+	Tasks     []*Task
+	Results   []Result // recorded, by position
+	Immediate bool     // results are recorded without waiting for others
+	pending   []Result // finished and not recorded, in the order of their positions
+	since     time.Time
+	byItem    map[string]*Task
 }
 
 // NewJob returns a job whose recorded results are known.
@@ -187,7 +187,7 @@
 		return nil, 0
 	}
 	all := len(j.pending)+len(j.Results) >= len(j.Tasks)
-	if left := j.since.Add(groupDelay).Sub(now); !all && !j.Hurry && left > 0 && now.Before(j.Due.Add(-dueMargin)) {
+	if left := j.since.Add(groupDelay).Sub(now); !all && !j.Immediate && left > 0 && now.Before(j.Due.Add(-dueMargin)) {
 		return nil, left
 	}
 	size := 0
--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -30,26 +30,26 @@
 	return xxhash.Sum64String(salt + "\x00" + string(id))
 }
 
-// Room says whether a target was found.
-type Room int
+// Placement says whether a target was found.
+type Placement int
 
 // Results of Place.
 const (
-	Placed   Room = iota
-	Full          // every target that may be used has MaxQueue requests waiting
-	NoTarget      // no target may be used
+	Placed   Placement = iota
+	Full               // every target that may be used has MaxQueue requests waiting
+	NoTarget           // no target may be used
 )
 
 // Place returns the target for an online request. A target with a free slot goes first, then one whose batch items will give way, then the
 // shortest queue. exclude holds targets that were tried already. Targets to be avoided are used only if there is no other.
-func (v *View) Place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, Room) {
+func (v *View) Place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, Placement) {
 	if t, room := v.place(service, salt, exclude, now, false); room != NoTarget {
 		return t, room
 	}
 	return v.place(service, salt, exclude, now, true)
 }
 
-func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, Room) {
+func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, Placement) {
 	var best *target
 	var bestScore float64
 	var bestTie uint64
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -160,8 +160,8 @@
 	return sum
 }
 
-// NewsAge returns the age of the oldest news of a peer that counts.
-func (v *View) NewsAge(now time.Time) time.Duration {
+// PeerAge returns the age of the oldest report of a peer that counts.
+func (v *View) PeerAge(now time.Time) time.Duration {
 	oldest := time.Duration(0)
 	for _, p := range v.peers {
 		if age := now.Sub(p.heard); age < v.policy.PeerExpiry {
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -35,15 +35,15 @@
 type Held struct {
 	Target slots.Target
 	Load   slots.Count // of the target when it was chosen
-	// NewsAge is the age of the oldest news of a peer in Load.
-	NewsAge time.Duration
+	// PeerAge is the age of the oldest report of a peer in Load.
+	PeerAge time.Duration
 	board   *Board
 	mu      sync.Mutex // guards count; taken before the board's mutex
 	count   slots.Count
 }
 
 // Online takes a place at a target for an online request, or returns nil and why there is none now.
-func (b *Board) Online(service, salt string, exclude map[fleet.TargetID]bool) (*Held, slots.Room) {
+func (b *Board) Online(service, salt string, exclude map[fleet.TargetID]bool) (*Held, slots.Placement) {
 	now := time.Now()
 	b.mu.Lock()
 	target, room := b.view.Place(service, salt, exclude, now)
@@ -86,7 +86,7 @@
 	load := b.view.Load(target.ID, now)
 	b.view.Begin(target.ID, now)
 	b.view.Add(target.ID, count)
-	return &Held{Target: target, Load: load, NewsAge: b.view.NewsAge(now), board: b, count: count}
+	return &Held{Target: target, Load: load, PeerAge: b.view.PeerAge(now), board: b, count: count}
 }
 
 // IsFirm tells whether the holder is a batch item that does not give way.
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -91,9 +91,9 @@
 }
 
 // state is what peers are told.
-func (c *CatchUp) state() State {
+func (c *CatchUp) state() SyncState {
 	digest := c.list.Digest()
-	return State{Lost: c.Lost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision()}
+	return SyncState{Lost: c.Lost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision()}
 }
 
 func (c *CatchUp) version() int64 {
@@ -114,9 +114,9 @@
 		if c.Lost() {
 			c.probe(ctx)
 		}
-		told := c.peers.Told()
-		c.arrange(told)
-		source, ok := c.source(told)
+		reports := c.peers.Reports()
+		c.arrange(reports)
+		source, ok := c.source(reports)
 		if !ok {
 			continue
 		}
@@ -144,26 +144,26 @@
 const probeKey = "/eelgrass/probe"
 
 // arrange decides whether this instance follows the list of targets in the store.
-func (c *CatchUp) arrange(told []Told) {
+func (c *CatchUp) arrange(reports []PeerReport) {
 	members := []fleet.Member{c.peers.Self()}
 	if c.Lost() {
 		members = nil
 	}
-	for _, t := range told {
+	for _, t := range reports {
 		if !t.Lost && t.Member.State == fleet.MemberAlive {
 			members = append(members, t.Member)
 		}
 	}
-	follows := len(told) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
+	follows := len(reports) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
 	if c.follows.Swap(follows) != follows {
-		klog.InfoS("Following targets and members in the store", "follows", follows, "peers", len(told))
+		klog.InfoS("Following targets and members in the store", "follows", follows, "peers", len(reports))
 	}
 }
 
 // source returns the peer to read from, if any is needed.
-func (c *CatchUp) source(told []Told) (string, bool) {
+func (c *CatchUp) source(reports []PeerReport) (string, bool) {
 	var sources []string
-	for _, t := range told {
+	for _, t := range reports {
 		if c.helps(t) {
 			sources = append(sources, t.Member.PeerAddress)
 		}
@@ -178,7 +178,7 @@
 }
 
 // helps tells whether a peer knows more than this instance.
-func (c *CatchUp) helps(t Told) bool {
+func (c *CatchUp) helps(t PeerReport) bool {
 	switch {
 	case c.Lost():
 		return !t.Lost || t.Version > c.version()
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -36,8 +36,8 @@
 	registerPeriod = membership.RegisterPeriod
 )
 
-// State is what an instance tells its peers of its copies of the store's keys.
-type State struct {
+// SyncState is what an instance tells its peers of its copies of the store's keys.
+type SyncState struct {
 	Lost     bool        `json:"l,omitempty"` // the store is out of the sender's reach
 	Version  int64       `json:"v,omitempty"` // of the sender's routing table
 	Targets  uint64      `json:"t,omitempty"` // digest of the sender's list of targets
@@ -50,7 +50,7 @@
 	Process  uint64           `json:"p"` // incarnation of the process; a higher one replaces a lower one
 	Sequence uint64           `json:"n"` // rises with each datagram of a process
 	Draining bool             `json:"d,omitempty"`
-	State
+	SyncState
 	Member  json.RawMessage           `json:"m,omitempty"` // the sender's membership record, in one datagram of a few
 	Counts  map[fleet.TargetID][3]int `json:"c,omitempty"` // online, firm and yieldable requests at each target
 	Waiting map[string]int64          `json:"w,omitempty"` // tokens of unfinished batch items by route
@@ -84,7 +84,7 @@
 	own, domains := p.board.Own()
 	message := datagram{From: p.self.ID, Process: p.self.Incarnation, Counts: encodeCounts(own)}
 	message.Waiting, message.Jobs = p.waiting()
-	message.State = p.state()
+	message.SyncState = p.state()
 	p.introduce(&message)
 	p.mu.Lock()
 	p.sequence++
@@ -204,7 +204,7 @@
 	}
 	state.process, state.sequence = message.Process, message.Sequence
 	state.heard, state.waiting = time.Now(), message.Waiting
-	state.state = message.State
+	state.state = message.SyncState
 	if state.silent {
 		klog.InfoS("Peer is heard again", "instance", message.From, "process", message.Process)
 		state.silent = false
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -72,7 +72,7 @@
 // Forwarder carries requests to targets. It is safe for concurrent use.
 type Forwarder struct {
 	board    *Board
-	lines    *lines
+	queues   *waitQueues
 	client   *rawhttp.Client
 	protocol Protocol
 	options  Options
@@ -81,7 +81,7 @@
 
 // NewForwarder returns a forwarder.
 func NewForwarder(board *Board, client *rawhttp.Client, protocol Protocol, options Options, metrics tally.Scope) *Forwarder {
-	return &Forwarder{board: board, lines: newLines(board), client: client, protocol: protocol, options: options, metrics: metrics.SubScope("gateway")}
+	return &Forwarder{board: board, queues: newWaitQueues(board), client: client, protocol: protocol, options: options, metrics: metrics.SubScope("gateway")}
 }
 
 // Verdict says how a request ended.
@@ -139,14 +139,14 @@
 // run makes tries until one answers or no further one is allowed.
 func (x *execution) run(ctx context.Context) Outcome {
 	for {
-		held, err := x.lines.enter(ctx, x.request, x.excluded)
+		held, err := x.queues.enter(ctx, x.request, x.excluded)
 		if err != nil {
 			return x.notPlaced(ctx, err)
 		}
 		started := time.Now()
 		err = x.try(ctx, held)
 		held.Release()
-		x.lines.ended(x.request.Service, time.Since(started))
+		x.queues.ended(x.request.Service, time.Since(started))
 		if err == nil {
 			x.trail = append(x.trail, trailOf(held))
 			return Outcome{Verdict: Answered, Status: x.status}
@@ -158,10 +158,10 @@
 }
 
 // trailOf names a target with what was known of it when it was chosen: its online, firm and yieldable requests, its slots, and the age of
-// the oldest news of a peer in these counts.
+// the oldest report of a peer in these counts.
 func trailOf(held *Held) string {
 	l := held.Load
-	return fmt.Sprintf("%s at %d+%d+%d of %d, news %d ms old", held.Target.ID, l.Online, l.Firm, l.Yieldable, held.Target.Slots, held.NewsAge.Milliseconds())
+	return fmt.Sprintf("%s at %d+%d+%d of %d, peer counts %d ms old", held.Target.ID, l.Online, l.Firm, l.Yieldable, held.Target.Slots, held.PeerAge.Milliseconds())
 }
 
 // afterFailure decides what follows a failed try.
--- a/node/gateway/largefleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -12,7 +12,7 @@
 
 // Guards against store calls that grow with the fleet: in a large one a few instances follow the list of targets, and all know it.
 func TestFewInstancesFollowTheTargetList(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		for i := range 16 {
 			p.join(fleet.InstanceID(fmt.Sprintf("i%02d", i)), []fleet.FailureDomain{"a1", "a2", "b1", "b1"}[i%4], true)
 		}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -26,7 +26,7 @@
 	waiting       func() (tokens map[string]int64, newJobs []string)
 	onJobs        func(owner fleet.InstanceID, jobs []string)
 	onMembers     func()
-	state         func() State
+	state         func() SyncState
 	registry      *membership.Registrar
 	records       *kvmirror.Mirror
 
@@ -66,7 +66,7 @@
 	known    time.Time // when the instance, or its process, became known
 	heard    time.Time
 	silent   bool // reported as lost since it was heard
-	state    State
+	state    SyncState
 	waiting  map[string]int64
 }
 
@@ -81,7 +81,7 @@
 		waiting:       func() (map[string]int64, []string) { return nil, nil },
 		onJobs:        func(fleet.InstanceID, []string) {},
 		onMembers:     func() {},
-		state:         func() State { return State{} },
+		state:         func() SyncState { return SyncState{} },
 		peers:         make(map[fleet.InstanceID]*peerState),
 	}
 	p.registry = membership.NewRegistrar(p, store)
@@ -112,7 +112,7 @@
 func (p *Peers) OnMembers(changed func()) { p.onMembers = changed }
 
 // OnState sets the source of what peers are told of this instance's reach of the store and of its routing table. Call it before Run.
-func (p *Peers) OnState(state func() State) { p.state = state }
+func (p *Peers) OnState(state func() SyncState) { p.state = state }
 
 // Records returns the mirror of the membership records.
 func (p *Peers) Records() *kvmirror.Mirror { return p.records }
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -115,23 +115,25 @@
 	return out, nil
 }
 
-// party is a fleet over one store.
-type party struct {
+// testFleet is a fleet over one store.
+type testFleet struct {
 	t       *testing.T
 	network *memnet.Network
 	store   *memkv.Store
 	members []*member
 }
 
-func newParty(t *testing.T) *party { return &party{t: t, network: memnet.New(), store: memkv.New()} }
+func newTestFleet(t *testing.T) *testFleet {
+	return &testFleet{t: t, network: memnet.New(), store: memkv.New()}
+}
 
-func (p *party) put(key, value string) {
+func (p *testFleet) put(key, value string) {
 	_, err := p.store.Txn(context.Background(), kv.Txn{Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: []byte(value)}}})
 	require.NoError(p.t, err)
 }
 
 // join starts an instance in a failure domain.
-func (p *party) join(id fleet.InstanceID, domain fleet.FailureDomain, reaches bool, seeds ...string) *member {
+func (p *testFleet) join(id fleet.InstanceID, domain fleet.FailureDomain, reaches bool, seeds ...string) *member {
 	m := &member{id: id, address: fmt.Sprintf("10.0.0.%d:7720", len(p.members)+1), store: &switched{Store: p.store, off: !reaches}}
 	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: m.address, CallerAddress: m.address, FailureDomain: domain}
 	packets, err := p.network.ListenPacket(m.address)
@@ -177,7 +179,7 @@
 }
 
 // lists returns how often each instance listed the targets in the store.
-func (p *party) lists() []int {
+func (p *testFleet) lists() []int {
 	var counts []int
 	for _, m := range p.members {
 		m.store.mu.Lock()
@@ -187,7 +189,7 @@
 	return counts
 }
 
-func (p *party) close() {
+func (p *testFleet) close() {
 	for _, m := range p.members {
 		m.stop()
 	}
@@ -197,9 +199,9 @@
 
 var topology = fleet.Topology{RegionOf: map[fleet.FailureDomain]fleet.Region{"a1": "a", "a2": "a", "b1": "b"}}
 
-func inParty(t *testing.T, test func(*testing.T, *party)) {
+func inFleet(t *testing.T, test func(*testing.T, *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newParty(t)
+		p := newTestFleet(t)
 		p.put("config", "v")
 		p.put("t/t1", "live")
 		defer p.close()
@@ -218,7 +220,7 @@
 
 // Guards against views of the targets' load that disagree for longer than a burst takes to begin.
 func TestPeersHearOfRequestsAtOnce(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a, b := p.join("a", "a1", true), p.join("b", "b1", true)
 		time.Sleep(2 * time.Second)
 		held, _ := a.board.Online("s", "q", nil)
@@ -233,7 +235,7 @@
 
 // Guards against an instance that is gone and counts on, or stays in the answers of the directory.
 func TestSilentPeerIsSuspected(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
 		time.Sleep(2 * time.Second)
 		_, room := b.board.Online("s", "q", nil)
@@ -252,7 +254,7 @@
 
 // Guards against a peer that is taken for dead because it was not heard yet: whoever starts would take its jobs.
 func TestPeerThatIsNotHeardYetIsAlive(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		p.network.Partition([]string{"10.0.0.1:7720"}, []string{"10.0.0.2:7720"})
 		a := p.join("a", "a1", true)
 		p.join("b", "a1", true)
@@ -268,7 +270,7 @@
 
 // Guards against callers that are sent to an instance that is leaving.
 func TestDrainIsToldAtOnce(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a, b := p.join("a", "a1", true), p.join("b", "a1", true)
 		time.Sleep(2 * time.Second)
 		b.peers.Drain()
@@ -280,7 +282,7 @@
 
 // Guards against an instance that starts while the store turns it away and stays without configuration, targets and peers.
 func TestInstanceWithoutTheStoreLearnsFromPeers(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a := p.join("a", "a1", true)
 		time.Sleep(2 * time.Second)
 		b := p.join("b", "a1", false, a.address)
@@ -305,7 +307,7 @@
 
 // Guards against an older configuration that replaces a newer one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a := p.join("a", "a1", true)
 		p.put("config", "newer")
 		time.Sleep(time.Second)
@@ -319,7 +321,7 @@
 // Guards against targets that are dropped because their entries lapsed while the store was away, against ones that are kept for good, and
 // against a broken entry that takes others with it.
 func TestTargetsLapseAfterAnOutage(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a := p.join("a", "a1", true)
 		p.put("t/t2", "live")
 		p.put("t/t3", "broken")
@@ -344,7 +346,7 @@
 
 // Guards against a datagram that is malformed or from a stranger and changes the view.
 func TestStrangeDatagramsAreIgnored(t *testing.T) {
-	inParty(t, func(t *testing.T, p *party) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
 		a := p.join("a", "a1", true)
 		time.Sleep(time.Second)
 		stranger, err := p.network.ListenPacket("10.0.9.9:1")
--- a/node/gateway/peerviews.go
+++ b/node/gateway/peerviews.go
@@ -22,30 +22,30 @@
 	return members
 }
 
-// Told is what a peer that was heard lately told of its copies.
-type Told struct {
+// PeerReport is what a peer that was heard lately told of its copies.
+type PeerReport struct {
 	Member fleet.Member
-	State
+	SyncState
 }
 
-// Told returns what the peers that were heard lately told.
-func (p *Peers) Told() []Told {
+// Reports returns what the peers that were heard lately told.
+func (p *Peers) Reports() []PeerReport {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var told []Told
+	var reports []PeerReport
 	for _, state := range p.peers {
 		if now.Sub(state.heard) <= state.silentAfter() {
-			told = append(told, Told{state.member, state.state})
+			reports = append(reports, PeerReport{state.member, state.state})
 		}
 	}
-	return told
+	return reports
 }
 
 // Reaching returns the peers that were heard lately, reach the store and do not drain.
 func (p *Peers) Reaching() []fleet.Member {
 	var members []fleet.Member
-	for _, t := range p.Told() {
+	for _, t := range p.Reports() {
 		if !t.Lost && t.Member.State == fleet.MemberAlive {
 			members = append(members, t.Member)
 		}
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -102,22 +102,22 @@
 }
 
 const (
-	// lostLook is how often an owner checks that it reaches the store.
-	lostLook = 400 * time.Millisecond
-	// lostLooks is the number of checks in a row after which it hands its jobs over, so that a short outage moves nothing.
-	lostLooks = 2
+	// reachCheckPeriod is how often an owner checks that it reaches the store.
+	reachCheckPeriod = 400 * time.Millisecond
+	// lostChecks is the number of checks in a row after which it hands its jobs over, so that a short outage moves nothing.
+	lostChecks = 2
 )
 
 // watchReach hands all open jobs over when the store is out of this instance's reach and a peer reaches it: results could not be recorded
 // here.
 func (s *Service) watchReach(ctx context.Context) {
 	lost := 0
-	for wait.For(ctx, lostLook) {
+	for wait.For(ctx, reachCheckPeriod) {
 		if !s.Lost() || len(s.Peers.Reaching()) == 0 {
 			lost = 0
 			continue
 		}
-		if lost++; lost < lostLooks {
+		if lost++; lost < lostChecks {
 			continue
 		}
 		for _, j := range s.interrupt() {
@@ -133,5 +133,5 @@
 	s.mu.Lock()
 	j.suspended = false
 	s.mu.Unlock()
-	poke(s.wake)
+	wakeUp(s.wake)
 }
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -37,14 +37,14 @@
 		case <-ctx.Done():
 			return
 		}
-		if err := s.look(ctx); err != nil && ctx.Err() == nil {
+		if err := s.scanOpen(ctx); err != nil && ctx.Err() == nil {
 			klog.ErrorS(err, "Open jobs were not looked at")
 		}
 	}
 }
 
-// look compares the open marks with the members once. Marks that are seconds old will do: what is done about one depends on the record.
-func (s *Service) look(ctx context.Context) error {
+// scanOpen compares the open marks with the members once. Marks that are seconds old will do: what is done about one depends on the record.
+func (s *Service) scanOpen(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-owners"), scanTimeout)
 	defer cancel()
 	asOf := time.Now()
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// idleLook is how often the scheduler looks for items that became urgent or whose pause ended.
-	idleLook = 100 * time.Millisecond
-	// lookSpread spreads the looks of all instances after the same freed slot, so that they do not all take it.
-	lookSpread = 15 * time.Millisecond
+	// scheduleCheckPeriod is how often the scheduler looks for items that became urgent or whose pause ended.
+	scheduleCheckPeriod = 100 * time.Millisecond
+	// startJitter spreads the looks of all instances after the same freed slot, so that they do not all take it.
+	startJitter = 15 * time.Millisecond
 	// brokenPause keeps an item whose run broke off from taking the next slot at once.
 	brokenPause = 50 * time.Millisecond
 )
@@ -44,15 +44,15 @@
 // schedule starts items as room appears.
 func (s *Service) schedule(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.Seed, seedSchedule))
-	timer := time.NewTimer(idleLook)
+	timer := time.NewTimer(scheduleCheckPeriod)
 	defer timer.Stop()
 	for {
 		room := s.Board.Room()
 		s.fill(ctx)
-		pause := idleLook
+		pause := scheduleCheckPeriod
 		select {
 		case <-room:
-			pause = time.Duration(random.Int64N(int64(lookSpread)))
+			pause = time.Duration(random.Int64N(int64(startJitter)))
 		case <-s.wake:
 			pause = 0
 		case <-timer.C:
@@ -63,7 +63,7 @@
 		if pause > 0 {
 			time.Sleep(pause)
 		}
-		timer.Reset(idleLook)
+		timer.Reset(scheduleCheckPeriod)
 	}
 }
 
@@ -183,7 +183,7 @@
 	case gateway.Answered:
 		s.pace.Observe(task.Events, task.Events-before, now.Sub(request.Arrived))
 		r.job.Finish(task, true, now)
-		poke(r.job.flush)
+		wakeUp(r.job.flush)
 	case gateway.Yielded:
 		r.job.Interrupted(task, 0, now)
 	case gateway.Rejected:
@@ -193,14 +193,14 @@
 	default:
 		r.job.Interrupted(task, brokenPause, now)
 	}
-	poke(s.wake)
+	wakeUp(s.wake)
 }
 
 // deadLetter gives an item up; s.mu is held.
 func (s *Service) deadLetter(j *owned, task *itemjob.Task, reason itemjob.Reason) {
 	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures)
 	j.Finish(task, false, time.Now())
-	poke(j.flush)
+	wakeUp(j.flush)
 }
 
 // expire gives up the items of jobs whose time has passed.
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -90,11 +90,11 @@
 	parts.Board.OnYield(s.yield)
 	parts.Peers.OnWaiting(s.announced)
 	parts.Peers.OnJobs(s.told)
-	parts.Peers.OnMembers(func() { poke(s.scan) })
+	parts.Peers.OnMembers(func() { wakeUp(s.scan) })
 	return s
 }
 
-func poke(c chan struct{}) {
+func wakeUp(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -161,7 +161,7 @@
 	delete(s.owners, job.ID)
 	s.mu.Unlock()
 	s.running.Go(func() { s.recordResults(s.life, j) })
-	poke(s.wake)
+	wakeUp(s.wake)
 	s.Peers.Announce()
 }
 
@@ -189,7 +189,7 @@
 func (s *Service) notifyLocked(j *owned) {
 	close(j.changed)
 	j.changed = make(chan struct{})
-	poke(j.flush)
+	wakeUp(j.flush)
 }
 
 // owned returns a job that this instance owns.
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -161,7 +161,7 @@
 	routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config"}}})
 	n.client = gateway.NewPeerClient(dial)
 	forwarder := gateway.NewForwarder(n.board, rawhttp.New(dial), wire{}, gateway.DefaultOptions(), tally.NoopScope)
-	n.peers.OnState(func() gateway.State { return gateway.State{Lost: n.store.err() != nil} })
+	n.peers.OnState(func() gateway.SyncState { return gateway.SyncState{Lost: n.store.err() != nil} })
 	n.service = itemjobs.New(itemjobs.Parts{
 		Self: self, Store: n.store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
 		Kept: 2 * time.Minute, Lost: func() bool { return n.store.err() != nil }, Seed: uint64(len(w.nodes)),
