--- a/node/settings/reference_test.go
+++ b/node/settings/reference_test.go
@@ -11,10 +11,10 @@
 
 // Guards against settings that the operators' page does not mention.
 func TestOperationsPageNamesEverySetting(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/running.md")
 	require.NoError(t, err)
 	for _, path := range paths(reflect.TypeFor[Settings](), "") {
-		require.Contains(t, string(page), "`"+path+"`", "docs/operations.md")
+		require.Contains(t, string(page), "`"+path+"`", "docs/running.md")
 	}
 }
 
