Let the test of closed connections fail instead of hanging

Cause: with the look at pooled connections broken on purpose, the test waited for an answer that nobody sends. Change: the target closes a spoiled connection that gets a request.

--- a/adapters/rawhttp/client_test.go
+++ b/adapters/rawhttp/client_test.go
@@ -274,6 +274,9 @@
 							<-answered
 							spoil(c)
 							close(spoiled)
+							if _, err := http.ReadRequest(in); err == nil {
+								c.Close() // a request on the spoiled connection gets no answer
+							}
 						}
 					}()
 				}
