Let the fencing test wait for the load that ends when its sleep does

The engine stand-in ends a load in a timer that is due at the virtual instant at which the test's sleep ends, so the test could read the state before the timer's function ran. The test now waits for it. 400 runs of the old test alone did not repeat the failure; the cause is read from the code of both sides.

--- a/adapters/engine/control_test.go
+++ b/adapters/engine/control_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -36,6 +37,7 @@
 				require.ErrorIs(t, err, engine.ErrRejected)
 			}
 			time.Sleep(o.LoadDuration)
+			synctest.Wait() // The load ends at the virtual instant at which the sleep does.
 			state, err = b.client.State(ctx, address)
 			require.NoError(t, err)
 			require.Equal(t, int64(7), state.Fence)
