--- a/node/control/bundlesync/bundlesync.go
+++ b/node/control/bundlesync/bundlesync.go
@@ -12,6 +12,7 @@
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/internal/wait"
 	"github.com/rotisserie/eris"
 )
 
@@ -107,10 +108,7 @@
 	if !c.note(hint{generation: generation, peer: peer}) {
 		return
 	}
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	wait.Wake(c.wake)
 }
 
 // note records a hint and reports whether it is of use. A generation heard of for the first time ends the backoff, and so does each change
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -145,14 +145,9 @@
 
 // arrange decides whether this instance follows the list of targets in the store.
 func (c *CatchUp) arrange(reports []PeerReport) {
-	members := []fleet.Member{c.peers.Self()}
-	if c.Lost() {
-		members = nil
-	}
-	for _, t := range reports {
-		if !t.Lost && t.Member.State == fleet.MemberAlive {
-			members = append(members, t.Member)
-		}
+	members := reaching(reports)
+	if !c.Lost() {
+		members = append(members, c.peers.Self())
 	}
 	follows := len(reports) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
 	if c.follows.Swap(follows) != follows {
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"net"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/control/membership"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 const (
@@ -71,9 +73,7 @@
 		}
 		count := p.sendOnce()
 		timer.Reset(heartbeat)
-		select {
-		case <-time.After(time.Duration(max(count, 1)) * sendPause):
-		case <-ctx.Done():
+		if !wait.For(ctx, time.Duration(max(count, 1))*sendPause) {
 			return
 		}
 	}
@@ -159,7 +159,7 @@
 	for {
 		n, _, err := p.conn.ReadFrom(buffer)
 		if err != nil {
-			if n == 0 && isClosed(err) {
+			if n == 0 && errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -12,6 +12,7 @@
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/control/membership"
+	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/kvmirror"
 )
 
@@ -47,6 +48,9 @@
 	return missedHeartbeats*farHeartbeat + farHeartbeat/2
 }
 
+// heardLately tells whether a datagram of the peer came within silentAfter.
+func (s *peerState) heardLately(now time.Time) bool { return now.Sub(s.heard) <= s.silentAfter() }
+
 // isSilent tells whether a peer is suspected. One that has just become known has the time to be heard.
 func (s *peerState) isSilent(now time.Time) bool {
 	since := s.heard
@@ -119,10 +123,7 @@
 
 // Changed asks for a datagram soon.
 func (p *Peers) Changed() {
-	select {
-	case p.dirty <- struct{}{}:
-	default:
-	}
+	wait.Wake(p.dirty)
 }
 
 // Self implements membership.RecordSource.
@@ -149,10 +150,7 @@
 	p.draining = true
 	p.mu.Unlock()
 	p.Changed()
-	select {
-	case p.recordChanged <- struct{}{}:
-	default:
-	}
+	wait.Wake(p.recordChanged)
 }
 
 // closeTimeout bounds the store call that removes the membership record; without it the record's lease runs out.
@@ -265,7 +263,7 @@
 	state, known := p.peers[id]
 	if known {
 		state.listed = false
-		if time.Since(state.heard) > state.silentAfter() {
+		if !state.heardLately(time.Now()) {
 			delete(p.peers, id)
 		}
 	}
--- a/node/gateway/peerviews.go
+++ b/node/gateway/peerviews.go
@@ -35,7 +35,7 @@
 	defer p.mu.Unlock()
 	var reports []PeerReport
 	for _, state := range p.peers {
-		if now.Sub(state.heard) <= state.silentAfter() {
+		if state.heardLately(now) {
 			reports = append(reports, PeerReport{state.member, state.state})
 		}
 	}
@@ -44,8 +44,12 @@
 
 // Reaching returns the peers that were heard lately, reach the store and do not drain.
 func (p *Peers) Reaching() []fleet.Member {
+	return reaching(p.Reports())
+}
+
+func reaching(reports []PeerReport) []fleet.Member {
 	var members []fleet.Member
-	for _, t := range p.Reports() {
+	for _, t := range reports {
 		if !t.Lost && t.Member.State == fleet.MemberAlive {
 			members = append(members, t.Member)
 		}
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,8 +18,6 @@
 	"eelgrassproxy.example/node/kvmirror"
 )
 
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
-
 // Routes holds the routing table in force. Its version only rises.
 type Routes struct {
 	mu      sync.Mutex // guards writes; readers use the pointer
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -15,12 +15,9 @@
 	"eelgrassproxy.example/core/stream"
 )
 
-// errNotRun means that the target said that it did not run the request.
-var errNotRun = errors.New("target did not run the request")
-
 // isNotRun tells whether a try certainly left no work at its target.
 func isNotRun(err error) bool {
-	return errors.Is(err, errNotRun) || errors.Is(err, httpcall.ErrNotSent)
+	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, httpcall.ErrNotSent)
 }
 
 // Progress is how far a stream has come, over all of its tries.
@@ -36,19 +33,15 @@
 	started, before := time.Now(), x.progress.Events
 	x.firstEvent = 0
 	err := x.attempt(ctx, held)
-	outcome := limits.Outcome{Failed: true}
+	if err != nil && (errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkGone) || ctx.Err() != nil) {
+		x.board.Unobserved(held.Target.ID)
+		return err
+	}
+	outcome := limits.Outcome{Failed: err != nil}
 	if x.progress.Events > before {
 		outcome.Latency = x.firstEvent - started.Sub(x.request.Arrived)
 	}
-	switch {
-	case err == nil:
-		outcome.Failed = false
-		x.board.Observe(held.Target.ID, outcome)
-	case errors.Is(err, errNotRun), errors.Is(err, ErrSinkGone), ctx.Err() != nil:
-		x.board.Unobserved(held.Target.ID)
-	default:
-		x.board.Observe(held.Target.ID, outcome)
-	}
+	x.board.Observe(held.Target.ID, outcome)
 	return err
 }
 
@@ -73,9 +66,9 @@
 	switch {
 	case reply.OtherTarget:
 		x.board.Avoid(held.Target.ID, x.options.SuspectFor)
-		return fmt.Errorf("%w: another target has its address", errNotRun)
+		return fmt.Errorf("%w: another target has its address", httpcall.ErrNotRun)
 	case reply.NotRun:
-		return fmt.Errorf("%w: status %d", errNotRun, response.Status)
+		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
 	case reply.Events:
 		x.status = response.Status
 		return x.relay(ctx, response, reply, watchdog)
--- a/node/internal/wait/wait.go
+++ b/node/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait waits for a time that a context can cut short.
+// Package wait waits for a time that a context can cut short, and wakes goroutines that wait.
 package wait
 
 import (
@@ -17,3 +17,11 @@
 		return true
 	}
 }
+
+// Wake leaves a notice in a channel of capacity 1, unless one is there already. It does not block.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -133,5 +133,5 @@
 	s.mu.Lock()
 	j.suspended = false
 	s.mu.Unlock()
-	wakeUp(s.wake)
+	wait.Wake(s.wake)
 }
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -15,6 +15,7 @@
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 const (
@@ -183,7 +184,7 @@
 	case gateway.Answered:
 		s.pace.Observe(task.Events, task.Events-before, now.Sub(request.Arrived))
 		r.job.Finish(task, true, now)
-		wakeUp(r.job.flush)
+		wait.Wake(r.job.flush)
 	case gateway.Yielded:
 		r.job.Interrupted(task, 0, now)
 	case gateway.Rejected:
@@ -193,14 +194,14 @@
 	default:
 		r.job.Interrupted(task, brokenPause, now)
 	}
-	wakeUp(s.wake)
+	wait.Wake(s.wake)
 }
 
 // deadLetter gives an item up; s.mu is held.
 func (s *Service) deadLetter(j *owned, task *itemjob.Task, reason itemjob.Reason) {
 	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures)
 	j.Finish(task, false, time.Now())
-	wakeUp(j.flush)
+	wait.Wake(j.flush)
 }
 
 // expire gives up the items of jobs whose time has passed.
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -17,6 +17,7 @@
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 // Parts are what a Service works with.
@@ -90,17 +91,10 @@
 	parts.Board.OnYield(s.yield)
 	parts.Peers.OnWaiting(s.announced)
 	parts.Peers.OnJobs(s.told)
-	parts.Peers.OnMembers(func() { wakeUp(s.scan) })
+	parts.Peers.OnMembers(func() { wait.Wake(s.scan) })
 	return s
 }
 
-func wakeUp(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // Run schedules items and looks after the jobs of lost instances until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -161,7 +155,7 @@
 	delete(s.owners, job.ID)
 	s.mu.Unlock()
 	s.running.Go(func() { s.recordResults(s.life, j) })
-	wakeUp(s.wake)
+	wait.Wake(s.wake)
 	s.Peers.Announce()
 }
 
@@ -189,7 +183,7 @@
 func (s *Service) notifyLocked(j *owned) {
 	close(j.changed)
 	j.changed = make(chan struct{})
-	wakeUp(j.flush)
+	wait.Wake(j.flush)
 }
 
 // owned returns a job that this instance owns.
