Write a job's record through one conditional write

Taking a job up, releasing it and ending it each built the same transaction on the revision of the record; replaceRecord serves all. Runs give way through one function, the address of a peer is found by one search, and a look at the open marks takes the members once instead of once for each mark. Behaviour is unchanged.

--- a/core/slots/queue.go
+++ b/core/slots/queue.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Waiting is an online request that waits for a slot.
 type Waiting struct {
@@ -33,12 +36,7 @@
 
 // Remove takes a request out; it does nothing for one that is not queued.
 func (q *Queue) Remove(w *Waiting) {
-	for i, other := range q.waiting {
-		if other == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
-		}
-	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiting) bool { return other == w })
 }
 
 // Next returns the request that takes the next free slot, or nil.
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -9,7 +9,6 @@
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/rendezvous"
-	"eelgrassproxy.example/node/gateway"
 	"eelgrassproxy.example/node/internal/wait"
 )
 
@@ -42,16 +41,20 @@
 		r.ended = true
 	}
 	s.mu.Unlock()
-	for _, r := range runs {
-		r.cancel(gateway.ErrYielded)
-		r.held.Release()
-	}
+	giveWay(runs)
 	if len(runs) > 0 {
 		time.Sleep(settleDelay) // the runs add their events to their tasks
 	}
 	return open
 }
 
+// left returns what the next owner of a job needs beside what is recorded; s.mu is held.
+func (s *Service) left(j *owned) progress {
+	p := s.currentProgress(j)
+	p.Finished = j.Unrecorded()
+	return p
+}
+
 // handOver asks an instance that reaches the store to take a job up, with the progress of its items.
 func (s *Service) handOver(ctx context.Context, j *owned) bool {
 	reaching := make(map[fleet.InstanceID]string)
@@ -65,8 +68,7 @@
 		return false
 	}
 	s.mu.Lock()
-	given := s.currentProgress(j)
-	given.Finished = j.Unrecorded()
+	given := s.left(j)
 	s.mu.Unlock()
 	if err := s.calls.adopt(ctx, reaching[fleet.InstanceID(chosen[0])], j.ID, given); err != nil {
 		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
@@ -79,20 +81,12 @@
 // release clears the owner of a job and leaves the progress of its items in the store; another instance finds it there.
 func (s *Service) release(ctx context.Context, j *owned) {
 	s.mu.Lock()
-	record, revision, left := j.Record, j.revision, s.currentProgress(j)
-	left.Finished = j.Unrecorded()
+	record, revision, left := j.Record, j.revision, s.left(j)
 	s.mu.Unlock()
 	record.Owner, record.Process = "", 0
 	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), left)
 	if err == nil {
-		var result kv.TxnResult
-		result, err = s.Store.Txn(ctx, kv.Txn{
-			Compares: []kv.Compare{{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: revision}},
-			Then:     ops,
-		})
-		if err == nil && !result.Succeeded {
-			err = errContended
-		}
+		_, err = s.replaceRecord(ctx, j.ID, revision, ops)
 	}
 	if err != nil {
 		klog.ErrorS(err, "Job was not released, others take it up when this instance is gone", "job", j.ID)
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -52,7 +51,8 @@
 	if err != nil {
 		return err
 	}
-	living := s.living()
+	members := s.Peers.Members()
+	living := livingOf(members)
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
 	for _, item := range open.Items {
@@ -68,7 +68,7 @@
 			s.adoptOrLog(ctx, id)
 		case !isOwned(mark, living):
 			orphaned[mark.Route] += mark.Tokens
-			if s.successor(id, living) == s.Self.ID {
+			if successor(id, members) == s.Self.ID {
 				s.adoptOrLog(ctx, id)
 			}
 		}
@@ -80,10 +80,10 @@
 	return nil
 }
 
-// living returns the processes of all instances that were heard lately.
-func (s *Service) living() map[fleet.InstanceID]uint64 {
+// livingOf returns the processes of the members that were heard lately.
+func livingOf(members []fleet.Member) map[fleet.InstanceID]uint64 {
 	living := make(map[fleet.InstanceID]uint64)
-	for _, m := range s.Peers.Members() {
+	for _, m := range members {
 		if m.State == fleet.MemberAlive || m.State == fleet.MemberDraining {
 			living[m.ID] = m.Incarnation
 		}
@@ -111,10 +111,10 @@
 }
 
 // successor returns the instance that takes a job up: all that see the same members choose the same one.
-func (s *Service) successor(id itemjob.ID, living map[fleet.InstanceID]uint64) fleet.InstanceID {
+func successor(id itemjob.ID, members []fleet.Member) fleet.InstanceID {
 	var ids []string
-	for _, m := range s.Peers.Members() {
-		if _, lives := living[m.ID]; lives && m.State == fleet.MemberAlive {
+	for _, m := range members {
+		if m.State == fleet.MemberAlive {
 			ids = append(ids, string(m.ID))
 		}
 	}
@@ -125,9 +125,6 @@
 	return fleet.InstanceID(chosen[0])
 }
 
-// errContended means that another instance changed the job at the same time.
-var errContended = eris.New("record of the job changed meanwhile")
-
 // Adopt takes a job up: it writes this instance into the record, so that the former owner can record nothing more, and loads what is
 // recorded. given is the former owner's progress; nil means that it may be in the store.
 func (s *Service) Adopt(ctx context.Context, id itemjob.ID, given *progress) error {
@@ -139,7 +136,7 @@
 		return err
 	}
 	mark := markOf(&record)
-	if record.Ended || given == nil && !s.isForgotten(id, mark) && isOwned(mark, s.living()) {
+	if record.Ended || given == nil && !s.isForgotten(id, mark) && isOwned(mark, livingOf(s.Peers.Members())) {
 		return nil
 	}
 	former := record.Owner
@@ -148,18 +145,12 @@
 	if err != nil {
 		return err
 	}
-	result, err := s.Store.Txn(ctx, kv.Txn{
-		Compares: []kv.Compare{{Key: recordKey(id), Target: kv.CompareModRevision, Revision: revision}},
-		Then:     ops,
-	})
+	revision, err = s.replaceRecord(ctx, id, revision, ops)
 	if err != nil {
 		return err
 	}
-	if !result.Succeeded {
-		return errContended
-	}
 	go s.tellFormer(context.WithoutCancel(ctx), id, former)
-	return s.resume(ctx, record, result.Revision, former, given)
+	return s.resume(ctx, record, revision, former, given)
 }
 
 // tellFormer lets an owner that was replaced, and may not know it, stop the items of a job.
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -95,22 +95,24 @@
 
 // peerAddress returns the address of a peer that was heard lately.
 func (s *Service) peerAddress(id fleet.InstanceID) (string, bool) {
-	for _, m := range s.Peers.Members() {
-		if m.ID == id && id != s.Self.ID && m.State != fleet.MemberSuspect && m.State != fleet.MemberDead {
-			return m.PeerAddress, true
-		}
-	}
-	return "", false
+	m, ok := s.peer(id)
+	return m.PeerAddress, ok && m.State != fleet.MemberSuspect && m.State != fleet.MemberDead
 }
 
 // addressOf returns the address of a known peer, also if it is suspected.
 func (s *Service) addressOf(id fleet.InstanceID) (string, bool) {
+	m, ok := s.peer(id)
+	return m.PeerAddress, ok
+}
+
+// peer returns a known instance other than this one.
+func (s *Service) peer(id fleet.InstanceID) (fleet.Member, bool) {
 	for _, m := range s.Peers.Members() {
 		if m.ID == id && id != s.Self.ID {
-			return m.PeerAddress, true
+			return m, true
 		}
 	}
-	return "", false
+	return fleet.Member{}, false
 }
 
 // readStored reads from the store, and from the owner that the record names while the job is open.
@@ -205,29 +207,26 @@
 		if record.Ended {
 			return nil
 		}
-		done, err := s.endOnce(ctx, record, revision)
-		if err != nil {
-			return errors.Join(ErrUnavailable, err)
-		}
-		if done {
+		err = s.endOnce(ctx, record, revision)
+		switch {
+		case err == nil:
 			s.tellEnded(ctx, &record)
 			return nil
+		case !errors.Is(err, errContended):
+			return errors.Join(ErrUnavailable, err)
 		}
 	}
 }
 
-// endOnce ends the job if its record is still at the revision.
-func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) (bool, error) {
+// endOnce ends the job if its record is still at the revision. Errors are those of replaceRecord.
+func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) error {
 	record.Ended, record.Owner, record.Process = true, "", 0
 	ops, err := putJSON(recordKey(record.ID), record)
 	if err != nil {
-		return false, err
+		return err
 	}
-	result, err := s.Store.Txn(ctx, kv.Txn{
-		Compares: []kv.Compare{{Key: recordKey(record.ID), Target: kv.CompareModRevision, Revision: revision}},
-		Then:     append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(record.ID)}),
-	})
-	return result.Succeeded, err
+	_, err = s.replaceRecord(ctx, record.ID, revision, append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(record.ID)}))
+	return err
 }
 
 // tellEnded stops the items of a job at its owner. An owner that is not reached finds out when it looks at the open marks, or at its next
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -34,6 +35,25 @@
 	return ops, nil
 }
 
+// errContended means that another instance changed the job at the same time.
+var errContended = eris.New("record of the job changed meanwhile")
+
+// replaceRecord applies operations if the record of a job is still at a revision, and returns the revision after them. Errors:
+// errContended, and those of the store.
+func (s *Service) replaceRecord(ctx context.Context, id itemjob.ID, revision kv.Revision, ops []kv.Op) (kv.Revision, error) {
+	result, err := s.Store.Txn(ctx, kv.Txn{
+		Compares: []kv.Compare{{Key: recordKey(id), Target: kv.CompareModRevision, Revision: revision}},
+		Then:     ops,
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case !result.Succeeded:
+		return 0, errContended
+	}
+	return result.Revision, nil
+}
+
 // recordResults records the results of a job in groups until all are recorded or the job is no longer owned.
 func (s *Service) recordResults(ctx context.Context, j *owned) {
 	for {
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -256,7 +257,12 @@
 		}
 	}
 	s.mu.Unlock()
-	for _, r := range ended {
+	giveWay(ended)
+}
+
+// giveWay ends runs and frees their slots without waiting for the targets. The caller marked them as ended.
+func giveWay(runs []*run) {
+	for _, r := range runs {
 		r.cancel(gateway.ErrYielded)
 		r.held.Release()
 	}
@@ -276,13 +282,7 @@
 // forgetRun removes a run that ended; s.mu is held.
 func (s *Service) forgetRun(r *run) {
 	id := r.held.Target.ID
-	list := s.runs[id]
-	for i := range list {
-		if list[i] == r {
-			s.runs[id] = append(list[:i:i], list[i+1:]...)
-			break
-		}
-	}
+	s.runs[id] = slices.DeleteFunc(s.runs[id], func(other *run) bool { return other == r })
 	if len(s.runs[id]) == 0 {
 		delete(s.runs, id)
 	}
