--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -30,6 +30,21 @@
 	return xxhash.Sum64String(salt + "\x00" + string(id))
 }
 
+// best keeps the target with the lowest score, and of equal ones that with the lowest tieBreak.
+type best struct {
+	salt   string
+	target *target
+	score  float64
+	tie    uint64
+}
+
+func (b *best) offer(t *target, score float64) {
+	tie := tieBreak(b.salt, t.ID)
+	if b.target == nil || score < b.score || score == b.score && tie < b.tie {
+		b.target, b.score, b.tie = t, score, tie
+	}
+}
+
 // Placement says whether a target was found.
 type Placement int
 
@@ -50,9 +65,7 @@
 }
 
 func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, avoided bool) (Target, Placement) {
-	var best *target
-	var bestScore float64
-	var bestTie uint64
+	found := best{salt: salt}
 	room := NoTarget
 	for _, t := range v.byPool[service] {
 		if exclude[t.ID] || t.State != fleet.TargetLive || !avoided && !v.usable(t, now) {
@@ -63,16 +76,12 @@
 			room = Full
 			continue
 		}
-		score := onlineScore(load, t.Slots) + v.distance(t)
-		tie := tieBreak(salt, t.ID)
-		if best == nil || score < bestScore || score == bestScore && tie < bestTie {
-			best, bestScore, bestTie = t, score, tie
-		}
+		found.offer(t, onlineScore(load, t.Slots)+v.distance(t))
 	}
-	if best == nil {
+	if found.target == nil {
 		return Target{}, room
 	}
-	return best.Target, Placed
+	return found.target.Target, Placed
 }
 
 // onlineScore rises with the expected wait: slots in use while there is a free one; beyond that, the requests that do not give way.
@@ -87,9 +96,7 @@
 // are firm. In a fleet whose instances hear of other failure domains only now and then, items that must give way stay where their owner hears
 // at once of the online requests there.
 func (v *View) PlaceBatch(service, salt string, exclude map[fleet.TargetID]bool, urgent bool, now time.Time) (Target, bool) {
-	var best *target
-	var bestScore float64
-	var bestTie uint64
+	found := best{salt: salt}
 	for _, t := range v.byPool[service] {
 		if exclude[t.ID] || !v.usable(t, now) {
 			continue
@@ -99,16 +106,12 @@
 		if !v.hasBatchRoom(t, load, firm) {
 			continue
 		}
-		score := float64(load.Total()) + v.distance(t)
-		tie := tieBreak(salt, t.ID)
-		if best == nil || score < bestScore || score == bestScore && tie < bestTie {
-			best, bestScore, bestTie = t, score, tie
-		}
+		found.offer(t, float64(load.Total())+v.distance(t))
 	}
-	if best == nil {
+	if found.target == nil {
 		return Target{}, false
 	}
-	return best.Target, true
+	return found.target.Target, true
 }
 
 func (v *View) hasBatchRoom(t *target, load Count, firm bool) bool {
