Open and serve the listeners of both kinds of instance by one package

The daemon of our own interface and the instance on the users' platform each opened all listeners before serving and collected the servers that fail. node/internal/serving does it for both. Its Close also frees listeners of a start that failed before they were served, and the error of a server that fails names its address.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"eelgrassproxy.example/node/control/bundlesync"
 	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/dispatch"
+	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/metrics"
 	"eelgrassproxy.example/node/pools"
 	"eelgrassproxy.example/node/settings"
@@ -135,7 +136,7 @@
 	group.Go(func() { d.workers.Run(background) })
 	group.Go(func() { d.bundles.Run(background) })
 	group.Go(func() { d.batch.run(background) })
-	failed := servers.serve(&group)
+	failed := servers.Serve(&group)
 	klog.InfoS("Instance serves", "instance", d.self.ID, "callers", d.self.CallerAddress, "peers", d.self.PeerAddress)
 	select {
 	case <-ctx.Done():
@@ -144,7 +145,7 @@
 	case <-d.killed:
 	}
 	stop()
-	servers.close()
+	servers.Close()
 	group.Wait()
 	err = errors.Join(err, d.giveUp())
 	for _, closeIdle := range d.closers {
@@ -181,8 +182,8 @@
 
 // serverSet holds the servers of the three listeners.
 type serverSet struct {
+	serving.Set
 	callers, peers, operators *http.Server
-	run                       []func() error
 }
 
 // Kill ends the instance at once, cutting off its requests, as a crash does. It is for tests and for stopping a sample fleet.
--- a/node/daemon/listeners.go
+++ b/node/daemon/listeners.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,11 +16,12 @@
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/entry"
+	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/internal/wait"
 	"eelgrassproxy.example/node/operations"
 )
 
-// openListeners opens all listeners before anything is served, so that a wrong address stops the start.
+// openListeners opens all listeners.
 func (d *Daemon) openListeners() (*serverSet, error) {
 	set := &serverSet{}
 	var err error
@@ -54,7 +54,7 @@
 		{set.operators, listen.Operators, nil, nil},
 	} {
 		if err := set.open(d.env, l.server, l.address, l.tls, l.wrap); err != nil {
-			set.close()
+			set.Close()
 			return nil, err
 		}
 	}
@@ -62,9 +62,9 @@
 }
 
 func (s *serverSet) open(env Environment, server *http.Server, address string, config *tls.Config, wrap func(net.Listener) net.Listener) error {
-	l, err := env.Listen("tcp", address)
+	l, err := serving.Listen(env.Listen, address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	if wrap != nil {
 		l = wrap(l)
@@ -72,29 +72,10 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	s.run = append(s.run, func() error { return server.Serve(l) })
+	s.Add(server, l)
 	return nil
 }
 
-// serve runs the servers and returns the channel of the first one that fails.
-func (s *serverSet) serve(group *sync.WaitGroup) <-chan error {
-	failed := make(chan error, len(s.run))
-	for _, run := range s.run {
-		group.Go(func() {
-			if err := run(); !errors.Is(err, http.ErrServerClosed) {
-				failed <- err
-			}
-		})
-	}
-	return failed
-}
-
-func (s *serverSet) close() {
-	for _, server := range []*http.Server{s.callers, s.peers, s.operators} {
-		_ = server.Close()
-	}
-}
-
 func (d *Daemon) callersServer() (*http.Server, error) {
 	handler := entry.NewHandler(d.board, d.dispatcher, d.self.FailureDomain, d.settings.Drain.EntrypointTTL,
 		entry.WithFiles(d.batch.files), entry.WithBatches(d.batch.jobs, jobFiles{d.batch.files}))
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -22,6 +22,7 @@
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/itemjobs"
 	"eelgrassproxy.example/node/kvmirror"
 )
@@ -141,8 +142,10 @@
 	for _, run := range []func(context.Context){i.peers.Run, i.jobs.Run, i.copies.Config.Run, i.copies.Targets.Run, i.catchUp.Run} {
 		group.Go(func() { run(background) })
 	}
-	callersServer, servers, failed, err := i.listen(callers, append(others, Listener{i.config.Self.PeerAddress, i.peerCalls()}))
+	var servers serving.Set
+	callersServer, err := i.open(&servers, callers, append(others, Listener{i.config.Self.PeerAddress, i.peerCalls()}))
 	if err == nil {
+		failed := servers.Serve(&group)
 		select {
 		case <-ctx.Done():
 			i.drain(callersServer)
@@ -150,41 +153,36 @@
 		}
 	}
 	stop()
-	for _, server := range servers {
-		// Nothing that peers or the platform ask is owed an answer any more.
-		_ = server.Close()
-	}
+	servers.Close() // nothing that peers or the platform ask is owed an answer any more
 	group.Wait()
 	i.client.CloseIdle()
 	i.upstream.Close()
 	return err
 }
 
-// listen opens all listeners before the first one is served, so that a wrong address stops the start.
-func (i *Instance) listen(callers Listener, others []Listener) (*http.Server, []*http.Server, <-chan error, error) {
-	failed := make(chan error, len(others)+1)
-	var servers []*http.Server
-	var serve []func()
-	for _, l := range append([]Listener{callers}, others...) {
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-		servers = append(servers, server)
-		if l.Address == "" {
-			continue
-		}
-		listener, err := i.config.Environment.Listen("tcp", l.Address)
-		if err != nil {
-			return nil, servers, nil, eris.Wrapf(err, "listen on %s", l.Address)
+// open opens all listeners and returns the callers' server.
+func (i *Instance) open(set *serving.Set, callers Listener, others []Listener) (*http.Server, error) {
+	callersServer, err := i.add(set, callers)
+	for _, l := range others {
+		if err == nil {
+			_, err = i.add(set, l)
 		}
-		serve = append(serve, func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- eris.Wrapf(err, "serve %s", l.Address)
-			}
-		})
 	}
-	for _, run := range serve {
-		go run()
+	return callersServer, err
+}
+
+// add opens a listener, if it has an address, and returns its server.
+func (i *Instance) add(set *serving.Set, l Listener) (*http.Server, error) {
+	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if l.Address == "" {
+		return server, nil
+	}
+	listener, err := serving.Listen(i.config.Environment.Listen, l.Address)
+	if err != nil {
+		return nil, err
 	}
-	return servers[0], servers, failed, nil
+	set.Add(server, listener)
+	return server, nil
 }
 
 // peerCalls answers the calls of other instances.
--- /dev/null
+++ b/node/internal/serving/serving_test.go
@@ -0,0 +1,63 @@
+package serving_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/node/internal/serving"
+	"eelgrassproxy.example/standin/memnet"
+)
+
+// Guards against a start that fails and keeps the addresses that it had opened.
+func TestCloseFreesAddressesThatWereNotServed(t *testing.T) {
+	n := memnet.New()
+	l, err := serving.Listen(listen(n), "10.0.0.1:80")
+	require.NoError(t, err)
+	var set serving.Set
+	set.Add(&http.Server{}, l)
+	set.Close()
+	again, err := serving.Listen(listen(n), "10.0.0.1:80")
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+}
+
+// Guards against an instance that goes on without one of its listeners, and against a failure reported for a server that was closed.
+func TestServeReportsTheServerThatFailed(t *testing.T) {
+	n := memnet.New()
+	var set serving.Set
+	broken := &brokenListener{address: &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 81}}
+	healthy, err := serving.Listen(listen(n), "10.0.0.1:80")
+	require.NoError(t, err)
+	set.Add(&http.Server{}, healthy)
+	set.Add(&http.Server{}, broken)
+	var group sync.WaitGroup
+	failed := set.Serve(&group)
+	require.ErrorIs(t, <-failed, errAccept)
+	set.Close()
+	group.Wait()
+	require.Empty(t, failed)
+}
+
+// Guards against an error that does not name the address.
+func TestListenNamesTheAddress(t *testing.T) {
+	_, err := serving.Listen(func(string, string) (net.Listener, error) { return nil, errAccept }, "10.0.0.1:80")
+	require.ErrorIs(t, err, errAccept)
+	require.ErrorContains(t, err, "10.0.0.1:80")
+}
+
+func listen(n *memnet.Network) serving.ListenFunc {
+	return func(_, address string) (net.Listener, error) { return n.Listen(address) }
+}
+
+var errAccept = errors.New("accept failed")
+
+type brokenListener struct{ address net.Addr }
+
+func (l *brokenListener) Accept() (net.Conn, error) { return nil, errAccept }
+func (l *brokenListener) Close() error              { return nil }
+func (l *brokenListener) Addr() net.Addr            { return l.address }
