Stop a job that ends while an instance takes it up

The job was taken up by another instance while its client ended it. The new owner is in the record before it has loaded the items; the notice of the end came in between and was answered with 'not the owner', and the job ran until the instance looked at the open marks seconds later.

An instance now notes the jobs that it is taking up, and a notice that comes meanwhile keeps the job from running. The one that ends a job tells the owner in the record also if it owns an older state of the job itself.

--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -296,6 +297,34 @@
 	})
 }
 
+// Guards against items of a job that was ended while an instance took it up: the notice of the end comes when that instance owns the job in
+// the store and has not loaded its items yet.
+func TestJobThatEndsWhileItIsTakenUpDoesNotRun(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission("j", "a", "b")))
+		time.Sleep(500 * time.Millisecond)
+		w.kill(w.nodes[0])
+		var ended sync.Once
+		w.nodes[1].store.onGet(func(key string) { endOnLoad(t, &ended, key, w.nodes[2]) })
+		w.nodes[2].store.onGet(func(key string) { endOnLoad(t, &ended, key, w.nodes[1]) })
+		time.Sleep(6 * time.Second)
+		for _, n := range w.nodes[1:] {
+			_, owned := n.service.ReadOwned(t.Context(), "j", 0, 0)
+			require.False(t, owned)
+		}
+		require.Len(t, w.runsOf("a"), 1, "by the lost instance")
+		require.Len(t, w.runsOf("b"), 1)
+		require.Empty(t, w.readAll(w.nodes[1], "j"))
+	})
+}
+
+// endOnLoad ends the job at an instance when another one loads its items.
+func endOnLoad(t *testing.T, ended *sync.Once, key string, at *node) {
+	if strings.Contains(key, "/part/") {
+		ended.Do(func() { require.NoError(t, at.service.End(t.Context(), "j")) })
+	}
+}
+
 // Guards against items that can never be done and run for ever, or that are given up before they failed often enough.
 func TestImpossibleItemsAreDeadLettered(t *testing.T) {
 	inWorld(t, 1, func(t *testing.T, w *world) {
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -139,6 +139,7 @@
 	if record.Ended || given == nil && !s.isForgotten(id, mark) && isOwned(mark, livingOf(s.Peers.Members())) {
 		return nil
 	}
+	defer s.beginTakeUp(id)()
 	former := record.Owner
 	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
 	ops, err := putJSON(recordKey(id), record, openKey(id), markOf(&record))
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -232,9 +232,7 @@
 // tellEnded stops the items of a job at its owner. An owner that is not reached finds out when it looks at the open marks, or at its next
 // write.
 func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) {
-	if s.DropOwned(record.ID, "client ended it") {
-		return
-	}
+	s.DropOwned(record.ID, "client ended it")
 	address, ok := s.addressOf(record.Owner)
 	if !ok {
 		return
@@ -244,11 +242,17 @@
 	}
 }
 
-// DropOwned drops a job that is no longer this instance's; it returns false if it was not.
+// DropOwned drops a job that is no longer this instance's, also while it is taken up; it returns false if it was not.
 func (s *Service) DropOwned(id itemjob.ID, reason string) bool {
-	j, ok := s.owned(id)
+	s.mu.Lock()
+	j, ok := s.jobs[id]
+	t, taken := s.taking[id]
+	if taken {
+		t.dropped = true
+	}
+	s.mu.Unlock()
 	if ok {
 		s.drop(j, reason)
 	}
-	return ok
+	return ok || taken
 }
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -53,6 +53,7 @@
 
 	mu       sync.Mutex // guards the fields below and the jobs they hold
 	jobs     map[itemjob.ID]*owned
+	taking   map[itemjob.ID]*takeUp
 	owners   map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
 	orphaned map[string]int64                // tokens, by route, of open jobs without a living owner, as of the last look
 	runs     map[fleet.TargetID][]*run       // items in flight, oldest first
@@ -82,6 +83,7 @@
 		wake:     make(chan struct{}, 1),
 		scan:     make(chan struct{}, 1),
 		jobs:     make(map[itemjob.ID]*owned),
+		taking:   make(map[itemjob.ID]*takeUp),
 		owners:   make(map[itemjob.ID]fleet.InstanceID),
 		orphaned: make(map[string]int64),
 		runs:     make(map[fleet.TargetID][]*run),
@@ -143,10 +145,41 @@
 	return tokens, fresh
 }
 
-// own takes a job up. It is called after the store says that this instance owns it.
+// takeUp is a job of which the store may say that this instance owns it, and which it has not begun to run.
+type takeUp struct {
+	calls   int  // of this instance that take the job up
+	dropped bool // it was ended or taken over meanwhile
+}
+
+// beginTakeUp lets drop notices of a job count that come before own. It must be called before the write that makes this instance the owner,
+// and its result after own.
+func (s *Service) beginTakeUp(id itemjob.ID) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.taking[id]
+	if !ok {
+		t = &takeUp{}
+		s.taking[id] = t
+	}
+	t.calls++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if t.calls--; t.calls == 0 {
+			delete(s.taking, id)
+		}
+	}
+}
+
+// own takes a job up. It is called after the store says that this instance owns it, between beginTakeUp and its end.
 func (s *Service) own(job *itemjob.Job, revision kv.Revision) {
 	j := &owned{Job: job, since: time.Now(), revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
 	s.mu.Lock()
+	if t, ok := s.taking[job.ID]; ok && t.dropped {
+		s.mu.Unlock()
+		klog.InfoS("Job is not run, it was ended or taken over while it was taken up", "job", job.ID, "revision", revision)
+		return
+	}
 	if known, ok := s.jobs[job.ID]; ok && !known.gone && known.revision >= revision {
 		s.mu.Unlock()
 		return
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
+	defer s.beginTakeUp(record.ID)()
 	record.Parts = len(parts)
 	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
 	txn, err := createTxn(record, parts)
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -58,6 +58,13 @@
 	kv.Store
 	mu   sync.Mutex
 	shut bool
+	get  func(key string) // called ahead of each Get; may be nil
+}
+
+func (g *gate) onGet(get func(key string)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.get = get
 }
 
 func (g *gate) set(shut bool) {
@@ -79,6 +86,12 @@
 	if err := g.err(); err != nil {
 		return kv.KeyValue{}, err
 	}
+	g.mu.Lock()
+	get := g.get
+	g.mu.Unlock()
+	if get != nil {
+		get(key)
+	}
 	return g.Store.Get(ctx, key)
 }
 
