--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/routing"
 	"eelgrassproxy.example/node/admission"
 	"eelgrassproxy.example/node/decisionlog"
@@ -32,7 +33,8 @@
 	writer     http.ResponseWriter
 	route      routing.Request
 	ticket     *admission.Ticket
-	attempt    int  // attempts begun by this instance
+	attempt    int // attempts begun by this instance
+	tries      limits.Tries
 	mayHaveRun bool // an attempt may have run at a target
 
 	// mu guards the fields below, which concurrent attempts share; a leaf.
@@ -165,10 +167,11 @@
 // retryOrFail returns nil if another attempt may be made.
 func (x *execution) retryOrFail(ctx context.Context, f *failure) error {
 	x.attempt++
-	reason := x.whyNoRetry(ctx, f)
-	if reason == "" && !x.mayRetry(f) {
-		reason = "retry budget or attempts used up"
+	x.tries.Started = x.attempt
+	if f.mayHaveRun && !f.unreached {
+		x.tries.Ran++
 	}
+	reason := x.whyNoRetry(ctx, f)
 	entry := decisionlog.Entry{Kind: decisionlog.KindRetry, Attempt: x.attempt, Target: f.target, Reason: "retry after: " + f.Error()}
 	if reason != "" {
 		entry.Reason = "no retry, " + reason + ", after: " + f.Error()
@@ -180,31 +183,21 @@
 	return x.fail(f)
 }
 
-// maxAttempts bounds the attempts of a request at this instance that certainly did not run.
-const maxAttempts = 4
-
-// mayRetry takes a retry from the budget. An attempt that was not run put no work on a target, so that repeating it elsewhere cannot
-// multiply load; only the number of such attempts is bounded.
-func (x *execution) mayRetry(f *failure) bool {
-	if !f.mayHaveRun || f.unreached {
-		return x.attempt < maxAttempts
-	}
-	return x.dispatcher.tryRetry(x.request.Attempt + x.attempt - 1)
-}
-
+// whyNoRetry returns why no other target may be asked, or nothing. A retry is taken from the budget only if the attempt may have put work on
+// its target: repeating others elsewhere cannot multiply load.
 func (x *execution) whyNoRetry(ctx context.Context, f *failure) string {
 	switch {
 	case f.final != nil:
 		return "the target's answer is final"
 	case ctx.Err() != nil:
 		return "the caller has gone"
-	case f.mayHaveRun && !x.request.Idempotent():
-		return "the request is not idempotent and may have run"
-	case !time.Now().Before(x.request.Deadline):
-		return "the deadline has passed"
-	default:
-		return ""
 	}
+	left := time.Until(x.request.Deadline)
+	reason := x.tries.Next(f.mayHaveRun, x.request.Idempotent(), limits.DefaultRetryPolicy().MaxAttempts, left)
+	if reason == limits.TryAgain && f.mayHaveRun && !f.unreached && !x.dispatcher.tryRetry(x.request.Attempt+x.attempt-1) {
+		return "the retry budget is used up"
+	}
+	return string(reason)
 }
 
 // fail turns the last failure into the caller's error.
