Start items that can be in time before those that are late already

Cause: after a loss of all instances, or an outage of the store, more items wait than can end in time. The order of due times gave each free slot to an item that was late already, while the next one became late; items that gave way to online requests were chosen by the same order, so that late ones kept their slots longest.

An item that can end before its due time now goes before one that cannot, and late ones give way first.

--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -47,8 +47,12 @@
 // Urgent tells whether an item that has received some events will miss its due time unless it runs without a pause from now on. An item
 // that cannot make it any more is not urgent: online requests, which still can, go before it.
 func (p *Pace) Urgent(due time.Time, events int, now time.Time) bool {
-	left := due.Sub(now)
-	return left < p.Remaining(events)+startMargin && left > p.shortest(events)
+	return due.Sub(now) < p.Remaining(events)+startMargin && p.CanBeInTime(due, events, now)
+}
+
+// CanBeInTime tells whether an item that has received some events may end before its due time if it runs without a pause from now on.
+func (p *Pace) CanBeInTime(due time.Time, events int, now time.Time) bool {
+	return due.Sub(now) > p.shortest(events)
 }
 
 // shortest returns the least time that an item of usual length needs.
@@ -66,20 +70,37 @@
 	Urgent bool
 }
 
-// Next returns the waiting task to start: of the job that is due first, the item that was begun before, then the first one. Items past
-// their pause only. ok is false if none may start now.
+// Next returns the waiting task to start. It answers a backlog after an outage: in the order of due times alone, items that are late already
+// would take the slots of those that are not, until all are late. So items that can be in time go first, those of the job that is due first
+// before others, and late ones take what is left. Within a job, the item that was begun before goes first. Items past their pause only. ok is
+// false if none may start now.
 func Next(jobs []*Job, pace *Pace, now time.Time) (choice Choice, ok bool) {
+	chosenInTime := false
 	for _, j := range jobs {
-		if j.Ended || ok && !j.Due.Before(choice.Job.Due) {
+		if j.Ended {
+			continue
+		}
+		t := j.next(now)
+		if t == nil {
 			continue
 		}
-		if t := j.next(now); t != nil {
-			choice, ok = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.Due, t.Events, now)}, true
+		inTime := pace.CanBeInTime(j.Due, t.Events, now)
+		if ok && !Before(inTime, j.Due, chosenInTime, choice.Job.Due) {
+			continue
 		}
+		choice, ok, chosenInTime = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.Due, t.Events, now)}, true, inTime
 	}
 	return choice, ok
 }
 
+// Before tells whether the first of two items goes before the second: one that can be in time before one that cannot, then by due time.
+func Before(firstInTime bool, firstDue time.Time, secondInTime bool, secondDue time.Time) bool {
+	if firstInTime != secondInTime {
+		return firstInTime
+	}
+	return firstDue.Before(secondDue)
+}
+
 func (j *Job) next(now time.Time) *Task {
 	var best *Task
 	for _, t := range j.Tasks {
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -242,13 +242,14 @@
 	}
 }
 
-// yield ends items at targets that hold more requests than slots, those of the jobs that are due last first.
+// yield ends items at targets that hold more requests than slots, in the reverse of the order in which they start.
 func (s *Service) yield(excess map[fleet.TargetID]int) {
 	var ended []*run
+	now := time.Now()
 	s.mu.Lock()
 	for id, count := range excess {
 		for range count {
-			r := s.latest(id)
+			r := s.lastInOrder(id, now)
 			if r == nil {
 				break
 			}
@@ -268,15 +269,20 @@
 	}
 }
 
-// latest returns the yieldable run at a target whose job is due last; s.mu is held.
-func (s *Service) latest(id fleet.TargetID) *run {
-	var best *run
+// lastInOrder returns the yieldable run at a target that would be the last one to start; s.mu is held.
+func (s *Service) lastInOrder(id fleet.TargetID, now time.Time) *run {
+	var last *run
 	for _, r := range s.runs[id] {
-		if !r.firm && !r.ended && (best == nil || r.job.Due.After(best.job.Due)) {
-			best = r
+		if !r.firm && !r.ended && (last == nil || itemjob.Before(s.inTime(last, now), last.job.Due, s.inTime(r, now), r.job.Due)) {
+			last = r
 		}
 	}
-	return best
+	return last
+}
+
+// inTime tells whether a run may end before its job is due; s.mu is held.
+func (s *Service) inTime(r *run, now time.Time) bool {
+	return s.pace.CanBeInTime(r.job.Due, int(r.events.Load()), now)
 }
 
 // forgetRun removes a run that ended; s.mu is held.
