Let online requests wait at the instance instead of at full targets

Cause: a target got two requests beyond its slots. With half of its slots held by batch items near their due time, four slots serve a request each 190 ms on average, so that the second waiting request is late although it was chosen because it could be in time.

No request is sent beyond a target's slots now; the queue of the instance chooses the next one when a slot is free.

Ruled out as the cause: the number of items that do not give way.

--- /dev/null
+++ b/core/slots/burst_test.go
@@ -0,0 +1,106 @@
+package slots_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+)
+
+const (
+	burstTargets   = 9
+	burstFirm      = 4                      // batch items at each target that do not give way
+	burstRun       = 760 * time.Millisecond // of an online request
+	burstFirst     = 60 * time.Millisecond  // from its start to its first event
+	burstObjective = 300 * time.Millisecond
+	burstDeadline  = 5 * time.Second
+	burstLength    = 2800 * time.Millisecond
+	burstPause     = 13 * time.Millisecond // between two requests: half as many again as the free slots run
+)
+
+// simTarget admits requests in order of arrival, as targets do.
+type simTarget struct {
+	running []time.Time // when the running requests end
+	queue   []*slots.Waiting
+}
+
+// playBurst plays a burst at targets half of whose slots hold batch items, and returns the share of the requests whose first event is in time
+// and the share that the free slots could serve in time.
+func playBurst(maxQueue int) (inTime, possible float64) {
+	policy := slots.DefaultPolicy()
+	policy.MaxQueue = maxQueue
+	v := slots.NewView("i1", "a1", topology, policy)
+	var list []slots.Target
+	targets := make(map[fleet.TargetID]*simTarget)
+	for i := range burstTargets {
+		one := target(fmt.Sprintf("t%d", i), "a1")
+		list = append(list, one)
+		targets[one.ID] = &simTarget{}
+	}
+	v.SetTargets(list)
+	for _, one := range list {
+		v.Add(one.ID, slots.Count{Firm: burstFirm})
+	}
+	queue := slots.NewQueue(burstFirst)
+	arrived, timely := 0, 0
+	free := list[0].Slots - burstFirm
+	step := func(moment time.Time) {
+		for _, one := range list {
+			t := targets[one.ID]
+			before := len(t.running)
+			t.running = slices.DeleteFunc(t.running, func(end time.Time) bool { return !moment.Before(end) })
+			v.Add(one.ID, slots.Count{Online: len(t.running) - before})
+			for len(t.queue) > 0 && len(t.running) < free {
+				if !moment.Add(burstFirst).After(t.queue[0].Objective) {
+					timely++
+				}
+				t.queue = t.queue[1:]
+				t.running = append(t.running, moment.Add(burstRun))
+			}
+		}
+	}
+	for at := time.Duration(0); at < burstLength+burstDeadline; at += time.Millisecond {
+		moment := now.Add(at)
+		step(moment)
+		if at < burstLength && at%burstPause == 0 {
+			arrived++
+			queue.Add(&slots.Waiting{Objective: moment.Add(burstObjective), Deadline: moment.Add(burstDeadline)})
+		}
+		for w := queue.Next(moment); w != nil; w = queue.Next(moment) {
+			chosen, placed := v.Place("s", fmt.Sprint(at), nil, moment)
+			if placed != slots.Placed {
+				break
+			}
+			queue.Remove(w)
+			v.Add(chosen.ID, slots.Count{Online: 1})
+			targets[chosen.ID].queue = append(targets[chosen.ID].queue, w)
+			step(moment)
+		}
+	}
+	return float64(timely) / float64(arrived), float64(possibleStarts(burstTargets*free)) / float64(arrived)
+}
+
+// possibleStarts returns how many requests the free slots can start in time: each slot is idle until the requests before it have one.
+func possibleStarts(free int) int {
+	starts := 0
+	for slot := range free {
+		left := burstLength + burstObjective - burstFirst - time.Duration(slot)*burstPause
+		starts += 1 + int(left/burstRun)
+	}
+	return starts
+}
+
+// Guards against requests that are chosen because they can be in time, and are late because they wait at their target behind others: they must
+// wait where the next one is chosen by its time.
+func TestRequestsWaitAtTheInstance(t *testing.T) {
+	inTime, possible := playBurst(slots.DefaultPolicy().MaxQueue)
+	require.GreaterOrEqual(t, inTime, 0.95*possible, "of what the free slots allow")
+	atTargets, _ := playBurst(2)
+	require.Less(t, atTargets, inTime, "two requests wait at each target")
+	t.Logf("in time %.2f, with two waiting at each target %.2f, possible %.2f", inTime, atTargets, possible)
+}
--- a/core/slots/policy.go
+++ b/core/slots/policy.go
@@ -18,8 +18,8 @@
 	StalePenalty float64
 	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
 	BatchReserve int
-	// MaxQueue is the number of requests that may wait at a target beyond its slots. Targets serve in order of arrival, so that more would
-	// wait there behind requests that are late already.
+	// MaxQueue is the number of requests that may wait at a target beyond its slots. Targets serve in order of arrival, so that a request that
+	// could be in time waits there behind others; at the instance, the next one is chosen when a slot is free.
 	MaxQueue int
 	// FirmLimit is the number of slots of a target that batch items may keep although online requests wait.
 	FirmLimit int
@@ -35,7 +35,7 @@
 		RemotePenalty: 1.5,
 		StalePenalty:  1,
 		BatchReserve:  1,
-		MaxQueue:      2,
+		MaxQueue:      0,
 		FirmLimit:     4,
 		Health:        healthPolicy(),
 	}
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -28,6 +28,15 @@
 	return v
 }
 
+// newQueueingView returns a view that lets two requests wait at each target.
+func newQueueingView(self fleet.InstanceID, list ...slots.Target) *slots.View {
+	policy := slots.DefaultPolicy()
+	policy.MaxQueue = 2
+	v := slots.NewView(self, "a1", topology, policy)
+	v.SetTargets(list)
+	return v
+}
+
 func place(t *testing.T, v *slots.View, exclude ...fleet.TargetID) fleet.TargetID {
 	excluded := make(map[fleet.TargetID]bool)
 	for _, id := range exclude {
@@ -40,7 +49,7 @@
 
 // Guards against online requests that wait at a full target while another one has a free slot, or where batch would give way.
 func TestPlacePrefersFreeSlotsThenBatchThatGivesWay(t *testing.T) {
-	v := newView("i1", target("t1", "a1"), target("t2", "a1"), target("t3", "a1"))
+	v := newQueueingView("i1", target("t1", "a1"), target("t2", "a1"), target("t3", "a1"))
 	v.Add("t1", slots.Count{Online: 8})
 	v.Add("t2", slots.Count{Online: 4, Yieldable: 4})
 	v.Heard("i2", map[fleet.TargetID]slots.Count{"t3": {Online: 7}}, now)
@@ -54,7 +63,7 @@
 func TestPlaceUsesAvoidedTargetsLast(t *testing.T) {
 	leaving := target("t3", "a1")
 	leaving.State = fleet.TargetLeaving
-	v := newView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
+	v := newQueueingView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
 	v.Avoid("t1", now.Add(time.Second))
 	v.Add("t2", slots.Count{Online: 9})
 	require.Equal(t, fleet.TargetID("t2"), place(t, v))
