Count answers with a server error as failures of their target

Cause: a target that answers each online request with status 500 at once was never ejected when its answers were passed on, as they are on routes that allow one run: passing an answer on counted as success. Such a target looks empty and draws requests. A batch item that fails everywhere, on the other hand, counted against each target that it was tried at.

An online answer of 500 or above is a failure of the target now, though it is passed on unchanged; an item's failure says nothing of its target. Both tests fail on the code before.

--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -238,6 +238,41 @@
 	})
 }
 
+// Guards against a target that answers each request with a failure at once, and draws all that must not run twice by being empty.
+func TestTargetThatAnswersWithFailuresIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": whole(500, "no"), "t2": events(0, 4), "t3": events(0, 4)})
+		defer w.close()
+		w.route.Resumable, w.route.MaxAttempts = false, 1
+		w.first("t1")
+		for range 2 {
+			require.Equal(t, 500, w.do(t.Context(), &sink{}).Status)
+		}
+		require.Equal(t, 200, w.do(t.Context(), &sink{}).Status)
+		require.Len(t, w.seen, 3)
+		require.NotEqual(t, "t1", w.seen[2].target)
+	})
+}
+
+// Guards against targets that are ejected because of a batch item that fails everywhere.
+func TestFailingItemDoesNotEjectItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": whole(500, "no"), "t2": events(0, 4), "t3": events(0, 4)})
+		defer w.close()
+		w.first("t1")
+		now := time.Now()
+		for range 3 {
+			held := w.board.Batch("s", "q1", nil, false)
+			require.Equal(t, fleet.TargetID("t1"), held.Target.ID)
+			request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &w.route, Service: "s", Arrived: now}
+			outcome := w.forward.RunItem(t.Context(), request, held, &gateway.Progress{}, func([]byte) {})
+			held.Release()
+			require.Equal(t, gateway.Rejected, outcome.Verdict)
+		}
+		require.Equal(t, 3, w.board.Pool("s").Usable)
+	})
+}
+
 // Guards against a hole, a repeat or half an event where a stream continues at another target.
 func TestBrokenStreamContinuesElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -33,11 +33,11 @@
 	started, before := time.Now(), x.progress.Events
 	x.firstEvent = 0
 	err := x.attempt(ctx, held)
-	if err != nil && (errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkGone) || ctx.Err() != nil) {
+	if err != nil && x.saysNothingOfTarget(ctx, err) {
 		x.board.Unobserved(held.Target.ID)
 		return err
 	}
-	outcome := limits.Outcome{Failed: err != nil}
+	outcome := limits.Outcome{Failed: err != nil || x.status >= http.StatusInternalServerError}
 	if x.progress.Events > before {
 		outcome.Latency = x.firstEvent - started.Sub(x.request.Arrived)
 	}
@@ -45,6 +45,13 @@
 	return err
 }
 
+// saysNothingOfTarget tells whether a try failed for a reason that says nothing of its target's health. The failure of a batch item may be
+// the item's own, at every target.
+func (x *execution) saysNothingOfTarget(ctx context.Context, err error) bool {
+	var ofItem *statusError
+	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkGone) || errors.As(err, &ofItem) || ctx.Err() != nil
+}
+
 // attempt makes one try.
 func (x *execution) attempt(ctx context.Context, held *Held) error {
 	ctx, cancel := context.WithCancelCause(ctx)
