Log how long a request waited and why a target is avoided

A target that is left out for a moment is logged with the reason, once for as long as it is avoided.

--- a/core/slots/health.go
+++ b/core/slots/health.go
@@ -46,11 +46,17 @@
 	}
 }
 
-// Avoid keeps new requests from a target until a time, unless nothing else is left.
-func (v *View) Avoid(id fleet.TargetID, until time.Time) {
-	if t, ok := v.targets[id]; ok && until.After(t.avoid) {
+// Avoid keeps new requests from a target until a time, unless nothing else is left. It returns whether the target was not avoided before.
+func (v *View) Avoid(id fleet.TargetID, now, until time.Time) bool {
+	t, ok := v.targets[id]
+	if !ok {
+		return false
+	}
+	began := !now.Before(t.avoid)
+	if until.After(t.avoid) {
 		t.avoid = until
 	}
+	return began
 }
 
 // Trust ends what Avoid began.
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -64,7 +64,8 @@
 	leaving := target("t3", "a1")
 	leaving.State = fleet.TargetLeaving
 	v := newQueueingView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
-	v.Avoid("t1", now.Add(time.Second))
+	require.True(t, v.Avoid("t1", now, now.Add(time.Second)))
+	require.False(t, v.Avoid("t1", now, now.Add(time.Second)), "it is avoided already")
 	v.Add("t2", slots.Count{Online: 9})
 	require.Equal(t, fleet.TargetID("t2"), place(t, v))
 	require.Equal(t, fleet.TargetID("t1"), place(t, v, "t2"))
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -201,10 +201,14 @@
 }
 
 // Avoid keeps new requests from a target for a time, unless nothing else is left.
-func (b *Board) Avoid(id fleet.TargetID, d time.Duration) {
+func (b *Board) Avoid(id fleet.TargetID, d time.Duration, reason string) {
+	now := time.Now()
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.view.Avoid(id, time.Now().Add(d))
+	began := b.view.Avoid(id, now, now.Add(d))
+	b.mu.Unlock()
+	if began {
+		klog.InfoS("Target is avoided", "target", id, "reason", reason, "for_ms", d.Milliseconds())
+	}
 }
 
 // Observe records how a request at a target ended.
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -120,7 +120,8 @@
 	failure    *wholeAnswer
 	firstEvent time.Duration // of this try, from the arrival of the request
 	status     int
-	trail      []string // one entry a try, for the log
+	trail      []string      // one entry a try, for the log
+	waited     time.Duration // for a slot, over all tries
 }
 
 // retryAfterNoTarget is about the time in which the list of targets catches up with a change.
@@ -139,11 +140,13 @@
 // run makes tries until one answers or no further one is allowed.
 func (x *execution) run(ctx context.Context) Outcome {
 	for {
+		asked := time.Now()
 		held, err := x.queues.enter(ctx, x.request, x.excluded)
+		started := time.Now()
+		x.waited += started.Sub(asked)
 		if err != nil {
 			return x.notPlaced(ctx, err)
 		}
-		started := time.Now()
 		err = x.try(ctx, held)
 		held.Release()
 		x.queues.ended(x.request.Service, time.Since(started))
@@ -240,7 +243,7 @@
 	x.metrics.Tagged(map[string]string{"route": r.Route.Name, "verdict": string(o.Verdict)}).Counter("requests").Inc(1)
 	x.metrics.Tagged(map[string]string{"route": r.Route.Name}).Histogram("duration", latencyBuckets).RecordDuration(took)
 	keys := []any{"request", r.ID, "route", r.Route.Name, "service", r.Service, "version", r.Version, "verdict", o.Verdict,
-		"status", o.Status, "took_ms", took.Milliseconds(), "first_ms", x.progress.First.Milliseconds(), "events", x.progress.Events, "tries", x.trail}
+		"status", o.Status, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(), "first_ms", x.progress.First.Milliseconds(), "events", x.progress.Events, "tries", x.trail}
 	if r.Job != "" {
 		keys = append(keys, "job", r.Job)
 	}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -56,7 +56,7 @@
 func (x *execution) attempt(ctx context.Context, held *Held) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	suspect := time.AfterFunc(x.options.Suspect, func() { x.board.Avoid(held.Target.ID, x.options.SuspectFor) })
+	suspect := time.AfterFunc(x.options.Suspect, func() { x.board.Avoid(held.Target.ID, x.options.SuspectFor, "no header") })
 	defer suspect.Stop()
 	watchdog := x.watchdog(cancel)
 	defer watchdog.Stop()
@@ -72,7 +72,7 @@
 	}
 	switch {
 	case reply.OtherTarget:
-		x.board.Avoid(held.Target.ID, x.options.SuspectFor)
+		x.board.Avoid(held.Target.ID, x.options.SuspectFor, "another target has its address")
 		return fmt.Errorf("%w: another target has its address", httpcall.ErrNotRun)
 	case reply.NotRun:
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
@@ -138,10 +138,10 @@
 func (x *execution) sendFailed(ctx context.Context, held *Held, err error) error {
 	switch {
 	case errors.Is(err, httpcall.ErrNotSent) && ctx.Err() == nil:
-		x.board.Avoid(held.Target.ID, x.options.UnreachableFor)
+		x.board.Avoid(held.Target.ID, x.options.UnreachableFor, "unreachable")
 		x.client.CloseIdle(held.Target.Address)
 	case errors.Is(context.Cause(ctx), errSilent):
-		x.board.Avoid(held.Target.ID, x.options.SuspectFor)
+		x.board.Avoid(held.Target.ID, x.options.SuspectFor, "silent")
 		x.client.CloseIdle(held.Target.Address)
 	}
 	return err
