Give items a rank, and derive the tries of the dispatcher

itemjob.Before took two flags and two times in turn, and each caller worked out both flags again for every pair. Pace.Rank returns the place of an item in the order once, and Next and the choice of what gives way compare ranks.

The dispatcher of our own interface kept a copy of its count of attempts in limits.Tries, and the test whether an attempt may have put work on its target in two places. It counts these attempts now and makes the value for limits.Tries where it asks; the test is a method of the failure.

Behaviour is unchanged.

--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -47,11 +47,11 @@
 // Urgent tells whether an item that has received some events will miss its due time unless it runs without a pause from now on. An item
 // that cannot make it any more is not urgent: online requests, which still can, go before it.
 func (p *Pace) Urgent(due time.Time, events int, now time.Time) bool {
-	return due.Sub(now) < p.Remaining(events)+startMargin && p.CanBeInTime(due, events, now)
+	return due.Sub(now) < p.Remaining(events)+startMargin && p.canBeInTime(due, events, now)
 }
 
-// CanBeInTime tells whether an item that has received some events may end before its due time if it runs without a pause from now on.
-func (p *Pace) CanBeInTime(due time.Time, events int, now time.Time) bool {
+// canBeInTime tells whether an item that has received some events may end before its due time if it runs without a pause from now on.
+func (p *Pace) canBeInTime(due time.Time, events int, now time.Time) bool {
 	return due.Sub(now) > p.shortest(events)
 }
 
@@ -75,7 +75,7 @@
 // before others, and late ones take what is left. Within a job, the item that was begun before goes first. Items past their pause only. ok is
 // false if none may start now.
 func Next(jobs []*Job, pace *Pace, now time.Time) (choice Choice, ok bool) {
-	chosenInTime := false
+	var chosen Rank
 	for _, j := range jobs {
 		if j.Ended {
 			continue
@@ -84,21 +84,32 @@
 		if t == nil {
 			continue
 		}
-		inTime := pace.CanBeInTime(j.Due, t.Events, now)
-		if ok && !Before(inTime, j.Due, chosenInTime, choice.Job.Due) {
+		rank := pace.Rank(j.Due, t.Events, now)
+		if ok && !rank.Before(chosen) {
 			continue
 		}
-		choice, ok, chosenInTime = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.Due, t.Events, now)}, true, inTime
+		choice, ok, chosen = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.Due, t.Events, now)}, true, rank
 	}
 	return choice, ok
 }
 
-// Before tells whether the first of two items goes before the second: one that can be in time before one that cannot, then by due time.
-func Before(firstInTime bool, firstDue time.Time, secondInTime bool, secondDue time.Time) bool {
-	if firstInTime != secondInTime {
-		return firstInTime
+// Rank is the place of an item in the order in which items start.
+type Rank struct {
+	InTime bool // it may end before its due time
+	Due    time.Time
+}
+
+// Rank returns the rank of an item that has received some events.
+func (p *Pace) Rank(due time.Time, events int, now time.Time) Rank {
+	return Rank{p.canBeInTime(due, events, now), due}
+}
+
+// Before tells whether an item goes before another one: one that can be in time before one that cannot, then by due time.
+func (r Rank) Before(other Rank) bool {
+	if r.InTime != other.InTime {
+		return r.InTime
 	}
-	return firstDue.Before(secondDue)
+	return r.Due.Before(other.Due)
 }
 
 func (j *Job) next(now time.Time) *Task {
--- a/core/slots/burst_test.go
+++ b/core/slots/burst_test.go
@@ -32,9 +32,6 @@
 // playBurst plays a burst at targets half of whose slots hold batch items, and returns the share of the requests whose first event is in time
 // and the share that the free slots could serve in time.
 func playBurst(maxQueue int) (inTime, possible float64) {
-	policy := slots.DefaultPolicy()
-	policy.MaxQueue = maxQueue
-	v := slots.NewView("i1", "a1", topology, policy)
 	var list []slots.Target
 	targets := make(map[fleet.TargetID]*simTarget)
 	for i := range burstTargets {
@@ -42,7 +39,7 @@
 		list = append(list, one)
 		targets[one.ID] = &simTarget{}
 	}
-	v.SetTargets(list)
+	v := newQueueingView(maxQueue, "i1", list...)
 	for _, one := range list {
 		v.Add(one.ID, slots.Count{Firm: burstFirm})
 	}
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -23,15 +23,13 @@
 }
 
 func newView(self fleet.InstanceID, list ...slots.Target) *slots.View {
-	v := slots.NewView(self, "a1", topology, slots.DefaultPolicy())
-	v.SetTargets(list)
-	return v
+	return newQueueingView(slots.DefaultPolicy().MaxQueue, self, list...)
 }
 
-// newQueueingView returns a view that lets two requests wait at each target.
-func newQueueingView(self fleet.InstanceID, list ...slots.Target) *slots.View {
+// newQueueingView returns a view that lets some requests wait at each target.
+func newQueueingView(maxQueue int, self fleet.InstanceID, list ...slots.Target) *slots.View {
 	policy := slots.DefaultPolicy()
-	policy.MaxQueue = 2
+	policy.MaxQueue = maxQueue
 	v := slots.NewView(self, "a1", topology, policy)
 	v.SetTargets(list)
 	return v
@@ -49,7 +47,7 @@
 
 // Guards against online requests that wait at a full target while another one has a free slot, or where batch would give way.
 func TestPlacePrefersFreeSlotsThenBatchThatGivesWay(t *testing.T) {
-	v := newQueueingView("i1", target("t1", "a1"), target("t2", "a1"), target("t3", "a1"))
+	v := newQueueingView(2, "i1", target("t1", "a1"), target("t2", "a1"), target("t3", "a1"))
 	v.Add("t1", slots.Count{Online: 8})
 	v.Add("t2", slots.Count{Online: 4, Yieldable: 4})
 	v.Heard("i2", map[fleet.TargetID]slots.Count{"t3": {Online: 7}}, now)
@@ -63,7 +61,7 @@
 func TestPlaceUsesAvoidedTargetsLast(t *testing.T) {
 	leaving := target("t3", "a1")
 	leaving.State = fleet.TargetLeaving
-	v := newQueueingView("i1", target("t1", "a1"), target("t2", "a1"), leaving)
+	v := newQueueingView(2, "i1", target("t1", "a1"), target("t2", "a1"), leaving)
 	require.True(t, v.Avoid("t1", now, now.Add(time.Second)))
 	require.False(t, v.Avoid("t1", now, now.Add(time.Second)), "it is avoided already")
 	v.Add("t2", slots.Count{Online: 9})
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -32,6 +32,9 @@
 	final      *problem.Error // the target's own verdict on the request, which another target would repeat
 }
 
+// mayHaveWorked tells whether the attempt may have put work on its target.
+func (f *failure) mayHaveWorked() bool { return f.mayHaveRun && !f.unreached }
+
 // Error implements error.
 func (f *failure) Error() string { return fmt.Sprintf("%s: %v", f.target, f.cause) }
 
--- a/node/dispatch/execution.go
+++ b/node/dispatch/execution.go
@@ -33,8 +33,8 @@
 	writer     http.ResponseWriter
 	route      routing.Request
 	ticket     *admission.Ticket
-	attempt    int // attempts begun by this instance
-	tries      limits.Tries
+	attempt    int  // attempts begun by this instance
+	worked     int  // attempts that may have put work on a target
 	mayHaveRun bool // an attempt may have run at a target
 
 	// mu guards the fields below, which concurrent attempts share; a leaf.
@@ -167,9 +167,8 @@
 // retryOrFail returns nil if another attempt may be made.
 func (x *execution) retryOrFail(ctx context.Context, f *failure) error {
 	x.attempt++
-	x.tries.Started = x.attempt
-	if f.mayHaveRun && !f.unreached {
-		x.tries.Ran++
+	if f.mayHaveWorked() {
+		x.worked++
 	}
 	reason := x.whyNoRetry(ctx, f)
 	entry := decisionlog.Entry{Kind: decisionlog.KindRetry, Attempt: x.attempt, Target: f.target, Reason: "retry after: " + f.Error()}
@@ -192,9 +191,10 @@
 	case ctx.Err() != nil:
 		return "the caller has gone"
 	}
+	tries := limits.Tries{Started: x.attempt, Ran: x.worked}
 	left := time.Until(x.request.Deadline)
-	reason := x.tries.Next(f.mayHaveRun, x.request.Idempotent(), limits.DefaultRetryPolicy().MaxAttempts, left)
-	if reason == limits.TryAgain && f.mayHaveRun && !f.unreached && !x.dispatcher.tryRetry(x.request.Attempt+x.attempt-1) {
+	reason := tries.Next(f.mayHaveRun, x.request.Idempotent(), limits.DefaultRetryPolicy().MaxAttempts, left)
+	if reason == limits.TryAgain && f.mayHaveWorked() && !x.dispatcher.tryRetry(x.request.Attempt+x.attempt-1) {
 		return "the retry budget is used up"
 	}
 	return string(reason)
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -243,7 +243,8 @@
 	x.metrics.Tagged(map[string]string{"route": r.Route.Name, "verdict": string(o.Verdict)}).Counter("requests").Inc(1)
 	x.metrics.Tagged(map[string]string{"route": r.Route.Name}).Histogram("duration", latencyBuckets).RecordDuration(took)
 	keys := []any{"request", r.ID, "route", r.Route.Name, "service", r.Service, "version", r.Version, "verdict", o.Verdict,
-		"status", o.Status, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(), "first_ms", x.progress.First.Milliseconds(), "events", x.progress.Events, "tries", x.trail}
+		"status", o.Status, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
+		"first_ms", x.progress.First.Milliseconds(), "events", x.progress.Events, "tries", x.trail}
 	if r.Job != "" {
 		keys = append(keys, "job", r.Job)
 	}
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -272,19 +272,18 @@
 // lastInOrder returns the yieldable run at a target that would be the last one to start; s.mu is held.
 func (s *Service) lastInOrder(id fleet.TargetID, now time.Time) *run {
 	var last *run
+	var lastRank itemjob.Rank
 	for _, r := range s.runs[id] {
-		if !r.firm && !r.ended && (last == nil || itemjob.Before(s.inTime(last, now), last.job.Due, s.inTime(r, now), r.job.Due)) {
-			last = r
+		if r.firm || r.ended {
+			continue
+		}
+		if rank := s.pace.Rank(r.job.Due, int(r.events.Load()), now); last == nil || lastRank.Before(rank) {
+			last, lastRank = r, rank
 		}
 	}
 	return last
 }
 
-// inTime tells whether a run may end before its job is due; s.mu is held.
-func (s *Service) inTime(r *run, now time.Time) bool {
-	return s.pace.CanBeInTime(r.job.Due, int(r.events.Load()), now)
-}
-
 // forgetRun removes a run that ended; s.mu is held.
 func (s *Service) forgetRun(r *run) {
 	id := r.held.Target.ID
