Leave a silent target while another one can still answer in time

Cause: a target that went dark was found by each request on its own: 250 ms for a connection, 700 ms without a header before others avoided it, 800 ms before a request that may go on elsewhere left it.

A request that may go on elsewhere leaves it if another target has room; one whose target serves others only waits for its turn. The first connect has 120 ms, each further one of the request twice as long. A timer that fires late, after a pause of the process, judges nothing.

Ruled out: leaving whenever a first event is late, which would read the prompts of queued requests a second time in each burst (TestBusyTargetIsNotLeft guards that).

The new tests fail with the former times; TestBusyTargetIsNotLeft and TestSilentTargetIsKeptWithoutRoomElsewhere without their conditions.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -48,6 +48,8 @@
 	Mine func(http.Header) bool
 	// MaxIdle bounds the age of a pooled connection that may carry this request; 0 means no bound of its own.
 	MaxIdle time.Duration
+	// ConnectWithin bounds the time to open a connection; 0 means httpcall.ConnectTimeout.
+	ConnectWithin time.Duration
 }
 
 // Response is a response whose body is still to be read. Body must be closed: a body read to its end returns the connection to the
@@ -77,7 +79,7 @@
 	expires time.Time
 }
 
-// New returns a client that opens connections with dial, bounded by httpcall.ConnectTimeout.
+// New returns a client that opens connections with dial.
 func New(dial httpcall.DialFunc) *Client {
 	return &Client{dial: dial, idle: make(map[string][]*conn)}
 }
@@ -116,7 +118,7 @@
 // Do sends the request once and returns the response as soon as its header is there. When ctx ends, the connection is closed, also
 // while the body is read. Errors: httpcall.ErrNotSent if no byte was written, otherwise httpcall.ErrOutcomeUnknown.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	k, err := c.get(ctx, address, r.MaxIdle)
+	k, err := c.get(ctx, address, r)
 	if err != nil {
 		return nil, httpcall.NotSent(err)
 	}
@@ -135,7 +137,7 @@
 }
 
 // get returns a pooled connection that is still open, or a new one.
-func (c *Client) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (c *Client) get(ctx context.Context, address string, r *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -145,12 +147,16 @@
 			break
 		}
 		now := time.Now()
-		if now.Before(k.expires) && (maxIdle == 0 || now.Sub(k.since) < maxIdle) && quiet(k.Conn) {
+		if now.Before(k.expires) && (r.MaxIdle == 0 || now.Sub(k.since) < r.MaxIdle) && quiet(k.Conn) {
 			return k, nil
 		}
 		k.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, httpcall.ConnectTimeout)
+	limit := r.ConnectWithin
+	if limit <= 0 {
+		limit = httpcall.ConnectTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
--- a/core/routetable/routetable.go
+++ b/core/routetable/routetable.go
@@ -34,6 +34,7 @@
 	Backends    []Backend // at least one
 	Timeout     time.Duration
 	Objective   time.Duration // time to the answer, or to the first event of a stream, that earns full credit
+	Pause       time.Duration // longest pause between two events of a stream that is in time; 0 if none is stated
 	MaxAttempts int           // targets on which one request may run
 	Resumable   bool          // a stream may continue at another target
 	JobDue      time.Duration // of a batch route: from the first submission to the last result
--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -84,6 +84,12 @@
 	return found.target.Target, Placed
 }
 
+// HasRoom tells whether a target that need not be avoided would take an online request now.
+func (v *View) HasRoom(service string, exclude map[fleet.TargetID]bool, now time.Time) bool {
+	_, room := v.place(service, "", exclude, now, false)
+	return room == Placed
+}
+
 // onlineScore rises with the expected wait: slots in use while there is a free one; beyond that, the requests that do not give way.
 func onlineScore(load Count, slots int) float64 {
 	if load.Total() < slots {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -138,6 +138,14 @@
 	return domains
 }
 
+// OwnAt returns this instance's own count of a target.
+func (v *View) OwnAt(id fleet.TargetID) Count {
+	if t, ok := v.targets[id]; ok {
+		return t.own
+	}
+	return Count{}
+}
+
 // Heard takes the counts that a peer sent.
 func (v *View) Heard(id fleet.InstanceID, counts map[fleet.TargetID]Count, now time.Time) {
 	v.peers[id] = &peer{heard: now, counts: counts}
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,8 +14,10 @@
 
 // Board guards the shared view of the targets and tells others of its changes. It is safe for concurrent use.
 type Board struct {
-	mu     sync.Mutex // guards view, room and yield; released before notify or yield is called
+	mu     sync.Mutex // guards view, signs, room and yield; released before notify or yield is called
 	view   *slots.View
+	signs  map[fleet.TargetID]*sign
+	made   time.Time
 	room   chan struct{} // closed and replaced when room for a request may have appeared
 	notify func()        // called after each change of this instance's own counts; must not block
 	yield  func(map[fleet.TargetID]int)
@@ -22,7 +25,7 @@
 
 // NewBoard returns a board over the view.
 func NewBoard(view *slots.View) *Board {
-	return &Board{view: view, room: make(chan struct{}), notify: func() {}, yield: func(map[fleet.TargetID]int) {}}
+	return &Board{view: view, signs: make(map[fleet.TargetID]*sign), made: time.Now(), room: make(chan struct{}), notify: func() {}, yield: func(map[fleet.TargetID]int) {}}
 }
 
 // OnChange sets what is called after each change of this instance's own counts. Call it before the first request.
@@ -38,6 +41,7 @@
 	// PeerAge is the age of the oldest report of a peer in Load.
 	PeerAge time.Duration
 	board   *Board
+	sign    *sign
 	mu      sync.Mutex // guards count; taken before the board's mutex
 	count   slots.Count
 }
@@ -86,7 +90,39 @@
 	load := b.view.Load(target.ID, now)
 	b.view.Begin(target.ID, now)
 	b.view.Add(target.ID, count)
-	return &Held{Target: target, Load: load, PeerAge: b.view.PeerAge(now), board: b, count: count}
+	last, ok := b.signs[target.ID]
+	if !ok {
+		last = &sign{}
+		b.signs[target.ID] = last
+	}
+	return &Held{Target: target, Load: load, PeerAge: b.view.PeerAge(now), board: b, sign: last, count: count}
+}
+
+// heard notes that the target sent something.
+func (h *Held) heard() { h.sign.at.Store(int64(time.Since(h.board.made))) }
+
+// heardSince tells whether the target sent anything to this instance after a time.
+func (h *Held) heardSince(t time.Time) bool {
+	return time.Duration(h.sign.at.Load()) > t.Sub(h.board.made)
+}
+
+// ownAt returns the number of requests that this instance holds at a target.
+func (b *Board) ownAt(id fleet.TargetID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.OwnAt(id).Total()
+}
+
+// hasRoom tells whether a target other than one, and than those excluded, has room for an online request.
+func (b *Board) hasRoom(service string, other fleet.TargetID, exclude map[fleet.TargetID]bool) bool {
+	without := maps.Clone(exclude)
+	if without == nil {
+		without = make(map[fleet.TargetID]bool, 1)
+	}
+	without[other] = true
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.HasRoom(service, without, time.Now())
 }
 
 // IsFirm tells whether the holder is a batch item that does not give way.
@@ -183,6 +219,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view.SetTargets(list)
+	listed := make(map[fleet.TargetID]bool, len(list))
+	for _, t := range list {
+		listed[t.ID] = true
+	}
+	maps.DeleteFunc(b.signs, func(id fleet.TargetID, _ *sign) bool { return !listed[id] })
 	b.mayHaveRoom()
 }
 
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -41,11 +41,14 @@
 
 // Options are the times of a Forwarder.
 type Options struct {
-	// Progress is the longest silence of a stream that can continue at another target. It is well above the pause between two events of
-	// a full target and well below the silence after which clients give a stream up.
+	// Connect bounds the first attempt to open a connection to a target; each further try of a request has twice as long. The way to a
+	// target of another region and back takes 25 ms.
+	Connect time.Duration
+	// Progress is the longest silence of a request that can continue at another target, also if its target serves others meanwhile. It is
+	// well above the pause between two events of a full target and well below the silence after which clients give a stream up.
 	Progress time.Duration
-	// Suspect is the time without a header after which a target gets no new requests for SuspectFor: a target that fell silent is found
-	// by the first request that it does not answer, and not only after each client's deadline.
+	// Suspect is the longest silence of a target, on all connections, after which it gets no new requests for SuspectFor. A route that
+	// states how long its answers and their pauses may take shortens it.
 	Suspect    time.Duration
 	SuspectFor time.Duration
 	// UnreachableFor is how long a target that refused a connection gets no new requests, however many do.
@@ -60,6 +63,7 @@
 // DefaultOptions suit streams whose events are 20 to 40 ms apart and whose clients give up after 2 s of silence.
 func DefaultOptions() Options {
 	return Options{
+		Connect:        120 * time.Millisecond,
 		Progress:       800 * time.Millisecond,
 		Suspect:        700 * time.Millisecond,
 		SuspectFor:     1500 * time.Millisecond,
--- /dev/null
+++ b/node/gateway/silence_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+	"eelgrassproxy.example/node/gateway"
+)
+
+// paced writes a whole stream of the events from a to b with pauses between them.
+func paced(a, b int, pause time.Duration) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead)
+		for i := a; i <= b; i++ {
+			_, _ = io.WriteString(w, chunk(event(i)))
+			time.Sleep(pause)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	}
+}
+
+// Guards against a request that misses its objective at a target that went silent, although another one has room.
+func TestSilentTargetIsLeftInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": silent, "t2": events(0, 3)})
+		defer w.close()
+		w.route.Objective = 300 * time.Millisecond
+		w.first("t1")
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 3), out.body.String())
+		require.Less(t, time.Since(started), w.route.Objective)
+	})
+}
+
+// Guards against a stream whose pause at a target that went silent is longer than its route allows.
+func TestStalledStreamGoesOnWithinItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stalls := func(c io.Writer, r *http.Request) bool {
+			_, _ = io.WriteString(c, streamHead+chunk(event(0)))
+			return silent(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": stalls, "t2": events(1, 3)})
+		defer w.close()
+		w.route.Objective, w.route.Pause = 300*time.Millisecond, 200*time.Millisecond
+		w.first("t1")
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 3), out.body.String())
+		require.Less(t, time.Since(started), w.route.Pause)
+	})
+}
+
+// Guards against requests that leave a busy target, which reads their prompt a second time elsewhere, while it serves others.
+func TestBusyTargetIsNotLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 600 * time.Millisecond
+		first := true
+		busy := func(c io.Writer, r *http.Request) bool {
+			if first {
+				first = false
+				return paced(0, 30, 40*time.Millisecond)(c, r)
+			}
+			time.Sleep(wait)
+			return events(0, 3)(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": busy, "t2": events(0, 3)})
+		defer w.close()
+		w.route.Objective, w.route.Pause = 300*time.Millisecond, 200*time.Millisecond
+		w.first("t1")
+		go w.do(t.Context(), &sink{})
+		time.Sleep(50 * time.Millisecond)
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, wait, time.Since(started), "answered by the busy target")
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against a request that leaves its silent target although no other one has room, and so loses its place.
+func TestSilentTargetIsKeptWithoutRoomElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 500 * time.Millisecond
+		slow := func(c io.Writer, r *http.Request) bool {
+			time.Sleep(wait)
+			return events(0, 3)(c, r)
+		}
+		w := newWorld(t, map[string]script{"t1": slow, "t2": events(0, 3)})
+		defer w.close()
+		w.route.Objective = 300 * time.Millisecond
+		w.board.Heard("peer", map[fleet.TargetID]slots.Count{"t2": {Online: 8}})
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, wait, time.Since(started))
+	})
+}
+
+// Guards against further requests that are sent to a target while several that may not move wait there in silence.
+func TestSilentTargetGetsNoFurtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": silent, "t2": events(0, 3)})
+		defer w.close()
+		w.route.Objective, w.route.Resumable = 300*time.Millisecond, false
+		w.first("t1")
+		for range 2 {
+			go w.do(t.Context(), &sink{})
+			synctest.Wait()
+		}
+		time.Sleep(w.route.Objective)
+		w.first("t1")
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 3), out.body.String())
+		time.Sleep(w.route.Timeout)
+	})
+}
+
+// Guards against a request that misses its objective because the opening packet to one target was lost.
+func TestUnansweredConnectIsLeftInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, map[string]script{"t1": events(0, 3), "t2": events(0, 3)})
+		defer w.close()
+		w.route.Objective, w.route.Resumable = 300*time.Millisecond, false
+		w.network.Partition([]string{"10.1.0.1"}, []string{"10.0.0.1:80"})
+		w.first("t1")
+		started := time.Now()
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Less(t, time.Since(started), w.route.Objective/2)
+	})
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -56,10 +56,8 @@
 func (x *execution) attempt(ctx context.Context, held *Held) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	suspect := time.AfterFunc(x.options.Suspect, func() { x.board.Avoid(held.Target.ID, x.options.SuspectFor, "no header") })
-	defer suspect.Stop()
-	watchdog := x.watchdog(cancel)
-	defer watchdog.Stop()
+	watch := x.watchSilence(held, cancel)
+	defer watch.Stop()
 
 	response, err := x.client.Do(ctx, held.Target.Address, x.outgoing(held))
 	if err != nil {
@@ -67,7 +65,8 @@
 	}
 	defer response.Body.Close()
 	reply := x.protocol.Reply(response.Status, response.Header)
-	if suspect.Stop() && !reply.NotRun {
+	watch.header()
+	if !reply.NotRun {
 		x.board.Trust(held.Target.ID)
 	}
 	switch {
@@ -78,7 +77,7 @@
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
 	case reply.Events:
 		x.status = response.Status
-		return x.relay(ctx, response, reply, watchdog)
+		return x.relay(ctx, held, response, reply, watch)
 	}
 	return x.whole(ctx, held.Target.ID, response, reply)
 }
@@ -99,6 +98,8 @@
 		Header: x.protocol.Header(r, attempt),
 		Body:   r.Body,
 		Mine:   func(header http.Header) bool { return x.protocol.Mine(r.ID, header) },
+		// A lost opening packet is sent again after a second. Later tries allow for a path that is slow for all targets.
+		ConnectWithin: x.options.Connect << min(x.tries.Started, maxConnectDoublings),
 	}
 	if !r.Route.Repeatable() {
 		out.MaxIdle = x.options.FreshWithin
@@ -106,33 +107,8 @@
 	return out
 }
 
-// watchdog ends the try after a silence, if the request can go on elsewhere. Otherwise the target's answer may still come, and the
-// deadline ends the wait.
-func (x *execution) watchdog(cancel context.CancelCauseFunc) *watchdog {
-	if !x.request.Route.Repeatable() || x.tries.Ran+1 >= x.request.Route.MaxAttempts {
-		return &watchdog{}
-	}
-	return &watchdog{period: x.options.Progress, timer: time.AfterFunc(x.options.Progress, func() { cancel(errSilent) })}
-}
-
-// watchdog is a timer that may be absent.
-type watchdog struct {
-	period time.Duration
-	timer  *time.Timer
-}
-
-func (w *watchdog) progressed() {
-	if w.timer != nil {
-		w.timer.Reset(w.period)
-	}
-}
-
-// Stop ends the watchdog.
-func (w *watchdog) Stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
+// maxConnectDoublings bounds the time that a try may take to connect.
+const maxConnectDoublings = 3
 
 // sendFailed learns from a request that got no response header.
 func (x *execution) sendFailed(ctx context.Context, held *Held, err error) error {
@@ -140,13 +116,19 @@
 	case errors.Is(err, httpcall.ErrNotSent) && ctx.Err() == nil:
 		x.board.Avoid(held.Target.ID, x.options.UnreachableFor, "unreachable")
 		x.client.CloseIdle(held.Target.Address)
-	case errors.Is(context.Cause(ctx), errSilent):
-		x.board.Avoid(held.Target.ID, x.options.SuspectFor, "silent")
-		x.client.CloseIdle(held.Target.Address)
+	default:
+		x.silent(ctx, held)
 	}
 	return err
 }
 
+// silent learns from a try that was ended for its target's silence: pooled connections to the target are likely to be silent as well.
+func (x *execution) silent(ctx context.Context, held *Held) {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		x.client.CloseIdle(held.Target.Address)
+	}
+}
+
 const (
 	// maxEventBytes bounds one event; an event of some tokens has less than a kilobyte.
 	maxEventBytes = 256 << 10
@@ -155,7 +137,7 @@
 )
 
 // relay passes whole events on as they come and checks that their ids follow each other.
-func (x *execution) relay(ctx context.Context, response *rawhttp.Response, reply Reply, watchdog *watchdog) error {
+func (x *execution) relay(ctx context.Context, held *Held, response *rawhttp.Response, reply Reply, watch *silenceWatch) error {
 	if !reply.Complete && response.Status < http.StatusMultipleChoices {
 		return errIncomplete
 	}
@@ -168,7 +150,7 @@
 		var err error
 		out, err = x.events(splitter, out[:0])
 		if len(out) > 0 {
-			watchdog.progressed()
+			watch.progressed()
 			if err := x.pass(response, out); err != nil {
 				return err
 			}
@@ -181,6 +163,7 @@
 		case readErr == io.EOF:
 			return fmt.Errorf("%w after %d events", errBroken, x.progress.Events)
 		case readErr != nil && ctx.Err() != nil:
+			x.silent(ctx, held)
 			return fmt.Errorf("%w: %w", errBroken, context.Cause(ctx))
 		case readErr != nil:
 			return fmt.Errorf("%w after %d events: %w", errBroken, x.progress.Events, readErr)
