Serve callers from a working set of instances that divide the targets

Each of 250 instances sent a JSON datagram to all others once a second and to the 41 of its failure domain four times a second or at each change, and summed up the counts of 249 peers for each of 122 targets to place one request. The views were a second old all the same: 12 % of the arrivals were rejected by full targets. All instances watched the configuration, and listed configuration, targets and members at the start.

Change (decision 0012): - core/membership.WorkingSet chooses the instances that callers are sent to, by capacity and failure domain, as many as the slots of the targets need; the others stand by. core/slots.Homes divides the targets among them. An instance fills its own targets first; batch that gives way stays there. - Members of the set tell each other of changes, at once within a region, and all others every two seconds that they live and whom they miss. Instances that stand by do not tell each other anything. One that holds requests is treated like a member. Up to 12 instances, all serve and use all targets alike, as before: there, views are milliseconds old. - Two instances of each region follow configuration, targets and members in the store; the others read the copy that differs from a peer. The first watch waits until it is clear who follows. Members are listed once, and the first listing may be stale. - A new job goes to the member of the region with the least to do. Results wait while the store is out of reach instead of one call for each job. - View.Load is a sum that is kept, not a walk over all peers.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -121,6 +121,7 @@
 	HasDisk       bool       // holds bulk data
 	Generation    Generation // bundle generation last heard of
 	InFlight      int        // requests in flight last heard of
+	Capacity      float64    // of its processor, in cores; 0 if it is not stated
 }
 
 // Topology maps failure domains to regions and tells which distance lies between two failure domains.
--- /dev/null
+++ b/core/slots/homes_test.go
@@ -0,0 +1,157 @@
+package slots_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
+)
+
+func domainTargets(n int, domains ...fleet.FailureDomain) []slots.Target {
+	var list []slots.Target
+	for i := range n {
+		list = append(list, target(fmt.Sprintf("t%03d", i), domains[i%len(domains)]))
+	}
+	return list
+}
+
+// Guards against targets that are divided unevenly, far from their home, or not at all.
+func TestHomesAreNearAndFollowTheCapacity(t *testing.T) {
+	set := []fleet.Member{
+		{ID: "i1", FailureDomain: "a1", Capacity: 0.8},
+		{ID: "i2", FailureDomain: "a1", Capacity: 0.4},
+		{ID: "i3", FailureDomain: "a2", Capacity: 0.8},
+	}
+	list := domainTargets(36, "a1", "a2", "b1")
+	homes := slots.Homes(list, set, topology)
+	require.Len(t, homes, len(list))
+	counts := make(map[fleet.InstanceID]map[fleet.FailureDomain]int)
+	for _, one := range list {
+		home := homes[one.ID]
+		if counts[home] == nil {
+			counts[home] = make(map[fleet.FailureDomain]int)
+		}
+		counts[home][one.FailureDomain]++
+	}
+	require.Equal(t, 8, counts["i1"]["a1"])
+	require.Equal(t, 4, counts["i2"]["a1"])
+	require.Equal(t, 12, counts["i3"]["a2"])
+	require.Zero(t, counts["i3"]["a1"])
+	require.Equal(t, 12, counts["i1"]["b1"]+counts["i2"]["b1"]+counts["i3"]["b1"], "a failure domain without an instance")
+}
+
+// Guards against few targets that most instances could use only as those of others.
+func TestFewTargetsHaveNoHome(t *testing.T) {
+	set := []fleet.Member{{ID: "i1", FailureDomain: "a1"}, {ID: "i2", FailureDomain: "a1"}, {ID: "i3", FailureDomain: "a2"}}
+	require.Empty(t, slots.Homes(domainTargets(2, "a1"), set, topology))
+}
+
+// Guards against a division that moves most targets when one instance or target comes or goes: requests in flight there are told of late.
+func TestFewHomesMove(t *testing.T) {
+	set := []fleet.Member{{ID: "i1", FailureDomain: "a1"}, {ID: "i2", FailureDomain: "a1"}, {ID: "i3", FailureDomain: "a1"}, {ID: "i4", FailureDomain: "a1"}}
+	list := domainTargets(40, "a1")
+	before := slots.Homes(list, set, topology)
+	moved := func(after map[fleet.TargetID]fleet.InstanceID) int {
+		n := 0
+		for id, home := range after {
+			if before[id] != home {
+				n++
+			}
+		}
+		return n
+	}
+	require.LessOrEqual(t, moved(slots.Homes(list, set[:3], topology)), 20)
+	require.LessOrEqual(t, moved(slots.Homes(list[1:], set, topology)), 10)
+}
+
+// playFleet lets instances place requests that arrive at random, where each hears of the requests of the others with a delay, and returns the
+// share of the requests that were placed at a target whose slots were all taken. With homes, targets are divided among the instances.
+func playFleet(t *testing.T, instances int, homes bool, delay time.Duration) float64 {
+	const (
+		perInstance = 5                      // targets
+		run         = 700 * time.Millisecond // of a request
+		length      = 6 * time.Second        // of the play
+		step        = 5 * time.Millisecond   // of the clock
+		load        = 0.6                    // of the slots that requests need at the mean
+		slotsEach   = 8
+	)
+	random := rand.New(rand.NewPCG(1, uint64(instances)))
+	list := domainTargets(instances*perInstance, "a1")
+	set := make([]fleet.Member, instances)
+	views := make([]*slots.View, instances)
+	for i := range set {
+		set[i] = fleet.Member{ID: fleet.InstanceID(fmt.Sprintf("i%03d", i)), FailureDomain: "a1", Capacity: 0.8}
+	}
+	for i := range views {
+		views[i] = slots.NewView(set[i].ID, "a1", topology, slots.DefaultPolicy())
+		views[i].SetTargets(list)
+		if homes {
+			views[i].SetWorkingSet(set)
+		}
+	}
+	type held struct {
+		at     time.Time
+		view   int
+		target fleet.TargetID
+	}
+	type news struct {
+		at     time.Time
+		from   int
+		counts map[fleet.TargetID]slots.Count
+	}
+	var running []held
+	var told []news
+	taken := make(map[fleet.TargetID]int)
+	placed, rejected := 0, 0
+	perStep := load * float64(len(list)*slotsEach) * step.Seconds() / run.Seconds()
+	arrivals := 0.0
+	for at := time.Duration(0); at < length; at += step {
+		moment := now.Add(at)
+		for len(running) > 0 && !moment.Before(running[0].at) {
+			views[running[0].view].Add(running[0].target, slots.Count{Online: -1})
+			taken[running[0].target]--
+			running = running[1:]
+		}
+		for len(told) > 0 && !moment.Before(told[0].at) {
+			for i, v := range views {
+				if i != told[0].from {
+					v.Heard(set[told[0].from].ID, told[0].counts, moment)
+				}
+			}
+			told = told[1:]
+		}
+		for arrivals += perStep; arrivals >= 1; arrivals-- {
+			i := random.IntN(instances)
+			chosen, room := views[i].Place("s", fmt.Sprint(at, arrivals, i), nil, moment)
+			placed++
+			if room != slots.Placed || taken[chosen.ID] >= slotsEach {
+				rejected++
+				continue
+			}
+			taken[chosen.ID]++
+			views[i].Add(chosen.ID, slots.Count{Online: 1})
+			running = append(running, held{moment.Add(run), i, chosen.ID})
+		}
+		if at%(50*time.Millisecond) == 0 {
+			for i, v := range views {
+				told = append(told, news{moment.Add(delay), i, v.Own()})
+			}
+		}
+	}
+	require.Positive(t, placed)
+	return float64(rejected) / float64(placed)
+}
+
+// Guards against instances that place requests on the same targets before they hear of each other: the more of them, the more requests full
+// targets turn away. The target is under 1 % whatever the size of the working set.
+func TestHomesKeepRequestsFromFullTargets(t *testing.T) {
+	for _, instances := range []int{8, 20, 60} {
+		require.Less(t, playFleet(t, instances, true, 200*time.Millisecond), 0.01, "%d instances", instances)
+	}
+	require.Greater(t, playFleet(t, 60, false, 200*time.Millisecond), 0.01, "without homes")
+}
--- a/core/slots/policy.go
+++ b/core/slots/policy.go
@@ -13,9 +13,9 @@
 	// RegionPenalty and RemotePenalty are the requests by which a target of the own region, or of another one, must be emptier than a
 	// target of the own failure domain to be preferred: bytes that cross these borders are paid for.
 	RegionPenalty, RemotePenalty float64
-	// StalePenalty is added, in units of a target's slots, for targets of other failure domains in a fleet whose instances hear of these only
-	// now and then: such a target is used when those of the own failure domain have no free slot and hold more requests that do not give way.
-	StalePenalty float64
+	// ForeignPenalty is added, in units of a target's slots, for targets that are the home of another instance, whose requests are heard of
+	// late: with two, such a target is used when no own one has a free slot or a batch item that gives way.
+	ForeignPenalty float64
 	// BatchReserve is the number of slots at each target that batch items leave free for the first requests of a burst.
 	BatchReserve int
 	// MaxQueue is the number of requests that may wait at a target beyond its slots. Targets serve in order of arrival, so that a request that
@@ -30,14 +30,14 @@
 // DefaultPolicy suits targets of about eight slots that serve an online request in under a second.
 func DefaultPolicy() Policy {
 	return Policy{
-		PeerExpiry:    2500 * time.Millisecond,
-		RegionPenalty: 0.5,
-		RemotePenalty: 1.5,
-		StalePenalty:  1,
-		BatchReserve:  1,
-		MaxQueue:      0,
-		FirmLimit:     4,
-		Health:        healthPolicy(),
+		PeerExpiry:     5 * time.Second,
+		RegionPenalty:  0.5,
+		RemotePenalty:  1.5,
+		ForeignPenalty: 2,
+		BatchReserve:   1,
+		MaxQueue:       0,
+		FirmLimit:      4,
+		Health:         healthPolicy(),
 	}
 }
 
--- a/node/control/membership/record.go
+++ b/node/control/membership/record.go
@@ -23,6 +23,7 @@
 	CallerAddress string              `json:"caller_address"`
 	HasDisk       bool                `json:"has_disk,omitempty"`
 	FailureDomain fleet.FailureDomain `json:"failure_domain"`
+	Capacity      float64             `json:"capacity_cores,omitempty"`
 }
 
 // EncodeRecord returns the value kept under MembersPrefix and the instance's ID.
@@ -35,6 +36,7 @@
 		CallerAddress: m.CallerAddress,
 		HasDisk:       m.HasDisk,
 		FailureDomain: m.FailureDomain,
+		Capacity:      m.Capacity,
 	})
 }
 
@@ -59,5 +61,6 @@
 		CallerAddress: r.CallerAddress,
 		HasDisk:       r.HasDisk,
 		FailureDomain: r.FailureDomain,
+		Capacity:      max(r.Capacity, 0),
 	}, nil
 }
--- a/node/control/membership/registrar.go
+++ b/node/control/membership/registrar.go
@@ -48,12 +48,14 @@
 	store kv.Store
 	// LastBackoff bounds the pause after failed attempts; set it before the first Reconcile. The default is 30 s.
 	LastBackoff time.Duration
-	lease       kv.LeaseID
-	written     []byte      // value in the store under the lease; nil if unknown
-	revision    kv.Revision // modification of the key that was last seen; 0 if the key did not exist
-	backoff     time.Duration
-	retryAt     time.Time
-	loaded      bool // the records of the others were read since the last outage
+	// SkipLoad is set if the view reads the records of the other members by itself.
+	SkipLoad bool
+	lease    kv.LeaseID
+	written  []byte      // value in the store under the lease; nil if unknown
+	revision kv.Revision // modification of the key that was last seen; 0 if the key did not exist
+	backoff  time.Duration
+	retryAt  time.Time
+	loaded   bool // the records of the others were read since the last outage
 }
 
 // NewRegistrar returns a registrar.
@@ -72,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "membership"), storeTimeout)
 	defer cancel()
 	err := r.register(ctx)
-	if err == nil && !r.loaded {
+	if err == nil && !r.loaded && !r.SkipLoad {
 		err = r.load(ctx)
 	}
 	if err != nil {
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,21 +21,21 @@
 )
 
 const (
-	// catchUpPeriod is how often an instance without the store asks a peer. A leaving target must be known within two seconds and more.
-	catchUpPeriod = 500 * time.Millisecond
-	// refresh is how often an instance that follows nothing reads a follower's copies even if the targets are the same, so that members that
-	// are gone for good are forgotten.
-	refresh = 30 * time.Second
+	// catchUpPeriod is how often an instance looks whether a peer has something newer. A leaving target must be known within two seconds and more.
+	catchUpPeriod = 300 * time.Millisecond
+	// refresh is how often an instance that follows nothing reads a peer's copy of the members, so that those that are gone for good are
+	// forgotten. firstRefresh is when it does so first: those that start together do not know each other at first.
+	refresh      = time.Minute
+	firstRefresh = 5 * time.Second
 	// catchUpAfter is how long the store is out of reach before a peer is asked.
 	catchUpAfter = 200 * time.Millisecond
 
 	statePath = "/v1/state"
 )
 
-// CatchUp keeps the copies of the store's keys current from peers: all of them while the store is out of this instance's reach, and those
-// of the targets and members at instances that do not follow these in the store. The list of targets changes with every beat of every
-// target, and each change of the members would wake all, so that only a few instances of each region follow them. The others hear of
-// members from these themselves, and read the copies of a follower when the digest of its targets differs from theirs, and now and then.
+// CatchUp keeps the copies of the store's keys current from peers while the store is out of this instance's reach, and at instances that do
+// not follow it. In a fleet with a working set, a few instances of each region follow the store, so that its calls do not grow with the fleet.
+// The others hear of members from these themselves, and read a copy of a peer that tells of a newer configuration or another list of targets.
 type CatchUp struct {
 	self    fleet.Member
 	peers   *Peers
@@ -46,7 +47,7 @@
 	seeds   []string // peer addresses to ask while no peer is known
 	client  *PeerClient
 	follows atomic.Bool
-	pulled  time.Time // when a peer's copies were last read; of Run's goroutine
+	renew   time.Time // when the members' copy is to be read again; of Run's goroutine
 }
 
 // Copies are the mirrors of an instance.
@@ -56,17 +57,26 @@
 	Members *kvmirror.Mirror
 }
 
-// named returns the mirrors by the names that instances use between them.
+// Names of the copies between instances.
+const (
+	copyConfig  = "config"
+	copyTargets = "targets"
+	copyMembers = "members"
+)
+
+var allCopies = []string{copyConfig, copyTargets, copyMembers}
+
+// named returns the mirrors by name.
 func (c Copies) named() map[string]*kvmirror.Mirror {
-	return map[string]*kvmirror.Mirror{"config": c.Config, "targets": c.Targets, "members": c.Members}
+	return map[string]*kvmirror.Mirror{copyConfig: c.Config, copyTargets: c.Targets, copyMembers: c.Members}
 }
 
-const (
-	// followersPerRegion is the number of instances of each region that follow the list of targets. Two let one be lost without delay.
-	followersPerRegion = 2
-	// allFollow is the largest fleet in which every instance does.
-	allFollow = maxNear
-)
+// settle is the time from the first listing to the first watch: the other instances are known by then, and whether to follow.
+const settle = 800 * time.Millisecond
+
+// followersPerRegion is the number of instances of each region that follow the list of targets in a fleet with a working set. Two let one be
+// lost without delay.
+const followersPerRegion = 2
 
 // NewCatchUp returns a CatchUp of an instance.
 func NewCatchUp(self fleet.Member, topology fleet.Topology, peers *Peers, routes *Routes, list *TargetList, copies Copies, reach *kv.Reach,
@@ -83,10 +93,18 @@
 		client: client,
 	}
 	c.follows.Store(true)
-	copies.Config.OnlyIf(func() bool { return !c.Lost() })
-	copies.Targets.OnlyIf(func() bool { return c.follows.Load() && !c.Lost() })
-	copies.Members.OnlyIf(func() bool { return c.follows.Load() && !c.Lost() })
+	c.renew = time.Now().Add(firstRefresh)
+	for _, m := range copies.named() {
+		m.OnlyIf(func() bool { return c.follows.Load() && !c.Lost() })
+		m.Settle(settle)
+	}
 	peers.OnState(c.state)
+	routes.OnAdvance(peers.Announce)
+	list.OnChange(func() {
+		if c.follows.Load() {
+			peers.Announce()
+		}
+	})
 	return c
 }
 
@@ -115,16 +133,18 @@
 			c.probe(ctx)
 		}
 		reports := c.peers.Reports()
-		c.arrange(reports)
-		source, ok := c.source(reports)
-		if !ok {
+		c.arrange()
+		source, wanted := c.source(reports)
+		if len(wanted) == 0 {
 			continue
 		}
-		if err := c.pull(ctx, source); err != nil {
-			klog.ErrorS(err, "Peer's copy of the store's keys was not read", "peer", source)
+		if err := c.pull(ctx, source, wanted); err != nil {
+			klog.ErrorS(err, "Peer's copies of the store's keys were not read", "peer", source, "copies", wanted)
 			continue
 		}
-		c.pulled = time.Now()
+		if slices.Contains(wanted, copyMembers) {
+			c.renew = time.Now().Add(refresh)
+		}
 	}
 }
 
@@ -144,49 +164,66 @@
 const probeKey = "/eelgrass/probe"
 
 // arrange decides whether this instance follows the list of targets in the store.
-func (c *CatchUp) arrange(reports []PeerReport) {
-	members := reaching(reports)
-	if !c.Lost() {
+func (c *CatchUp) arrange() {
+	members := c.peers.Reaching()
+	if !c.Lost() && c.peers.Serves() {
 		members = append(members, c.peers.Self())
 	}
-	follows := len(reports) < allFollow || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
+	follows := !c.peers.large() || slices.Contains(membership.Watchers(members, c.region, followersPerRegion), c.self.ID)
 	if c.follows.Swap(follows) != follows {
-		klog.InfoS("Following targets and members in the store", "follows", follows, "peers", len(reports))
+		klog.InfoS("Following targets and members in the store", "follows", follows, "candidates", len(members))
 	}
 }
 
-// source returns the peer to read from, if any is needed.
-func (c *CatchUp) source(reports []PeerReport) (string, bool) {
-	var sources []string
+// source returns the peer to read from, and which copies, if any are needed: one of the nearest that have the most of what this instance
+// lacks.
+func (c *CatchUp) source(reports []PeerReport) (string, []string) {
+	var sources, wanted []string
+	least := fleet.OtherRegion
 	for _, t := range reports {
-		if c.helps(t) {
-			sources = append(sources, t.Member.PeerAddress)
+		distance := c.region.Distance(c.self.FailureDomain, t.Member.FailureDomain)
+		lacks := c.lacks(t)
+		switch {
+		case len(lacks) == 0 || len(lacks) < len(wanted) || len(lacks) == len(wanted) && distance > least:
+			continue
+		case len(lacks) > len(wanted) || distance < least:
+			least, wanted, sources = distance, lacks, nil
 		}
+		sources = append(sources, t.Member.PeerAddress)
 	}
 	if len(sources) == 0 && c.version() == 0 && c.Lost() {
-		sources = c.seeds
+		sources, wanted = c.seeds, allCopies
 	}
 	if len(sources) == 0 {
-		return "", false
+		return "", nil
 	}
-	return sources[rand.IntN(len(sources))], true
+	return sources[rand.IntN(len(sources))], wanted
 }
 
-// helps tells whether a peer knows more than this instance.
-func (c *CatchUp) helps(t PeerReport) bool {
+// lacks returns the copies that a peer has newer than this instance, which does not read them in the store.
+func (c *CatchUp) lacks(t PeerReport) []string {
 	switch {
-	case c.Lost():
-		return !t.Lost || t.Version > c.version()
-	case c.follows.Load():
-		return false
+	case c.Lost() && (!t.Lost || t.Version > c.version()):
+		return allCopies
+	case c.Lost() || c.follows.Load() || t.Lost:
+		return nil
 	}
-	differs := t.Targets != c.list.Digest() || time.Since(c.pulled) > refresh
-	return !t.Lost && differs && t.Revision > c.copies.Targets.Revision()
+	var lacks []string
+	if t.Version > c.version() {
+		lacks = append(lacks, copyConfig)
+	}
+	if t.Targets != c.list.Digest() && t.Revision > c.copies.Targets.Revision() {
+		lacks = append(lacks, copyTargets)
+	}
+	if time.Now().After(c.renew) {
+		lacks = append(lacks, copyMembers)
+	}
+	return lacks
 }
 
-// pull merges the copies of one peer.
-func (c *CatchUp) pull(ctx context.Context, address string) error {
-	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, nil, nil, 0)
+// pull merges copies of one peer.
+func (c *CatchUp) pull(ctx context.Context, address string, wanted []string) error {
+	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
 	if err != nil {
 		return err
 	}
@@ -204,9 +241,13 @@
 
 // Handle adds the call that peers make to the mux.
 func (c *CatchUp) Handle(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		wanted := r.URL.Query()["copy"]
 		state := make(map[string]kvmirror.Snapshot)
 		for name, m := range c.copies.named() {
+			if !slices.Contains(wanted, name) {
+				continue
+			}
 			if m == c.copies.Targets && !c.list.Settled() {
 				continue // the copy lacks targets that are about to come back
 			}
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -20,14 +20,18 @@
 
 // Routes holds the routing table in force. Its version only rises.
 type Routes struct {
-	mu      sync.Mutex // guards writes; readers use the pointer
-	current atomic.Pointer[routetable.Table]
-	decode  func([]byte) (*routetable.Table, error)
+	mu       sync.Mutex // guards writes; readers use the pointer
+	current  atomic.Pointer[routetable.Table]
+	decode   func([]byte) (*routetable.Table, error)
+	advanced func() // called after a newer table came into force
 }
 
+// OnAdvance sets what is called after a newer table came into force. It must not block. Call it before the first table.
+func (r *Routes) OnAdvance(advanced func()) { r.advanced = advanced }
+
 // NewRoutes returns an empty holder that decodes configurations with decode.
 func NewRoutes(decode func([]byte) (*routetable.Table, error)) *Routes {
-	return &Routes{decode: decode}
+	return &Routes{decode: decode, advanced: func() {}}
 }
 
 // Current returns the table in force, or nil before the first one.
@@ -59,6 +63,7 @@
 	}
 	r.current.Store(table)
 	klog.InfoS("Configuration is in force", "version", table.Version, "before", before, "revision", revision)
+	r.advanced()
 }
 
 // lapseGrace is how long targets that are missing from the first listing after an outage of the store are kept: their leases ran out
@@ -67,9 +72,10 @@
 
 // TargetList keeps the registered targets and hands them to the board.
 type TargetList struct {
-	board  *Board
-	prefix string
-	decode func(key string, value []byte) (slots.Target, error)
+	board   *Board
+	prefix  string
+	decode  func(key string, value []byte) (slots.Target, error)
+	changed func() // called after the list changed
 
 	mu      sync.Mutex // guards the fields below; taken before the board's mutex
 	targets map[fleet.TargetID]slots.Target
@@ -90,11 +96,15 @@
 		board:   board,
 		prefix:  prefix,
 		decode:  decode,
+		changed: func() {},
 		targets: make(map[fleet.TargetID]slots.Target),
 		lapsed:  make(map[fleet.TargetID]time.Time),
 	}
 }
 
+// OnChange sets what is called after the list changed. It must not block. Call it before the first change.
+func (l *TargetList) OnChange(changed func()) { l.changed = changed }
+
 // Settled tells whether no target of before an outage is kept that the store does not list.
 func (l *TargetList) Settled() bool {
 	l.mu.Lock()
@@ -183,4 +193,5 @@
 	}
 	l.digest = digest.Sum64()
 	l.board.SetTargets(list)
+	l.changed()
 }
--- a/node/instance/entrypoints.go
+++ b/node/instance/entrypoints.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -13,9 +14,9 @@
 // Entrypoints returns at most limit instances for a caller: those of its failure domain, or of farther ones too if these are few. It is
 // empty if this instance knows none that takes callers.
 func (i *Instance) Entrypoints(near fleet.FailureDomain, limit int) []fleet.Member {
-	members := i.peers.Members()
+	members := i.peers.Serving()
 	if !i.Ready() {
-		members = members[1:] // self comes first
+		members = slices.DeleteFunc(members, func(m fleet.Member) bool { return m.ID == i.config.Self.ID })
 	}
 	var chosen []fleet.Member
 	var last fleet.Distance
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -48,6 +48,7 @@
 	TargetPrefix string
 	DecodeTarget func(key string, value []byte) (slots.Target, error)
 	Seeds        []string             // peer addresses of some instances
+	FirstStart   bool                 // all instances start for the first time, at about the same moment
 	ResultsKept  time.Duration        // how long results stay readable after a job was submitted
 	Grace        func() time.Duration // from the signal to stop to the end of the process
 }
@@ -65,6 +66,9 @@
 	maxHeaderBytes    = 32 << 10
 )
 
+// firstListing is when instances that start together read the members first: all start within 0.3 s, and have written their records by then.
+const firstListing = 700 * time.Millisecond
+
 // Instance is one instance. Its methods are safe for concurrent use.
 type Instance struct {
 	config    Config
@@ -94,13 +98,18 @@
 		client:   gateway.NewPeerClient(c.Environment.Dial),
 		upstream: rawhttp.New(c.Environment.Dial),
 	}
-	i.peers = gateway.NewPeers(c.Self, reach, i.board, conn)
+	i.peers = gateway.NewPeers(c.Self, c.Topology, reach, i.board, conn)
 	list := gateway.NewTargetList(i.board, c.TargetPrefix, c.DecodeTarget)
 	i.copies = gateway.Copies{
 		Config:  kvmirror.New(reach, c.ConfigKey, i.routes.Apply),
 		Targets: kvmirror.New(reach, c.TargetPrefix, list.Apply),
 		Members: i.peers.Records(),
 	}
+	if c.FirstStart {
+		for _, m := range []*kvmirror.Mirror{i.copies.Config, i.copies.Targets, i.copies.Members} {
+			m.Delay(firstListing)
+		}
+	}
 	i.catchUp = gateway.NewCatchUp(c.Self, c.Topology, i.peers, i.routes, list, i.copies, reach, i.client, c.Seeds)
 	i.forwarder = gateway.NewForwarder(i.board, i.upstream, c.Protocol, gateway.DefaultOptions(), c.Metrics)
 	i.jobs = itemjobs.New(itemjobs.Parts{
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -19,6 +19,7 @@
 	items    map[string]kv.KeyValue
 	revision kv.Revision
 	watches  map[chan kv.WatchEvent]string
+	history  []kv.WatchEvent // all changes, oldest first
 	down     bool
 	calls    int
 	writes   int
@@ -183,15 +184,17 @@
 	if op.Kind == kv.OpDelete {
 		delete(s.items, op.Key)
 	}
+	event := kv.WatchEvent{KeyValue: item, Deleted: op.Kind == kv.OpDelete}
+	s.history = append(s.history, event)
 	for ch, prefix := range s.watches {
 		if strings.HasPrefix(op.Key, prefix) {
-			ch <- kv.WatchEvent{KeyValue: item, Deleted: op.Kind == kv.OpDelete}
+			ch <- event
 		}
 	}
 }
 
-// Watch implements kv.Store for changes after the call; after must be the current revision or 0.
-func (s *Store) Watch(ctx context.Context, prefix string, _ kv.Revision) (<-chan kv.WatchEvent, error) {
+// Watch implements kv.Store; with after 0, for changes after the call.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision) (<-chan kv.WatchEvent, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
@@ -199,6 +202,11 @@
 	}
 	ch := make(chan kv.WatchEvent, 1024)
 	s.watches[ch] = prefix
+	for _, event := range s.history {
+		if after > 0 && event.KeyValue.ModRevision > after && strings.HasPrefix(event.KeyValue.Key, prefix) {
+			ch <- event
+		}
+	}
 	context.AfterFunc(ctx, func() { s.endWatch(ch) })
 	return unbuffered(ctx, ch), nil
 }
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -102,12 +102,12 @@
 	lostChecks = 2
 )
 
-// watchReach hands all open jobs over when the store is out of this instance's reach and a peer reaches it: results could not be recorded
-// here.
+// watchReach hands all open jobs over while others can run them better: when the store is out of this instance's reach and a peer reaches it,
+// since results could not be recorded here, and when this instance stands by, since it has no targets of its own then.
 func (s *Service) watchReach(ctx context.Context) {
 	lost := 0
 	for wait.For(ctx, reachCheckPeriod) {
-		if !s.Lost() || len(s.Peers.Reaching()) == 0 {
+		if !s.Lost() && s.Peers.Serves() || len(s.Peers.Reaching()) == 0 {
 			lost = 0
 			continue
 		}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -43,7 +43,11 @@
 }
 
 // scanOpen compares the open marks with the members once. Marks that are seconds old will do: what is done about one depends on the record.
+// An instance that stands by and owns no job has nothing to compare.
 func (s *Service) scanOpen(ctx context.Context) error {
+	if !s.Peers.Serves() && !s.ownsOpen() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-owners"), scanTimeout)
 	defer cancel()
 	asOf := time.Now()
@@ -51,8 +55,7 @@
 	if err != nil {
 		return err
 	}
-	members := s.Peers.Members()
-	living := livingOf(members)
+	living, serving := livingOf(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
 	for _, item := range open.Items {
@@ -68,7 +71,7 @@
 			s.adoptOrLog(ctx, id)
 		case !isOwned(mark, living):
 			orphaned[mark.Route] += mark.Tokens
-			if successor(id, members) == s.Self.ID {
+			if successor(id, serving) == s.Self.ID {
 				s.adoptOrLog(ctx, id)
 			}
 		}
@@ -80,6 +83,18 @@
 	return nil
 }
 
+// ownsOpen tells whether this instance owns a job with unfinished items, or may be named as the owner of one without knowing it.
+func (s *Service) ownsOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if !j.gone && !j.Complete() {
+			return true
+		}
+	}
+	return s.uncertain
+}
+
 // livingOf returns the processes of the members that were heard lately.
 func livingOf(members []fleet.Member) map[fleet.InstanceID]uint64 {
 	living := make(map[fleet.InstanceID]uint64)
@@ -148,6 +163,9 @@
 	}
 	revision, err = s.replaceRecord(ctx, id, revision, ops)
 	if err != nil {
+		if !errors.Is(err, errContended) {
+			s.setUncertain()
+		}
 		return err
 	}
 	go s.tellFormer(context.WithoutCancel(ctx), id, former)
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -65,8 +65,8 @@
 		case done || ctx.Err() != nil:
 			return
 		case len(group) > 0:
-			for !s.recordGroup(ctx, j, group) && wait.For(ctx, recordRetry) {
-				if s.isGone(j) {
+			for !s.recordGroup(ctx, j, group) {
+				if !s.awaitStore(ctx) || s.isGone(j) {
 					return
 				}
 			}
@@ -84,6 +84,17 @@
 	}
 }
 
+// awaitStore waits for a while, and while the store is out of reach: each call is paid for, and one for each job would be refused. It returns
+// false if ctx ended.
+func (s *Service) awaitStore(ctx context.Context) bool {
+	for wait.For(ctx, recordRetry) {
+		if !s.Lost() {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Service) isGone(j *owned) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -59,7 +59,9 @@
 	runs     map[fleet.TargetID][]*run       // items in flight, oldest first
 	pace     itemjob.Pace
 	draining bool
-	running  sync.WaitGroup
+	// uncertain is set for good when a write that makes this instance the owner of a job had no known outcome.
+	uncertain bool
+	running   sync.WaitGroup
 }
 
 // owned is a job that this instance owns.
@@ -192,6 +194,13 @@
 	s.Peers.Announce()
 }
 
+// setUncertain notes that the store may name this instance as the owner of a job that it does not know.
+func (s *Service) setUncertain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.uncertain = true
+}
+
 // drop ends the ownership of a job and its runs.
 func (s *Service) drop(j *owned, reason string) {
 	s.mu.Lock()
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/internal/wait"
@@ -63,8 +65,36 @@
 	if limit, waiting := sub.Route.TokenLimit, s.allWaiting(sub.Route.Name); !itemjob.Fits(limit, waiting, record.Tokens) {
 		return s.withoutRoom(ctx, sub, waiting)
 	}
+	unknown := false
+	if address, ok := s.betterOwner(record.Tokens); ok {
+		err := s.passOn(ctx, address, record, sub.Items)
+		if err == nil || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrInvalid) {
+			return err
+		}
+		klog.InfoS("Job was not taken by a peer", "job", sub.ID, "peer", address, "cause", err.Error())
+		unknown = errors.Is(err, ErrOutcomeUnknown)
+	}
+	err := s.acceptOrPass(ctx, record, sub.Items)
+	if unknown && errors.Is(err, ErrUnavailable) {
+		return eris.Wrap(ErrOutcomeUnknown, err.Error()) // the first peer may have recorded it
+	}
+	return err
+}
+
+// passTime bounds a call that passes a job on to a peer with less to do. It leaves time for an attempt of this instance.
+const passTime = 500 * time.Millisecond
+
+func (s *Service) passOn(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+	ctx, cancel := context.WithTimeout(ctx, passTime)
+	defer cancel()
+	klog.InfoS("Job is passed on", "job", record.ID, "peer", address, "reason", "it has less to do")
+	return s.calls.submit(ctx, address, record, items)
+}
+
+// acceptOrPass records a job, or passes it on if this instance cannot or drains. Errors are those of Submit.
+func (s *Service) acceptOrPass(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
 	if !s.isDraining() {
-		err := s.Accept(ctx, record, sub.Items)
+		err := s.Accept(ctx, record, items)
 		if !errors.Is(err, ErrUnavailable) {
 			return err
 		}
@@ -73,8 +103,32 @@
 	if !ok {
 		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
 	}
-	klog.InfoS("Job is passed on", "job", sub.ID, "peer", address)
-	return s.calls.submit(ctx, address, record, sub.Items)
+	klog.InfoS("Job is passed on", "job", record.ID, "peer", address, "reason", "the store is out of reach, or this instance drains")
+	return s.calls.submit(ctx, address, record, items)
+}
+
+// betterOwner returns the address of the peer that is to own a job of some tokens, if it is not this instance: in a fleet with a working set,
+// a member of the own region that has less to do.
+func (s *Service) betterOwner(tokens int64) (string, bool) {
+	peers := s.Peers.Candidates()
+	if len(peers) == 0 || s.isDraining() {
+		return "", false
+	}
+	self := itemjob.Candidate{ID: s.Self.ID, Capacity: s.Self.Capacity, Waiting: math.MaxInt64 / 2}
+	if s.Peers.Serves() {
+		self.Waiting = 0
+		for _, n := range s.waiting() {
+			self.Waiting += n
+		}
+	}
+	addresses := make(map[fleet.InstanceID]string, len(peers))
+	others := make([]itemjob.Candidate, 0, len(peers))
+	for _, p := range peers {
+		addresses[p.Member.ID] = p.Member.PeerAddress
+		others = append(others, itemjob.Candidate{ID: p.Member.ID, Capacity: p.Member.Capacity, Waiting: p.Waiting})
+	}
+	address, ok := addresses[itemjob.Owner(self, others, tokens)]
+	return address, ok
 }
 
 // Accept records a job with this instance as its owner. Errors are those of Submit.
@@ -183,6 +237,7 @@
 			return eris.Wrap(ErrUnavailable, err.Error())
 		}
 		if !wait.For(ctx, submitPause) {
+			s.setUncertain()
 			klog.ErrorS(err, "Job may have been accepted", "job", record.ID)
 			return eris.Wrap(ErrOutcomeUnknown, err.Error())
 		}
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -48,7 +48,10 @@
 	store  kv.Store
 	prefix string
 	apply  func(Change)
-	follow func() bool // whether the store is asked at all
+	follow func() bool   // whether the store is asked at all
+	stale  bool          // the first listing may be some seconds old
+	delay  time.Duration // before the first listing
+	settle time.Duration // between the first listing and the first watch
 
 	mu       sync.Mutex // guards the fields below, and is held while apply runs, so that changes arrive in order
 	items    map[string]kv.KeyValue
@@ -64,6 +67,16 @@
 // OnlyIf lets the mirror ask the store only while follow returns true; otherwise it lives on the copies of peers. Call it before Run.
 func (m *Mirror) OnlyIf(follow func() bool) { m.follow = follow }
 
+// AllowStale lets the first listing be some seconds old, which costs less; the watch, or a peer's copy, makes good what it lacks. Call it before
+// Run.
+func (m *Mirror) AllowStale() { m.stale = true }
+
+// Delay lets the first listing wait for what others are about to write. Call it before Run.
+func (m *Mirror) Delay(d time.Duration) { m.delay = d }
+
+// Settle lets the first watch begin some time after the first listing, when it is clear whether to follow. Call it before Run.
+func (m *Mirror) Settle(d time.Duration) { m.settle = d }
+
 // Revision returns the revision of the copy.
 func (m *Mirror) Revision() kv.Revision {
 	m.mu.Lock()
@@ -75,6 +88,9 @@
 func (m *Mirror) Run(ctx context.Context) {
 	ctx = kv.WithPurpose(ctx, "mirror")
 	pause := firstRetry
+	if m.delay > 0 {
+		wait.For(ctx, m.delay)
+	}
 	for ctx.Err() == nil {
 		if !m.follow() && m.known() {
 			wait.For(ctx, followCheck)
@@ -83,6 +99,11 @@
 		revision, err := m.list(ctx)
 		if err == nil {
 			pause = firstRetry
+			if m.settle > 0 && wait.For(ctx, m.settle) && !m.follow() {
+				m.settle = 0
+				continue
+			}
+			m.settle = 0
 			err = m.watch(ctx, revision)
 		}
 		if ctx.Err() != nil {
@@ -142,7 +163,7 @@
 
 // list replaces the copy by the store's.
 func (m *Mirror) list(ctx context.Context) (kv.Revision, error) {
-	listing, err := m.store.List(ctx, m.prefix)
+	listing, err := m.read(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -157,6 +178,16 @@
 	return listing.Revision, nil
 }
 
+// read lists the keys. Only the first listing may be stale: a later one would bring removed keys back, or begin where the store has dropped the
+// history.
+func (m *Mirror) read(ctx context.Context) (kv.Listing, error) {
+	if m.stale {
+		m.stale = false
+		ctx = kv.AllowStale(ctx)
+	}
+	return m.store.List(ctx, m.prefix)
+}
+
 // replace makes the copy equal to a newer one; m.mu is held.
 func (m *Mirror) replace(s Snapshot, afterOutage bool) {
 	change := Change{AfterOutage: afterOutage}
--- a/node/kvmirror/mirror_test.go
+++ b/node/kvmirror/mirror_test.go
@@ -162,3 +162,56 @@
 		<-done
 	})
 }
+
+// staleStore answers the listings that may be stale with an old one, and drops the history of each watch from there.
+type staleStore struct {
+	*memkv.Store
+	mu           sync.Mutex
+	stale, fresh int // listings
+}
+
+func (s *staleStore) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kv.Stale(ctx) {
+		s.stale++
+		return kv.Listing{Revision: 1}, nil
+	}
+	s.fresh++
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *staleStore) Watch(ctx context.Context, prefix string, after kv.Revision) (<-chan kv.WatchEvent, error) {
+	if after > 1 {
+		return s.Store.Watch(ctx, prefix, after)
+	}
+	events := make(chan kv.WatchEvent, 1)
+	events <- kv.WatchEvent{Err: kv.ErrCompacted}
+	close(events)
+	return events, nil
+}
+
+// Guards against a mirror that lists and watches without a pause, because its stale listings are older than the history that the store keeps.
+func TestStaleListingIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, owner := &staleStore{Store: memkv.New()}, newCopy()
+		put(t, store.Store, "p/a", "1")
+		put(t, store.Store, "p/b", "2")
+		m := kvmirror.New(store, "p/", owner.apply)
+		m.AllowStale()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		requireItems(t, owner, map[string]string{"p/a": "1", "p/b": "2"}, 0)
+		store.mu.Lock()
+		require.Equal(t, 1, store.stale)
+		require.Equal(t, 1, store.fresh)
+		store.mu.Unlock()
+		cancel()
+		<-done
+	})
+}
