Cut off targets whose header never ends

Cause: http.ReadResponse bounds neither the status line, nor the header, nor the number of informational responses, so that a target which sends bytes without end would fill the memory until the deadline of the request. Bodies are bounded by their readers already: events by the splitter, whole answers and foreign ones by their limits.

Change: a connection reads at most 64 KiB for the header of a response.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -29,6 +29,9 @@
 	maxForeign = 2
 	// maxForeignBytes bounds the body of a skipped response.
 	maxForeignBytes = 64 << 10
+	// maxHeadBytes bounds the header of a response, with the informational ones before it. Clients are held to 16 KiB; a target that sends a
+	// header without end would fill the memory until the deadline.
+	maxHeadBytes = 64 << 10
 	// readBuffer is the size in bytes of a connection's read buffer. It holds a response's header and several events.
 	readBuffer = 4 << 10
 	// defaultIdle is how long a connection is pooled when the target states no timeout.
@@ -74,6 +77,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	head    *headLimit
 	address string
 	since   time.Time // when it became idle
 	expires time.Time
@@ -165,9 +169,39 @@
 	c.mu.Lock()
 	c.dialed++
 	c.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: address}, nil
+	head := &headLimit{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
 }
 
+// errHeadTooLong means that a target sent more than maxHeadBytes without completing the header of its answer.
+var errHeadTooLong = eris.New("header of the response is too long")
+
+// headLimit bounds the bytes read while a header is expected.
+type headLimit struct {
+	source io.Reader
+	active bool
+	left   int
+}
+
+// Read implements io.Reader. It fails with errHeadTooLong.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.active {
+		return h.source.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.source.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// expectHead begins the bound on the header of the next response.
+func (h *headLimit) expectHead() { h.active, h.left = true, maxHeadBytes }
+
+// headDone ends it: what follows is the body, which its reader bounds.
+func (h *headLimit) headDone() { h.active = false }
+
 // take removes the connection used last, which is the least likely to have been closed.
 func (c *Client) take(address string) *conn {
 	c.mu.Lock()
@@ -219,7 +253,9 @@
 	}
 	asked := &http.Request{Method: r.Method}
 	for range maxForeign + 1 {
+		k.head.expectHead()
 		response, err := readFinal(k.reader, asked)
+		k.head.headDone()
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
--- a/adapters/rawhttp/client_test.go
+++ b/adapters/rawhttp/client_test.go
@@ -299,3 +299,36 @@
 		})
 	}
 }
+
+// Guards against a target whose header never ends: its bytes would fill the memory until the deadline of the request, if there is one.
+func TestHeaderWithoutEndIsCutOff(t *testing.T) {
+	for name, endless := range map[string][2]string{
+		"status line":   {"", "H"},
+		"header line":   {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w *world
+			written := 0
+			inWorld(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				if !w.read(in) {
+					return
+				}
+				_, err := io.WriteString(c, endless[0])
+				block := strings.Repeat(endless[1], 1024)
+				for err == nil && written < 16<<20 {
+					var n int
+					n, err = io.WriteString(c, block)
+					written += n
+				}
+			}, func(t *testing.T, world *world) {
+				w = world
+				_, err := w.post(t, "b")
+				require.ErrorIs(t, err, httpcall.ErrOutcomeUnknown)
+				synctest.Wait()
+				require.Less(t, written, 1<<20, "the connection is closed")
+			})
+		})
+	}
+}
