--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -234,7 +234,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	for id, state := range p.peers {
-		if state.silent || state.reach == none || now.Sub(state.since()) < state.silentAfter() {
+		if state.silent || state.reach == reachNone || now.Sub(state.since()) < state.silentAfter() {
 			continue
 		}
 		state.silent = true
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -48,7 +48,7 @@
 // silentAfter is the silence after which a peer is suspected. A far peer may not know yet that it is one.
 func (s *peerState) silentAfter() time.Duration {
 	beat := s.beat
-	if s.reach == far {
+	if s.reach == reachFar {
 		beat = farHeartbeat
 	}
 	return missedHeartbeats*beat + beat/2
--- a/node/gateway/peerviews.go
+++ b/node/gateway/peerviews.go
@@ -34,7 +34,7 @@
 	defer p.mu.Unlock()
 	var reports []PeerReport
 	for _, state := range p.peers {
-		if state.heardLately(now) && state.reach != none {
+		if state.heardLately(now) && state.reach != reachNone {
 			reports = append(reports, PeerReport{state.member, state.state})
 		}
 	}
--- a/node/gateway/workingset.go
+++ b/node/gateway/workingset.go
@@ -20,9 +20,9 @@
 type reach int
 
 const (
-	none reach = iota // both stand by
-	far               // one stands by
-	near              // both are in the working set or hold requests
+	reachNone reach = iota // both stand by
+	reachFar               // one stands by
+	reachNear              // both are in the working set or hold requests
 )
 
 const (
@@ -30,6 +30,8 @@
 	reportsHold = 5 * farHeartbeat
 	// arrangePeriod is the least time between two choices of the working set, which looks at all members.
 	arrangePeriod = 100 * time.Millisecond
+	// maxReports bounds the instances that a datagram reports, so that it fits into maxDatagram.
+	maxReports = 512
 	// leastReports is the number of instances that must not have heard a peer lately before one that cannot hear it itself suspects it: the way
 	// between two instances alone may be cut.
 	leastReports = 2
@@ -60,11 +62,11 @@
 	}
 	switch {
 	case self && peer:
-		return near
+		return reachNear
 	case self || peer:
-		return far
+		return reachFar
 	}
-	return none
+	return reachNone
 }
 
 // setActive notes whether this instance holds requests; p.mu is held.
@@ -104,7 +106,7 @@
 	policy := membership.DefaultWorkingSetPolicy()
 	set := membership.WorkingSet(members, slots, policy)
 	var chosen map[fleet.InstanceID]bool
-	if len(members) > policy.AllUpTo {
+	if len(members) > policy.AllUpTo && len(set) > 0 {
 		chosen = make(map[fleet.InstanceID]bool, len(set))
 		for _, m := range set {
 			chosen[m.ID] = true
@@ -193,7 +195,7 @@
 		}
 	}
 	slices.Sort(silent)
-	return silent
+	return silent[:min(len(silent), maxReports)]
 }
 
 // since returns when a peer was last heard. One that has just become known has the time to be heard.
@@ -204,15 +206,15 @@
 	return s.heard
 }
 
-// isSilent tells whether a peer is suspected: it was not heard lately, or others report that and it was not heard by this instance either since
-// it should have been; p.mu is held.
+// isSilent tells whether a peer is suspected: it fell silent and was not heard since, it was not heard lately, or several others report that and
+// this instance did not hear it either; p.mu is held.
 func (p *Peers) isSilent(s *peerState, now time.Time) bool {
 	if s.silent {
 		return true
 	}
 	reported := now.Sub(s.reported) < reportsHold && s.reported.After(s.heard)
 	switch {
-	case s.reach == none:
+	case s.reach == reachNone:
 		return reported
 	case reported && now.Sub(s.heard) > farHeartbeat+heartbeat:
 		return true
@@ -245,9 +247,9 @@
 	for _, s := range p.peers {
 		waited := now.Sub(s.sent)
 		switch {
-		case s.reach == near && (changed && p.tellAtOnce(s) || waited >= heartbeat-heartbeatSlack):
+		case s.reach == reachNear && (changed && p.tellAtOnce(s) || waited >= heartbeat-heartbeatSlack):
 			nearBy = append(nearBy, s.address)
-		case s.reach == far && farDue && len(farOff) < maxFarRound && waited >= farHeartbeat-heartbeatSlack:
+		case s.reach == reachFar && farDue && len(farOff) < maxFarRound && waited >= farHeartbeat-heartbeatSlack:
 			farOff = append(farOff, s.address)
 		default:
 			continue
