--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -45,18 +45,7 @@
 	slotsAt  time.Time                      // when there were that many
 }
 
-// silentAfter is the silence after which a peer is suspected. A far peer may not know yet that it is one.
-func (s *peerState) silentAfter() time.Duration {
-	beat := s.beat
-	if s.reach == reachFar {
-		beat = farHeartbeat
-	}
-	return missedHeartbeats*beat + beat/2
-}
-
-// heardLately tells whether a datagram of the peer came within silentAfter.
-func (s *peerState) heardLately(now time.Time) bool { return now.Sub(s.heard) <= s.silentAfter() }
-
+// peerState is what is known of a peer.
 type peerState struct {
 	reach    reach
 	beat     time.Duration      // until its next datagram at the latest, as it said last
@@ -76,6 +65,18 @@
 	waiting  map[string]int64
 }
 
+// silentAfter is the silence after which a peer is suspected. A far peer may not know yet that it is one.
+func (s *peerState) silentAfter() time.Duration {
+	beat := s.beat
+	if s.reach == reachFar {
+		beat = farHeartbeat
+	}
+	return missedHeartbeats*beat + beat/2
+}
+
+// heardLately tells whether a datagram of the peer came within silentAfter.
+func (s *peerState) heardLately(now time.Time) bool { return now.Sub(s.heard) <= s.silentAfter() }
+
 // NewPeers returns the peers of self, which listens for datagrams on conn.
 func NewPeers(self fleet.Member, topology fleet.Topology, store kv.Store, board *Board, conn net.PacketConn) *Peers {
 	p := &Peers{
