Rank members by hashes that are computed once, and count peers in one place

The hashes are computed once a member now. The counts of a peer were added or taken off in three copies of a loop, and a view without a working set had a branch of its own beside the division, which gives the same for no instances. The order, the homes and the counts are unchanged.

--- a/core/membership/workingset.go
+++ b/core/membership/workingset.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -50,18 +51,10 @@
 
 // choose takes members of each failure domain until they have the cores, each time from the domain that has the least so far.
 func choose(byDomain map[fleet.FailureDomain][]fleet.Member, cores float64, leastPerDomain int) []fleet.Member {
-	domains := make([]fleet.FailureDomain, 0, len(byDomain))
-	for d, list := range byDomain {
-		domains = append(domains, d)
-		slices.SortFunc(list, func(a, b fleet.Member) int {
-			return cmp.Or(
-				cmp.Compare(b.Capacity, a.Capacity),
-				cmp.Compare(rendezvous.Score(workingSetKey, string(b.ID)), rendezvous.Score(workingSetKey, string(a.ID))),
-				cmp.Compare(a.ID, b.ID),
-			)
-		})
+	for _, list := range byDomain {
+		rank(list)
 	}
-	slices.Sort(domains)
+	domains := slices.Sorted(maps.Keys(byDomain))
 	var set []fleet.Member
 	chosen := make(map[fleet.FailureDomain]int)
 	capacity := make(map[fleet.FailureDomain]float64)
@@ -93,6 +86,18 @@
 	return set
 }
 
+// rank orders members by capacity, those of the same capacity by a hash, which is computed once a member: each instance ranks all several times
+// a second.
+func rank(members []fleet.Member) {
+	scores := make(map[fleet.InstanceID]uint64, len(members))
+	for _, m := range members {
+		scores[m.ID] = rendezvous.Score(workingSetKey, string(m.ID))
+	}
+	slices.SortFunc(members, func(a, b fleet.Member) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(scores[b.ID], scores[a.ID]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
 // CapacityOf returns the processor capacity of a member in cores. A member that states none counts as one core.
 func CapacityOf(m fleet.Member) float64 {
 	if m.Capacity > 0 {
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -86,13 +86,8 @@
 	v.divide()
 }
 
+// divide notes which targets are the home of another instance: none without a working set.
 func (v *View) divide() {
-	if v.set == nil {
-		for _, t := range v.targets {
-			t.foreign = false
-		}
-		return
-	}
 	list := make([]Target, 0, len(v.targets))
 	for _, pool := range v.byPool {
 		for _, t := range pool {
@@ -189,9 +184,14 @@
 		v.oldest = now
 	}
 	v.peers[id] = &peer{heard: now, counts: counts}
-	for target, c := range counts {
-		if t, ok := v.targets[target]; ok {
-			t.others = t.others.plus(c)
+	v.count(counts, Count.plus)
+}
+
+// count adds the requests of a peer to those of all peers, or takes them off.
+func (v *View) count(counts map[fleet.TargetID]Count, change func(sum, c Count) Count) {
+	for id, c := range counts {
+		if t, ok := v.targets[id]; ok {
+			t.others = change(t.others, c)
 		}
 	}
 }
@@ -203,11 +203,7 @@
 		return
 	}
 	delete(v.peers, id)
-	for target, c := range p.counts {
-		if t, ok := v.targets[target]; ok {
-			t.others = t.others.minus(c)
-		}
-	}
+	v.count(p.counts, Count.minus)
 }
 
 // sumPeers counts the requests of all peers anew.
@@ -216,11 +212,7 @@
 		t.others = Count{}
 	}
 	for _, p := range v.peers {
-		for target, c := range p.counts {
-			if t, ok := v.targets[target]; ok {
-				t.others = t.others.plus(c)
-			}
-		}
+		v.count(p.counts, Count.plus)
 	}
 }
 
