Keep one candidate type, one walk over peers and one test of a missed peer

- gateway.Candidate and itemjob.Candidate were the same; the peers give the latter, and itemjob.Owner returns the instance instead of its id, for which the caller kept a map of addresses.
- CatchUp walked all peers twice in each round.
A report says whether its peer serves and what waits there, so that Reaching and Candidates filter reports.
- Registrar.SkipLoad stood beside Peers.Loaded, which it made dead.
A view that reads the records itself does not implement RecordLoader.
- "Open" of a job was spelled out at seven places, this instance with its state at two, and the silence of a missed peer at two.
- The settle time of a mirror belongs to its run and is not changed any more; Copies.Delay replaces a second list of the mirrors.

Behaviour is otherwise unchanged.

--- a/node/control/membership/registrar.go
+++ b/node/control/membership/registrar.go
@@ -38,6 +38,10 @@
 type RecordSource interface {
 	// Self returns the member that this process is.
 	Self() fleet.Member
+}
+
+// RecordLoader is a RecordSource that is told of the records of all members. One that reads them by itself does not implement it.
+type RecordLoader interface {
 	// Loaded takes the records of all members, read once after a start or an outage of the store.
 	Loaded(members []fleet.Member)
 }
@@ -48,14 +52,12 @@
 	store kv.Store
 	// LastBackoff bounds the pause after failed attempts; set it before the first Reconcile. The default is 30 s.
 	LastBackoff time.Duration
-	// SkipLoad is set if the view reads the records of the other members by itself.
-	SkipLoad bool
-	lease    kv.LeaseID
-	written  []byte      // value in the store under the lease; nil if unknown
-	revision kv.Revision // modification of the key that was last seen; 0 if the key did not exist
-	backoff  time.Duration
-	retryAt  time.Time
-	loaded   bool // the records of the others were read since the last outage
+	lease       kv.LeaseID
+	written     []byte      // value in the store under the lease; nil if unknown
+	revision    kv.Revision // modification of the key that was last seen; 0 if the key did not exist
+	backoff     time.Duration
+	retryAt     time.Time
+	loaded      bool // the records of the others were read since the last outage
 }
 
 // NewRegistrar returns a registrar.
@@ -74,8 +76,8 @@
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "membership"), storeTimeout)
 	defer cancel()
 	err := r.register(ctx)
-	if err == nil && !r.loaded && !r.SkipLoad {
-		err = r.load(ctx)
+	if loader, ok := r.view.(RecordLoader); ok && err == nil && !r.loaded {
+		err = r.load(ctx, loader)
 	}
 	if err != nil {
 		r.delay()
@@ -168,7 +170,7 @@
 }
 
 // load reads the records of all members once after a start or an outage.
-func (r *Registrar) load(ctx context.Context) error {
+func (r *Registrar) load(ctx context.Context, loader RecordLoader) error {
 	listing, err := r.store.List(ctx, MembersPrefix)
 	if err != nil {
 		return eris.Wrap(err, "list the membership records")
@@ -182,7 +184,7 @@
 		}
 		members = append(members, m)
 	}
-	r.view.Loaded(members)
+	loader.Loaded(members)
 	r.loaded = true
 	return nil
 }
--- a/node/control/membership/view.go
+++ b/node/control/membership/view.go
@@ -74,7 +74,7 @@
 	return v.detector.Members(now), v.detector.TakeEvents()
 }
 
-// Loaded implements RecordSource.
+// Loaded implements RecordLoader.
 func (v *View) Loaded(members []fleet.Member) {
 	v.update(func(d *membership.Detector, now time.Time) { d.ObserveStore(now, members) })
 }
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -115,10 +115,8 @@
 
 // hasRoom tells whether a target other than one, and than those excluded, has room for an online request.
 func (b *Board) hasRoom(service string, other fleet.TargetID, exclude map[fleet.TargetID]bool) bool {
-	without := maps.Clone(exclude)
-	if without == nil {
-		without = make(map[fleet.TargetID]bool, 1)
-	}
+	without := make(map[fleet.TargetID]bool, len(exclude)+1)
+	maps.Copy(without, exclude)
 	without[other] = true
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -71,6 +71,13 @@
 	return map[string]*kvmirror.Mirror{copyConfig: c.Config, copyTargets: c.Targets, copyMembers: c.Members}
 }
 
+// Delay lets the first listings wait for what others are about to write. Call it before the mirrors run.
+func (c Copies) Delay(d time.Duration) {
+	for _, m := range c.named() {
+		m.Delay(d)
+	}
+}
+
 // settle is the time from the first listing to the first watch: the other instances are known by then, and whether to follow.
 const settle = 800 * time.Millisecond
 
@@ -133,7 +140,7 @@
 			c.probe(ctx)
 		}
 		reports := c.peers.Reports()
-		c.arrange()
+		c.arrange(reports)
 		source, wanted := c.source(reports)
 		if len(wanted) == 0 {
 			continue
@@ -164,8 +171,8 @@
 const probeKey = "/eelgrass/probe"
 
 // arrange decides whether this instance follows the list of targets in the store.
-func (c *CatchUp) arrange() {
-	members := c.peers.Reaching()
+func (c *CatchUp) arrange(reports []PeerReport) {
+	members := reaching(reports)
 	if !c.Lost() && c.peers.Serves() {
 		members = append(members, c.peers.Self())
 	}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -95,7 +95,6 @@
 	}
 	p.registry = membership.NewRegistrar(p, store)
 	p.registry.LastBackoff = recordRetry
-	p.registry.SkipLoad = true // the mirror lists the records
 	p.records = kvmirror.New(store, membership.MembersPrefix, p.applyRecords)
 	p.records.AllowStale()
 	board.OnChange(p.Changed)
@@ -139,6 +138,11 @@
 func (p *Peers) Self() fleet.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.current()
+}
+
+// current returns this instance with its state; p.mu is held.
+func (p *Peers) current() fleet.Member {
 	self := p.self
 	if p.draining {
 		self.State = fleet.MemberDraining
@@ -146,13 +150,6 @@
 	return self
 }
 
-// Loaded implements membership.RecordSource.
-func (p *Peers) Loaded(members []fleet.Member) {
-	for _, m := range members {
-		p.know(m, true)
-	}
-}
-
 // Drain tells all that this instance takes no new callers.
 func (p *Peers) Drain() {
 	p.mu.Lock()
--- a/node/gateway/peerviews.go
+++ b/node/gateway/peerviews.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
 )
 
 // Members returns all instances, self included. A peer that was not heard lately is suspected.
@@ -21,9 +22,11 @@
 	return slices.DeleteFunc(p.members(time.Now()), func(m fleet.Member) bool { return !p.serves(m.ID) })
 }
 
-// PeerReport is what a peer that was heard lately told of its copies.
+// PeerReport is what a peer that was heard lately told.
 type PeerReport struct {
-	Member fleet.Member
+	Member  fleet.Member
+	Serves  bool  // callers are sent to it
+	Waiting int64 // tokens of unfinished batch items, on all routes
 	SyncState
 }
 
@@ -33,58 +36,50 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var reports []PeerReport
-	for _, state := range p.peers {
-		if state.heardLately(now) && state.reach != reachNone {
-			reports = append(reports, PeerReport{state.member, state.state})
+	for id, state := range p.peers {
+		if !state.heardLately(now) || state.reach == reachNone {
+			continue
+		}
+		report := PeerReport{Member: state.member, Serves: p.serves(id), SyncState: state.state}
+		for _, tokens := range state.waiting {
+			report.Waiting += tokens
 		}
+		reports = append(reports, report)
 	}
 	return reports
 }
 
+// reaching tells whether a peer serves callers, reaches the store and does not drain.
+func (r *PeerReport) reaching() bool {
+	return r.Serves && !r.Lost && r.Member.State == fleet.MemberAlive
+}
+
 // Reaching returns the peers that serve callers, were heard lately, reach the store and do not drain.
 func (p *Peers) Reaching() []fleet.Member {
-	members := reaching(p.Reports())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.DeleteFunc(members, func(m fleet.Member) bool { return !p.serves(m.ID) })
+	return reaching(p.Reports())
 }
 
 func reaching(reports []PeerReport) []fleet.Member {
 	var members []fleet.Member
-	for _, t := range reports {
-		if !t.Lost && t.Member.State == fleet.MemberAlive {
-			members = append(members, t.Member)
+	for _, r := range reports {
+		if r.reaching() {
+			members = append(members, r.Member)
 		}
 	}
 	return members
 }
 
-// Candidate is a peer that may own jobs.
-type Candidate struct {
-	Member  fleet.Member
-	Waiting int64 // tokens of unfinished batch items, on all routes, as last heard
-}
-
-// Candidates returns the peers of the own region that share the jobs of a fleet with a working set: those of its members that were heard
-// lately, reach the store and do not drain. There is none in a small fleet, whose instances all use the same targets.
-func (p *Peers) Candidates() []Candidate {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.set == nil {
+// Candidates returns the peers of the own region that share the jobs of a fleet with a working set: those of Reaching. There is none in a small
+// fleet, whose instances all use the same targets.
+func (p *Peers) Candidates() []itemjob.Candidate {
+	if !p.large() {
 		return nil
 	}
-	var candidates []Candidate
-	for id, s := range p.peers {
-		remote := p.topology.Distance(p.self.FailureDomain, s.member.FailureDomain) == fleet.OtherRegion
-		if remote || !p.set[id] || !s.heardLately(now) || s.state.Lost || s.member.State != fleet.MemberAlive {
-			continue
-		}
-		c := Candidate{Member: s.member}
-		for _, tokens := range s.waiting {
-			c.Waiting += tokens
+	var candidates []itemjob.Candidate
+	for _, r := range p.Reports() {
+		if r.reaching() && p.topology.Distance(p.self.FailureDomain, r.Member.FailureDomain) != fleet.OtherRegion {
+			candidates = append(candidates, itemjob.Candidate{Member: r.Member, Waiting: r.Waiting})
 		}
-		candidates = append(candidates, c)
 	}
 	return candidates
 }
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -124,7 +124,7 @@
 		w.again(quiet, silent)
 	default:
 		w.suspect(silent)
-		if w.movable && w.x.hasRoomElsewhere(w.held) {
+		if w.movable && w.x.board.hasRoom(w.x.request.Service, w.held.Target.ID, w.x.excluded) {
 			w.leave()
 			return
 		}
@@ -155,8 +155,3 @@
 	w.suspected = true
 	w.x.board.Avoid(w.held.Target.ID, w.x.options.SuspectFor, "silent")
 }
-
-// hasRoomElsewhere tells whether another target that this request has not tried has room now.
-func (x *execution) hasRoomElsewhere(held *Held) bool {
-	return x.board.hasRoom(x.request.Service, held.Target.ID, x.excluded)
-}
--- a/node/gateway/workingset.go
+++ b/node/gateway/workingset.go
@@ -190,7 +190,7 @@
 		silent = append(silent, id)
 	}
 	for id, s := range p.peers {
-		if s.listed && (s.silent || now.Sub(s.since()) > s.silentAfter()) {
+		if s.listed && s.isMissed(now) {
 			silent = append(silent, id)
 		}
 	}
@@ -206,33 +206,27 @@
 	return s.heard
 }
 
-// isSilent tells whether a peer is suspected: it fell silent and was not heard since, it was not heard lately, or several others report that and
-// this instance did not hear it either; p.mu is held.
-func (p *Peers) isSilent(s *peerState, now time.Time) bool {
-	if s.silent {
-		return true
-	}
+// isMissed tells whether this instance should have heard a peer: it fell silent and was not heard since, or was not heard lately.
+func (s *peerState) isMissed(now time.Time) bool {
+	return s.silent || now.Sub(s.since()) > s.silentAfter()
+}
+
+// isSilent tells whether a peer is suspected: this instance misses it, or several others report that they do and this one did not hear it either.
+func (s *peerState) isSilent(now time.Time) bool {
 	reported := now.Sub(s.reported) < reportsHold && s.reported.After(s.heard)
-	switch {
-	case s.reach == reachNone:
-		return reported
-	case reported && now.Sub(s.heard) > farHeartbeat+heartbeat:
-		return true
+	if s.reach == reachNone {
+		return s.silent || reported
 	}
-	return now.Sub(s.since()) > s.silentAfter()
+	return s.isMissed(now) || reported && now.Sub(s.heard) > farHeartbeat+heartbeat
 }
 
 // members returns all instances, self first. A peer that is silent is suspected. p.mu is held.
 func (p *Peers) members(now time.Time) []fleet.Member {
-	self := p.self
-	if p.draining {
-		self.State = fleet.MemberDraining
-	}
 	members := make([]fleet.Member, 0, len(p.peers)+1)
-	members = append(members, self)
+	members = append(members, p.current())
 	for _, state := range p.peers {
 		m := state.member
-		if m.State == fleet.MemberAlive && p.isSilent(state, now) {
+		if m.State == fleet.MemberAlive && state.isSilent(now) {
 			m.State = fleet.MemberSuspect
 		}
 		members = append(members, m)
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -106,9 +106,7 @@
 		Members: i.peers.Records(),
 	}
 	if c.FirstStart {
-		for _, m := range []*kvmirror.Mirror{i.copies.Config, i.copies.Targets, i.copies.Members} {
-			m.Delay(firstListing)
-		}
+		i.copies.Delay(firstListing)
 	}
 	i.catchUp = gateway.NewCatchUp(c.Self, c.Topology, i.peers, i.routes, list, i.copies, reach, i.client, c.Seeds)
 	i.forwarder = gateway.NewForwarder(i.board, i.upstream, c.Protocol, gateway.DefaultOptions(), c.Metrics)
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -79,7 +79,7 @@
 	var batch []saved
 	size := 0
 	for _, j := range s.jobs {
-		if j.gone || j.suspended || j.Complete() || len(batch) == maxCheckpointJobs {
+		if !j.isOpen() || j.suspended || len(batch) == maxCheckpointJobs {
 			continue
 		}
 		value := s.currentProgress(j)
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -31,7 +31,7 @@
 	var open []*owned
 	var runs []*run
 	for _, j := range s.jobs {
-		if !j.gone && !j.Complete() {
+		if j.isOpen() {
 			j.suspended = true
 			open = append(open, j)
 			runs = append(runs, s.runsOf(j)...)
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -88,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
-		if !j.gone && !j.Complete() {
+		if j.isOpen() {
 			return true
 		}
 	}
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -59,7 +59,7 @@
 	for {
 		s.mu.Lock()
 		group, pause := j.Group(time.Now())
-		done := j.gone || j.Complete()
+		done := !j.isOpen()
 		s.mu.Unlock()
 		switch {
 		case done || ctx.Err() != nil:
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -86,7 +86,7 @@
 	}
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if !j.gone && !j.suspended && !j.Complete() {
+		if j.isOpen() && !j.suspended {
 			jobs = append(jobs, j.Job)
 		}
 	}
@@ -211,7 +211,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, j := range s.jobs {
-		if j.gone || j.Complete() {
+		if !j.isOpen() {
 			continue
 		}
 		for _, task := range j.Expired(now) {
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -78,6 +78,9 @@
 	forget      time.Time // when the results are dropped from memory
 }
 
+// isOpen tells whether this instance owns the job and has results of it to record; the service's mutex is held.
+func (j *owned) isOpen() bool { return !j.gone && !j.Complete() }
+
 // New returns a service.
 func New(parts Parts) *Service {
 	s := &Service{
@@ -118,7 +121,7 @@
 	defer s.mu.Unlock()
 	var sums map[string]int64
 	for _, j := range s.jobs {
-		if j.gone || j.Complete() {
+		if !j.isOpen() {
 			continue
 		}
 		if sums == nil {
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -13,7 +13,6 @@
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
-	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/internal/wait"
@@ -67,7 +66,7 @@
 	}
 	unknown := false
 	if address, ok := s.betterOwner(record.Tokens); ok {
-		err := s.passOn(ctx, address, record, sub.Items)
+		err := s.passToBetter(ctx, address, record, sub.Items)
 		if err == nil || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrInvalid) {
 			return err
 		}
@@ -84,10 +83,15 @@
 // passTime bounds a call that passes a job on to a peer with less to do. It leaves time for an attempt of this instance.
 const passTime = 500 * time.Millisecond
 
-func (s *Service) passOn(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+func (s *Service) passToBetter(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
 	ctx, cancel := context.WithTimeout(ctx, passTime)
 	defer cancel()
-	klog.InfoS("Job is passed on", "job", record.ID, "peer", address, "reason", "it has less to do")
+	return s.passOn(ctx, address, record, items, "it has less to do")
+}
+
+// passOn asks a peer to record a job. Errors are those of Submit.
+func (s *Service) passOn(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) error {
+	klog.InfoS("Job is passed on", "job", record.ID, "peer", address, "reason", reason)
 	return s.calls.submit(ctx, address, record, items)
 }
 
@@ -103,8 +107,7 @@
 	if !ok {
 		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
 	}
-	klog.InfoS("Job is passed on", "job", record.ID, "peer", address, "reason", "the store is out of reach, or this instance drains")
-	return s.calls.submit(ctx, address, record, items)
+	return s.passOn(ctx, address, record, items, "the store is out of reach, or this instance drains")
 }
 
 // betterOwner returns the address of the peer that is to own a job of some tokens, if it is not this instance: in a fleet with a working set,
@@ -114,21 +117,15 @@
 	if len(peers) == 0 || s.isDraining() {
 		return "", false
 	}
-	self := itemjob.Candidate{ID: s.Self.ID, Capacity: s.Self.Capacity, Waiting: math.MaxInt64 / 2}
+	self := itemjob.Candidate{Member: s.Self, Waiting: math.MaxInt64 / 2}
 	if s.Peers.Serves() {
 		self.Waiting = 0
 		for _, n := range s.waiting() {
 			self.Waiting += n
 		}
 	}
-	addresses := make(map[fleet.InstanceID]string, len(peers))
-	others := make([]itemjob.Candidate, 0, len(peers))
-	for _, p := range peers {
-		addresses[p.Member.ID] = p.Member.PeerAddress
-		others = append(others, itemjob.Candidate{ID: p.Member.ID, Capacity: p.Member.Capacity, Waiting: p.Waiting})
-	}
-	address, ok := addresses[itemjob.Owner(self, others, tokens)]
-	return address, ok
+	best := itemjob.Owner(self, peers, tokens)
+	return best.PeerAddress, best.ID != s.Self.ID
 }
 
 // Accept records a job with this instance as its owner. Errors are those of Submit.
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -87,7 +87,7 @@
 // Run lists and watches until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	ctx = kv.WithPurpose(ctx, "mirror")
-	pause := firstRetry
+	pause, settle := firstRetry, m.settle
 	if m.delay > 0 {
 		wait.For(ctx, m.delay)
 	}
@@ -99,11 +99,11 @@
 		revision, err := m.list(ctx)
 		if err == nil {
 			pause = firstRetry
-			if m.settle > 0 && wait.For(ctx, m.settle) && !m.follow() {
-				m.settle = 0
+			settled := settle > 0 && wait.For(ctx, settle)
+			settle = 0
+			if settled && !m.follow() {
 				continue
 			}
-			m.settle = 0
 			err = m.watch(ctx, revision)
 		}
 		if ctx.Err() != nil {
