--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -168,6 +168,16 @@
 	}, out)
 }
 
+// requireAnswer requires that a request is answered with the events from 0 to 3, and returns how long that took.
+func (w *world) requireAnswer(t *testing.T) time.Duration {
+	t.Helper()
+	started := time.Now()
+	var out sink
+	require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+	require.Equal(t, allEvents(0, 3), out.body.String())
+	return time.Since(started)
+}
+
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
 
 const streamHead = "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -204,6 +214,12 @@
 	return false
 }
 
+// stalls writes the first event of a stream and then nothing.
+func stalls(w io.Writer, r *http.Request) bool {
+	_, _ = io.WriteString(w, streamHead+chunk(event(0)))
+	return silent(w, r)
+}
+
 func refusing(w io.Writer, _ *http.Request) bool {
 	_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nId: q1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
 	return true
@@ -362,18 +378,10 @@
 // Guards against streams that wait out their deadline at a target that fell silent.
 func TestSilentTargetIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		stalls := func(c io.Writer, r *http.Request) bool {
-			_, _ = io.WriteString(c, streamHead+chunk(event(0)))
-			return silent(c, r)
-		}
 		w := newWorld(t, map[string]script{"t1": stalls, "t2": events(1, 3)})
 		defer w.close()
 		w.first("t1")
-		started := time.Now()
-		var out sink
-		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
-		require.Equal(t, allEvents(0, 3), out.body.String())
-		require.Less(t, time.Since(started), 2*time.Second)
+		require.Less(t, w.requireAnswer(t), 2*time.Second)
 		synctest.Wait()
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -34,30 +34,18 @@
 		defer w.close()
 		w.route.Objective = 300 * time.Millisecond
 		w.first("t1")
-		started := time.Now()
-		var out sink
-		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
-		require.Equal(t, allEvents(0, 3), out.body.String())
-		require.Less(t, time.Since(started), w.route.Objective)
+		require.Less(t, w.requireAnswer(t), w.route.Objective)
 	})
 }
 
 // Guards against a stream whose pause at a target that went silent is longer than its route allows.
 func TestStalledStreamGoesOnWithinItsPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		stalls := func(c io.Writer, r *http.Request) bool {
-			_, _ = io.WriteString(c, streamHead+chunk(event(0)))
-			return silent(c, r)
-		}
 		w := newWorld(t, map[string]script{"t1": stalls, "t2": events(1, 3)})
 		defer w.close()
 		w.route.Objective, w.route.Pause = 300*time.Millisecond, 200*time.Millisecond
 		w.first("t1")
-		started := time.Now()
-		var out sink
-		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
-		require.Equal(t, allEvents(0, 3), out.body.String())
-		require.Less(t, time.Since(started), w.route.Pause)
+		require.Less(t, w.requireAnswer(t), w.route.Pause)
 	})
 }
 
@@ -120,9 +108,7 @@
 		}
 		time.Sleep(w.route.Objective)
 		w.first("t1")
-		var out sink
-		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
-		require.Equal(t, allEvents(0, 3), out.body.String())
+		w.requireAnswer(t)
 		time.Sleep(w.route.Timeout)
 	})
 }
