Log and count how an end reaches the owner of a job

An item that reaches a target after the end of its job can have been started on old knowledge, or in time and arrived late; the logs could not tell which. They say now: at the end, the owner that the record named, whether it took the notice, and an end without a known outcome; at the owner, why it dropped the job, how old its last word of the store was, and how long after the end it found out; at each run of an item, how old that word was (owned_as_of_ms of Request ended). Counters: item_jobs.ends by owner_told, and the histograms item_jobs.start_confirmation_age and item_jobs.end_found_after. The record keeps when a job ended. No decision changes.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -41,6 +41,7 @@
 	Owner       fleet.InstanceID `json:"owner,omitempty"` // empty for a job that waits for an owner
 	Process     uint64           `json:"process,omitempty"`
 	Ended       bool             `json:"ended,omitempty"` // by the client
+	EndedAt     time.Time        `json:"ended_at,omitzero"`
 }
 
 // Result is the outcome of an item at its position.
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -250,7 +250,7 @@
 		"status", o.Status, "took_ms", took.Milliseconds(), "waited_ms", x.waited.Milliseconds(),
 		"first_ms", x.progress.First.Milliseconds(), "events", x.progress.Events, "tries", x.trail}
 	if r.Job != "" {
-		keys = append(keys, "job", r.Job)
+		keys = append(keys, "job", r.Job, "owned_as_of_ms", r.Arrived.Sub(r.OwnedAsOf).Milliseconds())
 	}
 	if o.Cause != nil {
 		keys = append(keys, "cause", o.Cause.Error())
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,18 +13,20 @@
 
 // Request is one opaque request. It is immutable.
 type Request struct {
-	ID       fleet.RequestID
-	Job      string // of a batch item; empty for an online request
-	Method   string
-	URI      string // request target as the client sent it
-	Host     string
-	Header   http.Header // end-to-end headers, without those that a Protocol sets itself
-	Body     []byte
-	Route    *routetable.Route
-	Service  string // backend of the route that was drawn for the request
-	Version  int64  // of the routing table
-	Arrived  time.Time
-	Deadline time.Time // the earlier one of the client's deadline and the route's timeout
+	ID  fleet.RequestID
+	Job string // of a batch item; empty for an online request
+	// OwnedAsOf is, for a batch item, as of when its instance last knew from the store that the job is open and its own.
+	OwnedAsOf time.Time
+	Method    string
+	URI       string // request target as the client sent it
+	Host      string
+	Header    http.Header // end-to-end headers, without those that a Protocol sets itself
+	Body      []byte
+	Route     *routetable.Route
+	Service   string // backend of the route that was drawn for the request
+	Version   int64  // of the routing table
+	Arrived   time.Time
+	Deadline  time.Time // the earlier one of the client's deadline and the route's timeout
 }
 
 // Attempt is what a Protocol needs to know of one try.
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -121,6 +121,7 @@
 		Kept:      c.ResultsKept,
 		Lost:      i.catchUp.Lost,
 		Seed:      c.Self.Incarnation,
+		Metrics:   c.Metrics,
 	})
 	return i, nil
 }
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -59,6 +59,7 @@
 		txn.Then = append(txn.Then, ops...)
 		txn.Compares = append(txn.Compares, kv.Compare{Key: recordKey(one.job.ID), Target: kv.CompareModRevision, Revision: one.job.revision})
 	}
+	asOf := time.Now()
 	result, err := s.Store.Txn(ctx, txn)
 	if err != nil || !result.Succeeded {
 		// The next round writes it again; a job that is no longer owned is found by its next result or by a look at the open marks.
@@ -69,6 +70,7 @@
 	defer s.mu.Unlock()
 	for _, one := range batch {
 		one.job.savedEvents = one.events
+		one.job.confirm(asOf)
 	}
 }
 
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -161,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	asOf := time.Now()
 	revision, err = s.replaceRecord(ctx, id, revision, ops)
 	if err != nil {
 		if !errors.Is(err, errContended) {
@@ -169,7 +170,7 @@
 		return err
 	}
 	go s.tellFormer(context.WithoutCancel(ctx), id, former)
-	return s.resume(ctx, record, revision, former, given)
+	return s.resume(ctx, record, revision, former, given, asOf)
 }
 
 // tellFormer lets an owner that was replaced, and may not know it, stop the items of a job.
@@ -183,8 +184,8 @@
 	}
 }
 
-// resume goes on with a job that this instance has just become the owner of.
-func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, given *progress) error {
+// resume goes on with a job that this instance has become the owner of by a write sent at asOf.
+func (s *Service) resume(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, given *progress, asOf time.Time) error {
 	items, err := s.loadItems(ctx, &record)
 	if err != nil {
 		return err
@@ -200,7 +201,7 @@
 	continued := given.apply(job, time.Now())
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
 		"due_in_ms", time.Until(record.Due).Milliseconds())
-	s.own(job, revision)
+	s.own(job, revision, asOf)
 	return nil
 }
 
@@ -230,9 +231,17 @@
 	}
 	s.mu.Unlock()
 	for _, j := range doubtful {
-		record, revision, err := s.getRecord(ctx, j.ID)
-		if err == nil && (revision != j.revision || record.Ended) || errors.Is(err, ErrNotFound) {
-			s.drop(j, "another instance owns it, or it ended")
+		sent := time.Now()
+		current, err := s.Store.Get(ctx, recordKey(j.ID))
+		switch {
+		case errors.Is(err, kv.ErrNotFound) || err == nil && current.ModRevision != j.revision:
+			s.dropChanged(j, current)
+		case err == nil:
+			s.mu.Lock()
+			j.confirm(sent)
+			s.mu.Unlock()
+		default:
+			klog.ErrorS(err, "Doubtful job was not looked up", "job", j.ID)
 		}
 	}
 }
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -199,20 +199,25 @@
 func (s *Service) End(ctx context.Context, id itemjob.ID) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTime)
 	defer cancel()
+	started := time.Now()
 	for {
 		record, revision, err := s.getRecord(ctx, id)
 		if err != nil {
 			return err
 		}
 		if record.Ended {
+			klog.InfoS("Job had ended before", "job", id, "ended_at", record.EndedAt)
 			return nil
 		}
 		err = s.endOnce(ctx, record, revision)
 		switch {
 		case err == nil:
-			s.tellEnded(ctx, &record)
+			told := s.tellEnded(ctx, &record)
+			s.stats.ended(told)
+			klog.InfoS("Job ended", "job", id, "revision", revision, "owner", record.Owner, "owner_told", told, "took_ms", time.Since(started).Milliseconds())
 			return nil
 		case !errors.Is(err, errContended):
+			klog.InfoS("End of a job has no known outcome", "job", id, "revision", revision, "owner", record.Owner, "cause", err.Error())
 			return errors.Join(ErrUnavailable, err)
 		}
 	}
@@ -220,7 +225,7 @@
 
 // endOnce ends the job if its record is still at the revision. Errors are those of replaceRecord.
 func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) error {
-	record.Ended, record.Owner, record.Process = true, "", 0
+	record.Ended, record.EndedAt, record.Owner, record.Process = true, time.Now(), "", 0
 	ops, err := putJSON(recordKey(record.ID), record)
 	if err != nil {
 		return err
@@ -229,17 +234,22 @@
 	return err
 }
 
-// tellEnded stops the items of a job at its owner. An owner that is not reached finds out when it looks at the open marks, or at its next
-// write.
-func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) {
+// tellEnded stops the items of a job at its owner, and tells whether the owner took the notice. An owner that is not reached finds out when it
+// looks at the open marks, or at its next write.
+func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) bool {
 	s.DropOwned(record.ID, "client ended it")
+	if record.Owner == s.Self.ID {
+		return true
+	}
 	address, ok := s.addressOf(record.Owner)
 	if !ok {
-		return
+		return false
 	}
 	if err := s.calls.drop(ctx, address, record.ID); err != nil {
 		klog.ErrorS(err, "Owner was not told that a job ended", "job", record.ID, "owner", record.Owner)
+		return false
 	}
+	return true
 }
 
 // DropOwned drops a job that is no longer this instance's, also while it is taken up; it returns false if it was not.
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -118,6 +118,7 @@
 	if position+len(group) == total {
 		ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(j.ID)}, kv.Op{Kind: kv.OpDelete, Key: partialKey(j.ID)})
 	}
+	asOf := time.Now()
 	result, err := s.Store.Txn(ctx, kv.Txn{
 		Compares: []kv.Compare{
 			{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: revision},
@@ -131,29 +132,31 @@
 		klog.ErrorS(err, "Results were not recorded yet", "job", j.ID, "position", position, "results", len(group))
 		return false
 	case result.Succeeded:
-		s.recorded(j, position, group)
+		s.recorded(j, position, group, asOf)
 		return true
 	}
-	return s.conflict(j, position, group, ops[0].Value, result)
+	return s.conflict(j, position, group, ops[0].Value, result, asOf)
 }
 
 // conflict handles a failed condition: an earlier attempt took effect, or the job is no longer this owner's.
-func (s *Service) conflict(j *owned, position int, group []itemjob.Result, value []byte, result kv.TxnResult) bool {
+func (s *Service) conflict(j *owned, position int, group []itemjob.Result, value []byte, result kv.TxnResult, asOf time.Time) bool {
 	if len(result.Gets) != 2 {
 		return false
 	}
 	record, existing := result.Gets[0], result.Gets[1]
 	if record.ModRevision == j.revision && bytes.Equal(existing.Value, value) {
-		s.recorded(j, position, group)
+		s.recorded(j, position, group, asOf)
 		return true
 	}
-	s.drop(j, "its record changed")
+	s.dropChanged(j, record)
 	return true
 }
 
-func (s *Service) recorded(j *owned, position int, group []itemjob.Result) {
+// recorded notes that the store took a group of results in a call sent at asOf.
+func (s *Service) recorded(j *owned, position int, group []itemjob.Result, asOf time.Time) {
 	now := time.Now()
 	s.mu.Lock()
+	j.confirm(asOf)
 	j.Recorded(len(group), now)
 	complete := j.Complete()
 	if complete {
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -132,18 +132,20 @@
 		header.Set(name, value)
 	}
 	request := &gateway.Request{
-		ID:      fleet.RequestID(task.Item.ID),
-		Job:     string(j.ID),
-		Method:  http.MethodPost,
-		URI:     task.Item.Path,
-		Host:    j.Host,
-		Header:  header,
-		Body:    task.Item.Body,
-		Route:   itemRoute(route),
-		Service: service,
-		Version: table.Version,
-		Arrived: time.Now(),
+		ID:        fleet.RequestID(task.Item.ID),
+		Job:       string(j.ID),
+		Method:    http.MethodPost,
+		URI:       task.Item.Path,
+		Host:      j.Host,
+		Header:    header,
+		Body:      task.Item.Body,
+		Route:     itemRoute(route),
+		Service:   service,
+		Version:   table.Version,
+		Arrived:   time.Now(),
+		OwnedAsOf: j.confirmed,
 	}
+	s.stats.started(request.Arrived.Sub(request.OwnedAsOf))
 	progress := &gateway.Progress{Last: task.Last, Events: task.Events}
 	klog.V(1).InfoS("Item starts", "job", j.ID, "item", task.Item.ID, "target", id, "urgent", choice.Urgent, "resume_after", task.Last, "events", task.Events)
 	s.running.Go(func() {
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -34,6 +36,8 @@
 	// Lost tells whether the store is out of this instance's reach.
 	Lost func() bool
 	Seed uint64 // of the times at which the instance looks at the jobs of others
+	// Metrics takes the counters of the package.
+	Metrics tally.Scope
 }
 
 // Parts of the seed for the goroutines.
@@ -46,6 +50,7 @@
 type Service struct {
 	Parts
 	calls peerCalls
+	stats stats
 	life  context.Context // ends with the service
 	stop  context.CancelFunc
 	wake  chan struct{} // asks the scheduler to look
@@ -67,10 +72,12 @@
 // owned is a job that this instance owns.
 type owned struct {
 	*itemjob.Job
-	since    time.Time     // when this instance became the owner
-	revision kv.Revision   // of the record, under which results are recorded
-	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
-	flush    chan struct{} // asks the recorder to look
+	since    time.Time   // when this instance became the owner
+	revision kv.Revision // of the record, under which results are recorded
+	// confirmed is when the latest call was sent whose answer showed that the job is open and this instance's.
+	confirmed time.Time
+	changed   chan struct{} // closed and replaced when results were recorded or the job is no longer owned
+	flush     chan struct{} // asks the recorder to look
 	// suspended keeps items from starting while the job is handed over.
 	suspended   bool
 	savedEvents int       // in the progress that was last written
@@ -94,6 +101,7 @@
 		runs:     make(map[fleet.TargetID][]*run),
 	}
 	s.calls = peerCalls{parts.Client}
+	s.stats = newStats(parts.Metrics)
 	s.life, s.stop = context.WithCancel(context.Background())
 	parts.Board.OnYield(s.yield)
 	parts.Peers.OnWaiting(s.announced)
@@ -176,9 +184,10 @@
 	}
 }
 
-// own takes a job up. It is called after the store says that this instance owns it, between beginTakeUp and its end.
-func (s *Service) own(job *itemjob.Job, revision kv.Revision) {
-	j := &owned{Job: job, since: time.Now(), revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
+// own takes a job up. It is called after the store says, in the answer to a call sent at asOf, that this instance owns it, between beginTakeUp
+// and its end.
+func (s *Service) own(job *itemjob.Job, revision kv.Revision, asOf time.Time) {
+	j := &owned{Job: job, since: time.Now(), revision: revision, confirmed: asOf, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
 	s.mu.Lock()
 	if t, ok := s.taking[job.ID]; ok && t.dropped {
 		s.mu.Unlock()
@@ -217,11 +226,38 @@
 	}
 	runs := s.runsOf(j)
 	s.notifyLocked(j)
+	confirmed := j.confirmed
 	s.mu.Unlock()
 	for _, r := range runs {
 		r.cancel(errDropped)
 	}
-	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", len(j.Results), "runs", len(runs))
+	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", len(j.Results), "runs", len(runs),
+		"confirmed_ms", time.Since(confirmed).Milliseconds())
+}
+
+// dropChanged drops a job whose record in the store is not as this owner left it, or is gone.
+func (s *Service) dropChanged(j *owned, current kv.KeyValue) {
+	var record itemjob.Record
+	switch err := decode(current.Value, &record); {
+	case current.ModRevision == 0:
+		s.drop(j, "its record is gone")
+	case err != nil:
+		klog.ErrorS(err, "Changed record of a job cannot be read", "job", j.ID)
+		s.drop(j, "its record changed")
+	case record.Ended:
+		after := time.Since(record.EndedAt)
+		s.stats.endFound(after)
+		s.drop(j, fmt.Sprintf("the store says that its client ended it %d ms ago", after.Milliseconds()))
+	default:
+		s.drop(j, fmt.Sprintf("the store says that %q owns it", record.Owner))
+	}
+}
+
+// confirm notes that a job was open and this instance's as of a time; s.mu is held.
+func (j *owned) confirm(asOf time.Time) {
+	if asOf.After(j.confirmed) {
+		j.confirmed = asOf
+	}
 }
 
 // notifyLocked wakes readers and the recorder of a job; s.mu is held.
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -220,13 +220,14 @@
 func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) error {
 	unknown := false
 	for {
+		asOf := time.Now()
 		result, err := s.Store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Succeeded:
-			s.accepted(record, items, result.Revision)
+			s.accepted(record, items, result.Revision, asOf)
 			return nil
 		case err == nil:
-			return s.exists(record, items, result)
+			return s.exists(record, items, result, asOf)
 		case errors.Is(err, kv.ErrOutcomeUnknown):
 			unknown = true
 		case !unknown:
@@ -241,14 +242,14 @@
 	}
 }
 
-func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision) {
+func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision, asOf time.Time) {
 	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
 		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
-	s.own(itemjob.NewJob(record, items, nil), revision)
+	s.own(itemjob.NewJob(record, items, nil), revision, asOf)
 }
 
 // exists handles a job whose record is there: from an earlier submission, or from an attempt of this one whose answer was lost.
-func (s *Service) exists(record itemjob.Record, items []itemjob.Item, result kv.TxnResult) error {
+func (s *Service) exists(record itemjob.Record, items []itemjob.Item, result kv.TxnResult, asOf time.Time) error {
 	var found itemjob.Record
 	if len(result.Gets) == 0 {
 		return eris.Wrap(ErrUnavailable, "the store did not show the job")
@@ -257,7 +258,7 @@
 		return fmt.Errorf("job %s: %w", record.ID, err)
 	}
 	if found.Token == record.Token && found.Owner == record.Owner && found.Process == record.Process {
-		s.accepted(record, items, result.Gets[0].ModRevision)
+		s.accepted(record, items, result.Gets[0].ModRevision, asOf)
 		return nil
 	}
 	klog.InfoS("Job was accepted before", "job", record.ID, "owner", found.Owner, "ended", found.Ended)
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -178,6 +178,7 @@
 	n.service = itemjobs.New(itemjobs.Parts{
 		Self: self, Store: n.store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
 		Kept: 2 * time.Minute, Lost: func() bool { return n.store.err() != nil }, Seed: uint64(len(w.nodes)),
+		Metrics: tally.NoopScope,
 	})
 	mux := http.NewServeMux()
 	n.service.Handle(mux)
