Reproduce items that start after the end of their job

Four tests on virtual time, each with an order of events that leaves the owner without the notice of the end while it reaches the store and the target: the way between it and the instance that ends the job is cut; the store's answer to the end is lost and the client ends the job at another instance; the owner took the job up a moment before; the job moved and the former owner was not told.

--- /dev/null
+++ b/node/itemjobs/ended_test.go
@@ -0,0 +1,136 @@
+package itemjobs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/node/gateway"
+)
+
+// endBound is the time after the acknowledged end of a job from which none of its items may reach a target.
+const endBound = 3 * time.Second
+
+// openMarks is the prefix of the keys by which instances find open jobs.
+const openMarks = "/eelgrass/item-jobs/open/"
+
+// severalTimesTheSlots returns the items of a job that fill the target several times over, so that items wait at any moment of the job.
+func severalTimesTheSlots() []string {
+	var items []string
+	for i := range 30 {
+		items = append(items, fmt.Sprintf("a%d", i))
+	}
+	return items
+}
+
+func (w *world) submitMany(n *node) {
+	sub := submission("j", severalTimesTheSlots()...)
+	for i := range sub.Items {
+		sub.Items[i].Tokens = 1
+	}
+	require.NoError(w.t, n.service.Submit(w.t.Context(), sub))
+}
+
+// separate cuts the way between two instances; both reach the store and the target.
+func (w *world) separate(a, b *node) {
+	w.network.Partition([]string{a.address}, []string{b.address})
+}
+
+// requireStops checks that no item reaches the target later than endBound after now, the moment at which the end of its job was acknowledged.
+func (w *world) requireStops() {
+	w.t.Helper()
+	ended := time.Now()
+	time.Sleep(10 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		require.LessOrEqual(w.t, r.at.Sub(ended), endBound, "item %s from %s", r.item, r.from)
+	}
+}
+
+func TestItemsOfAnEndedJobDoNotStartAtAnOwnerThatIsNotTold(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		owner, other := w.nodes[0], w.nodes[1]
+		w.submitMany(owner)
+		time.Sleep(500 * time.Millisecond)
+		owner.store.freeze(t, openMarks) // stale reads are seconds behind
+		w.separate(owner, other)
+		require.NoError(t, other.service.End(t.Context(), "j"))
+		time.AfterFunc(4*time.Second, owner.store.thaw)
+		w.requireStops()
+	})
+}
+
+func TestItemsOfAnEndedJobDoNotStartAfterALostAnswerToItsEnd(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		owner, first, second := w.nodes[0], w.nodes[1], w.nodes[2]
+		w.submitMany(owner)
+		time.Sleep(500 * time.Millisecond)
+		owner.store.freeze(t, openMarks)
+		w.store.OnTxn(nil, func(kv.Txn) error { return kv.ErrOutcomeUnknown })
+		require.Error(t, first.service.End(t.Context(), "j"))
+		w.store.OnTxn(nil, nil)
+		require.NoError(t, second.service.End(t.Context(), "j"), "the client comes again at another instance")
+		time.AfterFunc(4*time.Second, owner.store.thaw)
+		w.requireStops()
+	})
+}
+
+func TestItemsOfAnEndedJobDoNotStartAtAnOwnerThatJustTookItUp(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		w.submitMany(w.nodes[0])
+		time.Sleep(500 * time.Millisecond)
+		w.kill(w.nodes[0])
+		owner, other := w.awaitOwner(w.nodes[1], w.nodes[2])
+		w.separate(owner, other)
+		require.NoError(t, other.service.End(t.Context(), "j"))
+		w.requireStops()
+	})
+}
+
+// awaitOwner waits until one of two instances owns the job, and returns it first.
+func (w *world) awaitOwner(a, b *node) (owner, other *node) {
+	for {
+		for _, pair := range [][2]*node{{a, b}, {b, a}} {
+			if _, owned := pair[0].service.ReadOwned(w.t.Context(), "j", 0, 0); owned {
+				return pair[0], pair[1]
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestItemsOfAJobThatMovedDoNotStartAtAFormerOwnerThatIsNotTold(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		former, next, third := w.nodes[0], w.nodes[1], w.nodes[2]
+		w.submitMany(former)
+		time.Sleep(500 * time.Millisecond)
+		former.store.freeze(t, openMarks)
+		w.separate(former, next)
+		release := fillSlots(t, former)
+		time.Sleep(1500 * time.Millisecond) // next suspects former
+		require.NoError(t, next.service.Adopt(t.Context(), "j", nil))
+		require.NoError(t, third.service.End(t.Context(), "j"))
+		time.AfterFunc(4*time.Second, former.store.thaw)
+		time.AfterFunc(endBound+200*time.Millisecond, release)
+		w.requireStops()
+	})
+}
+
+// fillSlots makes the items of an instance give way to online requests and wait until release.
+func fillSlots(t *testing.T, n *node) (release func()) {
+	var held []*gateway.Held
+	for range targetSlots {
+		h, _ := n.board.Online("s", "q", nil)
+		require.NotNil(t, h)
+		held = append(held, h)
+	}
+	return func() {
+		for _, h := range held {
+			h.Release()
+		}
+	}
+}
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -59,6 +59,22 @@
 	mu   sync.Mutex
 	shut bool
 	get  func(key string) // called ahead of each Get; may be nil
+	old  *kv.Listing      // answers reads that may be stale; nil: they are answered from the store
+}
+
+// freeze answers reads of a prefix that may be stale as of now, until thaw.
+func (g *gate) freeze(t *testing.T, prefix string) {
+	listing, err := g.Store.List(t.Context(), prefix)
+	require.NoError(t, err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.old = &listing
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.old = nil
 }
 
 func (g *gate) onGet(get func(key string)) {
@@ -99,6 +115,12 @@
 	if err := g.err(); err != nil {
 		return kv.Listing{}, err
 	}
+	g.mu.Lock()
+	old := g.old
+	g.mu.Unlock()
+	if old != nil && kv.Stale(ctx) {
+		return *old, nil
+	}
 	return g.Store.List(ctx, prefix)
 }
 
@@ -114,6 +136,7 @@
 	item  string
 	after string
 	from  string // address of the instance
+	at    time.Time
 }
 
 // node is one instance.
@@ -129,7 +152,7 @@
 	stop     func()
 }
 
-// world is a fleet of instances over one store and one target of eight slots.
+// world is a fleet of instances over one store and one target of targetSlots.
 type world struct {
 	t       *testing.T
 	network *memnet.Network
@@ -141,7 +164,10 @@
 	status  map[string]int // answers of the target in place of a stream, by item
 }
 
-const targetAddress = "10.9.0.1:80"
+const (
+	targetAddress = "10.9.0.1:80"
+	targetSlots   = 8
+)
 
 func newWorld(t *testing.T, instances int) *world {
 	w := &world{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int)}
@@ -166,7 +192,7 @@
 	require.NoError(w.t, err)
 	dial := w.network.DialContext(n.address)
 	n.board = gateway.NewBoard(slots.NewView(id, "a", fleet.Topology{}, slots.DefaultPolicy()))
-	target := slots.Target{Slots: 8}
+	target := slots.Target{Slots: targetSlots}
 	target.ID, target.Service, target.Address, target.State = "t1", "s", targetAddress, fleet.TargetLive
 	n.board.SetTargets([]slots.Target{target})
 	n.peers = gateway.NewPeers(self, fleet.Topology{}, n.store, n.board, packets)
@@ -246,7 +272,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	id, after := r.Header.Get("Id"), r.Header.Get("After")
 	w.mu.Lock()
-	w.runs = append(w.runs, run{id, after, c.RemoteAddr().String()})
+	w.runs = append(w.runs, run{id, after, c.RemoteAddr().String(), time.Now()})
 	status := w.status[id]
 	w.mu.Unlock()
 	if status != 0 {
