Let watches of the in-memory store begin at the listing of an empty store

In the logs of a failed run instances did not know each other. An instance that listed the empty store at revision 0 watched from 0, which means 'from now on', and missed a record that was written in between. The real stores count from above 0; so does this one now. Ruled out: the product's mirror (its watch begins at the revision of its listing).

--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -29,12 +29,13 @@
 	after    func(kv.Txn) error
 }
 
-// New returns an empty store.
+// New returns an empty store. Its revision starts above 0, so that a watch from an empty listing misses nothing.
 func New() *Store {
 	return &Store{
-		items:   map[string]kv.KeyValue{},
-		watches: map[chan kv.WatchEvent]string{},
-		leases:  map[kv.LeaseID]lease{},
+		revision: 1,
+		items:    map[string]kv.KeyValue{},
+		watches:  map[chan kv.WatchEvent]string{},
+		leases:   map[kv.LeaseID]lease{},
 	}
 }
 
