Start items only of jobs that the store has confirmed lately

Cause: an owner went on with a job until somebody told it. The one notice of an end may be lost, may go to one of two owners, or is not sent when the store's answer to the end is lost and the client ends the job at another instance, as the record has lost the owner's name by then. What made good for it was slower than the bound of 3 s: the next result of the job, up to a run later, or a look at the open marks every 1 to 3 s, at a listing that may be 3 s old, which passes over jobs taken up less than 3 s ago.

Ruled out: requests that arrive late (connecting is bounded by 120 ms and an item makes one try a run), changed or foreign requests (the whole request is written before an answer is read, connections are pooled only after a whole answer).

Change: an owner starts an item only if a call of the last 2 s showed that the job is open and its own. Accepting, taking up, recording results and writing progress are such calls; while items wait and none of them was made for a second, one transaction without writes compares the records of up to 32 jobs. A record that changed is found there, and in the write of progress, which before failed again and again for all of an owner's jobs. While nobody known to the instance reaches the store no job can be ended, and items start without.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -93,6 +93,7 @@
 	Immediate bool     // results are recorded without waiting for others
 	pending   []Result // finished and not recorded, in the order of their positions
 	since     time.Time
+	confirmed time.Time // see Confirm
 	byItem    map[string]*Task
 }
 
--- /dev/null
+++ b/core/itemjob/ownership_test.go
@@ -0,0 +1,33 @@
+package itemjob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against items that start on an answer of the store from before the end of their job, and against calls for jobs without waiting items.
+func TestItemsStartOnlyOnNewAnswersOfTheStore(t *testing.T) {
+	sent := time.Now()
+	j := NewJob(Record{ID: "j"}, []Item{{ID: "a"}}, nil)
+	require.False(t, j.IsConfirmed(sent), "nothing is known yet")
+	j.Confirm(sent)
+	j.Confirm(sent.Add(-time.Second)) // an answer that was overtaken
+	require.Equal(t, sent, j.ConfirmedAt())
+	for _, c := range []struct {
+		age              time.Duration
+		confirmed, needs bool
+	}{
+		{0, true, false},
+		{900 * time.Millisecond, true, false},
+		{1500 * time.Millisecond, true, true},
+		{2500 * time.Millisecond, false, true},
+	} {
+		now := sent.Add(c.age)
+		require.Equal(t, c.confirmed, j.IsConfirmed(now), c.age)
+		require.Equal(t, c.needs, j.NeedsConfirmation(now), c.age)
+	}
+	j.Tasks[0].Phase = Running
+	require.False(t, j.NeedsConfirmation(sent.Add(time.Minute)))
+}
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -50,6 +50,7 @@
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-progress"), checkpointTimeout)
 	defer cancel()
 	var txn kv.Txn
+	var jobs []*owned
 	for _, one := range batch {
 		ops, err := putJSON(partialKey(one.job.ID), one.value)
 		if err != nil {
@@ -57,20 +58,23 @@
 			return
 		}
 		txn.Then = append(txn.Then, ops...)
-		txn.Compares = append(txn.Compares, kv.Compare{Key: recordKey(one.job.ID), Target: kv.CompareModRevision, Revision: one.job.revision})
+		jobs = append(jobs, one.job)
 	}
+	expectOwned(&txn, jobs)
 	asOf := time.Now()
 	result, err := s.Store.Txn(ctx, txn)
-	if err != nil || !result.Succeeded {
-		// The next round writes it again; a job that is no longer owned is found by its next result or by a look at the open marks.
-		klog.V(1).InfoS("Progress of jobs was not written", "jobs", len(batch), "error", err)
+	if err != nil {
+		klog.V(1).InfoS("Progress of jobs was not written", "jobs", len(batch), "error", err.Error())
+		return // the next round writes it again
+	}
+	s.learn(jobs, result, asOf)
+	if !result.Succeeded {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, one := range batch {
 		one.job.savedEvents = one.events
-		one.job.confirm(asOf)
 	}
 }
 
--- a/node/itemjobs/collect.go
+++ b/node/itemjobs/collect.go
@@ -17,8 +17,8 @@
 	collectPeriod = time.Minute
 	// keptMargin is added to the time for which results stay readable, for clients that read a little later and for clocks that differ.
 	keptMargin = time.Minute
-	// maxRemovals is the number of keys that one transaction of the store takes.
-	maxRemovals = 32
+	// maxTxnEntries is the number of conditions, writes and removals that one transaction of the store takes.
+	maxTxnEntries = 32
 	// collectTimeout bounds one round.
 	collectTimeout = 20 * time.Second
 )
@@ -104,7 +104,7 @@
 	}
 	keys = append(keys, recordKey(record.ID))
 	for len(keys) > 0 {
-		n := min(len(keys), maxRemovals)
+		n := min(len(keys), maxTxnEntries)
 		var ops []kv.Op
 		for _, key := range keys[:n] {
 			ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: key})
--- /dev/null
+++ b/node/itemjobs/confirm.go
@@ -0,0 +1,108 @@
+package itemjobs
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/node/internal/wait"
+)
+
+const (
+	// confirmTimeout bounds the call that confirms jobs. An answer that takes longer is too old to start items.
+	confirmTimeout = 1500 * time.Millisecond
+	// confirmRetry is the pause after a call that failed.
+	confirmRetry = 250 * time.Millisecond
+)
+
+// confirmJobs asks the store, while items wait, whether their jobs are still open and this instance's: the notices of an end and of a new owner
+// may be lost.
+func (s *Service) confirmJobs(ctx context.Context) {
+	for {
+		select {
+		case <-s.unconfirmed:
+		case <-ctx.Done():
+			return
+		}
+		for !s.Lost() {
+			batch := s.toConfirm(time.Now())
+			if len(batch) == 0 {
+				break
+			}
+			if s.confirmOnce(ctx, batch) {
+				wait.Wake(s.wake)
+			} else if !wait.For(ctx, confirmRetry) {
+				return
+			}
+		}
+	}
+}
+
+// toConfirm returns the jobs that need confirmation, as many as one transaction takes, those confirmed longest ago first.
+func (s *Service) toConfirm(now time.Time) []*owned {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var batch []*owned
+	for _, j := range s.jobs {
+		if j.isOpen() && !j.suspended && j.NeedsConfirmation(now) {
+			batch = append(batch, j)
+		}
+	}
+	slices.SortFunc(batch, func(a, b *owned) int { return a.ConfirmedAt().Compare(b.ConfirmedAt()) })
+	return batch[:min(len(batch), maxTxnEntries)]
+}
+
+// confirmOnce compares the records of jobs with the store in one transaction that writes nothing. It returns false if the store did not answer.
+func (s *Service) confirmOnce(ctx context.Context, batch []*owned) bool {
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-confirm"), confirmTimeout)
+	defer cancel()
+	var txn kv.Txn
+	expectOwned(&txn, batch)
+	asOf := time.Now()
+	result, err := s.Store.Txn(ctx, txn)
+	if err != nil {
+		klog.InfoS("Jobs were not confirmed, their items do not start", "jobs", len(batch), "cause", err.Error())
+		return false
+	}
+	return s.learn(batch, result, asOf)
+}
+
+// expectOwned makes a transaction depend on the records of jobs being as their owner left them, and read those records otherwise.
+func expectOwned(txn *kv.Txn, batch []*owned) {
+	for _, j := range batch {
+		txn.Compares = append(txn.Compares, kv.Compare{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: j.revision})
+		txn.Else = append(txn.Else, kv.Op{Kind: kv.OpGet, Key: recordKey(j.ID)})
+	}
+}
+
+// learn takes the result of a transaction with expectOwned that was sent at asOf: jobs are confirmed, or dropped if their records changed. It
+// returns false if the result does not show the records.
+func (s *Service) learn(batch []*owned, result kv.TxnResult, asOf time.Time) bool {
+	if !result.Succeeded && len(result.Gets) != len(batch) {
+		klog.ErrorS(nil, "Store did not show the records of jobs", "jobs", len(batch), "shown", len(result.Gets))
+		return false
+	}
+	for i, j := range batch {
+		if result.Succeeded || result.Gets[i].ModRevision == j.revision {
+			s.confirm(j, asOf)
+		} else {
+			s.dropChanged(j, result.Gets[i])
+		}
+	}
+	return true
+}
+
+func (s *Service) confirm(j *owned, asOf time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.Confirm(asOf)
+}
+
+// startsUnconfirmed tells whether items start without the store's word on their jobs: while nobody known to this instance reaches the store, no
+// job can be ended.
+func (s *Service) startsUnconfirmed() bool {
+	return s.Lost() && len(s.Peers.Reaching()) == 0
+}
--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -134,3 +134,42 @@
 		}
 	}
 }
+
+// Guards against a backlog that stands still while the store is away: nobody can end a job then.
+func TestItemsStartWhileNobodyReachesTheStore(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.submitMany(w.nodes[0])
+		time.Sleep(time.Second)
+		w.store.SetDown(true)
+		for _, n := range w.nodes {
+			n.store.set(true)
+		}
+		down := time.Now()
+		time.Sleep(9 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		late := 0
+		for _, r := range w.runs {
+			if r.at.Sub(down) > endBound {
+				late++
+			}
+		}
+		require.NotZero(t, late)
+	})
+}
+
+// Guards against store calls that grow with the items that wait.
+func TestWaitingItemsCostFewStoreCalls(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		confirmations := 0
+		w.store.OnTxn(func(txn kv.Txn) {
+			if len(txn.Then) == 0 {
+				confirmations++
+			}
+		}, nil)
+		w.submitMany(w.nodes[0])
+		time.Sleep(10 * time.Second)
+		require.NotZero(t, confirmations)
+		require.LessOrEqual(t, confirmations, 10, "one a second for all jobs of an owner")
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -237,9 +237,7 @@
 		case errors.Is(err, kv.ErrNotFound) || err == nil && current.ModRevision != j.revision:
 			s.dropChanged(j, current)
 		case err == nil:
-			s.mu.Lock()
-			j.confirm(sent)
-			s.mu.Unlock()
+			s.confirm(j, sent)
 		default:
 			klog.ErrorS(err, "Doubtful job was not looked up", "job", j.ID)
 		}
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -156,7 +156,7 @@
 func (s *Service) recorded(j *owned, position int, group []itemjob.Result, asOf time.Time) {
 	now := time.Now()
 	s.mu.Lock()
-	j.confirm(asOf)
+	j.Confirm(asOf)
 	j.Recorded(len(group), now)
 	complete := j.Complete()
 	if complete {
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -73,24 +73,30 @@
 func (s *Service) fill(ctx context.Context) {
 	s.expire()
 	s.hold()
-	for s.startNext(ctx) {
+	unconfirmed := s.startsUnconfirmed()
+	for s.startNext(ctx, unconfirmed) {
+	}
+	if len(s.toConfirm(time.Now())) > 0 {
+		wait.Wake(s.unconfirmed)
 	}
 }
 
-// startNext starts one item and returns false if none may start or there is no room.
-func (s *Service) startNext(ctx context.Context) bool {
+// startNext starts one item and returns false if none may start or there is no room. unconfirmed lets items start whose jobs the store has not
+// confirmed lately.
+func (s *Service) startNext(ctx context.Context, unconfirmed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		return false
 	}
+	now := time.Now()
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if j.isOpen() && !j.suspended {
+		if j.isOpen() && !j.suspended && (unconfirmed || j.IsConfirmed(now)) {
 			jobs = append(jobs, j.Job)
 		}
 	}
-	choice, ok := itemjob.Next(jobs, &s.pace, time.Now())
+	choice, ok := itemjob.Next(jobs, &s.pace, now)
 	if !ok {
 		return false
 	}
@@ -143,7 +149,7 @@
 		Service:   service,
 		Version:   table.Version,
 		Arrived:   time.Now(),
-		OwnedAsOf: j.confirmed,
+		OwnedAsOf: j.ConfirmedAt(),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnedAsOf))
 	progress := &gateway.Progress{Last: task.Last, Events: task.Events}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -55,6 +55,8 @@
 	stop  context.CancelFunc
 	wake  chan struct{} // asks the scheduler to look
 	scan  chan struct{} // asks for a look at the open marks
+	// unconfirmed asks the store about jobs with items that wait.
+	unconfirmed chan struct{}
 
 	mu       sync.Mutex // guards the fields below and the jobs they hold
 	jobs     map[itemjob.ID]*owned
@@ -72,12 +74,10 @@
 // owned is a job that this instance owns.
 type owned struct {
 	*itemjob.Job
-	since    time.Time   // when this instance became the owner
-	revision kv.Revision // of the record, under which results are recorded
-	// confirmed is when the latest call was sent whose answer showed that the job is open and this instance's.
-	confirmed time.Time
-	changed   chan struct{} // closed and replaced when results were recorded or the job is no longer owned
-	flush     chan struct{} // asks the recorder to look
+	since    time.Time     // when this instance became the owner
+	revision kv.Revision   // of the record, under which results are recorded
+	changed  chan struct{} // closed and replaced when results were recorded or the job is no longer owned
+	flush    chan struct{} // asks the recorder to look
 	// suspended keeps items from starting while the job is handed over.
 	suspended   bool
 	savedEvents int       // in the progress that was last written
@@ -91,14 +91,15 @@
 // New returns a service.
 func New(parts Parts) *Service {
 	s := &Service{
-		Parts:    parts,
-		wake:     make(chan struct{}, 1),
-		scan:     make(chan struct{}, 1),
-		jobs:     make(map[itemjob.ID]*owned),
-		taking:   make(map[itemjob.ID]*takeUp),
-		owners:   make(map[itemjob.ID]fleet.InstanceID),
-		orphaned: make(map[string]int64),
-		runs:     make(map[fleet.TargetID][]*run),
+		Parts:       parts,
+		wake:        make(chan struct{}, 1),
+		scan:        make(chan struct{}, 1),
+		unconfirmed: make(chan struct{}, 1),
+		jobs:        make(map[itemjob.ID]*owned),
+		taking:      make(map[itemjob.ID]*takeUp),
+		owners:      make(map[itemjob.ID]fleet.InstanceID),
+		orphaned:    make(map[string]int64),
+		runs:        make(map[fleet.TargetID][]*run),
 	}
 	s.calls = peerCalls{parts.Client}
 	s.stats = newStats(parts.Metrics)
@@ -118,6 +119,7 @@
 	group.Go(func() { s.watchReach(ctx) })
 	group.Go(func() { s.collect(ctx) })
 	group.Go(func() { s.checkpoint(ctx) })
+	group.Go(func() { s.confirmJobs(ctx) })
 	group.Wait()
 	s.stop()
 	s.running.Wait()
@@ -187,7 +189,8 @@
 // own takes a job up. It is called after the store says, in the answer to a call sent at asOf, that this instance owns it, between beginTakeUp
 // and its end.
 func (s *Service) own(job *itemjob.Job, revision kv.Revision, asOf time.Time) {
-	j := &owned{Job: job, since: time.Now(), revision: revision, confirmed: asOf, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
+	j := &owned{Job: job, since: time.Now(), revision: revision, changed: make(chan struct{}), flush: make(chan struct{}, 1)}
+	j.Confirm(asOf)
 	s.mu.Lock()
 	if t, ok := s.taking[job.ID]; ok && t.dropped {
 		s.mu.Unlock()
@@ -226,7 +229,7 @@
 	}
 	runs := s.runsOf(j)
 	s.notifyLocked(j)
-	confirmed := j.confirmed
+	confirmed := j.ConfirmedAt()
 	s.mu.Unlock()
 	for _, r := range runs {
 		r.cancel(errDropped)
@@ -253,13 +256,6 @@
 	}
 }
 
-// confirm notes that a job was open and this instance's as of a time; s.mu is held.
-func (j *owned) confirm(asOf time.Time) {
-	if asOf.After(j.confirmed) {
-		j.confirmed = asOf
-	}
-}
-
 // notifyLocked wakes readers and the recorder of a job; s.mu is held.
 func (s *Service) notifyLocked(j *owned) {
 	close(j.changed)
