Acknowledge an end whose answer from the store was lost

An end that took effect while the store's answer was lost was answered 503, and the owner of the job was not told. The instance now reads the record again: if it shows the end, it tells the owner that the record named before and acknowledges; if not, it tries again within the time that it has. The new test fails on the code before (the end is answered as unavailable).

--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -70,7 +70,10 @@
 		w.submitMany(owner)
 		time.Sleep(500 * time.Millisecond)
 		owner.store.freeze(t, openMarks)
-		w.store.OnTxn(nil, func(kv.Txn) error { return kv.ErrOutcomeUnknown })
+		w.store.OnTxn(nil, func(kv.Txn) error {
+			first.store.set(true) // nor does it see what became of the write
+			return kv.ErrOutcomeUnknown
+		})
 		require.Error(t, first.service.End(t.Context(), "j"))
 		w.store.OnTxn(nil, nil)
 		require.NoError(t, second.service.End(t.Context(), "j"), "the client comes again at another instance")
@@ -79,6 +82,21 @@
 	})
 }
 
+// Guards against an end that took effect and is answered as failed, and whose owner is not told, when the store's answer is lost.
+func TestEndIsAcknowledgedAfterALostAnswer(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.submitMany(w.nodes[0])
+		time.Sleep(500 * time.Millisecond)
+		w.store.OnTxn(nil, func(kv.Txn) error {
+			w.store.OnTxn(nil, nil)
+			return kv.ErrOutcomeUnknown
+		})
+		require.NoError(t, w.nodes[1].service.End(t.Context(), "j"))
+		_, owned := w.nodes[0].service.ReadOwned(t.Context(), "j", 0, 0)
+		require.False(t, owned, "its owner is told before the client is answered")
+	})
+}
+
 func TestItemsOfAnEndedJobDoNotStartAtAnOwnerThatJustTookItUp(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		w.submitMany(w.nodes[0])
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -10,6 +10,7 @@
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 // Page is a part of a job's results.
@@ -195,16 +196,22 @@
 // endTime bounds the attempts to end a job.
 const endTime = 3 * time.Second
 
-// End ends a job for its client: no further items start, and no further results are recorded. Errors: ErrNotFound, ErrUnavailable.
+// End ends a job for its client: no further items start, and no further results are recorded. A lost answer of the store is followed by a read
+// that shows what became of the write. Errors: ErrNotFound, ErrUnavailable.
 func (s *Service) End(ctx context.Context, id itemjob.ID) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTime)
 	defer cancel()
 	started := time.Now()
+	var attempted *itemjob.Record // as it was before a write of this call without a known outcome
 	for {
 		record, revision, err := s.getRecord(ctx, id)
 		if err != nil {
 			return err
 		}
+		if record.Ended && attempted != nil {
+			s.ended(ctx, attempted, started)
+			return nil
+		}
 		if record.Ended {
 			klog.InfoS("Job had ended before", "job", id, "ended_at", record.EndedAt)
 			return nil
@@ -212,17 +219,25 @@
 		err = s.endOnce(ctx, record, revision)
 		switch {
 		case err == nil:
-			told := s.tellEnded(ctx, &record)
-			s.stats.ended(told)
-			klog.InfoS("Job ended", "job", id, "revision", revision, "owner", record.Owner, "owner_told", told, "took_ms", time.Since(started).Milliseconds())
+			s.ended(ctx, &record, started)
 			return nil
+		case errors.Is(err, kv.ErrOutcomeUnknown) && wait.For(ctx, submitPause):
+			klog.InfoS("End of a job has no known outcome yet", "job", id, "revision", revision, "owner", record.Owner, "cause", err.Error())
+			attempted = &record
 		case !errors.Is(err, errContended):
-			klog.InfoS("End of a job has no known outcome", "job", id, "revision", revision, "owner", record.Owner, "cause", err.Error())
+			klog.ErrorS(err, "Job was not ended, or that is not known", "job", id, "revision", revision, "owner", record.Owner)
 			return errors.Join(ErrUnavailable, err)
 		}
 	}
 }
 
+// ended tells the owner of a job that ended, as its record named it before.
+func (s *Service) ended(ctx context.Context, record *itemjob.Record, started time.Time) {
+	told := s.tellEnded(ctx, record)
+	s.stats.ended(told)
+	klog.InfoS("Job ended", "job", record.ID, "owner", record.Owner, "owner_told", told, "took_ms", time.Since(started).Milliseconds())
+}
+
 // endOnce ends the job if its record is still at the revision. Errors are those of replaceRecord.
 func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) error {
 	record.Ended, record.EndedAt, record.Owner, record.Process = true, time.Now(), "", 0
