Show that a silent store does not let items of an ended job start

The four tests of ended jobs pass also without the condition on the age of the store's word, as the question to the store finds the end in time. This one fails without it (3.1 s, with the condition replaced by true): the owner gets neither the notice nor an answer.

--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -64,6 +64,19 @@
 	})
 }
 
+func TestItemsOfAnEndedJobDoNotStartAtAnOwnerWhoseCallsGetNoAnswer(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		owner, other := w.nodes[0], w.nodes[1]
+		w.submitMany(owner)
+		time.Sleep(500 * time.Millisecond)
+		owner.store.freeze(t, openMarks)
+		owner.store.silence()
+		w.separate(owner, other)
+		require.NoError(t, other.service.End(t.Context(), "j"))
+		w.requireStops()
+	})
+}
+
 func TestItemsOfAnEndedJobDoNotStartAfterALostAnswerToItsEnd(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, w *world) {
 		owner, first, second := w.nodes[0], w.nodes[1], w.nodes[2]
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -60,6 +60,7 @@
 	shut bool
 	get  func(key string) // called ahead of each Get; may be nil
 	old  *kv.Listing      // answers reads that may be stale; nil: they are answered from the store
+	mute bool             // transactions get no answer
 }
 
 // freeze answers reads of a prefix that may be stale as of now, until thaw.
@@ -71,6 +72,13 @@
 	g.old = &listing
 }
 
+// silence lets transactions take no effect and get no answer.
+func (g *gate) silence() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mute = true
+}
+
 func (g *gate) thaw() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -128,6 +136,13 @@
 	if err := g.err(); err != nil {
 		return kv.TxnResult{}, err
 	}
+	g.mu.Lock()
+	mute := g.mute
+	g.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return kv.TxnResult{}, kv.ErrOutcomeUnknown
+	}
 	return g.Store.Txn(ctx, txn)
 }
 
