Count a suspension of the machine in the age of an owner's knowledge

The monotonic clock stands still while a machine is suspended, so that an owner that wakes took a word of the store for new that was as old as the suspension. The wall clock counts as well now, as in the holder of a lease. The test of the ages fails without it (5 s of suspension).

--- a/core/itemjob/ownership.go
+++ b/core/itemjob/ownership.go
@@ -21,11 +21,17 @@
 func (j *Job) ConfirmedAt() time.Time { return j.confirmed }
 
 // IsConfirmed tells whether the owner's knowledge of the job is new enough to start items.
-func (j *Job) IsConfirmed(now time.Time) bool { return now.Sub(j.confirmed) < confirmedFor }
+func (j *Job) IsConfirmed(now time.Time) bool { return j.confirmedAgo(now) < confirmedFor }
+
+// confirmedAgo returns the age of the owner's knowledge. The wall clock counts as well, since the monotonic one stands still while a machine is
+// suspended; one that was set forward costs a call.
+func (j *Job) confirmedAgo(now time.Time) time.Duration {
+	return max(now.Sub(j.confirmed), now.Round(0).Sub(j.confirmed.Round(0)))
+}
 
 // NeedsConfirmation tells whether items wait that may not start now or soon without a further answer of the store.
 func (j *Job) NeedsConfirmation(now time.Time) bool {
-	if now.Sub(j.confirmed) < renewAfter {
+	if j.confirmedAgo(now) < renewAfter {
 		return false
 	}
 	for _, t := range j.Tasks {
--- a/core/itemjob/ownership_test.go
+++ b/core/itemjob/ownership_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/internal/clocktest"
 )
 
 // Guards against items that start on an answer of the store from before the end of their job, and against calls for jobs without waiting items.
@@ -28,6 +30,7 @@
 		require.Equal(t, c.confirmed, j.IsConfirmed(now), c.age)
 		require.Equal(t, c.needs, j.NeedsConfirmation(now), c.age)
 	}
+	require.False(t, j.IsConfirmed(clocktest.AfterSuspension(t, sent, 5)))
 	j.Tasks[0].Phase = Running
 	require.False(t, j.NeedsConfirmation(sent.Add(time.Minute)))
 }
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -4,11 +4,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
-	"unsafe"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
+	"eelgrassproxy.example/core/internal/clocktest"
 	"eelgrassproxy.example/core/lease"
 )
 
@@ -30,25 +29,13 @@
 	})
 }
 
-// afterSuspension returns the time that a machine reads after it was suspended for whole seconds: the wall clock has moved on, the
-// monotonic clock has not. Package time has no way to construct this, so the seconds are added to the first word of its
-// representation, where they start at bit 30.
-func afterSuspension(t *testing.T, before time.Time, seconds uint64) time.Time {
-	t.Helper()
-	after := before
-	*(*uint64)(unsafe.Pointer(&after)) += seconds << 30
-	require.Zero(t, after.Sub(before), "the monotonic clock stood still")
-	require.Equal(t, time.Duration(seconds)*time.Second, after.Round(0).Sub(before.Round(0)), "the wall clock moved on")
-	return after
-}
-
 // Guards against trust in a monotonic clock that stood still during a suspension.
 func TestSuspendedHolderMayNotAct(t *testing.T) {
 	h := lease.NewHolder(margin)
 	start := time.Now()
 	h.Granted(start, ttl)
-	assert.True(t, h.MayAct(afterSuspension(t, start, 7)))
-	assert.False(t, h.MayAct(afterSuspension(t, start, 8)))
+	assert.True(t, h.MayAct(clocktest.AfterSuspension(t, start, 7)))
+	assert.False(t, h.MayAct(clocktest.AfterSuspension(t, start, 8)))
 }
 
 // Guards against validity counted from the answer instead of the request, and against answers out of order.
