Drop what a cancelled request has not delivered

A request that was cancelled, an item of an ended job among them, could reach its target seconds later: after a close the operating system goes on sending what the connection holds, and behind a path that was cut that is the whole request once the path is back. The connection of a request that has no whole answer is reset now, which drops those bytes.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -83,6 +83,15 @@
 	expires time.Time
 }
 
+// abort closes the connection and drops what was not delivered: after a mere close, the operating system would go on sending, and a request behind
+// a path that was cut would reach its target seconds after it was cancelled.
+func (k *conn) abort() {
+	if c, ok := k.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // it fails only for a connection that is closed
+	}
+	k.Close()
+}
+
 // New returns a client that opens connections with dial.
 func New(dial httpcall.DialFunc) *Client {
 	return &Client{dial: dial, idle: make(map[string][]*conn)}
@@ -126,11 +135,11 @@
 	if err != nil {
 		return nil, httpcall.NotSent(err)
 	}
-	stop := context.AfterFunc(ctx, func() { k.Close() })
+	stop := context.AfterFunc(ctx, k.abort)
 	response, err := exchange(k, r)
 	if err != nil {
 		stop()
-		k.Close()
+		k.abort()
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
@@ -346,5 +355,9 @@
 		b.client.put(b.conn, b.response.Header)
 		return nil
 	}
-	return b.conn.Close()
+	if b.ended {
+		return b.conn.Close()
+	}
+	b.conn.abort()
+	return nil
 }
