--- a/adapters/rawhttp/late_test.go
+++ b/adapters/rawhttp/late_test.go
@@ -38,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return writtenConn{c.(*net.TCPConn), cancel}, c.(*net.TCPConn).SetWriteBuffer(4*size)
+		return writtenConn{c.(*net.TCPConn), cancel}, c.(*net.TCPConn).SetWriteBuffer(4 * size)
 	})
 	defer client.Close()
 	_, err = client.Do(ctx, listener.Addr().String(), &rawhttp.Request{Method: http.MethodPost, URI: "/", Host: "h", Body: make([]byte, size)})
