--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,16 +198,16 @@
 // Guards against store calls that grow with the items that wait.
 func TestWaitingItemsCostFewStoreCalls(t *testing.T) {
 	inWorld(t, 1, func(t *testing.T, w *world) {
-		confirmations := 0
+		var confirmations atomic.Int64
 		w.store.OnTxn(func(txn kv.Txn) {
 			if len(txn.Then) == 0 {
-				confirmations++
+				confirmations.Add(1)
 			}
 		}, nil)
 		w.submitMany(w.nodes[0])
 		time.Sleep(10 * time.Second)
-		require.NotZero(t, confirmations)
-		require.LessOrEqual(t, confirmations, 10, "one a second for all jobs of an owner")
+		require.NotZero(t, confirmations.Load())
+		require.LessOrEqual(t, confirmations.Load(), int64(10), "one a second for all jobs of an owner")
 	})
 }
 
