--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/node/gateway"
 )
 
@@ -264,3 +265,30 @@
 		w.requireStopped(ended)
 	})
 }
+
+// Guards against a service that goes on asking the store after its end, when its jobs are more than the store confirms in a second.
+func TestConfirmationEndsWithTheService(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		w.store.OnTxn(func(kv.Txn) { time.Sleep(200 * time.Millisecond) }, nil)
+		for i := range 200 {
+			go func() {
+				sub := submission(itemjob.ID(fmt.Sprintf("j%d", i)), fmt.Sprintf("a%d", i))
+				sub.Items[0].Tokens = 1
+				require.NoError(t, n.service.Submit(t.Context(), sub))
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		stopped := make(chan struct{})
+		go func() {
+			n.stop()
+			close(stopped)
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(10 * time.Second):
+			w.store.SetDown(true) // ends it
+			require.Fail(t, "the service goes on")
+		}
+	})
+}
