--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -288,6 +288,7 @@
 		case <-stopped:
 		case <-time.After(10 * time.Second):
 			w.store.SetDown(true) // ends it
+			<-stopped
 			require.Fail(t, "the service goes on")
 		}
 	})
