Tell near peers of the last request before telling them less often

What callers saw: in a fleet with a working set, requests were sent to targets by counts that were a second old, started late, and were sent to working sets that changed several times a second. Jobs were taken over from instances that were alive.

Cause: an instance that stands by and holds a request is near to the working set, whose members hear of it at once and expect a datagram every 250 ms. When the request ended, the instance gave this role up before it told of the end, and sent the next datagram after two seconds. The others kept counting the request, took the instance for lost after 1.125 s and heard it again 0.85 s later. Any request will do, even one that only tests which configuration is in force: 336 of 357 suspicions before the loss came 1.0 to 1.3 s after the instance had ended a request.

Ruled out: lost datagrams (nearly all observers miss the same instance in the same 0.1 s, and 1.12 s after its last request ended), instances that stop or have no processor time (they log requests meanwhile), the store.

Now each peer that was near gets one more datagram at once, with the counts as they are and with the pause until the next one, by which it is judged from then on. A lost one leaves the former behaviour for that one peer.

TestInstanceThatHoldsNoRequestAnyMoreIsNotMissed failed before: the request was still counted 100 ms after its end, and with that check left out the instance was forgotten.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -30,8 +30,8 @@
 	sendPause = 2500 * time.Microsecond
 	// largeFleetPause is the least time between two rounds in a fleet with a working set, where few requests go to the targets of others.
 	largeFleetPause = 50 * time.Millisecond
-	// farRound is the pause between two rounds to far peers, and maxFarRound bounds the datagrams of one: a round to hundreds of peers at once
-	// would keep changes from the near ones.
+	// farRound is the pause between two rounds to far peers, and maxFarRound bounds the datagrams of one, and of a round to peers that were near:
+	// a round to hundreds of peers at once would keep changes from the near ones.
 	farRound    = 100 * time.Millisecond
 	maxFarRound = 64
 	// maxDatagram bounds a datagram that is read.
@@ -107,13 +107,14 @@
 	p.setActive(len(own) > 0, now)
 	p.sequence++
 	message.Sequence, message.Draining, message.Silent = p.sequence, p.draining, p.silentPeers(now)
-	near, far := p.audience(changed, now)
+	near, parting, far := p.audience(changed, now)
 	introduce := now.Sub(p.told) >= introducePeriod
 	if introduce {
 		p.told = now
 	}
 	p.mu.Unlock()
 	p.sendTo(message, heartbeat, introduce, near)
+	p.sendTo(message, farHeartbeat, introduce, parting)
 	p.sendTo(message, farHeartbeat, true, far)
 	return len(near)
 }
--- a/node/gateway/large_fleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -119,3 +119,26 @@
 		held.Release()
 	})
 }
+
+// Guards against an instance that stands by and is taken for lost after each request, because those that were told of the request expect to hear
+// of it as often as before, and against counts of requests that have ended.
+func TestInstanceThatHoldsNoRequestAnyMoreIsNotMissed(t *testing.T) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
+		startLargeFleet(p)
+		standby := p.members[23]
+		require.False(t, standby.peers.Serves())
+		held, _ := standby.board.Online("s", "q", nil)
+		require.NotNil(t, held)
+		time.Sleep(500 * time.Millisecond)
+		held.Release()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			for _, m := range p.members[:6] {
+				state, known := stateOf(m, standby.id)
+				require.True(t, known, "%s forgot it", m.id)
+				require.Equal(t, fleet.MemberAlive, state, "%s", m.id)
+				require.Zero(t, m.board.Pool("s").Load.Online, "%s", m.id)
+			}
+		}
+	})
+}
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -50,6 +50,7 @@
 	reach    reach
 	beat     time.Duration      // until its next datagram at the latest, as it said last
 	sent     time.Time          // when it was last sent a datagram
+	parting  bool               // it is due a last datagram as a near peer, see updateReach
 	reports  []fleet.InstanceID // those that it has not heard lately
 	active   bool               // it holds requests
 	reported time.Time          // when several others last told that they had not heard it lately
--- a/node/gateway/workingset.go
+++ b/node/gateway/workingset.go
@@ -77,13 +77,17 @@
 	}
 }
 
-// updateReach applies a change of roles; p.mu is held. A peer that is to be heard more often than before gets the time for it.
+// updateReach applies a change of roles; p.mu is held. A peer that is to be heard more often than before gets the time for it. One that was near
+// is told at once, with the counts as they are now, that it will be told less often: until it knows, it counts requests that have ended, and takes
+// this instance for lost after some near heartbeats.
 func (p *Peers) updateReach(now time.Time) {
 	for _, s := range p.peers {
 		if s.active && now.Sub(s.heard) > farHeartbeat {
 			s.active = false // it held requests when it was last heard
 		}
+		before := s.reach
 		s.setReach(p.reachOf(s.member.ID), now)
+		s.parting = s.parting || before == reachNear && s.reach != reachNear
 	}
 }
 
@@ -92,6 +96,9 @@
 	if next > s.reach {
 		s.known = now
 	}
+	if next == reachNear {
+		s.parting = false
+	}
 	s.reach = next
 }
 
@@ -234,13 +241,15 @@
 	return members
 }
 
-// audience returns the peers that are due a datagram: near ones that are told of each change at once or whose heartbeat is due, and some of the
-// far ones whose heartbeat is due. p.mu is held.
-func (p *Peers) audience(changed bool, now time.Time) (nearBy, farOff []netip.AddrPort) {
+// audience returns the peers that are due a datagram: near ones that are told of each change at once or whose heartbeat is due, some of those that
+// were near until now, and some of the far ones whose heartbeat is due. p.mu is held.
+func (p *Peers) audience(changed bool, now time.Time) (nearBy, parting, farOff []netip.AddrPort) {
 	farDue := now.Sub(p.toldFar) >= farRound
 	for _, s := range p.peers {
 		waited := now.Sub(s.sent)
 		switch {
+		case s.parting && len(parting) < maxFarRound:
+			parting = append(parting, s.address)
 		case s.reach == reachNear && (changed && p.tellAtOnce(s) || waited >= heartbeat-heartbeatSlack):
 			nearBy = append(nearBy, s.address)
 		case s.reach == reachFar && farDue && len(farOff) < maxFarRound && waited >= farHeartbeat-heartbeatSlack:
@@ -248,12 +257,12 @@
 		default:
 			continue
 		}
-		s.sent = now
+		s.sent, s.parting = now, false
 	}
 	if len(farOff) > 0 {
 		p.toldFar = now
 	}
-	return nearBy, farOff
+	return nearBy, parting, farOff
 }
 
 // heartbeatSlack lets datagrams that are due in a moment go with a round.
