Let the store list the keys that sort after one

Readers of results need what follows a position only. The platform's store and the etcd mapping both take a start for a listing, which List did not offer.

--- a/adapters/kv/client.go
+++ b/adapters/kv/client.go
@@ -79,7 +79,15 @@
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	return c.ListAfter(ctx, prefix, "")
+}
+
+// ListAfter implements Store.
+func (c *Client) ListAfter(ctx context.Context, prefix, after string) (Listing, error) {
 	from, end := prefixRange(prefix)
+	if after > string(from) {
+		from = append([]byte(after), 0)
+	}
 	return call(ctx, c, operation{name: "range"}, func(ctx context.Context) (platform.RangeRes, error) {
 		return c.api.Range(ctx, &platform.RangeRequest{Key: from, RangeEnd: end})
 	}, listing)
--- a/adapters/kv/client_test.go
+++ b/adapters/kv/client_test.go
@@ -169,6 +169,23 @@
 	assert.Equal(t, map[string]int64{"txn": 1, "watch": 1, "range": 1}, fake.Calls())
 }
 
+// Guards against a listing that transfers again what its caller has read, or that skips keys.
+func TestListingAfterAKey(t *testing.T) {
+	_, client := newStore(t, kv.Options{})
+	for _, key := range []string{"a/1", "a/2", "a/3", "b/1"} {
+		mustTxn(t, client, put(key, "value", 0))
+	}
+	for after, want := range map[string][]string{"": {"a/1", "a/2", "a/3"}, "a/1": {"a/2", "a/3"}, "a/25": {"a/3"}, "a/3": nil} {
+		listing, err := client.ListAfter(t.Context(), "a/", after)
+		require.NoError(t, err)
+		var keys []string
+		for _, item := range listing.Items {
+			keys = append(keys, item.Key)
+		}
+		assert.Equal(t, want, keys, "after %q", after)
+	}
+}
+
 // Guards against pages that overlap, miss keys or carry the values that a collector has no room for.
 func TestKeysAreListedInPagesWithoutValues(t *testing.T) {
 	_, client := newStore(t, kv.Options{})
--- a/adapters/kv/kv.go
+++ b/adapters/kv/kv.go
@@ -113,6 +113,8 @@
 	Get(ctx context.Context, key string) (KeyValue, error)
 	// List returns all keys with the prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// ListAfter returns the keys with the prefix that sort after a key, which need not exist. The values of the others are not transferred.
+	ListAfter(ctx context.Context, prefix, after string) (Listing, error)
 	// Txn runs a transaction. ErrUnavailable means no effect, ErrOutcomeUnknown a possible effect.
 	Txn(ctx context.Context, txn Txn) (TxnResult, error)
 	// Grant creates a lease.
--- a/adapters/kv/reach.go
+++ b/adapters/kv/reach.go
@@ -59,6 +59,12 @@
 	return listing, r.note(ctx, err)
 }
 
+// ListAfter implements Store.
+func (r *Reach) ListAfter(ctx context.Context, prefix, after string) (Listing, error) {
+	listing, err := r.Store.ListAfter(ctx, prefix, after)
+	return listing, r.note(ctx, err)
+}
+
 // Txn implements Store.
 func (r *Reach) Txn(ctx context.Context, txn Txn) (TxnResult, error) {
 	result, err := r.Store.Txn(ctx, txn)
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -100,7 +100,12 @@
 }
 
 // List implements kv.Store.
-func (s *Store) List(_ context.Context, prefix string) (kv.Listing, error) {
+func (s *Store) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	return s.ListAfter(ctx, prefix, "")
+}
+
+// ListAfter implements kv.Store.
+func (s *Store) ListAfter(_ context.Context, prefix, after string) (kv.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
@@ -108,7 +113,7 @@
 	}
 	listing := kv.Listing{Revision: s.revision}
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			listing.Items = append(listing.Items, item)
 		}
 	}
