Read from the store only the results that a reader lacks

Cause: a read of a job without a living owner listed all of its results, whatever position its reader asked from. After the power loss all readers did so, twice a second for each job. In a copy that logs each call to the store, 184 such listings in the 4 s after the restart carried 2.3 of the 3.2 MB that the store sent to the other region. A call from there then took 1.1 s at the median, where it took 35 ms before. Taking a job up needs five calls in turn, which did not fit into the 4 s of a look at the open jobs. So the jobs stayed without an owner, and their readers went on reading the store.

Ruled out: the store's limits of rate (no answer 429 in the logged calls); the store itself and the links of machines (instances of the same kind in the store's region got 12.2 MB in the 5 s in which those of the other got 3.7, and answers in 8 ms; all 1,419 failures to take a job up were in the other region); the pool of connections (with 256 instead of 16, LOST 40 times); the progress that owners write (without it, LOST 26 times).

A group of results is now named by the position that it ends at. The groups that hold what follows a position are then those whose keys sort after the key of that position, also when it lies inside a group, and a reader that has all results transfers none. Positions and contents stay as they were; that former owners add nothing still rests on the revision of the record. Results that a process of an earlier build recorded are not always found by readers of the store, as their keys name the first position.

The new test fails on the code before, where a read from any position lists all results.

--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -421,3 +421,43 @@
 		require.Len(t, w.runsOf("a"), 2)
 	})
 }
+
+// Guards against polls for a job without an owner that transfer all of its results each time: with many readers they filled the link between
+// regions, so that nobody could take the jobs up.
+func TestReadOfAJobWithoutAnOwnerTransfersOnlyWhatFollows(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		sub := submission("j", severalTimesTheSlots()...) // several groups of results, most of more than one
+		for i := range sub.Items {
+			sub.Items[i].Tokens = 1
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(30 * time.Second)
+		w.kill(w.nodes[0])
+		next := w.start("i9", "10.0.0.9")
+		all := w.readAll(next, "j")
+		completed(t, all, severalTimesTheSlots()...)
+		whole := next.store.bytesListed()
+		require.NotZero(t, whole)
+		groups := 0
+		for after := range all {
+			page, err := next.service.Read(t.Context(), "j", after, 0)
+			require.NoError(t, err)
+			require.Equal(t, all[after:], page.Results, "from position %d", after)
+			require.Equal(t, len(all), page.Next)
+			require.Equal(t, len(all), page.Total)
+			transferred := next.store.bytesListed()
+			require.LessOrEqual(t, transferred, whole)
+			if transferred < whole {
+				groups, whole = groups+1, transferred
+			}
+		}
+		require.Greater(t, groups, 1, "results that precede the position are not transferred")
+		for _, after := range []int{len(all), len(all) + 5} {
+			page, err := next.service.Read(t.Context(), "j", after, 0)
+			require.NoError(t, err)
+			require.Empty(t, page.Results)
+			require.Equal(t, after, page.Next)
+			require.Zero(t, next.store.bytesListed(), "nothing follows position %d", after)
+		}
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	results, err := s.load(ctx, record.ID)
+	results, err := s.load(ctx, record.ID, 0)
 	if err != nil {
 		return err
 	}
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -27,16 +27,16 @@
 	readTime = 2 * time.Second
 )
 
-// pageOf returns the results from a position.
-func pageOf(total int, results []itemjob.Result, after int) Page {
-	page := Page{Total: total, Results: []itemjob.Result{}, Next: after}
+// pageOf returns as many of the results, which begin at a position, as a page holds.
+func pageOf(total int, results []itemjob.Result, position int) Page {
+	page := Page{Total: total, Results: []itemjob.Result{}, Next: position}
 	size := 0
-	for i := after; i < len(results); i++ {
-		size += len(results[i].Output)
-		if i > after && size > maxPageBytes {
+	for i, result := range results {
+		size += len(result.Output)
+		if i > 0 && size > maxPageBytes {
 			break
 		}
-		page.Results = append(page.Results, results[i])
+		page.Results = append(page.Results, result)
 		page.Next++
 	}
 	return page
@@ -67,7 +67,7 @@
 			return Page{}, false
 		}
 		changed := j.changed
-		page = pageOf(len(j.Tasks), j.Results, after)
+		page = pageOf(len(j.Tasks), j.Results[min(after, len(j.Results)):], after)
 		complete := j.Complete()
 		s.mu.Unlock()
 		if len(page.Results) > 0 || complete || patience <= 0 {
@@ -129,7 +129,7 @@
 			return page, nil
 		}
 	}
-	results, err := s.load(ctx, id)
+	results, err := s.load(ctx, id, after)
 	if err != nil {
 		return Page{}, errors.Join(ErrUnavailable, err)
 	}
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,9 +35,19 @@
 
 func partKey(id itemjob.ID, n int) string { return fmt.Sprintf("%s%s/%04d", partPrefix, id, n) }
 
-// resultKey names the group of results that begins at a position. Keys sort by position.
-func resultKey(id itemjob.ID, position int) string {
-	return fmt.Sprintf("%s%s/%06d", resultPrefix, id, position)
+// resultKey names the group of results that ends ahead of a position. Keys sort by position. Naming the end lets a reader at any position list
+// exactly the groups that hold what follows: those whose keys sort after the key of its position.
+func resultKey(id itemjob.ID, end int) string {
+	return fmt.Sprintf("%s%s/%06d", resultPrefix, id, end)
+}
+
+// resultEnd returns the position in a key of a group of results.
+func resultEnd(id itemjob.ID, key string) (int, error) {
+	end, err := strconv.Atoi(strings.TrimPrefix(key, resultPrefix+string(id)+"/"))
+	if err != nil {
+		return 0, eris.Wrap(ErrBadRecord, err.Error())
+	}
+	return end, nil
 }
 
 // openMark is the value of an open mark: what other instances need to know without reading the record.
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -109,7 +109,7 @@
 	s.mu.Lock()
 	position, revision, total := len(j.Results), j.revision, len(j.Tasks)
 	s.mu.Unlock()
-	key := resultKey(j.ID, position)
+	key := resultKey(j.ID, position+len(group))
 	ops, err := putJSON(key, group)
 	if err != nil {
 		klog.ErrorS(err, "Results cannot be encoded", "job", j.ID)
@@ -168,9 +168,13 @@
 		"due_in_ms", j.Due.Sub(now).Milliseconds())
 }
 
-// load reads the recorded results of a job.
-func (s *Service) load(ctx context.Context, id itemjob.ID) ([]itemjob.Result, error) {
-	listing, err := s.Store.List(ctx, resultPrefix+string(id)+"/")
+// load reads the recorded results of a job from a position on.
+func (s *Service) load(ctx context.Context, id itemjob.ID, position int) ([]itemjob.Result, error) {
+	listing, err := s.Store.ListAfter(ctx, resultPrefix+string(id)+"/", resultKey(id, position))
+	if err != nil || len(listing.Items) == 0 {
+		return nil, err
+	}
+	end, err := resultEnd(id, listing.Items[len(listing.Items)-1].Key)
 	if err != nil {
 		return nil, err
 	}
@@ -182,7 +186,12 @@
 		}
 		results = append(results, group...)
 	}
-	return results, nil
+	// The first group may begin ahead of the position.
+	surplus := position - (end - len(results))
+	if surplus < 0 || surplus > len(results) {
+		return nil, eris.Wrapf(ErrBadRecord, "%d results of job %s end at position %d, those from %d on are asked for", len(results), id, end, position)
+	}
+	return results[surplus:], nil
 }
 
 // loadItems reads the items of a job.
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -61,6 +61,8 @@
 	get  func(key string) // called ahead of each Get; may be nil
 	old  *kv.Listing      // answers reads that may be stale; nil: they are answered from the store
 	mute bool             // transactions get no answer
+	// listed is the number of bytes of the values in the listings since bytesListed.
+	listed int
 }
 
 // freeze answers reads of a prefix that may be stale as of now, until thaw.
@@ -129,7 +131,36 @@
 	if old != nil && kv.Stale(ctx) {
 		return *old, nil
 	}
-	return g.Store.List(ctx, prefix)
+	listing, err := g.Store.List(ctx, prefix)
+	g.count(listing)
+	return listing, err
+}
+
+func (g *gate) ListAfter(ctx context.Context, prefix, after string) (kv.Listing, error) {
+	if err := g.err(); err != nil {
+		return kv.Listing{}, err
+	}
+	listing, err := g.Store.ListAfter(ctx, prefix, after)
+	g.count(listing)
+	return listing, err
+}
+
+// count adds up the bytes of the values in a listing.
+func (g *gate) count(listing kv.Listing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, item := range listing.Items {
+		g.listed += len(item.Value)
+	}
+}
+
+// bytesListed returns the bytes of the values in the listings since the last call.
+func (g *gate) bytesListed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.listed
+	g.listed = 0
+	return n
 }
 
 func (g *gate) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
