Give each job that is taken up a time of its own

Cause: one look at the open marks and all jobs that it takes up shared 4 s. Taking one job up needs five calls in turn.

Each job now has 8 s, enough for five calls at the 1.5 s that the store's client allows, and the bound of 4 s holds for the calls of the look itself. Jobs are still taken up one after the other, so that an instance loads the link with one job at a time. The drop of jobs that others own comes ahead of them and does not wait, and an instance that drains takes up no more.

Ruled out: that slow reads alone are the cause.

The new test, a store that takes 1 s a call, fails on the code before: no job is taken up in 30 s.

--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -461,3 +461,22 @@
 		}
 	})
 }
+
+// Guards against jobs that nobody takes up while the store answers slowly, since the calls for one of them take longer than a look at all.
+func TestJobsAreTakenUpFromASlowStore(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		owner, successor := w.nodes[0], w.nodes[1]
+		for _, job := range []string{"j", "k", "l"} {
+			require.NoError(t, owner.service.Submit(t.Context(), submission(itemjob.ID(job), "a"+job)))
+		}
+		time.Sleep(500 * time.Millisecond)
+		successor.store.slow(time.Second) // the client of the platform's store waits for 1.5 s
+		w.kill(owner)
+		time.Sleep(30 * time.Second)
+		for _, job := range []string{"j", "k", "l"} {
+			page, owned := successor.service.ReadOwned(t.Context(), itemjob.ID(job), 0, 0)
+			require.True(t, owned, "job %s", job)
+			completed(t, page.Results, "a"+job)
+		}
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -17,8 +17,11 @@
 const (
 	// scanPeriod is how often an instance compares the open jobs with the living instances, beside each change of these.
 	scanPeriod = 2 * time.Second
-	// scanTimeout bounds one look with all that it takes up.
+	// scanTimeout bounds the calls of one look, without what it takes up.
 	scanTimeout = 4 * time.Second
+	// takeUpTimeout bounds the calls that take one job up: five in turn, of up to 1.5 s each when the store is slow. A job that is given up
+	// halfway begins again.
+	takeUpTimeout = 8 * time.Second
 	// marksLag is how far the listed marks may be behind.
 	marksLag = 3 * time.Second
 	// settleDelay lets the view of the members settle after a change, so that instances agree on who takes a job up.
@@ -48,12 +51,28 @@
 	if !s.Peers.Serves() && !s.ownsOpen() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-owners"), scanTimeout)
+	ctx = kv.WithPurpose(ctx, "job-owners")
+	mine, err := s.compareOpen(ctx)
+	if err != nil {
+		return err
+	}
+	for _, id := range mine {
+		if s.isDraining() {
+			break
+		}
+		s.takeUp(ctx, id)
+	}
+	return nil
+}
+
+// compareOpen compares the open marks with the members, drops jobs that are no longer this instance's, and returns those that it is to take up.
+func (s *Service) compareOpen(ctx context.Context) (mine []itemjob.ID, err error) {
+	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
 	asOf := time.Now()
 	open, err := s.Store.List(kv.AllowStale(ctx), openPrefix)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	living, serving := livingOf(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
@@ -68,11 +87,11 @@
 		marks[id] = mark
 		switch {
 		case s.isForgotten(id, mark):
-			s.adoptOrLog(ctx, id)
+			mine = append(mine, id)
 		case !isOwned(mark, living):
 			orphaned[mark.Route] += mark.Tokens
 			if successor(id, serving) == s.Self.ID {
-				s.adoptOrLog(ctx, id)
+				mine = append(mine, id)
 			}
 		}
 	}
@@ -80,7 +99,7 @@
 	s.orphaned = orphaned
 	s.mu.Unlock()
 	s.verify(ctx, marks, asOf)
-	return nil
+	return mine, nil
 }
 
 // ownsOpen tells whether this instance owns a job with unfinished items, or may be named as the owner of one without knowing it.
@@ -119,7 +138,10 @@
 	return lives && process <= mark.Process
 }
 
-func (s *Service) adoptOrLog(ctx context.Context, id itemjob.ID) {
+// takeUp takes a job up whose owner is gone. Each has a time of its own: with one for all, a slow store left the last ones without an owner.
+func (s *Service) takeUp(ctx context.Context, id itemjob.ID) {
+	ctx, cancel := context.WithTimeout(ctx, takeUpTimeout)
+	defer cancel()
 	if err := s.Adopt(ctx, id, nil); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", id)
 	}
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -61,6 +61,8 @@
 	get  func(key string) // called ahead of each Get; may be nil
 	old  *kv.Listing      // answers reads that may be stale; nil: they are answered from the store
 	mute bool             // transactions get no answer
+	// delay is the time that each call takes.
+	delay time.Duration
 	// listed is the number of bytes of the values in the listings since bytesListed.
 	listed int
 }
@@ -93,6 +95,29 @@
 	g.get = get
 }
 
+// slow lets each call take a time.
+func (g *gate) slow(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delay = delay
+}
+
+// wait returns false if the caller gave up ahead of the delay.
+func (g *gate) wait(ctx context.Context) bool {
+	g.mu.Lock()
+	delay := g.delay
+	g.mu.Unlock()
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (g *gate) set(shut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -118,6 +143,9 @@
 	if get != nil {
 		get(key)
 	}
+	if !g.wait(ctx) {
+		return kv.KeyValue{}, kv.ErrUnavailable
+	}
 	return g.Store.Get(ctx, key)
 }
 
@@ -128,6 +156,9 @@
 	g.mu.Lock()
 	old := g.old
 	g.mu.Unlock()
+	if !g.wait(ctx) {
+		return kv.Listing{}, kv.ErrUnavailable
+	}
 	if old != nil && kv.Stale(ctx) {
 		return *old, nil
 	}
@@ -140,6 +171,9 @@
 	if err := g.err(); err != nil {
 		return kv.Listing{}, err
 	}
+	if !g.wait(ctx) {
+		return kv.Listing{}, kv.ErrUnavailable
+	}
 	listing, err := g.Store.ListAfter(ctx, prefix, after)
 	g.count(listing)
 	return listing, err
@@ -174,6 +208,9 @@
 		<-ctx.Done()
 		return kv.TxnResult{}, kv.ErrOutcomeUnknown
 	}
+	if !g.wait(ctx) {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
 	return g.Store.Txn(ctx, txn)
 }
 
