--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -426,3 +426,62 @@
 		require.Len(t, w.runsOf("a"), 2)
 	})
 }
+
+// Guards against polls for a job without an owner that transfer all of its results each time: with many readers they filled the link between
+// regions, so that nobody could take the jobs up.
+func TestReadOfAJobWithoutAnOwnerTransfersOnlyWhatFollows(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		sub := submission("j", severalTimesTheSlots()...) // several groups of results, most of more than one
+		for i := range sub.Items {
+			sub.Items[i].Tokens = 1
+		}
+		require.NoError(t, w.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(30 * time.Second)
+		w.kill(w.nodes[0])
+		next := w.start("i9", "10.0.0.9")
+		all := w.readAll(next, "j")
+		completed(t, all, severalTimesTheSlots()...)
+		whole := next.store.bytesListed()
+		require.NotZero(t, whole)
+		groups := 0
+		for after := range all {
+			page, err := next.service.Read(t.Context(), "j", after, 0)
+			require.NoError(t, err)
+			require.Equal(t, all[after:], page.Results, "from position %d", after)
+			require.Equal(t, len(all), page.Next)
+			require.Equal(t, len(all), page.Total)
+			transferred := next.store.bytesListed()
+			require.LessOrEqual(t, transferred, whole)
+			if transferred < whole {
+				groups, whole = groups+1, transferred
+			}
+		}
+		require.Greater(t, groups, 1, "results that precede the position are not transferred")
+		for _, after := range []int{len(all), len(all) + 5} {
+			page, err := next.service.Read(t.Context(), "j", after, 0)
+			require.NoError(t, err)
+			require.Empty(t, page.Results)
+			require.Equal(t, after, page.Next)
+			require.Zero(t, next.store.bytesListed(), "nothing follows position %d", after)
+		}
+	})
+}
+
+// Guards against jobs that nobody takes up while the store answers slowly, since the calls for one of them take longer than a look at all.
+func TestJobsAreTakenUpFromASlowStore(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		owner, successor := w.nodes[0], w.nodes[1]
+		for _, job := range []string{"j", "k", "l"} {
+			require.NoError(t, owner.service.Submit(t.Context(), submission(itemjob.ID(job), "a"+job)))
+		}
+		time.Sleep(500 * time.Millisecond)
+		successor.store.slow(time.Second) // the client of the platform's store waits for 1.5 s
+		w.kill(owner)
+		time.Sleep(30 * time.Second)
+		for _, job := range []string{"j", "k", "l"} {
+			page, owned := successor.service.ReadOwned(t.Context(), itemjob.ID(job), 0, 0)
+			require.True(t, owned, "job %s", job)
+			completed(t, page.Results, "a"+job)
+		}
+	})
+}
--- a/node/itemjobs/world_test.go
+++ b/node/itemjobs/world_test.go
@@ -63,6 +63,10 @@
 	old  *kv.Listing      // answers reads that may be stale; nil: they are answered from the store
 	mute bool             // transactions get no answer
 	fail error            // answers the next transaction, which takes no effect
+	// delay is the time that each call takes.
+	delay time.Duration
+	// listed is the number of bytes of the values in the listings since bytesListed.
+	listed int
 }
 
 // failOnce answers the next transaction with an error.
@@ -100,6 +104,29 @@
 	g.get = get
 }
 
+// slow lets each call take a time.
+func (g *gate) slow(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delay = delay
+}
+
+// wait returns false if the caller gave up ahead of the delay.
+func (g *gate) wait(ctx context.Context) bool {
+	g.mu.Lock()
+	delay := g.delay
+	g.mu.Unlock()
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (g *gate) set(shut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -125,6 +152,9 @@
 	if get != nil {
 		get(key)
 	}
+	if !g.wait(ctx) {
+		return kv.KeyValue{}, kv.ErrUnavailable
+	}
 	return g.Store.Get(ctx, key)
 }
 
@@ -135,10 +165,45 @@
 	g.mu.Lock()
 	old := g.old
 	g.mu.Unlock()
+	if !g.wait(ctx) {
+		return kv.Listing{}, kv.ErrUnavailable
+	}
 	if old != nil && kv.Stale(ctx) {
 		return *old, nil
 	}
-	return g.Store.List(ctx, prefix)
+	listing, err := g.Store.List(ctx, prefix)
+	g.count(listing)
+	return listing, err
+}
+
+func (g *gate) ListAfter(ctx context.Context, prefix, after string) (kv.Listing, error) {
+	if err := g.err(); err != nil {
+		return kv.Listing{}, err
+	}
+	if !g.wait(ctx) {
+		return kv.Listing{}, kv.ErrUnavailable
+	}
+	listing, err := g.Store.ListAfter(ctx, prefix, after)
+	g.count(listing)
+	return listing, err
+}
+
+// count adds up the bytes of the values in a listing.
+func (g *gate) count(listing kv.Listing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, item := range listing.Items {
+		g.listed += len(item.Value)
+	}
+}
+
+// bytesListed returns the bytes of the values in the listings since the last call.
+func (g *gate) bytesListed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.listed
+	g.listed = 0
+	return n
 }
 
 func (g *gate) Txn(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
@@ -156,6 +221,9 @@
 		<-ctx.Done()
 		return kv.TxnResult{}, kv.ErrOutcomeUnknown
 	}
+	if !g.wait(ctx) {
+		return kv.TxnResult{}, kv.ErrUnavailable
+	}
 	return g.Store.Txn(ctx, txn)
 }
 
