Ask the store about all open jobs in one call

The store was asked about each job when that job's last word of it was a second old. If one job needs confirmation, the other open ones go with it now, and all are due together.

--- a/node/itemjobs/confirm.go
+++ b/node/itemjobs/confirm.go
@@ -44,16 +44,22 @@
 	}
 }
 
-// toConfirm returns the jobs that need confirmation, as many as one transaction takes, those confirmed longest ago first.
+// toConfirm returns the jobs to ask the store about, as many as one transaction takes, those confirmed longest ago first. If one needs
+// confirmation, others go with it, so that one call serves all.
 func (s *Service) toConfirm(now time.Time) []*owned {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var batch []*owned
+	needed := false
 	for _, j := range s.jobs {
-		if j.isOpen() && !j.suspended && j.NeedsConfirmation(now) {
+		if j.isOpen() && !j.suspended {
 			batch = append(batch, j)
+			needed = needed || j.NeedsConfirmation(now)
 		}
 	}
+	if !needed {
+		return nil
+	}
 	slices.SortFunc(batch, func(a, b *owned) int { return a.ConfirmedAt().Compare(b.ConfirmedAt()) })
 	return batch[:min(len(batch), maxTxnEntries)]
 }
--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -206,7 +206,11 @@
 			}
 		}, nil)
 		w.submitMany(w.nodes[0])
-		time.Sleep(10 * time.Second)
+		for i := range 8 { // jobs that became known at different times
+			time.Sleep(130 * time.Millisecond)
+			require.NoError(t, w.nodes[0].service.Submit(t.Context(), submission(itemjob.ID(fmt.Sprint("k", i)), fmt.Sprint("b", i))))
+		}
+		time.Sleep(9 * time.Second)
 		require.NotZero(t, confirmations.Load())
 		require.LessOrEqual(t, confirmations.Load(), int64(10), "one a second for all jobs of an owner")
 	})
