--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -5,12 +5,9 @@
 	"errors"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
-	"eelgrassproxy.example/node/internal/wait"
 )
 
 // Page is a part of a job's results.
@@ -192,93 +189,3 @@
 	}
 	return task.Item.Body, true
 }
-
-// endTime bounds the attempts to end a job.
-const endTime = 3 * time.Second
-
-// End ends a job for its client: no further items start, and no further results are recorded. A lost answer of the store is followed by a read
-// that shows what became of the write. Errors: ErrNotFound, ErrUnavailable.
-func (s *Service) End(ctx context.Context, id itemjob.ID) error {
-	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTime)
-	defer cancel()
-	started := time.Now()
-	var attempted *itemjob.Record // as it was before a write of this call without a known outcome
-	for {
-		record, revision, err := s.getRecord(ctx, id)
-		if err != nil {
-			return err
-		}
-		if record.Ended && attempted != nil {
-			s.ended(ctx, attempted, started)
-			return nil
-		}
-		if record.Ended {
-			owned := s.DropOwned(id, "client ended it before")
-			klog.InfoS("Job had ended before", "job", id, "ended_at", record.EndedAt, "owned", owned)
-			return nil
-		}
-		err = s.endOnce(ctx, record, revision)
-		switch {
-		case err == nil:
-			s.ended(ctx, &record, started)
-			return nil
-		case errors.Is(err, kv.ErrOutcomeUnknown) && wait.For(ctx, submitPause):
-			klog.InfoS("End of a job has no known outcome yet", "job", id, "revision", revision, "owner", record.Owner, "cause", err.Error())
-			attempted = &record
-		case !errors.Is(err, errContended):
-			klog.ErrorS(err, "Job was not ended, or that is not known", "job", id, "revision", revision, "owner", record.Owner)
-			return errors.Join(ErrUnavailable, err)
-		}
-	}
-}
-
-// ended tells the owner of a job that ended, as its record named it before.
-func (s *Service) ended(ctx context.Context, record *itemjob.Record, started time.Time) {
-	told := s.tellEnded(ctx, record)
-	s.stats.ended(told)
-	klog.InfoS("Job ended", "job", record.ID, "owner", record.Owner, "owner_told", told, "took_ms", time.Since(started).Milliseconds())
-}
-
-// endOnce ends the job if its record is still at the revision. Errors are those of replaceRecord.
-func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) error {
-	record.Ended, record.EndedAt, record.Owner, record.Process = true, time.Now(), "", 0
-	ops, err := putJSON(recordKey(record.ID), record)
-	if err != nil {
-		return err
-	}
-	_, err = s.replaceRecord(ctx, record.ID, revision, append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(record.ID)}))
-	return err
-}
-
-// tellEnded stops the items of a job at its owner, and tells whether the owner took the notice. An owner that is not reached finds out when it
-// looks at the open marks, or at its next write.
-func (s *Service) tellEnded(ctx context.Context, record *itemjob.Record) bool {
-	s.DropOwned(record.ID, "client ended it")
-	if record.Owner == s.Self.ID {
-		return true
-	}
-	address, ok := s.addressOf(record.Owner)
-	if !ok {
-		return false
-	}
-	if err := s.calls.drop(ctx, address, record.ID); err != nil {
-		klog.ErrorS(err, "Owner was not told that a job ended", "job", record.ID, "owner", record.Owner)
-		return false
-	}
-	return true
-}
-
-// DropOwned drops a job that is no longer this instance's, also while it is taken up; it returns false if it was not.
-func (s *Service) DropOwned(id itemjob.ID, reason string) bool {
-	s.mu.Lock()
-	j, ok := s.jobs[id]
-	t, taken := s.taking[id]
-	if taken {
-		t.dropped = true
-	}
-	s.mu.Unlock()
-	if ok {
-		s.drop(j, reason)
-	}
-	return ok || taken
-}
