--- a/node/itemjobs/confirm.go
+++ b/node/itemjobs/confirm.go
@@ -16,8 +16,8 @@
 	confirmTimeout = 1500 * time.Millisecond
 	// confirmRetry is the pause after a call that failed.
 	confirmRetry = 250 * time.Millisecond
-	// outageAfter is how long the store is out of reach before items start without its word: one failed call puts it out of reach for half a second.
-	// What was confirmed before lasts for two seconds, so that items stand still for some seconds of an outage at most.
+	// outageAfter is how long the store must be out of reach before items of unconfirmed jobs start. A single failed call counts as half a second.
+	// An earlier confirmation holds for two seconds, so that an outage stops the items for less than three.
 	outageAfter = 2 * time.Second
 )
 
@@ -110,8 +110,8 @@
 	j.Confirm(asOf)
 }
 
-// startsUnconfirmed tells whether items start without the store's word on their jobs: in an outage during which nobody known to this instance
-// reaches the store, no job can be ended. It is called by the scheduler only.
+// startsUnconfirmed tells whether items of jobs start that the store has not confirmed lately. In an outage during which no known instance reaches
+// the store, no job can be ended. It is called by the scheduler only.
 func (s *Service) startsUnconfirmed(now time.Time) bool {
 	if !s.Lost() || len(s.Peers.Reaching()) > 0 {
 		s.outage = time.Time{}
--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -251,7 +251,7 @@
 }
 
 // Guards against one failed call to the store that counts as an outage for all when an owner hears no other instance: an item that gave way
-// started again without the store's word.
+// started again although its job was not confirmed.
 func TestItemOfAnEndedJobDoesNotStartAgainAfterOneFailedCall(t *testing.T) {
 	inWorldWith(t, 2, true, func(t *testing.T, w *world) {
 		owner, other := w.nodes[0], w.nodes[1]
