Read the results of a dropped job under its lock

The log line of a dropped job counted its results after the lock was released, while the recorder may add some. Found by the review, by reading.

--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -230,12 +230,12 @@
 	}
 	runs := s.runsOf(j)
 	s.notifyLocked(j)
-	confirmed := j.ConfirmedAt()
+	confirmed, results := j.ConfirmedAt(), len(j.Results)
 	s.mu.Unlock()
 	for _, r := range runs {
 		r.cancel(errDropped)
 	}
-	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", len(j.Results), "runs", len(runs),
+	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", results, "runs", len(runs),
 		"confirmed_ms", time.Since(confirmed).Milliseconds())
 }
 
