--- a/node/gateway/large_fleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -101,18 +101,24 @@
 	})
 }
 
+// holdRequestAtStandby lets an instance that stands by hold a request for half a second.
+func holdRequestAtStandby(t *testing.T, standby *member) {
+	t.Helper()
+	require.False(t, standby.peers.Serves())
+	held, _ := standby.board.Online("s", "q", nil)
+	require.NotNil(t, held)
+	time.Sleep(500 * time.Millisecond)
+	held.Release()
+}
+
 // Guards against requests of an instance that has left the working set, which others hear of too late to leave their slots alone.
 func TestInstanceThatHoldsRequestsTellsThemAtOnce(t *testing.T) {
 	inFleet(t, func(t *testing.T, p *testFleet) {
 		startLargeFleet(p)
 		standby := p.members[23]
-		require.False(t, standby.peers.Serves())
-		held, _ := standby.board.Online("s", "q", nil)
-		require.NotNil(t, held)
-		time.Sleep(500 * time.Millisecond)
-		held.Release()
+		holdRequestAtStandby(t, standby)
 		time.Sleep(300 * time.Millisecond)
-		held, _ = standby.board.Online("s", "q", nil)
+		held, _ := standby.board.Online("s", "q", nil)
 		require.NotNil(t, held)
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, 1, p.members[2].board.Pool("s").Load.Online, "an instance of the working set, in the same region")
@@ -126,11 +132,7 @@
 	inFleet(t, func(t *testing.T, p *testFleet) {
 		startLargeFleet(p)
 		standby := p.members[23]
-		require.False(t, standby.peers.Serves())
-		held, _ := standby.board.Online("s", "q", nil)
-		require.NotNil(t, held)
-		time.Sleep(500 * time.Millisecond)
-		held.Release()
+		holdRequestAtStandby(t, standby)
 		for range 30 {
 			time.Sleep(100 * time.Millisecond)
 			for _, m := range p.members[:6] {
