Show that hung watches keep a leaving target in use

An instance that follows the store believes its watches while they do not end, although its other calls are answered and its peers tell of a newer list and configuration.

--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -41,7 +41,8 @@
 	kv.Store
 	mu    sync.Mutex
 	off   bool
-	lists int // of the targets
+	lists int  // of the targets
+	hangs bool // watches tell nothing and do not end
 }
 
 func (s *switched) set(off bool) {
@@ -85,6 +86,14 @@
 
 // Watch ends soon, so that a store that is taken away is noticed.
 func (s *switched) Watch(ctx context.Context, prefix string, after kv.Revision) (<-chan kv.WatchEvent, error) {
+	s.mu.Lock()
+	hangs := s.hangs
+	s.mu.Unlock()
+	if hangs {
+		out := make(chan kv.WatchEvent)
+		context.AfterFunc(ctx, func() { close(out) })
+		return out, nil
+	}
 	events, err := s.Store.Watch(ctx, prefix, after)
 	if err != nil {
 		return nil, err
@@ -307,6 +316,26 @@
 	})
 }
 
+// Guards against an instance that goes on with old targets and an old configuration while its watches hang, although the store answers its other
+// calls and its peers tell of newer copies. A leaving target must be known within two seconds and more.
+func TestInstanceWhoseWatchesHangLearnsFromPeers(t *testing.T) {
+	inFleet(t, func(t *testing.T, p *testFleet) {
+		p.join("a", "a1", true)
+		b := p.join("b", "a1", true)
+		time.Sleep(2 * time.Second)
+		b.store.mu.Lock()
+		b.store.hangs = true
+		b.store.mu.Unlock()
+		time.Sleep(time.Second) // the watches from before end
+		p.put("t/t1", "leaving")
+		p.put("config", "newer")
+		time.Sleep(5 * time.Second)
+		require.False(t, b.catchUp.Lost())
+		require.Zero(t, b.board.Pool("s").Usable)
+		require.Equal(t, int64(5), b.routes.Current().Version)
+	})
+}
+
 // Guards against an older configuration that replaces a newer one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	inFleet(t, func(t *testing.T, p *testFleet) {
