Ask whether a job needs confirmation without listing all of them

The scheduler looks at each freed slot and ten times a second; it built and sorted the list of the jobs to confirm to learn whether it is empty. Only the goroutine that asks the store builds the list now. The condition that a job's items may run here stood in three places and has a name. No change of behaviour.

--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -85,7 +85,7 @@
 	var batch []saved
 	size := 0
 	for _, j := range s.jobs {
-		if !j.isOpen() || j.suspended || len(batch) == maxCheckpointJobs {
+		if !j.isRunnable() || len(batch) == maxCheckpointJobs {
 			continue
 		}
 		value := s.currentProgress(j)
--- a/node/itemjobs/confirm.go
+++ b/node/itemjobs/confirm.go
@@ -30,10 +30,10 @@
 		case <-ctx.Done():
 			return
 		}
-		for ctx.Err() == nil && !s.Lost() {
-			batch := s.toConfirm(time.Now())
+		for ctx.Err() == nil && !s.Lost() && s.needsConfirmation(time.Now()) {
+			batch := s.toConfirm()
 			if len(batch) == 0 {
-				break
+				break // dropped meanwhile
 			}
 			if s.confirmOnce(ctx, batch) {
 				wait.Wake(s.wake)
@@ -44,22 +44,29 @@
 	}
 }
 
-// toConfirm returns the jobs to ask the store about, as many as one transaction takes, those confirmed longest ago first. If one needs
-// confirmation, others go with it, so that one call serves all.
-func (s *Service) toConfirm(now time.Time) []*owned {
+// needsConfirmation tells whether the store must be asked about a job.
+func (s *Service) needsConfirmation(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if j.isRunnable() && j.NeedsConfirmation(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// toConfirm returns the jobs to ask the store about, as many as one transaction takes, those confirmed longest ago first. Jobs that need no
+// confirmation yet go with those that do, so that one call serves all.
+func (s *Service) toConfirm() []*owned {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var batch []*owned
-	needed := false
 	for _, j := range s.jobs {
-		if j.isOpen() && !j.suspended {
+		if j.isRunnable() {
 			batch = append(batch, j)
-			needed = needed || j.NeedsConfirmation(now)
 		}
 	}
-	if !needed {
-		return nil
-	}
 	slices.SortFunc(batch, func(a, b *owned) int { return a.ConfirmedAt().Compare(b.ConfirmedAt()) })
 	return batch[:min(len(batch), maxTxnEntries)]
 }
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -76,7 +76,7 @@
 	unconfirmed := s.startsUnconfirmed(time.Now())
 	for s.startNext(ctx, unconfirmed) {
 	}
-	if len(s.toConfirm(time.Now())) > 0 {
+	if s.needsConfirmation(time.Now()) {
 		wait.Wake(s.unconfirmed)
 	}
 }
@@ -92,7 +92,7 @@
 	now := time.Now()
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if j.isOpen() && !j.suspended && (unconfirmed || j.IsConfirmed(now)) {
+		if j.isRunnable() && (unconfirmed || j.IsConfirmed(now)) {
 			jobs = append(jobs, j.Job)
 		}
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -89,6 +89,9 @@
 // isOpen tells whether this instance owns the job and has results of it to record; the service's mutex is held.
 func (j *owned) isOpen() bool { return !j.gone && !j.Complete() }
 
+// isRunnable tells whether items of the job may run here: it is open and not being handed over; the service's mutex is held.
+func (j *owned) isRunnable() bool { return j.isOpen() && !j.suspended }
+
 // New returns a service.
 func New(parts Parts) *Service {
 	s := &Service{
