node/gateway: list keys again whose watch misses what peers announce

Callers' requests could reach a target for up to half a minute after it had reported that it leaves, at an instance whose watches were held by the store while its other calls were answered: it counted the store as reachable, so it neither listed again nor read a peer's copy.

An instance that watches the store now compares its version and revision with those in its peers' datagrams. If it misses an announced one for 500 ms, it ends the watch and lists the keys again, at most every 2 s.

--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -51,6 +51,8 @@
 	client             *PeerClient
 	watchesStore       atomic.Bool // this instance watches the store
 	nextMembersRefresh time.Time   // when the membership records are to be read from a peer again; used by Run's goroutine only
+	configLag          lag         // of the routing table behind the versions that peers announce; used by Run's goroutine only
+	targetsLag         lag         // of the copy of the targets behind the revisions that peers announce; used by Run's goroutine only
 }
 
 // Copies are an instance's mirrors of the store's keys.
@@ -148,6 +150,7 @@
 		}
 		reports := c.peers.Reports()
 		c.updateWatching(reports)
+		c.relistIfBehind(reports, time.Now())
 		source, wanted := c.chooseSource(reports)
 		if len(wanted) == 0 {
 			continue
@@ -190,6 +193,64 @@
 	}
 }
 
+const (
+	// watchLagTimeout is how long a watch may miss a change that a peer announces. An instance has two seconds or more to learn that a target is
+	// leaving.
+	watchLagTimeout = 500 * time.Millisecond
+	// minRelistInterval is the minimum interval between two such listings of the same keys, in case they do not bring what the peer announces.
+	minRelistInterval = 2 * time.Second
+)
+
+// lag is how far the copy of an instance that watches the store is behind what peers announce.
+type lag struct {
+	announced  int64     // the revision or version announced when the copy was first seen to be behind; 0 while it is not
+	since      time.Time // when that was
+	relistedAt time.Time
+}
+
+// mustRelist records the newest announced revision or version, and reports whether the copy has missed an announced one for watchLagTimeout.
+func (l *lag) mustRelist(current, newest int64, now time.Time) bool {
+	switch {
+	case newest <= current:
+		l.announced = 0
+		return false
+	case l.announced <= current:
+		l.announced, l.since = newest, now
+	}
+	if now.Sub(l.since) < watchLagTimeout || now.Sub(l.relistedAt) < minRelistInterval {
+		return false
+	}
+	l.relistedAt = now
+	return true
+}
+
+// relistIfBehind lists keys again whose watch is behind the copies of peers: the store may hold the call of a watch while it answers all others.
+func (c *CatchUp) relistIfBehind(reports []PeerReport, now time.Time) {
+	if c.StoreLost() || !c.watchesStore.Load() {
+		c.configLag.announced, c.targetsLag.announced = 0, 0
+		return
+	}
+	digest := c.list.Digest()
+	var version, revision int64
+	for _, report := range reports {
+		if report.StoreLost {
+			continue
+		}
+		version = max(version, report.Version)
+		if report.Targets != digest {
+			revision = max(revision, int64(report.Revision))
+		}
+	}
+	if current := c.version(); c.configLag.mustRelist(current, version, now) {
+		klog.InfoS("Watch is behind the peers, listing again", "copy", copyConfig, "version", current, "announced", version)
+		c.copies.Config.Relist()
+	}
+	if current := int64(c.copies.Targets.Revision()); c.targetsLag.mustRelist(current, revision, now) {
+		klog.InfoS("Watch is behind the peers, listing again", "copy", copyTargets, "revision", current, "announced", revision)
+		c.copies.Targets.Relist()
+	}
+}
+
 // chooseSource returns the address of a peer to read from and the names of the copies to read there, or none if no copy is needed. Of the peers
 // from which the largest number of copies is to be read, it draws one of the nearest. An instance that has no routing table, cannot reach the
 // store and knows no suitable peer reads all copies from one of the seeds.
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -27,8 +27,12 @@
 // followCheckInterval is the interval at which a mirror that does not follow the store checks whether it should.
 const followCheckInterval = 200 * time.Millisecond
 
-// errNotFollowing ends a watch when the mirror is to rely on the copies of peers from now on.
-var errNotFollowing = errors.New("not following the store")
+var (
+	// errNotFollowing ends a watch when the mirror is to rely on the copies of peers from now on.
+	errNotFollowing = errors.New("not following the store")
+	// errRelist ends a watch when Relist was called.
+	errRelist = errors.New("listing again")
+)
 
 // Change is a set of changes of the mirrored keys.
 type Change struct {
@@ -45,7 +49,8 @@
 	Items    []kv.KeyValue `json:"items"`
 }
 
-// Mirror keeps a copy of the keys under one prefix. Run must be called once. Revision, Snapshot and Merge are safe for concurrent use.
+// Mirror keeps a copy of the keys under one prefix. Run must be called once. Relist, Revision, Snapshot and Merge are safe for
+// concurrent use.
 type Mirror struct {
 	store      kv.Store
 	prefix     string
@@ -54,6 +59,7 @@
 	allowStale bool          // the next listing may be some seconds old; only Run uses it
 	listDelay  time.Duration // before the first listing
 	watchDelay time.Duration // between the first listing and the first watch
+	relist     chan struct{} // holds a request to end the watch and to list again
 
 	mu          sync.Mutex // guards the fields below; held while apply runs, so that changes are applied in order
 	items       map[string]kv.KeyValue
@@ -64,9 +70,13 @@
 // New returns a mirror that calls apply with each change, one at a time. The first change is the first listing, or a copy merged before it.
 // apply must not call methods of the mirror.
 func New(store kv.Store, prefix string, apply func(Change)) *Mirror {
-	return &Mirror{store: store, prefix: prefix, apply: apply, follow: func() bool { return true }, items: make(map[string]kv.KeyValue)}
+	return &Mirror{store: store, prefix: prefix, apply: apply, follow: func() bool { return true }, relist: make(chan struct{}, 1), items: make(map[string]kv.KeyValue)}
 }
 
+// Relist ends the present watch and lists the keys again. It is meant for a watch that delivers no events although there are some. It does not
+// block, and has no effect while the mirror does not follow the store.
+func (m *Mirror) Relist() { wait.Wake(m.relist) }
+
 // FollowWhile makes the mirror follow the store only while follow returns true; otherwise it keeps its copy, which Merge can update. It still lists
 // once if it has no copy. Call it before Run.
 func (m *Mirror) FollowWhile(follow func() bool) { m.follow = follow }
@@ -100,6 +110,10 @@
 			wait.For(ctx, followCheckInterval)
 			continue
 		}
+		select {
+		case <-m.relist: // the listing that follows serves this request
+		default:
+		}
 		revision, err := m.list(ctx)
 		if err == nil {
 			pause = minRetryDelay
@@ -113,7 +127,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errNotFollowing) {
+		if errors.Is(err, errNotFollowing) || errors.Is(err, errRelist) {
 			continue
 		}
 		if errors.Is(err, kv.ErrCompacted) {
@@ -215,7 +229,7 @@
 	m.apply(change)
 }
 
-// watch applies the events after a revision until the watch fails or the mirror is to stop following the store.
+// watch applies the events after a revision until the watch fails, Relist is called, or the mirror is to stop following the store.
 func (m *Mirror) watch(ctx context.Context, after kv.Revision) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -223,16 +237,23 @@
 	if err != nil {
 		return err
 	}
-	for e := range events {
-		if e.Err != nil {
-			return e.Err
-		}
-		m.applyEvent(e)
-		if !m.follow() {
-			return errNotFollowing
+	for {
+		select {
+		case e, ok := <-events:
+			if !ok {
+				return ctx.Err()
+			}
+			if e.Err != nil {
+				return e.Err
+			}
+			m.applyEvent(e)
+			if !m.follow() {
+				return errNotFollowing
+			}
+		case <-m.relist:
+			return errRelist
 		}
 	}
-	return ctx.Err()
 }
 
 // applyEvent applies one event. Events that are not newer than the copy of their key are skipped, since a listing already included them.
