node/gateway: take no response without an id on a reused connection

A target that repeated an earlier refusal on a kept connection, and left out the id, made its next request there count as not run: the request ran on at that target and was sent to another one, or its client was told 503, which promises that it never runs.

Cause: Matches takes a response without an id for the one to the request, on any connection. On a new connection it cannot belong to an earlier request, on a reused one it can.

rawhttp now tells whether a response is the first one on its connection. An unidentified response on a reused connection leaves the outcome unknown: 502 for a request that must not run twice, no second run, and the connection is closed with the response unread. A refusal that names another request was skipped before and still is; the test has that case too.

The test failed before with verdict "answered" instead of "unknown": the second target had run the request as well. The tests' protocol now matches responses without an id as the platform's does; before, it was stricter than the code in use.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -63,6 +63,8 @@
 	Body   io.ReadCloser
 	// Framed tells that the end of the body is marked by its length or by chunks, and not by the end of the connection.
 	Framed bool
+	// First tells that it is the first response on its connection, so that it cannot belong to an earlier request.
+	First bool
 }
 
 // Client keeps connections to targets. It is safe for concurrent use.
@@ -80,6 +82,7 @@
 	head    *headLimit
 	address string
 	since   time.Time // when it became idle
+	used    bool      // a response was read from it
 	expires time.Time
 }
 
@@ -136,7 +139,7 @@
 		return nil, httpcall.NotSent(err)
 	}
 	stop := context.AfterFunc(ctx, k.abort)
-	response, err := exchange(k, r)
+	response, first, err := exchange(k, r)
 	if err != nil {
 		stop()
 		k.abort()
@@ -146,7 +149,7 @@
 		return nil, httpcall.OutcomeUnknown(err)
 	}
 	body := &responseBody{client: c, conn: k, stop: stop, response: response}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Framed: framed(response)}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Framed: framed(response), First: first}, nil
 }
 
 // get returns a pooled connection that is still open, or a new one.
@@ -255,10 +258,10 @@
 	return defaultIdle
 }
 
-// exchange writes the request and reads the header of its response.
-func exchange(k *conn, r *Request) (*http.Response, error) {
+// exchange writes the request and reads the header of its response. It also tells whether that is the first response on the connection.
+func exchange(k *conn, r *Request) (*http.Response, bool, error) {
 	if _, err := k.Write(encode(r)); err != nil {
-		return nil, fmt.Errorf("write request: %w", err)
+		return nil, false, fmt.Errorf("write request: %w", err)
 	}
 	asked := &http.Request{Method: r.Method}
 	for range maxForeign + 1 {
@@ -266,19 +269,21 @@
 		response, err := readFinal(k.reader, asked)
 		k.head.headDone()
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, false, fmt.Errorf("read response: %w", err)
 		}
+		first := !k.used
+		k.used = true
 		if r.Mine == nil || r.Mine(response.Header) {
-			return response, nil
+			return response, first, nil
 		}
 		if !framed(response) || response.Close {
-			return nil, ErrForeignResponse
+			return nil, false, ErrForeignResponse
 		}
 		if n, err := io.CopyN(io.Discard, response.Body, maxForeignBytes); err != io.EOF {
-			return nil, fmt.Errorf("%w: skipped %d bytes: %w", ErrForeignResponse, n, err)
+			return nil, false, fmt.Errorf("%w: skipped %d bytes: %w", ErrForeignResponse, n, err)
 		}
 	}
-	return nil, ErrForeignResponse
+	return nil, false, ErrForeignResponse
 }
 
 // readFinal reads response headers until one is not informational.
--- a/adapters/rawhttp/client_test.go
+++ b/adapters/rawhttp/client_test.go
@@ -191,6 +191,24 @@
 	})
 }
 
+// Guards against a response on a reused connection that is taken for one that cannot belong to an earlier request.
+func TestFirstResponseOfAConnectionIsTold(t *testing.T) {
+	var w *world
+	inWorld(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for w.read(in) {
+			_, _ = io.WriteString(c, ok)
+		}
+	}, func(t *testing.T, world *world) {
+		w = world
+		for _, first := range []bool{true, false, false} {
+			response, err := w.post(t, "body")
+			require.NoError(t, err)
+			require.Equal(t, first, response.First)
+			drain(t, response)
+		}
+	})
+}
+
 // Guards against a target that works on for a caller that has left.
 func TestCancelledRequestClosesItsConnection(t *testing.T) {
 	closed := make(chan struct{})
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -28,6 +28,8 @@
 	errSilent     = eris.New("target sent nothing for too long")
 	errTruncated  = eris.New("target's response ended early")
 	errEventOrder = eris.New("event ids are not consecutive")
+	// errUnidentified means that a response may be a repeated one to an earlier request on its connection.
+	errUnidentified = eris.New("response on a reused connection names no request")
 	// errUnmarked means that a success response lacks the header that ResponseInfo.Complete stands for.
 	errUnmarked = eris.New("success response lacks the completion mark")
 )
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -37,14 +37,17 @@
 	return h
 }
 
-func (wire) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
+func (wire) Matches(id fleet.RequestID, h http.Header) bool {
+	return h.Get("Id") == "" || h.Get("Id") == string(id)
+}
 
 func (wire) DecodeResponse(status int, h http.Header) gateway.ResponseInfo {
 	return gateway.ResponseInfo{
-		NotRun:      h.Get("Refused") != "",
-		OtherTarget: status == http.StatusMisdirectedRequest,
-		Events:      h.Get("Content-Type") == "text/event-stream",
-		Complete:    h.Get("Signed") != "",
+		NotRun:       h.Get("Refused") != "",
+		OtherTarget:  status == http.StatusMisdirectedRequest,
+		Events:       h.Get("Content-Type") == "text/event-stream",
+		Complete:     h.Get("Signed") != "",
+		Unidentified: h.Get("Id") == "",
 	}
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -40,17 +40,18 @@
 
 // ResponseInfo holds the information in the header of a target's response.
 type ResponseInfo struct {
-	NotRun      bool // the target did not run the request and will not
-	OtherTarget bool // the address belongs to another target than the one meant
-	Events      bool // the body is an event stream
-	Complete    bool // the response has the platform's completion mark: a header of the target without which a success is not accepted
+	NotRun       bool // the target did not run the request and will not
+	OtherTarget  bool // the address belongs to another target than the one meant
+	Events       bool // the body is an event stream
+	Unidentified bool // the header does not name the request that the response belongs to
+	Complete     bool // the response has the platform's completion mark: a header of the target without which a success is not accepted
 }
 
 // Protocol encodes and decodes the headers of a platform's messages. Implementations must be safe for concurrent use.
 type Protocol interface {
 	// Header returns the header of a try.
 	Header(r *Request, a Attempt) http.Header
-	// Matches reports whether a response with this header belongs to the request with this ID.
+	// Matches reports whether a response with this header belongs to the request with this ID, or does not name a request.
 	Matches(id fleet.RequestID, header http.Header) bool
 	// DecodeResponse decodes the header of a response.
 	DecodeResponse(status int, header http.Header) ResponseInfo
--- /dev/null
+++ b/node/gateway/stale_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/node/gateway"
+)
+
+// perRequest runs the nth script for the nth request to a target, and the last one for all further requests.
+func perRequest(scripts ...script) script {
+	n := 0
+	return func(w io.Writer, r *http.Request) bool {
+		run := scripts[min(n, len(scripts)-1)]
+		n++
+		return run(w, r)
+	}
+}
+
+// refusal returns the response of a target that says that it did not run the request with the id; no id is stated if it is empty.
+func refusal(id string) string {
+	header := ""
+	if id != "" {
+		header = "Id: " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sRefused: 1\r\nContent-Length: 0\r\n\r\n", header)
+}
+
+// preceded writes a response of another request before that of the request.
+func preceded(stale string, run script) script {
+	return func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, stale)
+		return run(w, r)
+	}
+}
+
+// Guards against a second run, or a promise that the request was not run, because of the repeated refusal of an earlier request.
+func TestRepeatedRefusalOfAnotherRequestPromisesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		stale   string
+		verdict gateway.Verdict
+	}{
+		"without an id":          {refusal(""), gateway.Unknown},
+		"with the id of another": {refusal("q0"), gateway.Answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": perRequest(whole(200, "a"), preceded(c.stale, whole(200, "b"))), "t2": whole(200, "c")})
+				defer w.close()
+				w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+				w.prefer("t1")
+				require.Equal(t, gateway.Answered, w.do(t.Context(), &sink{}).Verdict)
+				var out sink
+				require.Equal(t, c.verdict, w.do(t.Context(), &out).Verdict)
+				require.Equal(t, []receivedRequest{{"t1", ""}, {"t1", ""}}, w.seen, "the request ran once")
+				if c.verdict == gateway.Answered {
+					require.Equal(t, "b", out.body.String())
+					return
+				}
+				require.Zero(t, out.status)
+				synctest.Wait()
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				require.Contains(t, w.closed, "t1", "the connection is not used again")
+			})
+		})
+	}
+}
+
+// Guards against a refusal that is not believed although it is the first response on its connection.
+func TestRefusalWithoutIDIsBelievedOnANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t, map[string]script{"t1": func(c io.Writer, _ *http.Request) bool {
+			_, _ = io.WriteString(c, refusal(""))
+			return false
+		}, "t2": whole(200, "b")})
+		defer w.close()
+		w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+		w.prefer("t1")
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &sink{}).Verdict)
+		require.Len(t, w.seen, 2)
+	})
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -66,6 +66,9 @@
 	defer response.Body.Close()
 	info := x.protocol.DecodeResponse(response.Status, response.Header)
 	watch.headerReceived()
+	if info.Unidentified && !response.First {
+		return fmt.Errorf("%w: status %d", errUnidentified, response.Status)
+	}
 	if !info.NotRun {
 		x.board.ClearSuspicion(reservation.Target.ID)
 	}
