node/gateway: pass on no status that promises what the target did not say

A client was told 429 or 503, which promises that its request was not run, if a target answered so without saying that it did not run the request: one that had run it, or one whose response was not to be trusted. The client then sent it again, and a request that must not run twice did. For a batch item, such a response counted as one of the failures after which it is given up.

Cause: relayWhole passes on any status of a target; only the target's own statement was checked before a retry, not before the status went out.

Without the target's statement the outcome is unknown: 502 for a request that must not run twice, another run for an item. A request that may run again keeps its target's response as before.

The test failed before for 429 and 503 with verdict "answered" instead of "unknown".

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -30,6 +30,8 @@
 	errEventOrder = eris.New("event ids are not consecutive")
 	// errUnidentified means that a response may be a repeated one to an earlier request on its connection.
 	errUnidentified = eris.New("response on a reused connection names no request")
+	// errUnconfirmed means that a response has a status with ResponseInfo.NotRunStatus without ResponseInfo.NotRun.
+	errUnconfirmed = eris.New("target does not confirm that it did not run the request")
 	// errUnmarked means that a success response lacks the header that ResponseInfo.Complete stands for.
 	errUnmarked = eris.New("success response lacks the completion mark")
 )
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -44,6 +44,7 @@
 func (wire) DecodeResponse(status int, h http.Header) gateway.ResponseInfo {
 	return gateway.ResponseInfo{
 		NotRun:       h.Get("Refused") != "",
+		NotRunStatus: status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable,
 		OtherTarget:  status == http.StatusMisdirectedRequest,
 		Events:       h.Get("Content-Type") == "text/event-stream",
 		Complete:     h.Get("Signed") != "",
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -40,7 +40,8 @@
 
 // ResponseInfo holds the information in the header of a target's response.
 type ResponseInfo struct {
-	NotRun       bool // the target did not run the request and will not
+	NotRun       bool // the target says that it did not run the request and will not
+	NotRunStatus bool // the status tells clients that the request was not run and will not be
 	OtherTarget  bool // the address belongs to another target than the one meant
 	Events       bool // the body is an event stream
 	Unidentified bool // the header does not name the request that the response belongs to
--- a/node/gateway/stale_test.go
+++ b/node/gateway/stale_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -87,3 +88,40 @@
 		require.Len(t, w.seen, 2)
 	})
 }
+
+// Guards against passing on a status that promises that the request was not run, if the target does not say so besides.
+func TestUnconfirmedPromiseIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": whole(status, "busy"), "t2": whole(200, "b")})
+				defer w.close()
+				w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+				w.prefer("t1")
+				var out sink
+				require.Equal(t, gateway.Unknown, w.do(t.Context(), &out).Verdict)
+				require.Zero(t, out.status)
+				require.Len(t, w.seen, 1, "no second run")
+
+				w.route.Kind, w.route.MaxAttempts = routetable.Safe, 1
+				w.prefer("t1")
+				require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+				require.Equal(t, status, out.status, "a request that may run again keeps its target's response")
+
+				require.Equal(t, gateway.Unknown, w.runItem(&gateway.Progress{}, func([]byte) {}).Verdict, "it does not count as a failure of the item")
+			})
+		})
+	}
+}
+
+// runItem runs a batch item once, at the target that is preferred.
+func (w *testGateway) runItem(progress *gateway.Progress, event func([]byte)) gateway.Outcome {
+	w.t.Helper()
+	reservation := w.board.ReserveBatch("s", "q1", nil, false)
+	require.NotNil(w.t, reservation)
+	defer reservation.Release()
+	route := w.route
+	route.Kind, route.Resumable, route.MaxAttempts = routetable.Stream, true, 10
+	request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &route, Service: "s", Arrived: time.Now()}
+	return w.forward.RunItem(w.t.Context(), request, reservation, progress, event)
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -78,6 +78,8 @@
 		return fmt.Errorf("%w: address belongs to another target", httpcall.ErrNotRun)
 	case info.NotRun:
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
+	case info.NotRunStatus && (x.sink == nil || !x.request.Route.Repeatable()):
+		return fmt.Errorf("%w: status %d", errUnconfirmed, response.Status)
 	case info.Events:
 		x.status = response.Status
 		return x.relay(ctx, reservation, response, info, watch)
