node/gateway: use no connection again after a failed try

An item of a job keeps its id when it is run again, also at the same target. A target that repeated its earlier response on the kept connection made the new run end at once: a repeated 500 counted as another failure, so that the item was given up early while a run of it went on, and a repeated empty or unmarked success made it start over and over.

Cause: a connection was kept whenever its response had been read to the end, also if that response was no usable one. Refusals were not affected, since their connections are closed unread.

A try that fails now closes its connection, so that an id is sent at most once on each. Requests that succeed are not sent again. The cost is one new connection for each failed response.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -67,6 +67,14 @@
 	First bool
 }
 
+// Abort closes Body and its connection, also after the body was read to its end.
+func (r *Response) Abort() {
+	if b, ok := r.Body.(*responseBody); ok {
+		b.ended = false
+	}
+	_ = r.Body.Close()
+}
+
 // Client keeps connections to targets. It is safe for concurrent use.
 type Client struct {
 	dial httpcall.DialFunc
--- a/node/gateway/stale_test.go
+++ b/node/gateway/stale_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,50 @@
 	request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &route, Service: "s", Arrived: time.Now()}
 	return w.forward.RunItem(w.t.Context(), request, reservation, progress, event)
 }
+
+// repeating runs the scripts like perRequest. Before each response it repeats the last one on the same connection, if there is one.
+func repeating(scripts ...script) script {
+	run, last := perRequest(scripts...), make(map[io.Writer]string)
+	return func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, last[w])
+		var response strings.Builder
+		kept := run(io.MultiWriter(w, &response), r)
+		last[w] = response.String()
+		return kept
+	}
+}
+
+// Guards against counting the response to the last run of an item, which has the same id, for the next run at the same target.
+func TestRepeatedResponseToAnItemIsNotTakenForTheNextRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		first   script
+		verdict gateway.Verdict
+	}{
+		"failure":        {whole(500, "no"), gateway.FailedAtTarget},
+		"no stream":      {whole(200, "yes"), gateway.FailedAtTarget},
+		"refusal":        {refusing, gateway.NotRun},
+		"unmarked":       {unsigned, gateway.Unknown},
+		"no event":       {events(0, -1), gateway.Unknown},
+		"busy":           {whole(503, "busy"), gateway.Unknown},
+		"another target": {whole(421, ""), gateway.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": repeating(c.first, events(0, 1))})
+				defer w.close()
+				require.Equal(t, c.verdict, w.runItem(&gateway.Progress{}, func([]byte) {}).Verdict)
+				time.Sleep(2 * time.Second) // until the target is used again
+				var received []string
+				outcome := w.runItem(&gateway.Progress{}, func(data []byte) { received = append(received, string(data)) })
+				require.Equal(t, gateway.Answered, outcome.Verdict)
+				require.Equal(t, []string{"e0", "e1"}, received)
+			})
+		})
+	}
+}
+
+// unsigned writes a success response without the completion mark.
+func unsigned(w io.Writer, _ *http.Request) bool {
+	_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 2\r\n\r\nhi")
+	return true
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -64,6 +64,16 @@
 		return x.handleSendError(ctx, reservation, err)
 	}
 	defer response.Body.Close()
+	err = x.handleResponse(ctx, reservation, response, watch)
+	if err != nil {
+		// The request may be sent again with the same id, so that a repeated response on this connection could not be told from a new one.
+		response.Abort()
+	}
+	return err
+}
+
+// handleResponse relays a response whose header has arrived.
+func (x *execution) handleResponse(ctx context.Context, reservation *Reservation, response *rawhttp.Response, watch *silenceWatch) error {
 	info := x.protocol.DecodeResponse(response.Status, response.Header)
 	watch.headerReceived()
 	if info.Unidentified && !response.First {
