adapters/httpcall: believe only the refusal of the request itself

On the product's own interface, a target that repeated an earlier refusal on a kept connection made its next request count as not run: the caller was told not_run, or the request went to another target, while it ran. A rejection (4xx) of another request was passed on as final.

Cause: the owner of successes was checked (stream.CheckResponse, ids of events), that of failures was not.

Sender compares X-Request-Id of failures. One that names another request leaves the outcome unknown; so does a refusal that names none on a reused connection. Operations that are not idempotent were not affected, since they use new connections.

--- a/adapters/httpcall/sender.go
+++ b/adapters/httpcall/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -23,7 +24,8 @@
 	return &Sender{client: &own}
 }
 
-// Do sends the request once. Errors are ErrNotSent or ErrOutcomeUnknown. Answers of any status are returned as they are.
+// Do sends the request once. Errors are ErrNotSent or ErrOutcomeUnknown. Answers of any status are returned as they are, but a failure that does
+// not certainly belong to the request is ErrOutcomeUnknown.
 func (s *Sender) Do(r *http.Request) (*http.Response, error) {
 	if err := r.Context().Err(); err != nil {
 		return nil, NotSent(err)
@@ -37,6 +39,10 @@
 	response, err := s.client.Do(r)
 	switch {
 	case err == nil:
+		if err := seen.checkOwner(r, response); err != nil {
+			response.Body.Close()
+			return nil, OutcomeUnknown(err)
+		}
 		return response, nil
 	case seen.notSent():
 		return nil, NotSent(err)
@@ -48,13 +54,17 @@
 type progress struct {
 	asked    atomic.Bool // the transport looked for a connection
 	got      atomic.Bool // the transport had a connection
+	reused   atomic.Bool // the connection had carried an earlier request
 	bodyRead atomic.Bool // the transport read from the body
 }
 
 func (p *progress) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GetConn: func(string) { p.asked.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) { p.got.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			p.got.Store(true)
+			p.reused.Store(info.Reused)
+		},
 	}
 }
 
@@ -63,6 +73,21 @@
 	return p.asked.Load() && !p.got.Load() && !p.bodyRead.Load()
 }
 
+// checkOwner returns an error for a failure that names another request, and for a refusal that names none and may have been sent for an earlier
+// request on the same connection. The owners of successes are checked by their readers.
+func (p *progress) checkOwner(r *http.Request, response *http.Response) error {
+	sent, stated := r.Header.Get(HeaderRequestID), response.Header.Get(HeaderRequestID)
+	switch {
+	case sent == "" || sent == stated || response.StatusCode < http.StatusMultipleChoices:
+		return nil
+	case stated != "":
+		return fmt.Errorf("status %d belongs to request %q", response.StatusCode, stated)
+	case response.Header.Get(HeaderNotRun) != "" && p.reused.Load():
+		return fmt.Errorf("refusal with status %d on a reused connection names no request", response.StatusCode)
+	}
+	return nil
+}
+
 // onceBody is a request body that cannot be rewound. Even an empty one differs from http.NoBody, which net/http would resend.
 type onceBody struct {
 	io.ReadCloser
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -106,6 +106,7 @@
 
 // start accepts a request or rejects it without running it, and writes the answer.
 func (e *Engine) start(ctx context.Context, w http.ResponseWriter, id string, chat bool, body []byte) {
+	w.Header().Set("X-Request-Id", id)
 	r, err := parseRequest(body)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "invalid_request", err.Error())
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -86,7 +86,7 @@
 	}
 	fault, leaving := s.next()
 	if fault == NotRun || leaving {
-		reject(w, leaving)
+		reject(w, r.Header.Get("X-Request-Id"), leaving)
 		return
 	}
 	execution := s.ledger.record(Execution{
@@ -112,7 +112,8 @@
 	}
 }
 
-func reject(w http.ResponseWriter, leaving bool) {
+func reject(w http.ResponseWriter, id string, leaving bool) {
+	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Not-Run", "true")
 	if leaving {
 		w.Header().Set("X-Leaving", "true")
