node/gateway: pass on no event without an id

A stream broke off, and the next target answered the resumed request with an error in the form of an event, or with the head and text of an error inside a stream. The client found the error in the middle of its stream, and the stream ended as if it were complete. The output of a batch item got the text of the error, or an empty line for its head, and the item was listed as completed.

Cause: takeEvents compared the ids of events that have one and passed on all others. On the platform, each event of a stream has an id.

An event without an id now ends the try like one out of order: the events before it are passed on, and the connection to the client is broken off if no target continues the stream. Comments, which are no events, still pass and no longer count as events. A response with a status of failure is never relayed as a stream, which the platform's protocol ensured already.

The two tests cover 15 responses that do not continue a stream.

--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -13,6 +13,8 @@
 	ID    int64
 	HasID bool
 	Data  []byte // values of the data fields, joined by newlines
+	// Comment tells that there is no field but only comments or blank lines, which receivers skip.
+	Comment bool
 }
 
 // Splitter splits a byte stream into complete events and keeps their bytes unchanged, so that an opaque stream can be relayed without passing
@@ -73,10 +75,14 @@
 }
 
 func parseRaw(raw []byte) (RawEvent, error) {
-	event := RawEvent{Raw: raw}
+	event := RawEvent{Raw: raw, Comment: true}
 	first := true
 	for line := range bytes.Lines(raw) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if len(name) == 0 {
+			continue
+		}
+		event.Comment = false
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -14,6 +14,7 @@
 	raw, data string
 	id        int64
 	hasID     bool
+	comment   bool
 }
 
 // split passes the text to a splitter in pieces of the given size. It returns the complete events, the number of bytes left and the first error.
@@ -29,7 +30,7 @@
 			if !ok {
 				break
 			}
-			events = append(events, rawEvent{string(e.Raw), string(e.Data), e.ID, e.HasID})
+			events = append(events, rawEvent{string(e.Raw), string(e.Data), e.ID, e.HasID, e.Comment})
 		}
 	}
 	return events, s.Pending(), err
@@ -43,12 +44,13 @@
 		pending    int
 		err        error
 	}{
-		{"an event has an id and data", "id: 7\ndata: a\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}}, 0, nil},
-		{"two events", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}, {"id: 8\ndata: b\n\n", "b", 8, true}}, 0, nil},
-		{"lines end in CRLF", "id: 7\r\ndata: a\r\n\r\n", []rawEvent{{"id: 7\r\ndata: a\r\n\r\n", "a", 7, true}}, 0, nil},
-		{"an unknown first line stays", "weight-versions: 3\nid: 7\ndata: a\n\n", []rawEvent{{"weight-versions: 3\nid: 7\ndata: a\n\n", "a", 7, true}}, 0, nil},
-		{"data lines are joined", "data: a\ndata: b\ndata:\n\n", []rawEvent{{"data: a\ndata: b\ndata:\n\n", "a\nb\n", 0, false}}, 0, nil},
-		{"a part of an event stays back", "id: 7\ndata: a\n\nid: 8\nda", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}}, 8, nil},
+		{"an event has an id and data", "id: 7\ndata: a\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"two events", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}, {"id: 8\ndata: b\n\n", "b", 8, true, false}}, 0, nil},
+		{"lines end in CRLF", "id: 7\r\ndata: a\r\n\r\n", []rawEvent{{"id: 7\r\ndata: a\r\n\r\n", "a", 7, true, false}}, 0, nil},
+		{"an unknown first line stays", "weight-versions: 3\nid: 7\ndata: a\n\n", []rawEvent{{"weight-versions: 3\nid: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"data lines are joined", "data: a\ndata: b\ndata:\n\n", []rawEvent{{"data: a\ndata: b\ndata:\n\n", "a\nb\n", 0, false, false}}, 0, nil},
+		{"comments are no event", ": wait\n\nid: 7\ndata: a\n\n", []rawEvent{{": wait\n\n", "", 0, false, true}, {"id: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"a part of an event stays back", "id: 7\ndata: a\n\nid: 8\nda", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}}, 8, nil},
 		{"an id that is no number is malformed", "id: x\ndata: a\n\n", nil, 0, stream.ErrMalformedEvent},
 		{"two ids are malformed", "id: 7\nid: 8\n\n", nil, 0, stream.ErrMalformedEvent},
 		{"an endless event is too large", "data: " + strings.Repeat("x", 2*maxEvent), nil, 0, stream.ErrEventTooLarge},
--- /dev/null
+++ b/node/gateway/broken_stream_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/node/gateway"
+)
+
+// streamOf writes a complete stream with the given bytes.
+func streamOf(text string) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead+chunk(text)+"0\r\n\r\n")
+		return true
+	}
+}
+
+// raw writes bytes and closes the connection.
+func raw(text string) script {
+	return func(w io.Writer, _ *http.Request) bool {
+		_, _ = io.WriteString(w, text)
+		return false
+	}
+}
+
+const (
+	errorText = `{"error":"internal"}`
+	errorHead = "HTTP/1.1 500 Internal Server Error\r\nId: q1\r\nContent-Length: 20\r\n\r\n"
+	// unframedHead begins a stream whose end is that of its connection.
+	unframedHead = "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n\r\n"
+)
+
+// notContinued are responses to a stream that is to go on after event 2 and that do not continue it.
+var notContinued = map[string]script{
+	"failure":                          whole(500, errorText),
+	"rejection":                        whole(404, errorText),
+	"refusal":                          refusing,
+	"another content type":             whole(200, errorText),
+	"unmarked stream":                  raw("HTTP/1.1 200 OK\r\nId: q1\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n" + event(3)),
+	"failure of a stream's type":       raw("HTTP/1.1 500 X\r\nId: q1\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n" + event(3)),
+	"cut in its head":                  raw("HTTP/1.1 200 OK\r\nId: q1\r\nSigned: y"),
+	"lower event":                      events(1, 5),
+	"first event again":                events(0, 5),
+	"higher event":                     events(4, 5),
+	"error as an event without id":     streamOf("event: error\ndata: " + errorText + "\n\n"),
+	"error text":                       streamOf(errorText + "\n\n"),
+	"head of an error in the stream":   streamOf(errorHead + errorText),
+	"head of an error in its framing":  raw(streamHead + errorHead + errorText),
+	"head of an error without framing": raw(unframedHead + errorHead + errorText + "\n\n"),
+}
+
+// Guards against a stream that broke off and is ended as if it were complete, or with something else than its own events.
+func TestStreamEndsVisiblyIfNoTargetContinuesIt(t *testing.T) {
+	for name, next := range notContinued {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": truncated(0, 2), "t2": next})
+				defer w.close()
+				w.prefer("t1")
+				var out sink
+				require.Equal(t, gateway.Incomplete, w.do(t.Context(), &out).Verdict)
+				require.Equal(t, allEvents(0, 2), out.body.String())
+				require.Equal(t, receivedRequest{"t2", "2"}, w.seen[1])
+			})
+		})
+	}
+}
+
+// Guards against an item whose output has the text of an error, or that counts as completed before its last event.
+func TestItemTakesOnlyItsOwnEvents(t *testing.T) {
+	for name, next := range notContinued {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": perRequest(truncated(0, 2), next, events(3, 4))})
+				defer w.close()
+				var received []string
+				progress := &gateway.Progress{}
+				run := func() gateway.Verdict {
+					time.Sleep(10 * time.Second) // until the target is used again
+					return w.runItem(progress, func(data []byte) { received = append(received, string(data)) }).Verdict
+				}
+				require.Equal(t, gateway.Unknown, run())
+				require.NotEqual(t, gateway.Answered, run())
+				require.Equal(t, gateway.Answered, run())
+				require.Equal(t, []string{"e0", "e1", "e2", "e3", "e4"}, received)
+			})
+		})
+	}
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -90,7 +90,7 @@
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
 	case info.NotRunStatus && (x.sink == nil || !x.request.Route.Repeatable()):
 		return fmt.Errorf("%w: status %d", errUnconfirmed, response.Status)
-	case info.Events:
+	case info.Events && response.Status < http.StatusMultipleChoices:
 		x.status = response.Status
 		return x.relay(ctx, reservation, response, info, watch)
 	}
@@ -155,7 +155,7 @@
 
 // relay passes on whole events as they arrive and checks that their ids are consecutive, across tries as well.
 func (x *execution) relay(ctx context.Context, reservation *Reservation, response *rawhttp.Response, info ResponseInfo, watch *silenceWatch) error {
-	if !info.Complete && response.Status < http.StatusMultipleChoices {
+	if !info.Complete {
 		return errUnmarked
 	}
 	splitter := stream.NewSplitter(maxEventBytes)
@@ -196,12 +196,16 @@
 		if err != nil || !ok {
 			return out, err
 		}
-		if event.HasID {
-			if x.progress.Events > 0 && event.ID != x.progress.Last+1 {
-				return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
-			}
-			x.progress.Last = event.ID
+		switch {
+		case event.Comment:
+			out = append(out, event.Raw...)
+			continue
+		case !event.HasID:
+			return out, fmt.Errorf("%w: an event without one follows %d", errEventOrder, x.progress.Last)
+		case x.progress.Events > 0 && event.ID != x.progress.Last+1:
+			return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
 		}
+		x.progress.Last = event.ID
 		if x.firstEvent == 0 {
 			x.firstEvent = time.Since(x.request.Arrived)
 		}
