core/stream: take no line of an error for a field of an event

A target stopped in the middle of an event and wrote the head of an error behind it. The blank line after the head ended the event, which had the right id: the client got the head within its event, the output of an item got "eHTTP/1.1 500 Internal Server Error", and both counted as complete.

Cause: the splitter skips lines whose field it does not know, as receivers of event streams do. A relay that passes on raw bytes must not.

A line that does not begin with the name of a field is now malformed. Names that the format does not define are allowed, such as that of the weights' version, but only in lower case, which the status line and the header of an error are not. The connection is broken off or the stream goes on elsewhere.

--- a/core/stream/decoder.go
+++ b/core/stream/decoder.go
@@ -14,7 +14,7 @@
 	// ErrEventTooLarge means that an event exceeds the size limit of the Decoder or Splitter.
 	ErrEventTooLarge = eris.New("event is larger than the bound")
 	// ErrMalformedEvent means that an event has no usable id: two ids, or one that contains a NUL character or, for a Splitter, isn't
-	// a number.
+	// a number. For a Splitter it also means that a line does not begin with the name of a field.
 	ErrMalformedEvent = eris.New("event is malformed")
 	// ErrTruncated means that the bytes ended within an event or before the event that ends the stream.
 	ErrTruncated = eris.New("event stream is truncated")
--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -82,6 +82,9 @@
 		if len(name) == 0 {
 			continue
 		}
+		if !isFieldName(name) {
+			return event, fmt.Errorf("%w: field %.40q", ErrMalformedEvent, name)
+		}
 		event.Comment = false
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
@@ -101,3 +104,14 @@
 	}
 	return event, nil
 }
+
+// isFieldName reports whether name can be that of a field. Names that the format does not define are allowed, but they have only lower-case letters,
+// digits and hyphens, so that the header or the text of an error is not taken for a part of an event.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -52,6 +52,10 @@
 		{"comments are no event", ": wait\n\nid: 7\ndata: a\n\n", []rawEvent{{": wait\n\n", "", 0, false, true}, {"id: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
 		{"a part of an event stays back", "id: 7\ndata: a\n\nid: 8\nda", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}}, 8, nil},
 		{"an id that is no number is malformed", "id: x\ndata: a\n\n", nil, 0, stream.ErrMalformedEvent},
+		{"a line of another protocol is malformed", "id: 7\ndata: a\nHTTP/1.1 500 X\r\n\r\n", nil, 0, stream.ErrMalformedEvent},
+		{"a header of another protocol is malformed", "id: 7\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\n", nil, 0, stream.ErrMalformedEvent},
+		{"a text is malformed", "internal error\n\n", nil, 0, stream.ErrMalformedEvent},
+		{"a field without a value", "id: 7\ndata\n\n", []rawEvent{{"id: 7\ndata\n\n", "", 7, true, false}}, 0, nil},
 		{"two ids are malformed", "id: 7\nid: 8\n\n", nil, 0, stream.ErrMalformedEvent},
 		{"an endless event is too large", "data: " + strings.Repeat("x", 2*maxEvent), nil, 0, stream.ErrEventTooLarge},
 	}
@@ -73,6 +77,7 @@
 	// Guards against bytes that are lost or changed, and against results that depend on the size of reads.
 	f.Add("id: 7\r\ndata: a\r\n\r\ndata: b\n\n", 1)
 	f.Add("\n\n\nid: 1\n\n", 2)
+	f.Add("id: 7\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror", 3)
 	f.Fuzz(func(t *testing.T, text string, piece int) {
 		if piece <= 0 {
 			piece = 1
--- a/node/gateway/broken_stream_test.go
+++ b/node/gateway/broken_stream_test.go
@@ -50,6 +50,8 @@
 	"error as an event without id":     streamOf("event: error\ndata: " + errorText + "\n\n"),
 	"error text":                       streamOf(errorText + "\n\n"),
 	"head of an error in the stream":   streamOf(errorHead + errorText),
+	"event that ends in an error":      streamOf("id: 3\ndata: e" + errorHead),
+	"event and head of an error":       streamOf("id: 3\ndata: e3\n" + errorHead),
 	"head of an error in its framing":  raw(streamHead + errorHead + errorText),
 	"head of an error without framing": raw(unframedHead + errorHead + errorText + "\n\n"),
 }
