--- a/core/stream/splitter.go
+++ b/core/stream/splitter.go
@@ -13,6 +13,8 @@
 	ID    int64
 	HasID bool
 	Data  []byte // values of the data fields, joined by newlines
+	// Comment tells that there is no field but only comments or blank lines, which receivers skip.
+	Comment bool
 }
 
 // Splitter splits a byte stream into complete events and keeps their bytes unchanged, so that an opaque stream can be relayed without passing
@@ -73,10 +75,17 @@
 }
 
 func parseRaw(raw []byte) (RawEvent, error) {
-	event := RawEvent{Raw: raw}
+	event := RawEvent{Raw: raw, Comment: true}
 	first := true
 	for line := range bytes.Lines(raw) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if len(name) == 0 {
+			continue
+		}
+		if !isFieldName(name) {
+			return event, fmt.Errorf("%w: field %.40q", ErrMalformedEvent, name)
+		}
+		event.Comment = false
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
@@ -95,3 +104,14 @@
 	}
 	return event, nil
 }
+
+// isFieldName reports whether name can be that of a field. Names that the format does not define are allowed, but they have only lower-case letters,
+// digits and hyphens, so that the header or the text of an error is not taken for a part of an event.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- a/core/stream/splitter_test.go
+++ b/core/stream/splitter_test.go
@@ -14,6 +14,7 @@
 	raw, data string
 	id        int64
 	hasID     bool
+	comment   bool
 }
 
 // split passes the text to a splitter in pieces of the given size. It returns the complete events, the number of bytes left and the first error.
@@ -29,7 +30,7 @@
 			if !ok {
 				break
 			}
-			events = append(events, rawEvent{string(e.Raw), string(e.Data), e.ID, e.HasID})
+			events = append(events, rawEvent{string(e.Raw), string(e.Data), e.ID, e.HasID, e.Comment})
 		}
 	}
 	return events, s.Pending(), err
@@ -43,13 +44,18 @@
 		pending    int
 		err        error
 	}{
-		{"an event has an id and data", "id: 7\ndata: a\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}}, 0, nil},
-		{"two events", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}, {"id: 8\ndata: b\n\n", "b", 8, true}}, 0, nil},
-		{"lines end in CRLF", "id: 7\r\ndata: a\r\n\r\n", []rawEvent{{"id: 7\r\ndata: a\r\n\r\n", "a", 7, true}}, 0, nil},
-		{"an unknown first line stays", "weight-versions: 3\nid: 7\ndata: a\n\n", []rawEvent{{"weight-versions: 3\nid: 7\ndata: a\n\n", "a", 7, true}}, 0, nil},
-		{"data lines are joined", "data: a\ndata: b\ndata:\n\n", []rawEvent{{"data: a\ndata: b\ndata:\n\n", "a\nb\n", 0, false}}, 0, nil},
-		{"a part of an event stays back", "id: 7\ndata: a\n\nid: 8\nda", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true}}, 8, nil},
+		{"an event has an id and data", "id: 7\ndata: a\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"two events", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}, {"id: 8\ndata: b\n\n", "b", 8, true, false}}, 0, nil},
+		{"lines end in CRLF", "id: 7\r\ndata: a\r\n\r\n", []rawEvent{{"id: 7\r\ndata: a\r\n\r\n", "a", 7, true, false}}, 0, nil},
+		{"an unknown first line stays", "weight-versions: 3\nid: 7\ndata: a\n\n", []rawEvent{{"weight-versions: 3\nid: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"data lines are joined", "data: a\ndata: b\ndata:\n\n", []rawEvent{{"data: a\ndata: b\ndata:\n\n", "a\nb\n", 0, false, false}}, 0, nil},
+		{"comments are no event", ": wait\n\nid: 7\ndata: a\n\n", []rawEvent{{": wait\n\n", "", 0, false, true}, {"id: 7\ndata: a\n\n", "a", 7, true, false}}, 0, nil},
+		{"a part of an event stays back", "id: 7\ndata: a\n\nid: 8\nda", []rawEvent{{"id: 7\ndata: a\n\n", "a", 7, true, false}}, 8, nil},
 		{"an id that is no number is malformed", "id: x\ndata: a\n\n", nil, 0, stream.ErrMalformedEvent},
+		{"a line of another protocol is malformed", "id: 7\ndata: a\nHTTP/1.1 500 X\r\n\r\n", nil, 0, stream.ErrMalformedEvent},
+		{"a header of another protocol is malformed", "id: 7\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\n", nil, 0, stream.ErrMalformedEvent},
+		{"a text is malformed", "internal error\n\n", nil, 0, stream.ErrMalformedEvent},
+		{"a field without a value", "id: 7\ndata\n\n", []rawEvent{{"id: 7\ndata\n\n", "", 7, true, false}}, 0, nil},
 		{"two ids are malformed", "id: 7\nid: 8\n\n", nil, 0, stream.ErrMalformedEvent},
 		{"an endless event is too large", "data: " + strings.Repeat("x", 2*maxEvent), nil, 0, stream.ErrEventTooLarge},
 	}
@@ -71,6 +77,7 @@
 	// Guards against bytes that are lost or changed, and against results that depend on the size of reads.
 	f.Add("id: 7\r\ndata: a\r\n\r\ndata: b\n\n", 1)
 	f.Add("\n\n\nid: 1\n\n", 2)
+	f.Add("id: 7\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror", 3)
 	f.Fuzz(func(t *testing.T, text string, piece int) {
 		if piece <= 0 {
 			piece = 1
