node/itemjobs: log and count why an item is given up

An item was listed as dead-lettered before the retention of its job had passed, and the line 'Item is given up' could not tell whether a clock or a routing table that is behind was the cause. It now has the age of the job, the time of day here against the give-up time, the version of the routing table here and of the one by which the job was accepted, the accepting instance, the owner and how it became the owner. 'Job accepted' and 'Job taken up' name the version and the accepting instance too. The counter item_jobs.given_up has the reason as a tag. The record of a job has the version and the accepting instance for it, some 40 bytes; records of earlier builds lack both.

No decision changes.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -31,21 +31,25 @@
 
 // Record is the stored record of a job. Its items and results are stored under other keys.
 type Record struct {
-	ID          ID               `json:"id"`
-	Token       string           `json:"token"` // identifies the submission that created the record
-	Route       string           `json:"route"`
-	Host        string           `json:"host"`
-	Items       int              `json:"items"`
-	Parts       int              `json:"parts"` // number of keys that hold the items
-	Tokens      int64            `json:"tokens"`
-	Submitted   time.Time        `json:"submitted"`
-	Due         time.Time        `json:"due"`
-	GiveUp      time.Time        `json:"give_up"`           // from this time on, unfinished items may be dead-lettered
-	MaxAttempts int              `json:"max_attempts"`      // number of failures of an item after which it is dead-lettered, from the route
-	Owner       fleet.InstanceID `json:"owner,omitempty"`   // empty while the job has no owner
-	Process     uint64           `json:"process,omitempty"` // incarnation of the owner, which identifies its process; 0 without an owner
-	Ended       bool             `json:"ended,omitempty"`   // the client ended the job
-	EndedAt     time.Time        `json:"ended_at,omitzero"`
+	ID          ID        `json:"id"`
+	Token       string    `json:"token"` // identifies the submission that created the record
+	Route       string    `json:"route"`
+	Host        string    `json:"host"`
+	Items       int       `json:"items"`
+	Parts       int       `json:"parts"` // number of keys that hold the items
+	Tokens      int64     `json:"tokens"`
+	Submitted   time.Time `json:"submitted"`
+	Due         time.Time `json:"due"`
+	GiveUp      time.Time `json:"give_up"`           // from this time on, unfinished items may be dead-lettered
+	MaxAttempts int       `json:"max_attempts"`      // number of failures of an item after which it is dead-lettered, from the route
+	Version     int64     `json:"version,omitempty"` // of the routing table by which the job was accepted; 0 if an earlier build wrote the record
+	// AcceptedBy is the instance that the client submitted the job to, by whose clock the times above are; empty if an earlier build wrote the
+	// record.
+	AcceptedBy fleet.InstanceID `json:"accepted_by,omitempty"`
+	Owner      fleet.InstanceID `json:"owner,omitempty"`   // empty while the job has no owner
+	Process    uint64           `json:"process,omitempty"` // incarnation of the owner, which identifies its process; 0 without an owner
+	Ended      bool             `json:"ended,omitempty"`   // the client ended the job
+	EndedAt    time.Time        `json:"ended_at,omitzero"`
 }
 
 // Result is the outcome of an item. Its index in the job's list of results is its position.
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -443,7 +443,7 @@
 
 // submission returns a submission with items of 100 tokens each.
 func submission(id itemjob.ID, items ...string) itemjobs.Submission {
-	sub := itemjobs.Submission{ID: id, Host: "h", Route: table().Match("h", "/j/"), Arrived: time.Now()}
+	sub := itemjobs.Submission{ID: id, Host: "h", Route: table().Match("h", "/j/"), Version: table().Version, Arrived: time.Now()}
 	for _, item := range items {
 		sub.Items = append(sub.Items, itemjob.Item{ID: item, Path: "/j/" + item, Body: []byte("body of " + item), Tokens: 100})
 	}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -224,14 +224,15 @@
 	if err != nil {
 		return err
 	}
-	job := itemjob.NewJob(record, items, results)
+	job, by := itemjob.NewJob(record, items, results), originHandedOver
 	if handedOver == nil {
+		by = originTakenOver
 		handedOver = s.storedProgress(ctx, record.ID)
 	}
 	continued := handedOver.apply(job, time.Now())
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
-		"due_in_ms", time.Until(record.Due).Milliseconds())
-	s.addOwned(job, revision, asOf)
+		"due_in_ms", time.Until(record.Due).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
+	s.addOwned(job, by, revision, asOf)
 	return nil
 }
 
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -211,8 +211,17 @@
 
 // deadLetter gives up on an item and finishes it without output. The caller holds s.mu.
 func (s *Service) deadLetter(j *ownedJob, task *itemjob.Task, reason itemjob.Reason) {
-	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures)
-	j.Finish(task, false, time.Now())
+	now := time.Now()
+	version := int64(0)
+	if table := s.Routes.Current(); table != nil {
+		version = table.Version
+	}
+	// past_give_up_ms compares this instance's time of day with a time of day of accepted_by.
+	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures, "max_failures", j.MaxAttempts,
+		"age_ms", now.Sub(j.Submitted).Milliseconds(), "past_give_up_ms", now.Round(0).Sub(j.GiveUp).Milliseconds(), "owned_ms", now.Sub(j.ownedSince).Milliseconds(),
+		"version", version, "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
+	s.stats.givenUp(reason)
+	j.Finish(task, false, now)
 	wait.Wake(j.recordSignal)
 }
 
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -78,6 +78,7 @@
 type ownedJob struct {
 	*itemjob.Job
 	ownedSince   time.Time     // when this instance became the owner
+	origin       origin        // how this instance became the owner
 	revision     kv.Revision   // of the record; every write of results is conditional on it
 	changed      chan struct{} // closed and replaced when results were recorded or the job is no longer owned
 	recordSignal chan struct{} // triggers the recorder
@@ -88,6 +89,17 @@
 	evictAt            time.Time // when the results are evicted from memory
 }
 
+// origin is how an instance became the owner of a job.
+type origin string
+
+// Origins of owned jobs.
+const (
+	originSubmitted  origin = "submission"
+	originForwarded  origin = "forwarded submission"
+	originHandedOver origin = "hand-over"
+	originTakenOver  origin = "take-over"
+)
+
 // isOpen reports whether this instance owns the job and not all of its results are recorded. The caller holds Service.mu.
 func (j *ownedJob) isOpen() bool { return !j.dropped && !j.AllStored() }
 
@@ -196,8 +208,10 @@
 
 // addOwned adds a job that this instance owns and starts to run it, unless a drop notice arrived since beginAcquisition. asOf is when the store
 // call was sent whose response shows the ownership. It must be called between beginAcquisition and its end.
-func (s *Service) addOwned(job *itemjob.Job, revision kv.Revision, asOf time.Time) {
-	j := &ownedJob{Job: job, ownedSince: time.Now(), revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1)}
+func (s *Service) addOwned(job *itemjob.Job, by origin, revision kv.Revision, asOf time.Time) {
+	j := &ownedJob{
+		Job: job, ownedSince: time.Now(), origin: by, revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1),
+	}
 	j.Confirm(asOf)
 	s.mu.Lock()
 	if t, ok := s.acquiring[job.ID]; ok && t.dropped {
--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"eelgrassproxy.example/core/itemjob"
 )
 
-// stats counts ends of jobs and measures how late their owners find out, and how old the confirmations are with which items start.
+// stats counts ends of jobs and measures how late their owners find out, and how old the confirmations are with which items start. It counts the
+// items that are given up.
 type stats struct{ scope tally.Scope }
 
 func newStats(scope tally.Scope) stats { return stats{scope.SubScope("item_jobs")} }
@@ -25,6 +28,19 @@
 	s.scope.Tagged(map[string]string{"owner_told": strconv.FormatBool(acknowledged)}).Counter("ends").Inc(1)
 }
 
+// givenUp counts an item that was given up.
+func (s stats) givenUp(reason itemjob.Reason) {
+	s.scope.Tagged(map[string]string{"reason": reasonTags[reason]}).Counter("given_up").Inc(1)
+}
+
+// reasonTags are the values of the tag reason.
+var reasonTags = map[itemjob.Reason]string{
+	itemjob.CannotSucceed:    "cannot_succeed",
+	itemjob.TooManyFailures:  "too_many_failures",
+	itemjob.GiveUpTimePassed: "give_up_time_passed",
+	itemjob.RouteRemoved:     "route_removed",
+}
+
 // endFound records the time from the end of a job to when its owner found it in the store. It includes the difference between the clocks of the
 // two instances.
 func (s stats) endFound(after time.Duration) {
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -39,6 +39,7 @@
 	ID      itemjob.ID
 	Host    string
 	Route   *routetable.Route
+	Version int64 // of the routing table that has the route
 	Items   []itemjob.Item
 	Arrived time.Time
 }
@@ -173,6 +174,8 @@
 		Due:         sub.Arrived.Add(sub.Route.JobObjective),
 		GiveUp:      sub.Arrived.Add(sub.Route.JobRetention),
 		MaxAttempts: sub.Route.MaxAttempts,
+		Version:     sub.Version,
+		AcceptedBy:  s.Self.ID,
 	}
 	for _, item := range sub.Items {
 		r.Tokens += item.Tokens
@@ -247,8 +250,13 @@
 
 func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision, asOf time.Time) {
 	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
+		"version", record.Version, "accepted_by", record.AcceptedBy,
 		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
-	s.addOwned(itemjob.NewJob(record, items, nil), revision, asOf)
+	by := originSubmitted
+	if record.AcceptedBy != s.Self.ID {
+		by = originForwarded
+	}
+	s.addOwned(itemjob.NewJob(record, items, nil), by, revision, asOf)
 }
 
 // resolveExisting handles a job that already has a record: from an earlier submission, or from an attempt of this one whose response was lost.
