node/itemjobs: the clock is part of the Config

Tests on virtual time have one clock for all instances, so that no test could show what an owner with another time of day does. A test may now set the time of day of one instance while its monotonic clock runs on, as on a machine whose clock is set. The readings of time.Now in a bubble of testing/synctest have no monotonic time, so core/clocktest (before: core/internal/clocktest) makes them. No behaviour changes.

--- a/core/itemjob/ownership_test.go
+++ b/core/itemjob/ownership_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"eelgrassproxy.example/core/internal/clocktest"
+	"eelgrassproxy.example/core/clocktest"
 )
 
 // Guards against items that start although their job ended after the store's last confirmation, and against calls to the store for jobs without
--- a/core/lease/holder_test.go
+++ b/core/lease/holder_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"eelgrassproxy.example/core/internal/clocktest"
+	"eelgrassproxy.example/core/clocktest"
 	"eelgrassproxy.example/core/lease"
 )
 
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -63,7 +63,7 @@
 		jobs = append(jobs, entry.job)
 	}
 	expectOwned(&txn, jobs)
-	asOf := time.Now()
+	asOf := s.Now()
 	result, err := s.Store.Txn(ctx, txn)
 	if err != nil {
 		klog.V(1).InfoS("Progress of jobs could not be written", "jobs", len(batch), "error", err.Error())
--- a/node/itemjobs/collect.go
+++ b/node/itemjobs/collect.go
@@ -27,11 +27,11 @@
 // collect removes old jobs periodically until ctx ends: every instance from its memory, and one instance also from the store.
 func (s *Service) collect(ctx context.Context) {
 	for wait.For(ctx, collectInterval) {
-		s.evictOld(time.Now())
+		s.evictOld(s.Now())
 		if !s.isCollector() {
 			continue
 		}
-		if err := s.removeOld(ctx, time.Now()); err != nil {
+		if err := s.removeOld(ctx, s.Now()); err != nil {
 			klog.ErrorS(err, "Old jobs were not removed from the store")
 		}
 	}
--- a/node/itemjobs/confirm.go
+++ b/node/itemjobs/confirm.go
@@ -32,7 +32,7 @@
 		case <-ctx.Done():
 			return
 		}
-		for ctx.Err() == nil && !s.StoreUnreachable() && s.needsConfirmation(time.Now()) {
+		for ctx.Err() == nil && !s.StoreUnreachable() && s.needsConfirmation(s.Now()) {
 			batch := s.jobsToConfirm()
 			if len(batch) == 0 {
 				break // the jobs were dropped in the meantime
@@ -80,7 +80,7 @@
 	defer cancel()
 	var txn kv.Txn
 	expectOwned(&txn, batch)
-	asOf := time.Now()
+	asOf := s.Now()
 	result, err := s.Store.Txn(ctx, txn)
 	if err != nil {
 		klog.InfoS("Jobs were not confirmed, their items do not start", "jobs", len(batch), "cause", err.Error())
--- a/node/itemjobs/end.go
+++ b/node/itemjobs/end.go
@@ -22,7 +22,7 @@
 func (s *Service) End(ctx context.Context, id itemjob.ID) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTimeout)
 	defer cancel()
-	started := time.Now()
+	started := s.Now()
 	var attempted *itemjob.Record // as it was before a write of this call whose outcome is unknown
 	for {
 		record, revision, err := s.getRecord(ctx, id)
@@ -57,12 +57,12 @@
 func (s *Service) reportEnd(ctx context.Context, record *itemjob.Record, started time.Time) {
 	acknowledged := s.notifyOwnerOfEnd(ctx, record)
 	s.stats.ended(acknowledged)
-	klog.InfoS("Job ended", "job", record.ID, "owner", record.Owner, "owner_told", acknowledged, "took_ms", time.Since(started).Milliseconds())
+	klog.InfoS("Job ended", "job", record.ID, "owner", record.Owner, "owner_told", acknowledged, "took_ms", s.Now().Sub(started).Milliseconds())
 }
 
 // endOnce ends the job if its record is still at the revision. Errors: those of replaceRecord.
 func (s *Service) endOnce(ctx context.Context, record itemjob.Record, revision kv.Revision) error {
-	record.Ended, record.EndedAt, record.Owner, record.Process = true, time.Now(), "", 0
+	record.Ended, record.EndedAt, record.Owner, record.Process = true, s.Now(), "", 0
 	ops, err := putJSON(recordKey(record.ID), record)
 	if err != nil {
 		return err
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/clocktest"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/routetable"
@@ -249,8 +251,12 @@
 	client   *gateway.PeerClient
 	listener net.Listener
 	stop     func()
+	ahead    atomic.Int64 // nanoseconds by which its time of day is ahead
 }
 
+// now returns a reading of the instance's clock.
+func (n *node) now() time.Time { return clocktest.Reading(time.Now(), time.Duration(n.ahead.Load())) }
+
 // testFleet is a fleet of instances with one store and one target that has targetSlots.
 type testFleet struct {
 	t             *testing.T
@@ -305,7 +311,7 @@
 	n.service = itemjobs.New(itemjobs.Config{
 		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
 		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
-		Metrics: tally.NoopScope,
+		Now: n.now, Metrics: tally.NoopScope,
 	})
 	mux := http.NewServeMux()
 	n.service.Handle(mux)
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -72,7 +72,7 @@
 func (s *Service) compareOpen(ctx context.Context) (toTakeOver []itemjob.ID, err error) {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout)
 	defer cancel()
-	asOf := time.Now()
+	asOf := s.Now()
 	open, err := s.Store.List(kv.AllowStale(ctx), openPrefix)
 	if err != nil {
 		return nil, err
@@ -191,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	asOf := time.Now()
+	asOf := s.Now()
 	revision, err = s.replaceRecord(ctx, id, revision, ops)
 	if err != nil {
 		if !errors.Is(err, errContended) {
@@ -229,9 +229,9 @@
 		by = originTakenOver
 		handedOver = s.storedProgress(ctx, record.ID)
 	}
-	continued := handedOver.apply(job, time.Now())
+	continued := handedOver.apply(job, s.Now())
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
-		"due_in_ms", time.Until(record.Due).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
+		"due_in_ms", record.Due.Sub(s.Now()).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
 	s.addOwned(job, by, revision, asOf)
 	return nil
 }
@@ -263,7 +263,7 @@
 	}
 	s.mu.Unlock()
 	for _, j := range unverified {
-		sent := time.Now()
+		sent := s.Now()
 		current, err := s.Store.Get(ctx, recordKey(j.ID))
 		switch {
 		case errors.Is(err, kv.ErrNotFound) || err == nil && current.ModRevision != j.revision:
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -59,7 +59,7 @@
 func (s *Service) recordResults(ctx context.Context, j *ownedJob) {
 	for {
 		s.mu.Lock()
-		group, pause := j.ResultsToStore(time.Now())
+		group, pause := j.ResultsToStore(s.Now())
 		done := !j.isOpen()
 		s.mu.Unlock()
 		switch {
@@ -119,7 +119,7 @@
 	if position+len(group) == total {
 		ops = append(ops, kv.Op{Kind: kv.OpDelete, Key: openKey(j.ID)}, kv.Op{Kind: kv.OpDelete, Key: partialKey(j.ID)})
 	}
-	asOf := time.Now()
+	asOf := s.Now()
 	result, err := s.Store.Txn(ctx, kv.Txn{
 		Compares: []kv.Compare{
 			{Key: recordKey(j.ID), Target: kv.CompareModRevision, Revision: revision},
@@ -156,7 +156,7 @@
 
 // markRecorded updates a job after the store accepted a group of results in a call sent at asOf.
 func (s *Service) markRecorded(j *ownedJob, position int, group []itemjob.Result, asOf time.Time) {
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	j.Confirm(asOf)
 	j.MarkStored(len(group), now)
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -74,10 +74,10 @@
 func (s *Service) startItems(ctx context.Context) {
 	s.expire()
 	s.makeUrgentFirm()
-	unconfirmed := s.mayStartUnconfirmed(time.Now())
+	unconfirmed := s.mayStartUnconfirmed(s.Now())
 	for s.startNext(ctx, unconfirmed) {
 	}
-	if s.needsConfirmation(time.Now()) {
+	if s.needsConfirmation(s.Now()) {
 		wait.Wake(s.confirmSignal)
 	}
 }
@@ -90,7 +90,7 @@
 	if s.draining {
 		return false
 	}
-	now := time.Now()
+	now := s.Now()
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		if j.isRunnable() && (unconfirmed || j.IsConfirmed(now)) {
@@ -149,7 +149,7 @@
 		Route:              itemRoute(route),
 		Service:            service,
 		Version:            table.Version,
-		Arrived:            time.Now(),
+		Arrived:            s.Now(),
 		OwnershipConfirmed: j.ConfirmedAt(),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnershipConfirmed))
@@ -182,7 +182,7 @@
 		r.events.Add(1)
 	})
 	r.slot.Release()
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeRun(r)
@@ -211,7 +211,7 @@
 
 // deadLetter gives up on an item and finishes it without output. The caller holds s.mu.
 func (s *Service) deadLetter(j *ownedJob, task *itemjob.Task, reason itemjob.Reason) {
-	now := time.Now()
+	now := s.Now()
 	version := int64(0)
 	if table := s.Routes.Current(); table != nil {
 		version = table.Version
@@ -229,7 +229,7 @@
 func (s *Service) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.Now()
 	for _, j := range s.jobs {
 		if !j.isOpen() {
 			continue
@@ -243,7 +243,7 @@
 // makeUrgentFirm makes running items firm that became urgent, so that they do not yield their slots.
 func (s *Service) makeUrgentFirm() {
 	var urgent []*run
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	for _, list := range s.runs {
 		for _, r := range list {
@@ -266,7 +266,7 @@
 // items rank last in the order in which items start end first.
 func (s *Service) yieldExcess(excess map[fleet.TargetID]int) {
 	var yielding []*run
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	for id, count := range excess {
 		for range count {
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -37,6 +37,9 @@
 	// StoreUnreachable reports whether the store is unreachable from this instance.
 	StoreUnreachable func() bool
 	Seed             uint64 // of the random scan times and scheduling delays
+	// Now returns the current time, with a reading of the monotonic clock. The default is time.Now. The time of day may differ from that of other
+	// instances and be set at any time.
+	Now func() time.Time
 	// Metrics is the scope of the package's metrics.
 	Metrics tally.Scope
 }
@@ -108,6 +111,9 @@
 
 // New returns a service and registers its callbacks with the board and the peers.
 func New(config Config) *Service {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	s := &Service{
 		Config:         config,
 		scheduleSignal: make(chan struct{}, 1),
@@ -169,7 +175,7 @@
 func (s *Service) unfinishedWork() (map[string]int64, []string) {
 	tokens := s.waitingTokens()
 	var newJobs []string
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
@@ -210,7 +216,7 @@
 // call was sent whose response shows the ownership. It must be called between beginAcquisition and its end.
 func (s *Service) addOwned(job *itemjob.Job, by origin, revision kv.Revision, asOf time.Time) {
 	j := &ownedJob{
-		Job: job, ownedSince: time.Now(), origin: by, revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1),
+		Job: job, ownedSince: s.Now(), origin: by, revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1),
 	}
 	j.Confirm(asOf)
 	s.mu.Lock()
@@ -257,7 +263,7 @@
 		r.cancel(errDropped)
 	}
 	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", results, "runs", len(runs),
-		"confirmed_ms", time.Since(confirmed).Milliseconds())
+		"confirmed_ms", s.Now().Sub(confirmed).Milliseconds())
 }
 
 // dropChanged drops a job whose record was changed since this instance became the owner, by a take-over or by the end of the job, or was deleted.
@@ -271,7 +277,7 @@
 		klog.ErrorS(err, "Changed record of a job cannot be read", "job", j.ID)
 		s.drop(j, "its record changed")
 	case record.Ended:
-		after := time.Since(record.EndedAt)
+		after := s.Now().Sub(record.EndedAt)
 		s.stats.endFound(after)
 		s.drop(j, fmt.Sprintf("the store says that its client ended it %d ms ago", after.Milliseconds()))
 	default:
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -226,7 +226,7 @@
 func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) error {
 	mayBeRecorded := false
 	for {
-		asOf := time.Now()
+		asOf := s.Now()
 		result, err := s.Store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Succeeded:
@@ -251,7 +251,7 @@
 func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision, asOf time.Time) {
 	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
 		"version", record.Version, "accepted_by", record.AcceptedBy,
-		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
+		"due_ms", record.Due.Sub(s.Now()).Milliseconds(), "took_ms", s.Now().Sub(record.Submitted).Milliseconds())
 	by := originSubmitted
 	if record.AcceptedBy != s.Self.ID {
 		by = originForwarded
