node/itemjobs: measure the age of a job by monotonic clocks

Callers saw items listed as dead-lettered before the retention of their job had passed. The time to give an item up was the accepting instance's time of day plus the retention, and the owner compared it with its own time of day. An owner whose clock is ahead, or is set forward, gave up earlier by the difference: of a job that was forwarded to it, handed over to it or taken over by it, since the times of a record that was decoded have no monotonic reading.

The owner now compares the retention with the age that the job has for certain. A forwarded submission, a hand-over and the progress in the store carry the age so far, which the sender measured by its monotonic clock; the receiver adds the time by its own. The record has the age at the last change of the owner. An instance that takes a job over also counts from when its scans first listed the job; one that knows nothing counts from when it read the record, as with records of earlier builds, which have no age. The transfer itself is not counted. Hence the age is never too high and an item may be given up late, not too soon. The due time moves with it; for a job that was taken over it is still estimated from the time of day, since the certain age may lack seconds.

The record grows by up to 30 bytes, a checkpoint by 20; datagrams do not.

--- a/core/itemjob/backlog_test.go
+++ b/core/itemjob/backlog_test.go
@@ -25,7 +25,7 @@
 func dueFirst(jobs []*itemjob.Job, _ *itemjob.Pace, _ time.Time) (choice itemjob.Choice, ok bool) {
 	for _, j := range jobs {
 		for _, t := range j.Tasks {
-			if t.Phase == itemjob.Waiting && (!ok || j.Due.Before(choice.Job.Due)) {
+			if t.Phase == itemjob.Waiting && (!ok || j.DueTime().Before(choice.Job.DueTime())) {
 				choice, ok = itemjob.Choice{Job: j, Task: t}, true
 			}
 		}
@@ -64,7 +64,7 @@
 			}
 			r.Job.Finish(r.Task, true, moment)
 			ended++
-			if !moment.After(r.Job.Due) {
+			if !moment.After(r.Job.DueTime()) {
 				inTime++
 			}
 		}
--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -30,21 +30,25 @@
 }
 
 // Record is the stored record of a job. Its items and results are stored under other keys.
+//
+// Submitted, Due and GiveUp are times of day at the instance that recorded the job. Clocks of instances differ and may be set, so that no promise
+// depends on a comparison of these times with another instance's time of day; see Job.Age. The differences between them hold anywhere.
 type Record struct {
-	ID          ID        `json:"id"`
-	Token       string    `json:"token"` // identifies the submission that created the record
-	Route       string    `json:"route"`
-	Host        string    `json:"host"`
-	Items       int       `json:"items"`
-	Parts       int       `json:"parts"` // number of keys that hold the items
-	Tokens      int64     `json:"tokens"`
-	Submitted   time.Time `json:"submitted"`
-	Due         time.Time `json:"due"`
-	GiveUp      time.Time `json:"give_up"`           // from this time on, unfinished items may be dead-lettered
-	MaxAttempts int       `json:"max_attempts"`      // number of failures of an item after which it is dead-lettered, from the route
-	Version     int64     `json:"version,omitempty"` // of the routing table by which the job was accepted; 0 if an earlier build wrote the record
-	// AcceptedBy is the instance that the client submitted the job to, by whose clock the times above are; empty if an earlier build wrote the
-	// record.
+	ID        ID        `json:"id"`
+	Token     string    `json:"token"` // identifies the submission that created the record
+	Route     string    `json:"route"`
+	Host      string    `json:"host"`
+	Items     int       `json:"items"`
+	Parts     int       `json:"parts"` // number of keys that hold the items
+	Tokens    int64     `json:"tokens"`
+	Submitted time.Time `json:"submitted"`
+	Due       time.Time `json:"due"`
+	GiveUp    time.Time `json:"give_up"` // from this time on, unfinished items may be dead-lettered
+	// KnownAge is an age that the job had for certain when the record was written or sent to a peer.
+	KnownAge    time.Duration `json:"known_age,omitempty"`
+	MaxAttempts int           `json:"max_attempts"`      // number of failures of an item after which it is dead-lettered, from the route
+	Version     int64         `json:"version,omitempty"` // of the routing table by which the job was accepted; 0 if an earlier build wrote the record
+	// AcceptedBy is the instance that the client submitted the job to; empty if an earlier build wrote the record.
 	AcceptedBy fleet.InstanceID `json:"accepted_by,omitempty"`
 	Owner      fleet.InstanceID `json:"owner,omitempty"`   // empty while the job has no owner
 	Process    uint64           `json:"process,omitempty"` // incarnation of the owner, which identifies its process; 0 without an owner
@@ -52,6 +56,17 @@
 	EndedAt    time.Time        `json:"ended_at,omitzero"`
 }
 
+// Objective returns the time from the submission of the job to its due time.
+func (r *Record) Objective() time.Duration { return r.Due.Sub(r.Submitted) }
+
+// Retention returns the age of the job from which on its unfinished items may be dead-lettered.
+func (r *Record) Retention() time.Duration { return r.GiveUp.Sub(r.Submitted) }
+
+// SetSubmitted moves the times of the record so that the job was submitted at a time.
+func (r *Record) SetSubmitted(at time.Time) {
+	r.Submitted, r.Due, r.GiveUp = at, at.Add(r.Objective()), at.Add(r.Retention())
+}
+
 // Result is the outcome of an item. Its index in the job's list of results is its position.
 type Result struct {
 	Item      string `json:"item"`
@@ -99,6 +114,8 @@
 	Tasks        []*Task
 	Results      []Result  // stored results, by position
 	Immediate    bool      // results are stored at once instead of in groups
+	submittedBy  time.Time // by this instance's clock: the job was submitted then or earlier
+	due          time.Time // by this instance's clock
 	pending      []Result  // results that aren't stored yet, in the order of their future positions
 	pendingSince time.Time // when the wait for more pending results began
 	confirmed    time.Time // when the call was sent that last confirmed the job; see Confirm
@@ -106,8 +123,11 @@
 }
 
 // NewJob returns the job of a record with the given items. results are the results stored so far, by position; their items don't run again.
-func NewJob(record Record, items []Item, results []Result) *Job {
-	j := &Job{Record: record, Results: results, byItem: make(map[string]*Task, len(items))}
+// submittedBy is a time by this instance's clock, with a reading of the monotonic clock, that is no earlier than the submission of the job.
+func NewJob(record Record, items []Item, results []Result, submittedBy time.Time) *Job {
+	j := &Job{
+		Record: record, Results: results, submittedBy: submittedBy, due: submittedBy.Add(record.Objective()), byItem: make(map[string]*Task, len(items)),
+	}
 	for i, item := range items {
 		task := &Task{Item: item, Index: i}
 		j.Tasks = append(j.Tasks, task)
@@ -121,6 +141,19 @@
 	return j
 }
 
+// SubmittedBy returns a time by this instance's clock that is no earlier than the submission of the job.
+func (j *Job) SubmittedBy() time.Time { return j.submittedBy }
+
+// Age returns the age that the job has for certain. It is measured by the monotonic clocks of the owners: that of the time in which nobody
+// measured it is missing, and setting a clock doesn't change it.
+func (j *Job) Age(now time.Time) time.Duration { return now.Sub(j.submittedBy) }
+
+// DueTime returns when the job is due, by this instance's clock.
+func (j *Job) DueTime() time.Time { return j.due }
+
+// SetDueIn sets the due time of a job for whose age there is a better estimate than Age.
+func (j *Job) SetDueIn(left time.Duration, now time.Time) { j.due = now.Add(left) }
+
 // Task returns the task of the item with the given id, or nil if the job has no such item.
 func (j *Job) Task(item string) *Task { return j.byItem[item] }
 
@@ -202,7 +235,7 @@
 		return nil, 0
 	}
 	all := len(j.pending)+len(j.Results) >= len(j.Tasks)
-	if left := j.pendingSince.Add(groupDelay).Sub(now); !all && !j.Immediate && left > 0 && now.Before(j.Due.Add(-dueMargin)) {
+	if left := j.pendingSince.Add(groupDelay).Sub(now); !all && !j.Immediate && left > 0 && now.Before(j.due.Add(-dueMargin)) {
 		return nil, left
 	}
 	size := 0
--- a/core/itemjob/itemjob_test.go
+++ b/core/itemjob/itemjob_test.go
@@ -17,7 +17,7 @@
 	for _, item := range items {
 		list = append(list, itemjob.Item{ID: item, Tokens: 10})
 	}
-	return itemjob.NewJob(record, list, nil)
+	return itemjob.NewJob(record, list, nil, now)
 }
 
 func finish(j *itemjob.Job, item string, output ...string) {
@@ -77,7 +77,7 @@
 // Guards against a new owner that repeats items whose results a former owner stored.
 func TestRecordedItemsDoNotRunAgain(t *testing.T) {
 	record := itemjob.Record{ID: "j", Items: 2, Due: now.Add(time.Second)}
-	j := itemjob.NewJob(record, []itemjob.Item{{ID: "a"}, {ID: "b"}}, []itemjob.Result{{Item: "a", Completed: true}})
+	j := itemjob.NewJob(record, []itemjob.Item{{ID: "a"}, {ID: "b"}}, []itemjob.Result{{Item: "a", Completed: true}}, now)
 	choice, ok := itemjob.Next([]*itemjob.Job{j}, &itemjob.Pace{}, now)
 	require.True(t, ok)
 	require.Equal(t, "b", choice.Task.Item.ID)
--- a/core/itemjob/ownership_test.go
+++ b/core/itemjob/ownership_test.go
@@ -13,7 +13,7 @@
 // waiting items.
 func TestItemsStartOnlyOnRecentConfirmations(t *testing.T) {
 	sent := time.Now()
-	j := NewJob(Record{ID: "j"}, []Item{{ID: "a"}}, nil)
+	j := NewJob(Record{ID: "j"}, []Item{{ID: "a"}}, nil, sent)
 	require.False(t, j.IsConfirmed(sent), "no confirmation yet")
 	j.Confirm(sent)
 	j.Confirm(sent.Add(-time.Second)) // a response that arrives out of order
@@ -35,3 +35,24 @@
 	j.Tasks[0].Phase = Running
 	require.False(t, j.NeedsConfirmation(sent.Add(time.Minute)))
 }
+
+// Guards against items that are given up by a time of day, which differs from that of the instance that recorded the job or was set since, and
+// against a due time that follows it.
+func TestAgeOfAJobIsIndependentOfTheTimeOfDay(t *testing.T) {
+	start := time.Unix(5_000_000, 0)
+	there := Record{ID: "j", Submitted: start, Due: start.Add(18 * time.Second), GiveUp: start.Add(time.Minute)}
+	for _, ahead := range []time.Duration{0, 7 * time.Second, -time.Hour} {
+		at := func(age time.Duration) time.Time { return clocktest.Reading(start.Add(age), ahead) }
+		record := there
+		record.SetSubmitted(at(0))
+		require.Equal(t, 18*time.Second, record.Objective())
+		require.Equal(t, time.Minute, record.Retention())
+		for _, r := range []Record{there, record} {
+			j := NewJob(r, []Item{{ID: "a"}}, nil, at(0))
+			require.Empty(t, j.Expired(at(time.Minute-time.Millisecond)))
+			require.Len(t, j.Expired(at(time.Minute)), 1)
+			require.Empty(t, j.Expired(clocktest.Reading(start.Add(10*time.Second), ahead+time.Hour)), "the clock was set")
+			require.Equal(t, 8*time.Second, j.DueTime().Sub(at(10*time.Second)))
+		}
+	}
+}
--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -89,11 +89,11 @@
 		if t == nil {
 			continue
 		}
-		rank := pace.Rank(j.Due, t.Events, now)
+		rank := pace.Rank(j.due, t.Events, now)
 		if ok && !rank.Before(chosen) {
 			continue
 		}
-		choice, ok, chosen = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.Due, t.Events, now)}, true, rank
+		choice, ok, chosen = Choice{Job: j, Task: t, Urgent: pace.Urgent(j.due, t.Events, now)}, true, rank
 	}
 	return choice, ok
 }
@@ -127,9 +127,9 @@
 	return best
 }
 
-// Expired returns the tasks to give up: the waiting ones once the time GiveUp is reached. Running tasks aren't included.
+// Expired returns the tasks to give up: the waiting ones once the job is as old as its retention for certain. Running tasks aren't included.
 func (j *Job) Expired(now time.Time) []*Task {
-	if now.Before(j.GiveUp) {
+	if j.Age(now) < j.Retention() {
 		return nil
 	}
 	var expired []*Task
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -107,7 +107,7 @@
 
 // currentProgress returns the progress of a job's waiting and running items, up to maxProgressBytes. The caller holds s.mu.
 func (s *Service) currentProgress(j *ownedJob) progress {
-	p := progress{}
+	p := progress{Age: j.Age(s.Now())}
 	running := make(map[*itemjob.Task]*run)
 	for _, r := range s.runsOf(j) {
 		running[r.task] = r
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -52,6 +52,7 @@
 // remainingProgress returns the state of a job that its next owner needs in addition to the recorded results. The caller holds s.mu.
 func (s *Service) remainingProgress(j *ownedJob) progress {
 	p := s.currentProgress(j)
+	p.DueIn = j.DueTime().Sub(s.Now())
 	p.Finished = j.PendingResults()
 	return p
 }
@@ -84,7 +85,8 @@
 	s.mu.Lock()
 	record, revision, remaining := j.Record, j.revision, s.remainingProgress(j)
 	s.mu.Unlock()
-	record.Owner, record.Process = "", 0
+	record.Owner, record.Process, record.KnownAge = "", 0, remaining.Age
+	remaining.DueIn = 0 // nobody knows when the next owner reads it
 	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), remaining)
 	if err == nil {
 		_, err = s.replaceRecord(ctx, j.ID, revision, ops)
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
+	now := s.Now()
 	processes, serving := aliveProcesses(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
@@ -99,12 +100,24 @@
 		}
 	}
 	s.mu.Lock()
-	s.orphaned = orphaned
+	s.orphaned, s.seenOpen = orphaned, firstSeen(marks, s.seenOpen, now)
 	s.mu.Unlock()
 	s.verifyOwned(ctx, marks, asOf)
 	return toTakeOver, nil
 }
 
+// firstSeen returns when the jobs of the marks were first listed: as in before, or now.
+func firstSeen(marks map[itemjob.ID]openMark, before map[itemjob.ID]time.Time, now time.Time) map[itemjob.ID]time.Time {
+	seen := make(map[itemjob.ID]time.Time, len(marks))
+	for id := range marks {
+		seen[id] = now
+		if at, ok := before[id]; ok {
+			seen[id] = at
+		}
+	}
+	return seen
+}
+
 // ownsOpenJob reports whether this instance owns an open job, or the store may name it as the owner of a job that is not in Service.jobs.
 func (s *Service) ownsOpenJob() bool {
 	s.mu.Lock()
@@ -180,13 +193,14 @@
 	if err != nil {
 		return err
 	}
+	submittedBy := s.submittedBy(&record, handedOver)
 	mark := markOf(&record)
 	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && isOwnerAlive(mark, aliveProcesses(s.Peers.Members())) {
 		return nil
 	}
 	defer s.beginAcquisition(id)()
 	former := record.Owner
-	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
+	record.Owner, record.Process, record.KnownAge = s.Self.ID, s.Self.Incarnation, s.Now().Sub(submittedBy)
 	ops, err := putJSON(recordKey(id), record, openKey(id), markOf(&record))
 	if err != nil {
 		return err
@@ -200,7 +214,30 @@
 		return err
 	}
 	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former)
-	return s.resumeJob(ctx, record, revision, former, handedOver, asOf)
+	return s.resumeJob(ctx, record, revision, former, handedOver, submittedBy, asOf)
+}
+
+// submittedBy returns a time as for itemjob.NewJob, for a job whose record was just read: the earliest by the record, the progress that a former
+// owner handed over, and this instance's own scans.
+func (s *Service) submittedBy(record *itemjob.Record, handedOver *progress) time.Time {
+	by := s.Now().Add(-record.KnownAge)
+	if handedOver != nil {
+		by = earlier(by, handedOver.submittedBy)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if seen, ok := s.seenOpen[record.ID]; ok {
+		by = earlier(by, seen)
+	}
+	return by
+}
+
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced.
@@ -214,8 +251,8 @@
 	}
 }
 
-// resumeJob loads a job that this instance came to own by a write sent at asOf, and continues it.
-func (s *Service) resumeJob(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, handedOver *progress, asOf time.Time) error {
+// resumeJob loads a job that this instance came to own by a write sent at asOf, and continues it. submittedBy is as for itemjob.NewJob.
+func (s *Service) resumeJob(ctx context.Context, record itemjob.Record, revision kv.Revision, former fleet.InstanceID, handedOver *progress, submittedBy, asOf time.Time) error {
 	items, err := s.loadItems(ctx, &record)
 	if err != nil {
 		return err
@@ -224,18 +261,30 @@
 	if err != nil {
 		return err
 	}
-	job, by := itemjob.NewJob(record, items, results), originHandedOver
+	by := originHandedOver
 	if handedOver == nil {
 		by = originTakenOver
 		handedOver = s.storedProgress(ctx, record.ID)
+		submittedBy = earlier(submittedBy, handedOver.submittedBy)
 	}
-	continued := handedOver.apply(job, s.Now())
+	job, now := itemjob.NewJob(record, items, results, submittedBy), s.Now()
+	job.SetDueIn(dueIn(job, handedOver, now), now)
+	continued := handedOver.apply(job, now)
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
-		"due_in_ms", record.Due.Sub(s.Now()).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
+		"due_in_ms", job.DueTime().Sub(now).Milliseconds(), "age_ms", job.Age(now).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
 	s.addOwned(job, by, revision, asOf)
 	return nil
 }
 
+// dueIn returns the estimated time until a job is due that this instance takes over. The age that is known for certain may lack seconds, which
+// would make all its results late. Hence, if the former owner does not say when it is due, the time of day decides unless it is certainly wrong.
+func dueIn(job *itemjob.Job, handedOver *progress, now time.Time) time.Duration {
+	if handedOver.DueIn != 0 {
+		return handedOver.DueIn
+	}
+	return min(job.Due.Sub(now.Round(0)), job.DueTime().Sub(now))
+}
+
 // storedProgress reads the progress that the former owner wrote to the store. It is empty if there is none or it cannot be read.
 func (s *Service) storedProgress(ctx context.Context, id itemjob.ID) *progress {
 	p := &progress{}
@@ -243,6 +292,7 @@
 	if err == nil {
 		err = decode(found.Value, p)
 	}
+	p.submittedBy = s.Now().Add(-p.Age)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		klog.ErrorS(err, "Progress of unfinished items could not be read, they restart from the beginning", "job", id)
 	}
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -158,10 +158,12 @@
 }
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
+	received := s.Now()
 	var handedOver progress
 	if !decodePeerRequest(w, r, &handedOver) {
 		return
 	}
+	handedOver.submittedBy = received.Add(-handedOver.Age)
 	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
 		writePeerError(w, err)
@@ -175,10 +177,12 @@
 }
 
 func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	received := s.Now()
 	var sub submission
 	if !decodePeerRequest(w, r, &sub) {
 		return
 	}
+	sub.Record.SetSubmitted(received.Add(-sub.Record.KnownAge))
 	var items []itemjob.Item
 	for _, part := range sub.Parts {
 		unpacked, err := decodePart(part)
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -72,8 +72,12 @@
 
 // progress is the state of a job that is not in its recorded results. An owner passes it to the next one.
 type progress struct {
+	Age      time.Duration    `json:"age,omitempty"`      // that the job had for certain when the progress was sent or written
+	DueIn    time.Duration    `json:"due_in,omitempty"`   // time until the job is due; 0 if it is unknown
 	Finished []itemjob.Result `json:"finished,omitempty"` // results that are not recorded yet
 	Partials []partial        `json:"partials,omitempty"`
+
+	submittedBy time.Time // see itemjob.NewJob; by the clock of the instance that received or read the progress
 }
 
 // apply sets the progress on the unfinished items of a job, and returns the number of items that continue from it.
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -162,12 +162,12 @@
 	j.MarkStored(len(group), now)
 	complete := j.AllStored()
 	if complete {
-		j.evictAt = j.Submitted.Add(s.Retention)
+		j.evictAt = j.SubmittedBy().Add(s.Retention)
 	}
 	s.notifyLocked(j)
 	s.mu.Unlock()
 	klog.InfoS("Results recorded", "job", j.ID, "position", position, "results", len(group), "total", len(j.Tasks), "complete", complete,
-		"due_in_ms", j.Due.Sub(now).Milliseconds())
+		"due_in_ms", j.DueTime().Sub(now).Milliseconds())
 }
 
 // loadResults reads the recorded results of a job from a position on. Errors: ErrBadRecord, and those of the store.
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -216,16 +216,16 @@
 	if table := s.Routes.Current(); table != nil {
 		version = table.Version
 	}
-	// past_give_up_ms compares this instance's time of day with a time of day of accepted_by.
+	// past_give_up_ms compares this instance's time of day with that of the instance that recorded the job.
 	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures, "max_failures", j.MaxAttempts,
-		"age_ms", now.Sub(j.Submitted).Milliseconds(), "past_give_up_ms", now.Round(0).Sub(j.GiveUp).Milliseconds(), "owned_ms", now.Sub(j.ownedSince).Milliseconds(),
+		"age_ms", j.Age(now).Milliseconds(), "past_give_up_ms", now.Round(0).Sub(j.GiveUp).Milliseconds(), "owned_ms", now.Sub(j.ownedSince).Milliseconds(),
 		"version", version, "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
 	s.stats.givenUp(reason)
 	j.Finish(task, false, now)
 	wait.Wake(j.recordSignal)
 }
 
-// expire gives up the waiting items of jobs whose give-up time has passed; see itemjob.Record.
+// expire gives up the waiting items of jobs whose retention has passed.
 func (s *Service) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -247,7 +247,7 @@
 	s.mu.Lock()
 	for _, list := range s.runs {
 		for _, r := range list {
-			if !r.firm && !r.yielding && s.pace.Urgent(r.job.Due, int(r.events.Load()), now) {
+			if !r.firm && !r.yielding && s.pace.Urgent(r.job.DueTime(), int(r.events.Load()), now) {
 				urgent = append(urgent, r)
 			}
 		}
@@ -298,7 +298,7 @@
 		if r.firm || r.yielding {
 			continue
 		}
-		if rank := s.pace.Rank(r.job.Due, int(r.events.Load()), now); last == nil || lastRank.Before(rank) {
+		if rank := s.pace.Rank(r.job.DueTime(), int(r.events.Load()), now); last == nil || lastRank.Before(rank) {
 			last, lastRank = r, rank
 		}
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -68,6 +68,7 @@
 	jobs      map[itemjob.ID]*ownedJob
 	acquiring map[itemjob.ID]*acquisition
 	owners    map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
+	seenOpen  map[itemjob.ID]time.Time        // when a scan first listed the open jobs, those of the last scan only
 	orphaned  map[string]int64                // tokens, by route, of open jobs whose owner is not alive, as of the last scan
 	runs      map[fleet.TargetID][]*run       // items in flight, oldest first
 	pace      itemjob.Pace
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -95,6 +95,7 @@
 // forward asks a peer to record a job as its owner. Errors: those of Submit.
 func (s *Service) forward(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) error {
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
+	record.KnownAge = s.Now().Sub(record.Submitted)
 	return s.calls.submit(ctx, address, record, items)
 }
 
@@ -132,7 +133,7 @@
 	return best.PeerAddress, best.ID != s.Self.ID
 }
 
-// Accept records a job with this instance as its owner. Errors: those of Submit, except ErrTokenLimit.
+// Accept records a job with this instance as its owner. The times of the record must be by this instance's clock. Errors: those of Submit, except ErrTokenLimit.
 func (s *Service) Accept(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
 	parts, err := encodeParts(items)
 	if err != nil {
@@ -256,7 +257,7 @@
 	if record.AcceptedBy != s.Self.ID {
 		by = originForwarded
 	}
-	s.addOwned(itemjob.NewJob(record, items, nil), by, revision, asOf)
+	s.addOwned(itemjob.NewJob(record, items, nil, record.Submitted), by, revision, asOf)
 }
 
 // resolveExisting handles a job that already has a record: from an earlier submission, or from an attempt of this one whose response was lost.
