node/itemjobs: items wait for the routing table that accepted their job

Callers saw items listed as dead-lettered seconds after the 202, which were never sent to a target. startNext gave an item up for good if this instance's routing table had no route for it, whatever its version. In a large fleet only two instances a region watch the configuration; a job that was accepted by a newer version elsewhere and was forwarded to, handed over to or taken over by an instance that is behind, or one that has just started with an older copy, lost all of its items at once. An item could also run by an older version of its route, at a service that it no longer names.

The record has the version by which the job was accepted. An owner whose table is older neither gives up nor starts its items, and states that it requires the version (Routes.Require). Only a table that is at least as new and lacks the route says that the route was removed. A record of an earlier build has no version: if the route is missing, its items wait until the retention has passed. Jobs are forwarded and handed over to peers that announce the version, if there are any, and an owner that lacks it for 2 s hands the job over to one that has it. The retention, failures and a 422 still end items at any time.

Datagrams do not grow: they had the version.

--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -128,12 +128,7 @@
 }
 
 // version returns the version of the routing table in force, or 0 without one.
-func (c *CatchUp) version() int64 {
-	if table := c.routes.Current(); table != nil {
-		return table.Version
-	}
-	return 0
-}
+func (c *CatchUp) version() int64 { return c.routes.Version() }
 
 // StoreLost reports whether the store has been unreachable for this instance for longer than storeLostDelay.
 func (c *CatchUp) StoreLost() bool {
--- a/node/gateway/peerreports.go
+++ b/node/gateway/peerreports.go
@@ -60,6 +60,11 @@
 	return availableMembers(p.Reports())
 }
 
+// UpToDate returns the peers of Available whose latest datagrams announce a routing table of at least a version.
+func (p *Peers) UpToDate(version int64) []fleet.Member {
+	return availableMembers(slices.DeleteFunc(p.Reports(), func(r PeerReport) bool { return r.Version < version }))
+}
+
 // availableMembers returns the members of the reports whose peers are available.
 func availableMembers(reports []PeerReport) []fleet.Member {
 	var members []fleet.Member
@@ -71,15 +76,15 @@
 	return members
 }
 
-// Candidates returns the peers that a new job of this instance may be given to: those of Available in the own region. There are none in a fleet
-// without a working set, whose instances all use the same targets.
-func (p *Peers) Candidates() []itemjob.Candidate {
+// Candidates returns the peers that a new job of this instance, accepted by a version of the routing table, may be given to: those of UpToDate in
+// the own region. There are none in a fleet without a working set, whose instances all use the same targets.
+func (p *Peers) Candidates(version int64) []itemjob.Candidate {
 	if !p.hasWorkingSet() {
 		return nil
 	}
 	var candidates []itemjob.Candidate
 	for _, r := range p.Reports() {
-		if r.available() && p.topology.Distance(p.self.FailureDomain, r.Member.FailureDomain) != fleet.OtherRegion {
+		if r.available() && r.Version >= version && p.topology.Distance(p.self.FailureDomain, r.Member.FailureDomain) != fleet.OtherRegion {
 			candidates = append(candidates, itemjob.Candidate{Member: r.Member, Waiting: r.Unfinished})
 		}
 	}
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -24,6 +24,8 @@
 	current   atomic.Pointer[routetable.Table]
 	decode    func([]byte) (*routetable.Table, error)
 	onAdvance func() // called with mu held after a newer table came into force
+	required  atomic.Int64
+	onRequire func() // called when a newer version is required than before
 }
 
 // OnAdvance sets the callback that runs after a newer table came into force. It must not block. Call OnAdvance before the first Apply.
@@ -31,7 +33,37 @@
 
 // NewRoutes returns Routes without a table. decode may return a table together with an error: the table is then used and the error logged.
 func NewRoutes(decode func([]byte) (*routetable.Table, error)) *Routes {
-	return &Routes{decode: decode, onAdvance: func() {}}
+	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}}
+}
+
+// OnRequire sets the callback that runs when Require is called with a newer version than before and than the one in force. It must not block. Call
+// OnRequire before the first Require.
+func (r *Routes) OnRequire(required func()) { r.onRequire = required }
+
+// Require states that a version is known to have been in force elsewhere and that this instance needs it.
+func (r *Routes) Require(version int64) {
+	for {
+		before := r.required.Load()
+		if version <= max(before, r.Version()) {
+			return
+		}
+		if r.required.CompareAndSwap(before, version) {
+			klog.InfoS("Configuration is behind", "in_force", r.Version(), "required", version)
+			r.onRequire()
+			return
+		}
+	}
+}
+
+// Required returns the newest version of Require.
+func (r *Routes) Required() int64 { return r.required.Load() }
+
+// Version returns the version of the table in force, or 0 before the first one.
+func (r *Routes) Version() int64 {
+	if table := r.Current(); table != nil {
+		return table.Version
+	}
+	return 0
 }
 
 // Current returns the table in force, or nil before the first one.
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -248,6 +249,7 @@
 	peers    *gateway.Peers
 	service  *itemjobs.Service
 	board    *gateway.Board
+	routes   *gateway.Routes
 	client   *gateway.PeerClient
 	listener net.Listener
 	stop     func()
@@ -267,6 +269,7 @@
 	mu            sync.Mutex // guards runs and status
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
+	config        string         // of the instances that are started from now on; see tableOf
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 }
 
@@ -276,7 +279,7 @@
 )
 
 func newTestFleet(t *testing.T, instances int, detectByCalls bool) *testFleet {
-	f := &testFleet{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int), detectByCalls: detectByCalls}
+	f := &testFleet{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int), config: "1", detectByCalls: detectByCalls}
 	var err error
 	f.target, err = f.network.Listen(targetAddress)
 	require.NoError(t, err)
@@ -303,13 +306,15 @@
 	n.board.SetTargets([]slots.Target{target})
 	store, lost := f.storeFor(n)
 	n.peers = gateway.NewPeers(self, fleet.Topology{}, store, n.board, packets)
-	routes := gateway.NewRoutes(func([]byte) (*routetable.Table, error) { return table(), nil })
-	routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config"}}})
+	n.routes = gateway.NewRoutes(func(config []byte) (*routetable.Table, error) { return tableOf(string(config)), nil })
+	n.configure(f.config)
 	n.client = gateway.NewPeerClient(dial)
 	forwarder := gateway.NewForwarder(n.board, rawhttp.New(dial), testProtocol{}, gateway.DefaultOptions(), tally.NoopScope)
-	n.peers.SetStateSource(func() gateway.SyncState { return gateway.SyncState{StoreLost: lost()} })
+	n.peers.SetStateSource(func() gateway.SyncState {
+		return gateway.SyncState{StoreLost: lost(), Version: n.routes.Current().Version}
+	})
 	n.service = itemjobs.New(itemjobs.Config{
-		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
+		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: n.routes, Peers: n.peers, Client: n.client,
 		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
 		Now: n.now, Metrics: tally.NoopScope,
 	})
@@ -366,12 +371,34 @@
 	synctest.Wait()
 }
 
-func table() *routetable.Table {
-	route := &routetable.Route{
+// configure puts a configuration in force at the instance; see tableOf.
+func (n *node) configure(config string) {
+	n.routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config", Value: []byte(config)}}})
+}
+
+// withoutRoute marks configurations that lack the route of the jobs; see tableOf.
+const withoutRoute = " without the route"
+
+// tableOf returns the table of a configuration, which is its version, followed by withoutRoute if it lacks the route of the jobs.
+func tableOf(config string) *routetable.Table {
+	number, lacksRoute := strings.CutSuffix(config, withoutRoute)
+	version, err := strconv.ParseInt(number, 10, 64)
+	switch {
+	case err != nil:
+		panic(err)
+	case lacksRoute:
+		return routetable.New(version, routetable.Limits{}, nil)
+	}
+	return routetable.New(version, routetable.Limits{}, []*routetable.Route{jobsRoute()})
+}
+
+func table() *routetable.Table { return tableOf("1") }
+
+func jobsRoute() *routetable.Route {
+	return &routetable.Route{
 		Name: "jobs", Host: "h", Prefix: "/j/", Kind: routetable.Batch, MaxAttempts: 3, JobObjective: 18 * time.Second, JobRetention: time.Minute,
 		Backends: []routetable.Backend{{Service: "s", Weight: 1}}, MaxWaitingTokens: 1000,
 	}
-	return routetable.New(1, routetable.Limits{}, []*routetable.Route{route})
 }
 
 // serveTarget responds to items with a stream that continues after the event in the header After.
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -57,11 +57,19 @@
 	return p
 }
 
+// availablePeers returns the peers that reach the store and have a version of the routing table, or if there is none, those that reach the store.
+func (s *Service) availablePeers(version int64) []fleet.Member {
+	if upToDate := s.Peers.UpToDate(version); len(upToDate) > 0 {
+		return upToDate
+	}
+	return s.Peers.Available()
+}
+
 // handOver asks a peer that reaches the store to take a job over, with the progress of its items. It reports whether the peer did.
 func (s *Service) handOver(ctx context.Context, j *ownedJob) bool {
 	addresses := make(map[fleet.InstanceID]string)
 	var ids []string
-	for _, m := range s.Peers.Available() {
+	for _, m := range s.availablePeers(j.Version) {
 		addresses[m.ID] = m.PeerAddress
 		ids = append(ids, string(m.ID))
 	}
@@ -104,13 +112,38 @@
 	// checksBeforeHandOver is the number of consecutive checks that must find a reason to hand jobs over before an owner does, so that a short
 	// outage moves no job.
 	checksBeforeHandOver = 2
+	// maxBehind is how long an owner may lack the version of the routing table by which a job was accepted before it hands the job over. Reading it
+	// from a peer or the store takes less unless these do not respond.
+	maxBehind = 2 * time.Second
 )
 
+// handOverIfBehind hands over the jobs that wait for a version of the routing table which this instance did not get within maxBehind and a peer has.
+func (s *Service) handOverIfBehind(ctx context.Context) {
+	version, now := s.Routes.Version(), s.Now()
+	var behind []*ownedJob
+	s.mu.Lock()
+	for _, j := range s.jobs {
+		if j.isRunnable() && j.Version > version && now.Sub(j.ownedSince) >= maxBehind && len(s.Peers.UpToDate(j.Version)) > 0 {
+			j.suspended = true
+			behind = append(behind, j)
+		}
+	}
+	s.mu.Unlock()
+	for _, j := range behind {
+		klog.InfoS("Job is handed over, this instance lacks its version of the configuration", "job", j.ID, "accepted_version", j.Version, "version", version)
+		if !s.handOver(ctx, j) {
+			s.resumeSuspended(j)
+		}
+	}
+}
+
 // watchStoreReach hands all open jobs over while a peer reaches the store and this instance either does not reach it, so that results could not
-// be recorded, or is a standby instance, which has no targets of its own. It runs until ctx ends.
+// be recorded, or is a standby instance, which has no targets of its own. It also hands over single jobs, see handOverIfBehind. It runs until ctx
+// ends.
 func (s *Service) watchStoreReach(ctx context.Context) {
 	lost := 0
 	for wait.For(ctx, handOverCheckInterval) {
+		s.handOverIfBehind(ctx)
 		if !s.StoreUnreachable() && s.Peers.Serves() || len(s.Peers.Available()) == 0 {
 			lost = 0
 			continue
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -27,6 +27,8 @@
 	maxStartJitter = 15 * time.Millisecond
 	// interruptedDelay is the delay before an item whose run was interrupted may start again, so that it does not take the next free slot.
 	interruptedDelay = 50 * time.Millisecond
+	// unknownRouteDelay is the delay before an item is tried again whose route is not known here and may exist.
+	unknownRouteDelay = time.Second
 )
 
 // run is an item in flight.
@@ -83,17 +85,26 @@
 }
 
 // startNext starts or gives up the next item. It returns false if no item may start or no slot is free. With unconfirmed, it also starts items
-// of jobs that the store has not confirmed recently.
+// of jobs that the store has not confirmed recently. Jobs that were accepted by a newer routing table than the one here wait for that one: their
+// routes may not be here yet, or lead to other services.
 func (s *Service) startNext(ctx context.Context, unconfirmed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		return false
 	}
+	table := s.Routes.Current()
+	if table == nil {
+		return false
+	}
 	now := s.Now()
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if j.isRunnable() && (unconfirmed || j.IsConfirmed(now)) {
+		switch {
+		case !j.isRunnable():
+		case j.Version > table.Version:
+			s.Routes.Require(j.Version)
+		case unconfirmed || j.IsConfirmed(now):
 			jobs = append(jobs, j.Job)
 		}
 	}
@@ -102,13 +113,9 @@
 		return false
 	}
 	j := s.jobs[choice.Job.ID]
-	table := s.Routes.Current()
-	if table == nil {
-		return false
-	}
 	route := table.Match(j.Host, path(choice.Task.Item.Path))
 	if route == nil {
-		s.deadLetter(j, choice.Task, itemjob.RouteRemoved)
+		s.routeIsMissing(j, choice.Task, now)
 		return true
 	}
 	service := route.Backend(rand.Float64())
@@ -120,6 +127,16 @@
 	return true
 }
 
+// routeIsMissing handles an item whose route is not in the routing table, which is not older than the one by which the job was accepted: the route
+// was removed, and the item is given up. If that older version is not known, this instance may be behind, and the item waits. The caller holds s.mu.
+func (s *Service) routeIsMissing(j *ownedJob, task *itemjob.Task, now time.Time) {
+	if j.Version > 0 {
+		s.deadLetter(j, task, itemjob.RouteRemoved)
+		return
+	}
+	j.RecordInterruption(task, unknownRouteDelay, now)
+}
+
 func path(uri string) string {
 	p, _, _ := strings.Cut(uri, "?")
 	return p
@@ -212,14 +229,10 @@
 // deadLetter gives up on an item and finishes it without output. The caller holds s.mu.
 func (s *Service) deadLetter(j *ownedJob, task *itemjob.Task, reason itemjob.Reason) {
 	now := s.Now()
-	version := int64(0)
-	if table := s.Routes.Current(); table != nil {
-		version = table.Version
-	}
 	// past_give_up_ms compares this instance's time of day with that of the instance that recorded the job.
 	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures, "max_failures", j.MaxAttempts,
 		"age_ms", j.Age(now).Milliseconds(), "past_give_up_ms", now.Round(0).Sub(j.GiveUp).Milliseconds(), "owned_ms", now.Sub(j.ownedSince).Milliseconds(),
-		"version", version, "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
+		"version", s.Routes.Version(), "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
 	s.stats.givenUp(reason)
 	j.Finish(task, false, now)
 	wait.Wake(j.recordSignal)
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -66,7 +66,7 @@
 		return s.rejectUnlessAccepted(ctx, sub, waiting)
 	}
 	mayBeRecorded := false
-	if address, ok := s.betterOwner(record.Tokens); ok {
+	if address, ok := s.betterOwner(&record); ok {
 		err := s.forwardToBetterOwner(ctx, address, record, sub.Items)
 		if err == nil || errors.Is(err, ErrTokenLimit) || errors.Is(err, ErrInvalid) {
 			return err
@@ -108,17 +108,17 @@
 			return err
 		}
 	}
-	address, ok := s.storeReachingPeer()
+	address, ok := s.storeReachingPeer(record.Version)
 	if !ok {
 		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
 	}
 	return s.forward(ctx, address, record, items, "this instance does not reach the store or is draining")
 }
 
-// betterOwner returns the address of the peer that should own a job of some tokens, or false if this instance should. Only in a fleet with a
-// working set can that be a peer: a less loaded one of the same region.
-func (s *Service) betterOwner(tokens int64) (string, bool) {
-	peers := s.Peers.Candidates()
+// betterOwner returns the address of the peer that should own a job, or false if this instance should. Only in a fleet with a working set can that
+// be a peer: a less loaded one of the same region.
+func (s *Service) betterOwner(record *itemjob.Record) (string, bool) {
+	peers := s.Peers.Candidates(record.Version)
 	if len(peers) == 0 || s.isDraining() {
 		return "", false
 	}
@@ -129,7 +129,7 @@
 			self.Waiting += n
 		}
 	}
-	best := itemjob.ChooseOwner(self, peers, tokens)
+	best := itemjob.ChooseOwner(self, peers, record.Tokens)
 	return best.PeerAddress, best.ID != s.Self.ID
 }
 
@@ -155,9 +155,10 @@
 	return s.draining
 }
 
-// storeReachingPeer returns the address of a random peer that reaches the store, or false if there is none.
-func (s *Service) storeReachingPeer() (string, bool) {
-	reaching := s.Peers.Available()
+// storeReachingPeer returns the address of a random peer that reaches the store, if possible one that has a version of the routing table. It
+// returns false if none reaches the store.
+func (s *Service) storeReachingPeer(version int64) (string, bool) {
+	reaching := s.availablePeers(version)
 	if len(reaching) == 0 {
 		return "", false
 	}
