node/gateway: read a required configuration at once

An instance that does not watch the store looked for a newer configuration at peers every 150 to 450 ms, and one that watches it relied on its watch alone. An owner whose items wait for a version should not wait longer than it must. Routes.Require now triggers a round of CatchUp; if no peer announces the version, or this instance watches the store itself, it reads the configuration's key there, at most once a second and only while it is behind.

--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -49,8 +49,10 @@
 	store              *kv.Reach
 	seeds              []string // peer addresses to read from while no peer is known
 	client             *PeerClient
-	watchesStore       atomic.Bool // this instance watches the store
-	nextMembersRefresh time.Time   // when the membership records are to be read from a peer again; used by Run's goroutine only
+	watchesStore       atomic.Bool   // this instance watches the store
+	required           chan struct{} // triggers a round because of Routes.Require
+	requiredRead       time.Time     // when readRequired last read the store; used by Run's goroutine only
+	nextMembersRefresh time.Time     // when the membership records are to be read from a peer again; used by Run's goroutine only
 }
 
 // Copies are an instance's mirrors of the store's keys.
@@ -104,6 +106,7 @@
 		store:    reach,
 		seeds:    seeds,
 		client:   client,
+		required: make(chan struct{}, 1),
 	}
 	c.watchesStore.Store(true)
 	c.nextMembersRefresh = time.Now().Add(firstMembersRefreshDelay)
@@ -113,6 +116,7 @@
 	}
 	peers.SetStateSource(c.syncState)
 	routes.OnAdvance(peers.SendToAll)
+	routes.OnRequire(func() { wait.Wake(c.required) })
 	list.OnChange(func() {
 		if c.watchesStore.Load() {
 			peers.SendToAll()
@@ -137,7 +141,7 @@
 
 // Run reads copies from peers whenever they are needed, until ctx ends.
 func (c *CatchUp) Run(ctx context.Context) {
-	for wait.For(ctx, catchUpInterval/2+rand.N(catchUpInterval)) {
+	for ; c.awaitRound(ctx); c.readRequired(ctx) {
 		if c.StoreLost() {
 			c.probe(ctx)
 		}
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -23,9 +24,10 @@
 	mu        sync.Mutex // serializes writers; readers load current without it
 	current   atomic.Pointer[routetable.Table]
 	decode    func([]byte) (*routetable.Table, error)
-	onAdvance func() // called with mu held after a newer table came into force
-	required  atomic.Int64
-	onRequire func() // called when a newer version is required than before
+	onAdvance func()        // called with mu held after a newer table came into force
+	required  atomic.Int64  // see Require
+	onRequire func()        // called when a newer version is required than before
+	advanced  chan struct{} // closed and replaced, with mu held, when a newer table came into force
 }
 
 // OnAdvance sets the callback that runs after a newer table came into force. It must not block. Call OnAdvance before the first Apply.
@@ -33,7 +35,7 @@
 
 // NewRoutes returns Routes without a table. decode may return a table together with an error: the table is then used and the error logged.
 func NewRoutes(decode func([]byte) (*routetable.Table, error)) *Routes {
-	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}}
+	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}, advanced: make(chan struct{})}
 }
 
 // OnRequire sets the callback that runs when Require is called with a newer version than before and than the one in force. It must not block. Call
@@ -55,6 +57,24 @@
 	}
 }
 
+// Await requires a version, waits until the table in force has at least that one or ctx ends, and returns the table in force.
+func (r *Routes) Await(ctx context.Context, version int64) *routetable.Table {
+	r.Require(version)
+	for {
+		r.mu.Lock()
+		table, advanced := r.Current(), r.advanced
+		r.mu.Unlock()
+		if table != nil && table.Version >= version {
+			return table
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return r.Current()
+		}
+	}
+}
+
 // Required returns the newest version of Require.
 func (r *Routes) Required() int64 { return r.required.Load() }
 
@@ -97,6 +117,8 @@
 	}
 	r.current.Store(table)
 	klog.InfoS("Configuration is in force", "version", table.Version, "before", before, "revision", revision)
+	close(r.advanced)
+	r.advanced = make(chan struct{})
 	r.onAdvance()
 }
 
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -81,6 +81,9 @@
 // DelayFirstWatch delays the first watch after the first listing, until it is clear whether to follow the store. Call it before Run.
 func (m *Mirror) DelayFirstWatch(d time.Duration) { m.watchDelay = d }
 
+// Prefix returns the prefix of the mirrored keys.
+func (m *Mirror) Prefix() string { return m.prefix }
+
 // Revision returns the store's revision of the copy, or 0 if there is none yet.
 func (m *Mirror) Revision() kv.Revision {
 	m.mu.Lock()
