--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -49,10 +49,12 @@
 	store              *kv.Reach
 	seeds              []string // peer addresses to read from while no peer is known
 	client             *PeerClient
-	watchesStore       atomic.Bool // this instance watches the store
-	nextMembersRefresh time.Time   // when the membership records are to be read from a peer again; used by Run's goroutine only
-	configLag          lag         // of the routing table behind the versions that peers announce; used by Run's goroutine only
-	targetsLag         lag         // of the copy of the targets behind the revisions that peers announce; used by Run's goroutine only
+	watchesStore       atomic.Bool   // this instance watches the store
+	required           chan struct{} // triggers a round because of Routes.Require
+	requiredRead       time.Time     // when readRequired last read the store; used by Run's goroutine only
+	nextMembersRefresh time.Time     // when the membership records are to be read from a peer again; used by Run's goroutine only
+	configLag          lag           // of the routing table behind the versions that peers announce; used by Run's goroutine only
+	targetsLag         lag           // of the copy of the targets behind the revisions that peers announce; used by Run's goroutine only
 }
 
 // Copies are an instance's mirrors of the store's keys.
@@ -106,6 +108,7 @@
 		store:    reach,
 		seeds:    seeds,
 		client:   client,
+		required: make(chan struct{}, 1),
 	}
 	c.watchesStore.Store(true)
 	c.nextMembersRefresh = time.Now().Add(firstMembersRefreshDelay)
@@ -115,6 +118,7 @@
 	}
 	peers.SetStateSource(c.syncState)
 	routes.OnAdvance(peers.SendToAll)
+	routes.OnRequire(func() { wait.Wake(c.required) })
 	list.OnChange(func() {
 		if c.watchesStore.Load() {
 			peers.SendToAll()
@@ -130,12 +134,7 @@
 }
 
 // version returns the version of the routing table in force, or 0 without one.
-func (c *CatchUp) version() int64 {
-	if table := c.routes.Current(); table != nil {
-		return table.Version
-	}
-	return 0
-}
+func (c *CatchUp) version() int64 { return c.routes.Version() }
 
 // StoreLost reports whether the store has been unreachable for this instance for longer than storeLostDelay.
 func (c *CatchUp) StoreLost() bool {
@@ -144,7 +143,7 @@
 
 // Run reads copies from peers whenever they are needed, until ctx ends.
 func (c *CatchUp) Run(ctx context.Context) {
-	for wait.For(ctx, catchUpInterval/2+rand.N(catchUpInterval)) {
+	for ; c.awaitRound(ctx); c.readRequired(ctx) {
 		if c.StoreLost() {
 			c.probe(ctx)
 		}
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -63,7 +63,7 @@
 		jobs = append(jobs, entry.job)
 	}
 	expectOwned(&txn, jobs)
-	asOf := time.Now()
+	asOf := s.Now()
 	result, err := s.Store.Txn(ctx, txn)
 	if err != nil {
 		klog.V(1).InfoS("Progress of jobs could not be written", "jobs", len(batch), "error", err.Error())
@@ -107,7 +107,7 @@
 
 // currentProgress returns the progress of a job's waiting and running items, up to maxProgressBytes. The caller holds s.mu.
 func (s *Service) currentProgress(j *ownedJob) progress {
-	p := progress{}
+	p := progress{Age: j.Age(s.Now())}
 	running := make(map[*itemjob.Task]*run)
 	for _, r := range s.runsOf(j) {
 		running[r.task] = r
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -39,6 +39,7 @@
 	ID      itemjob.ID
 	Host    string
 	Route   *routetable.Route
+	Version int64 // of the routing table that has the route
 	Items   []itemjob.Item
 	Arrived time.Time
 }
@@ -65,7 +66,7 @@
 		return s.rejectUnlessAccepted(ctx, sub, waiting)
 	}
 	mayBeRecorded := false
-	if address, ok := s.betterOwner(record.Tokens); ok {
+	if address, ok := s.betterOwner(&record); ok {
 		err := s.forwardToBetterOwner(ctx, address, record, sub.Items)
 		if err == nil || errors.Is(err, ErrTokenLimit) || errors.Is(err, ErrInvalid) {
 			return err
@@ -94,6 +95,7 @@
 // forward asks a peer to record a job as its owner. Errors: those of Submit.
 func (s *Service) forward(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) error {
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
+	record.KnownAge = s.Now().Sub(record.Submitted)
 	return s.calls.submit(ctx, address, record, items)
 }
 
@@ -106,17 +108,17 @@
 			return err
 		}
 	}
-	address, ok := s.storeReachingPeer()
+	address, ok := s.storeReachingPeer(record.Version)
 	if !ok {
 		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
 	}
 	return s.forward(ctx, address, record, items, "this instance does not reach the store or is draining")
 }
 
-// betterOwner returns the address of the peer that should own a job of some tokens, or false if this instance should. Only in a fleet with a
-// working set can that be a peer: a less loaded one of the same region.
-func (s *Service) betterOwner(tokens int64) (string, bool) {
-	peers := s.Peers.Candidates()
+// betterOwner returns the address of the peer that should own a job, or false if this instance should. Only in a fleet with a working set can that
+// be a peer: a less loaded one of the same region.
+func (s *Service) betterOwner(record *itemjob.Record) (string, bool) {
+	peers := s.Peers.Candidates(record.Version)
 	if len(peers) == 0 || s.isDraining() {
 		return "", false
 	}
@@ -127,11 +129,11 @@
 			self.Waiting += n
 		}
 	}
-	best := itemjob.ChooseOwner(self, peers, tokens)
+	best := itemjob.ChooseOwner(self, peers, record.Tokens)
 	return best.PeerAddress, best.ID != s.Self.ID
 }
 
-// Accept records a job with this instance as its owner. Errors: those of Submit, except ErrTokenLimit.
+// Accept records a job with this instance as its owner. The times of the record must be by this instance's clock. Errors: those of Submit, except ErrTokenLimit.
 func (s *Service) Accept(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
 	parts, err := encodeParts(items)
 	if err != nil {
@@ -153,9 +155,10 @@
 	return s.draining
 }
 
-// storeReachingPeer returns the address of a random peer that reaches the store, or false if there is none.
-func (s *Service) storeReachingPeer() (string, bool) {
-	reaching := s.Peers.Available()
+// storeReachingPeer returns the address of a random peer that reaches the store, if possible one that has a version of the routing table. It
+// returns false if none reaches the store.
+func (s *Service) storeReachingPeer(version int64) (string, bool) {
+	reaching := s.availablePeers(version)
 	if len(reaching) == 0 {
 		return "", false
 	}
@@ -173,6 +176,8 @@
 		Due:         sub.Arrived.Add(sub.Route.JobObjective),
 		GiveUp:      sub.Arrived.Add(sub.Route.JobRetention),
 		MaxAttempts: sub.Route.MaxAttempts,
+		Version:     sub.Version,
+		AcceptedBy:  s.Self.ID,
 	}
 	for _, item := range sub.Items {
 		r.Tokens += item.Tokens
@@ -223,7 +228,7 @@
 func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) error {
 	mayBeRecorded := false
 	for {
-		asOf := time.Now()
+		asOf := s.Now()
 		result, err := s.Store.Txn(ctx, txn)
 		switch {
 		case err == nil && result.Succeeded:
@@ -247,8 +252,13 @@
 
 func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision, asOf time.Time) {
 	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
-		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
-	s.addOwned(itemjob.NewJob(record, items, nil), revision, asOf)
+		"version", record.Version, "accepted_by", record.AcceptedBy,
+		"due_ms", record.Due.Sub(s.Now()).Milliseconds(), "took_ms", s.Now().Sub(record.Submitted).Milliseconds())
+	by := originSubmitted
+	if record.AcceptedBy != s.Self.ID {
+		by = originForwarded
+	}
+	s.addOwned(itemjob.NewJob(record, items, nil, record.Submitted), by, revision, asOf)
 }
 
 // resolveExisting handles a job that already has a record: from an earlier submission, or from an attempt of this one whose response was lost.
