itemjobs: log and count the answer to each submission

What a client was told about a job, and which failures led to it, could not be read from the logs: an instance that had forwarded a job and then failed itself logged the failure of the peer and its own, but not which of them made the answer, and nothing said whether the job might be recorded all the same.

Each submission now ends with a line "Submission answered" with the outcome that the client is told, whether an attempt to record the job has an unknown outcome, and each attempt with its instance, duration and error. A counter has the submissions by outcome. The line replaces "Job refused" (token limit) and "Peer did not accept a forwarded job". No decision changes.

--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,6 +64,8 @@
 	staleListing *kv.Listing      // response to lists that may be stale; nil: they read the store
 	hanging      bool             // transactions have no effect and get no response
 	nextTxnErr   error            // returned by the next transaction, which has no effect
+	// onCreate, if set, makes the transactions that create a job; create executes them.
+	onCreate func(ctx context.Context, create func() (kv.TxnResult, error)) (kv.TxnResult, error)
 	// delay is the time that each call takes.
 	delay time.Duration
 	// listedBytes is the number of bytes of the values in the listings since the last resetListedBytes.
@@ -106,6 +109,24 @@
 	g.beforeGet = get
 }
 
+// createsJob reports whether a transaction creates the record of a job.
+func createsJob(txn kv.Txn) bool {
+	c := txn.Compares[0]
+	return c.Target == kv.CompareCreateRevision && strings.HasPrefix(c.Key, "/eelgrass/item-jobs/record/")
+}
+
+// setOnCreate sets onCreate.
+func (g *faultyStore) setOnCreate(f func(ctx context.Context, create func() (kv.TxnResult, error)) (kv.TxnResult, error)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onCreate = f
+}
+
+// refuseCreation is an onCreate that has no effect and says so.
+func refuseCreation(context.Context, func() (kv.TxnResult, error)) (kv.TxnResult, error) {
+	return kv.TxnResult{}, fmt.Errorf("%w: status 503", kv.ErrUnavailable)
+}
+
 // setDelay delays each call.
 func (g *faultyStore) setDelay(delay time.Duration) {
 	g.mu.Lock()
@@ -214,9 +235,12 @@
 		return kv.TxnResult{}, err
 	}
 	g.mu.Lock()
-	hanging, txnErr := g.hanging, g.nextTxnErr
+	hanging, txnErr, onCreate := g.hanging, g.nextTxnErr, g.onCreate
 	g.nextTxnErr = nil
 	g.mu.Unlock()
+	if onCreate != nil && createsJob(txn) {
+		return onCreate(ctx, func() (kv.TxnResult, error) { return g.Store.Txn(ctx, txn) })
+	}
 	if txnErr != nil {
 		return kv.TxnResult{}, txnErr
 	}
@@ -247,6 +271,7 @@
 	service  *itemjobs.Service
 	board    *gateway.Board
 	client   *gateway.PeerClient
+	metrics  tally.TestScope
 	listener net.Listener
 	stop     func()
 }
@@ -284,7 +309,7 @@
 
 // start starts an instance, or its next process.
 func (f *testFleet) start(id fleet.InstanceID, host string) *node {
-	n := &node{id: id, address: host + ":7720", store: &faultyStore{Store: f.store}}
+	n := &node{id: id, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
 	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a"}
 	packets, err := f.network.ListenPacket(n.address)
 	require.NoError(f.t, err)
@@ -305,7 +330,7 @@
 	n.service = itemjobs.New(itemjobs.Config{
 		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
 		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
-		Metrics: tally.NoopScope,
+		Metrics: n.metrics,
 	})
 	mux := http.NewServeMux()
 	n.service.Handle(mux)
--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -7,7 +7,7 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// stats counts ends of jobs and measures how late their owners find out, and how old the confirmations are with which items start.
+// stats counts submissions and ends of jobs, and measures how late their owners find out, and how old the confirmations are with which items start.
 type stats struct{ scope tally.Scope }
 
 func newStats(scope tally.Scope) stats { return stats{scope.SubScope("item_jobs")} }
@@ -15,6 +15,11 @@
 // ageBuckets are histogram buckets from 10 ms to about 20 s, each twice as large as the one before.
 var ageBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
 
+// submitted counts a submission by the outcome that its client is told.
+func (s stats) submitted(outcome string) {
+	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("submissions").Inc(1)
+}
+
 // started records the age of a job's last confirmation when one of its items starts.
 func (s stats) started(confirmedAgo time.Duration) {
 	s.scope.Histogram("start_confirmation_age", ageBuckets).RecordDuration(confirmedAgo)
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -50,10 +50,8 @@
 	writeRetryDelay = 50 * time.Millisecond
 )
 
-// Submit records the job. It is idempotent: repeated submissions of a job at any instance are accepted once. nil means that the job is accepted.
-// After ErrTokenLimit, ErrUnavailable and ErrInvalid, no part of it runs unless another submission of it is accepted; after ErrOutcomeUnknown it
-// may run. An instance that cannot record the job, or should not own it, forwards it to a peer.
-func (s *Service) Submit(ctx context.Context, sub Submission) error {
+// submit is Submit, and adds the attempts to the report.
+func (s *Service) submit(ctx context.Context, sub Submission, report *submissionReport) error {
 	if _, ok := s.ownedJob(sub.ID); ok {
 		return nil
 	}
@@ -66,14 +64,13 @@
 	}
 	mayBeRecorded := false
 	if address, ok := s.betterOwner(record.Tokens); ok {
-		err := s.forwardToBetterOwner(ctx, address, record, sub.Items)
+		err := s.forwardToBetterOwner(ctx, address, record, sub.Items, report)
 		if err == nil || errors.Is(err, ErrTokenLimit) || errors.Is(err, ErrInvalid) {
 			return err
 		}
-		klog.InfoS("Peer did not accept a forwarded job", "job", sub.ID, "peer", address, "cause", err.Error())
 		mayBeRecorded = errors.Is(err, ErrOutcomeUnknown)
 	}
-	err := s.acceptOrForward(ctx, record, sub.Items)
+	err := s.acceptOrForward(ctx, record, sub.Items, report)
 	if mayBeRecorded && errors.Is(err, ErrUnavailable) {
 		return eris.Wrap(ErrOutcomeUnknown, err.Error()) // the first peer may have recorded it
 	}
@@ -85,23 +82,32 @@
 const forwardTimeout = 500 * time.Millisecond
 
 // forwardToBetterOwner forwards a job to the less loaded peer at the address. Errors: those of Submit.
-func (s *Service) forwardToBetterOwner(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+func (s *Service) forwardToBetterOwner(
+	ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, report *submissionReport,
+) error {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	return s.forward(ctx, address, record, items, "the peer is less loaded")
+	return s.forward(ctx, address, record, items, "the peer is less loaded", report)
 }
 
 // forward asks a peer to record a job as its owner. Errors: those of Submit.
-func (s *Service) forward(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) error {
+func (s *Service) forward(
+	ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string, report *submissionReport,
+) error {
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
-	return s.calls.submit(ctx, address, record, items)
+	started := time.Now()
+	err := s.calls.submit(ctx, address, record, items)
+	report.add(address, started, err)
+	return err
 }
 
 // acceptOrForward records a job with this instance as its owner, or forwards it if this instance is draining or does not reach the store.
 // Errors: those of Submit.
-func (s *Service) acceptOrForward(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
+func (s *Service) acceptOrForward(ctx context.Context, record itemjob.Record, items []itemjob.Item, report *submissionReport) error {
 	if !s.isDraining() {
+		started := time.Now()
 		err := s.Accept(ctx, record, items)
+		report.add(thisInstance, started, err)
 		if !errors.Is(err, ErrUnavailable) {
 			return err
 		}
@@ -110,7 +116,7 @@
 	if !ok {
 		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
 	}
-	return s.forward(ctx, address, record, items, "this instance does not reach the store or is draining")
+	return s.forward(ctx, address, record, items, "this instance does not reach the store or is draining", report)
 }
 
 // betterOwner returns the address of the peer that should own a job of some tokens, or false if this instance should. Only in a fleet with a
@@ -196,8 +202,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, kv.ErrNotFound):
-		klog.InfoS("Job refused", "job", sub.ID, "route", sub.Route.Name, "waiting_tokens", waiting, "limit_tokens", sub.Route.MaxWaitingTokens)
-		return ErrTokenLimit
+		return eris.Wrapf(ErrTokenLimit, "%d tokens wait of at most %d", waiting, sub.Route.MaxWaitingTokens)
 	}
 	return eris.Wrap(ErrUnavailable, err.Error())
 }
