--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -64,8 +64,8 @@
 	staleListing *kv.Listing      // response to lists that may be stale; nil: they read the store
 	hanging      bool             // transactions have no effect and get no response
 	nextTxnErr   error            // returned by the next transaction, which has no effect
-	// onCreate, if set, makes the transactions that create a job; create executes them.
-	onCreate func(ctx context.Context, create func() (kv.TxnResult, error)) (kv.TxnResult, error)
+	dead         bool             // the process of the instance has ended, so that its calls have no effect
+	onCreate     createFunc       // if set, makes the transactions that create a job
 	// delay is the time that each call takes.
 	delay time.Duration
 	// listedBytes is the number of bytes of the values in the listings since the last resetListedBytes.
@@ -116,14 +116,17 @@
 }
 
 // setOnCreate sets onCreate.
-func (g *faultyStore) setOnCreate(f func(ctx context.Context, create func() (kv.TxnResult, error)) (kv.TxnResult, error)) {
+func (g *faultyStore) setOnCreate(f createFunc) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.onCreate = f
 }
 
-// refuseCreation is an onCreate that has no effect and says so.
-func refuseCreation(context.Context, func() (kv.TxnResult, error)) (kv.TxnResult, error) {
+// createFunc makes a transaction that creates a job.
+type createFunc func(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
+
+// refuseCreation is a createFunc that has no effect and says so.
+func refuseCreation(context.Context, kv.Txn) (kv.TxnResult, error) {
 	return kv.TxnResult{}, fmt.Errorf("%w: status 503", kv.ErrUnavailable)
 }
 
@@ -157,10 +160,23 @@
 	g.unreachable = unreachable
 }
 
+// setDead makes all calls from now on fail without an effect.
+func (g *faultyStore) setDead() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+func (g *faultyStore) isDead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dead
+}
+
 func (g *faultyStore) err() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unreachable {
+	if g.unreachable || g.dead {
 		return kv.ErrUnavailable
 	}
 	return nil
@@ -239,7 +255,7 @@
 	g.nextTxnErr = nil
 	g.mu.Unlock()
 	if onCreate != nil && createsJob(txn) {
-		return onCreate(ctx, func() (kv.TxnResult, error) { return g.Store.Txn(ctx, txn) })
+		return onCreate(ctx, txn)
 	}
 	if txnErr != nil {
 		return kv.TxnResult{}, txnErr
@@ -265,6 +281,7 @@
 // node is one instance.
 type node struct {
 	id       fleet.InstanceID
+	host     string
 	address  string
 	store    *faultyStore
 	peers    *gateway.Peers
@@ -287,6 +304,7 @@
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
+	capacity      float64        // cores of the instances that are started next
 }
 
 const (
@@ -307,10 +325,31 @@
 	return f
 }
 
+// workingSetSize is the number of instances that callers are sent to in a large test fleet: the first ones.
+const workingSetSize = 3
+
+// newLargeTestFleet starts a fleet that is large enough for a working set.
+func newLargeTestFleet(t *testing.T, detectByCalls bool) *testFleet {
+	const instances = 13
+	f := newTestFleet(t, 0, detectByCalls)
+	for i := range instances {
+		f.capacity = 0.01
+		if i < workingSetSize {
+			f.capacity = 0.05 // 0.12 are needed for the slots of the target
+		}
+		f.start(fleet.InstanceID(fmt.Sprintf("i%02d", i)), fmt.Sprintf("10.0.0.%d", i+1))
+	}
+	time.Sleep(8 * time.Second) // until all instances have chosen the same working set
+	for i, n := range f.nodes {
+		require.Equal(t, i < workingSetSize, n.peers.Serves(), "instance %s", n.id)
+	}
+	return f
+}
+
 // start starts an instance, or its next process.
 func (f *testFleet) start(id fleet.InstanceID, host string) *node {
-	n := &node{id: id, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
-	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a"}
+	n := &node{id: id, host: host, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
 	packets, err := f.network.ListenPacket(n.address)
 	require.NoError(f.t, err)
 	n.listener, err = f.network.Listen(n.address)
