itemjobs: pass the outcome of a submission as a value

What callers saw: a job was answered 503 although it was recorded, and its items ran. 429 and 503 promise that no part of the job runs.

Cause: the errors of eris are equal by the text of their messages at each level of wrapping. After a forward to a less loaded peer with an unknown outcome, Submit wrapped ErrOutcomeUnknown with the text of the last failure. A peer's 503 became ErrUnavailable itself, so that this text was the one of ErrUnavailable and the result was both errors. The adapter looked for ErrUnavailable first and answered 503.

Change: each attempt to record a job ends with an Outcome, a value whose zero value promises nothing. A submission combines the outcomes of its attempts: once one of them may have recorded the job, the result is Accepted or MayBeAccepted, whatever the later ones say. Submit returns a SubmissionError that holds the outcome and is exactly one of the four errors, by identity and not by text.

Other places that could turn an unknown outcome into a promise, closed with it: - peers are told the outcome by one table of statuses, read in a fixed order. writePeerError went through a map and answered with the first sentinel that matched, in random order if two did; - an error of the store that was none of the known ones counted as "had no effect"; now only ErrUnavailable, ErrValueTooLarge and ErrLeaseGone do, and not if the error is ErrOutcomeUnknown too; - a store that says that the job has a record and does not return it led to ErrUnavailable, also after an earlier attempt with an unknown outcome.

--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -22,41 +23,58 @@
 // maxPeerWait bounds how long a read by a peer waits for a result.
 const maxPeerWait = 5 * time.Second
 
+// submissionPath is where jobs are submitted to a peer. The calls about one job are below it.
+const submissionPath = "/v1/item-jobs"
+
 // errNotOwner means that the called instance does not own the job.
 var errNotOwner = eris.New("peer does not own the job")
 
 // peerCalls makes the calls between instances about jobs.
 type peerCalls struct{ client *gateway.PeerClient }
 
-// do calls a peer. Statuses in peerErrors become their errors. maxWait is the time that the peer may take in addition to the usual one.
+// do calls a peer. The status 404 becomes errNotOwner, others a *gateway.PeerStatusError. maxWait is the time that the peer may take in addition to
+// the usual one.
 func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, body []byte, maxWait time.Duration) ([]byte, error) {
-	response, err := c.client.Do(ctx, method, address, "/v1/item-jobs"+path, query, body, maxWait)
+	response, err := c.client.Do(ctx, method, address, submissionPath+path, query, body, maxWait)
+	if statusOf(err) == http.StatusNotFound {
+		return nil, errNotOwner
+	}
+	return response, err
+}
+
+// statusOf returns the status with which a peer answered a call that failed, or 0 if it did not answer.
+func statusOf(err error) int {
 	var status *gateway.PeerStatusError
 	if errors.As(err, &status) {
-		if sentinel, ok := peerErrors[status.Status]; ok {
-			return nil, sentinel
-		}
+		return status.Status
 	}
-	return response, err
+	return 0
 }
 
-// peerErrors maps the status codes of calls between instances to errors.
-var peerErrors = map[int]error{
-	http.StatusNotFound:              errNotOwner,
-	http.StatusTooManyRequests:       ErrTokenLimit,
-	http.StatusServiceUnavailable:    ErrUnavailable,
-	http.StatusRequestEntityTooLarge: ErrInvalid,
+// outcomeStatus returns the status with which a peer is told the outcome of a submission.
+func outcomeStatus(o Outcome) int {
+	switch o {
+	case Accepted:
+		return http.StatusOK
+	case Unavailable:
+		return http.StatusServiceUnavailable
+	case OverTokenLimit:
+		return http.StatusTooManyRequests
+	case Invalid:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusInternalServerError
+	}
 }
 
-// writePeerError responds to a peer with the status of an error in peerErrors, or with 500.
-func writePeerError(w http.ResponseWriter, err error) {
-	for status, sentinel := range peerErrors {
-		if errors.Is(err, sentinel) {
-			http.Error(w, err.Error(), status)
-			return
+// statusOutcome is the reverse of outcomeStatus. Any status that is not one of these leaves the outcome open.
+func statusOutcome(status int) Outcome {
+	for _, o := range []Outcome{Accepted, Unavailable, OverTokenLimit, Invalid} {
+		if outcomeStatus(o) == status {
+			return o
 		}
 	}
-	http.Error(w, err.Error(), http.StatusInternalServerError)
+	return MayBeAccepted
 }
 
 func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, maxWait time.Duration) (Page, error) {
@@ -88,21 +106,20 @@
 	Parts  [][]byte       `json:"parts"`
 }
 
-// submit forwards a job to a peer. Errors: those of Submit.
-func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+// submit forwards a job to a peer. The error is the cause of an outcome other than Accepted.
+func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) (Outcome, error) {
 	parts, err := encodeParts(items)
 	if err != nil {
-		return eris.Wrap(ErrInvalid, err.Error())
+		return Invalid, err
 	}
 	body, err := json.Marshal(submission{record, parts})
 	if err != nil {
-		return eris.Wrap(ErrInvalid, err.Error())
+		return Invalid, err
 	}
-	_, err = c.do(ctx, http.MethodPost, address, "", nil, body, submitTimeout)
-	if err == nil || errors.Is(err, ErrTokenLimit) || errors.Is(err, ErrUnavailable) || errors.Is(err, ErrInvalid) {
-		return err
+	if _, err = c.client.Do(ctx, http.MethodPost, address, submissionPath, nil, body, submitTimeout); err != nil {
+		return statusOutcome(statusOf(err)), err
 	}
-	return eris.Wrap(ErrOutcomeUnknown, err.Error())
+	return Accepted, nil
 }
 
 // drop notifies a peer that it no longer owns a job. It is no error if the peer does not have the job.
@@ -164,7 +181,7 @@
 	}
 	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
-		writePeerError(w, err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
 	}
 }
 
@@ -190,8 +207,8 @@
 	}
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(r.Context()), "job-submit"), submitTimeout)
 	defer cancel()
-	if err := s.Accept(ctx, sub.Record, items); err != nil {
-		writePeerError(w, err)
+	if outcome, cause := s.accept(ctx, sub.Record, items); outcome != Accepted {
+		http.Error(w, fmt.Sprint(cause), outcomeStatus(outcome))
 	}
 }
 
--- a/node/itemjobs/report_test.go
+++ b/node/itemjobs/report_test.go
@@ -72,7 +72,7 @@
 		lines := log.submissions()
 		require.Len(t, lines, 1)
 		require.Contains(t, lines[0], `"job":"k","route":"jobs","outcome":"unavailable","may_be_recorded":false`)
-		require.Contains(t, lines[0], `["this instance in 0 ms: store is unavailable: status 503`)
+		require.Contains(t, lines[0], `["this instance in 0 ms: unavailable: store is unavailable: status 503"`)
 		require.Contains(t, lines[0], `"`+second.address+` in 0 ms: `)
 
 		big := submission("l", "c")
--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -16,8 +16,8 @@
 var ageBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
 
 // submitted counts a submission by the outcome that its client is told.
-func (s stats) submitted(outcome string) {
-	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("submissions").Inc(1)
+func (s stats) submitted(outcome Outcome) {
+	s.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("submissions").Inc(1)
 }
 
 // started records the age of a job's last confirmation when one of its items starts.
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -50,73 +50,78 @@
 	writeRetryDelay = 50 * time.Millisecond
 )
 
-// submit is Submit, and adds the attempts to the report.
-func (s *Service) submit(ctx context.Context, sub Submission, report *submissionReport) error {
-	if _, ok := s.ownedJob(sub.ID); ok {
+// Submit records the job. It is idempotent: repeated submissions of a job at any instance are accepted once. An instance that cannot record the
+// job, or should not own it, forwards it to a peer. nil means that the job is accepted; any other error is a *SubmissionError. After ErrTokenLimit,
+// ErrUnavailable and ErrInvalid, no part of the job runs unless another submission of it is accepted; after ErrOutcomeUnknown it may run.
+func (s *Service) Submit(ctx context.Context, sub Submission) error {
+	attempts := s.submit(ctx, sub)
+	outcome := combined(attempts)
+	s.reportSubmission(sub, outcome, attempts)
+	if outcome == Accepted {
 		return nil
 	}
+	return &SubmissionError{Outcome: outcome, causes: attempts}
+}
+
+// submit returns the attempts to record a submitted job, at least one.
+func (s *Service) submit(ctx context.Context, sub Submission) []attempt {
+	if _, ok := s.ownedJob(sub.ID); ok {
+		return []attempt{{instance: thisInstance, outcome: Accepted}}
+	}
 	// The write is not cancelled when the client disconnects, since the store may already have recorded the job.
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-submit"), submitTimeout)
 	defer cancel()
 	record := s.newRecord(sub)
 	if limit, waiting := sub.Route.MaxWaitingTokens, s.totalWaitingTokens(sub.Route.Name); !itemjob.Fits(limit, waiting, record.Tokens) {
-		return s.rejectUnlessAccepted(ctx, sub, waiting)
+		return []attempt{s.rejectUnlessAccepted(ctx, sub, waiting)}
 	}
-	mayBeRecorded := false
-	if address, ok := s.betterOwner(record.Tokens); ok {
-		err := s.forwardToBetterOwner(ctx, address, record, sub.Items, report)
-		if err == nil || errors.Is(err, ErrTokenLimit) || errors.Is(err, ErrInvalid) {
-			return err
-		}
-		mayBeRecorded = errors.Is(err, ErrOutcomeUnknown)
+	address, ok := s.betterOwner(record.Tokens)
+	if !ok {
+		return s.acceptOrForward(ctx, record, sub.Items)
 	}
-	err := s.acceptOrForward(ctx, record, sub.Items, report)
-	if mayBeRecorded && errors.Is(err, ErrUnavailable) {
-		return eris.Wrap(ErrOutcomeUnknown, err.Error()) // the first peer may have recorded it
+	forwarded := s.forwardToBetterOwner(ctx, address, record, sub.Items)
+	if forwarded.outcome == Unavailable || forwarded.outcome == MayBeAccepted {
+		return append([]attempt{forwarded}, s.acceptOrForward(ctx, record, sub.Items)...)
 	}
-	return err
+	return []attempt{forwarded}
 }
 
 // forwardTimeout bounds a call that forwards a job to a less loaded peer. It is shorter than submitTimeout, to leave time for an attempt of this
 // instance.
 const forwardTimeout = 500 * time.Millisecond
 
-// forwardToBetterOwner forwards a job to the less loaded peer at the address. Errors: those of Submit.
-func (s *Service) forwardToBetterOwner(
-	ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, report *submissionReport,
-) error {
+// forwardToBetterOwner forwards a job to the less loaded peer at the address.
+func (s *Service) forwardToBetterOwner(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) attempt {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	return s.forward(ctx, address, record, items, "the peer is less loaded", report)
+	return s.forward(ctx, address, record, items, "the peer is less loaded")
 }
 
-// forward asks a peer to record a job as its owner. Errors: those of Submit.
-func (s *Service) forward(
-	ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string, report *submissionReport,
-) error {
+// forward asks a peer to record a job as its owner.
+func (s *Service) forward(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) attempt {
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
 	started := time.Now()
-	err := s.calls.submit(ctx, address, record, items)
-	report.add(address, started, err)
-	return err
+	outcome, cause := s.calls.submit(ctx, address, record, items)
+	return attempt{instance: address, outcome: outcome, cause: cause, took: time.Since(started)}
 }
 
-// acceptOrForward records a job with this instance as its owner, or forwards it if this instance is draining or does not reach the store.
-// Errors: those of Submit.
-func (s *Service) acceptOrForward(ctx context.Context, record itemjob.Record, items []itemjob.Item, report *submissionReport) error {
+// acceptOrForward records a job with this instance as its owner, or forwards it if this instance is draining or does not reach the store. It
+// returns at least one attempt.
+func (s *Service) acceptOrForward(ctx context.Context, record itemjob.Record, items []itemjob.Item) []attempt {
+	var attempts []attempt
 	if !s.isDraining() {
 		started := time.Now()
-		err := s.Accept(ctx, record, items)
-		report.add(thisInstance, started, err)
-		if !errors.Is(err, ErrUnavailable) {
-			return err
+		outcome, cause := s.accept(ctx, record, items)
+		attempts = append(attempts, attempt{instance: thisInstance, outcome: outcome, cause: cause, took: time.Since(started)})
+		if outcome != Unavailable {
+			return attempts
 		}
 	}
 	address, ok := s.storeReachingPeer()
 	if !ok {
-		return eris.Wrap(ErrUnavailable, "no instance reaches the store")
+		return append(attempts, attempt{instance: "a peer", outcome: Unavailable, cause: errNoInstance})
 	}
-	return s.forward(ctx, address, record, items, "this instance does not reach the store or is draining", report)
+	return append(attempts, s.forward(ctx, address, record, items, "this instance does not reach the store or is draining"))
 }
 
 // betterOwner returns the address of the peer that should own a job of some tokens, or false if this instance should. Only in a fleet with a
@@ -137,18 +142,18 @@
 	return best.PeerAddress, best.ID != s.Self.ID
 }
 
-// Accept records a job with this instance as its owner. Errors: those of Submit, except ErrTokenLimit.
-func (s *Service) Accept(ctx context.Context, record itemjob.Record, items []itemjob.Item) error {
+// accept records a job with this instance as its owner. The error is the cause of an outcome other than Accepted.
+func (s *Service) accept(ctx context.Context, record itemjob.Record, items []itemjob.Item) (Outcome, error) {
 	parts, err := encodeParts(items)
 	if err != nil {
-		return eris.Wrap(ErrInvalid, err.Error())
+		return Invalid, err
 	}
 	defer s.beginAcquisition(record.ID)()
 	record.Parts = len(parts)
 	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
 	txn, err := createTxn(record, parts)
 	if err != nil {
-		return err
+		return Invalid, err
 	}
 	return s.create(ctx, record, items, txn)
 }
@@ -195,16 +200,21 @@
 	return own + orphaned + s.Peers.Waiting(route)
 }
 
-// rejectUnlessAccepted returns ErrTokenLimit for a job that exceeds the token limit, or nil if an earlier submission of it was accepted.
-func (s *Service) rejectUnlessAccepted(ctx context.Context, sub Submission, waiting int64) error {
+// rejectUnlessAccepted rejects a job that exceeds the token limit, unless an earlier submission of it was accepted.
+func (s *Service) rejectUnlessAccepted(ctx context.Context, sub Submission, waiting int64) attempt {
+	started := time.Now()
 	_, err := s.Store.Get(ctx, recordKey(sub.ID))
+	result := attempt{instance: thisInstance, took: time.Since(started)}
 	switch {
 	case err == nil:
-		return nil
+		result.outcome = Accepted
 	case errors.Is(err, kv.ErrNotFound):
-		return eris.Wrapf(ErrTokenLimit, "%d tokens wait of at most %d", waiting, sub.Route.MaxWaitingTokens)
+		result.outcome = OverTokenLimit
+		result.cause = fmt.Errorf("%d tokens wait on the route, its limit is %d", waiting, sub.Route.MaxWaitingTokens)
+	default:
+		result.outcome, result.cause = Unavailable, err
 	}
-	return eris.Wrap(ErrUnavailable, err.Error())
+	return result
 }
 
 // createTxn returns the transaction that writes all keys of a new job, or reads the record if there is one.
@@ -224,8 +234,8 @@
 	}, nil
 }
 
-// create repeats the transaction until its outcome is known or ctx ends. Errors: ErrUnavailable, ErrOutcomeUnknown, ErrBadRecord.
-func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) error {
+// create repeats the transaction until its outcome is known or ctx ends. The error is the cause of an outcome other than Accepted.
+func (s *Service) create(ctx context.Context, record itemjob.Record, items []itemjob.Item, txn kv.Txn) (Outcome, error) {
 	mayBeRecorded := false
 	for {
 		asOf := time.Now()
@@ -233,42 +243,51 @@
 		switch {
 		case err == nil && result.Succeeded:
 			s.accepted(record, items, result.Revision, asOf)
-			return nil
+			return Accepted, nil
 		case err == nil:
 			return s.resolveExisting(record, items, result, asOf)
-		case errors.Is(err, kv.ErrOutcomeUnknown):
+		case !hadNoEffect(err):
 			mayBeRecorded = true
 		case !mayBeRecorded:
 			klog.ErrorS(err, "Job cannot be recorded", "job", record.ID)
-			return eris.Wrap(ErrUnavailable, err.Error())
+			return Unavailable, err
 		}
 		if !wait.For(ctx, writeRetryDelay) {
 			s.setOwnershipUncertain()
 			klog.ErrorS(err, "Job may have been accepted", "job", record.ID)
-			return eris.Wrap(ErrOutcomeUnknown, err.Error())
+			return MayBeAccepted, err
 		}
 	}
 }
 
+// hadNoEffect reports whether a write of the store that failed certainly had no effect and will have none.
+func hadNoEffect(err error) bool {
+	if errors.Is(err, kv.ErrOutcomeUnknown) {
+		return false
+	}
+	return errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrValueTooLarge) || errors.Is(err, kv.ErrLeaseGone)
+}
+
 func (s *Service) accepted(record itemjob.Record, items []itemjob.Item, revision kv.Revision, asOf time.Time) {
 	klog.InfoS("Job accepted", "job", record.ID, "route", record.Route, "items", record.Items, "tokens", record.Tokens,
 		"due_ms", time.Until(record.Due).Milliseconds(), "took_ms", time.Since(record.Submitted).Milliseconds())
 	s.addOwned(itemjob.NewJob(record, items, nil), revision, asOf)
 }
 
-// resolveExisting handles a job that already has a record: from an earlier submission, or from an attempt of this one whose response was lost.
-func (s *Service) resolveExisting(record itemjob.Record, items []itemjob.Item, result kv.TxnResult, asOf time.Time) error {
+// resolveExisting handles a job that already has a record: from an earlier submission, or from an attempt of this one whose response was lost. The
+// error is the cause of an outcome other than Accepted.
+func (s *Service) resolveExisting(record itemjob.Record, items []itemjob.Item, result kv.TxnResult, asOf time.Time) (Outcome, error) {
 	var found itemjob.Record
 	if len(result.Gets) == 0 {
-		return eris.Wrap(ErrUnavailable, "the store did not show the job")
+		return MayBeAccepted, eris.Errorf("the store has a record of job %s and did not return it", record.ID)
 	}
 	if err := decode(result.Gets[0].Value, &found); err != nil {
-		return fmt.Errorf("job %s: %w", record.ID, err)
+		return MayBeAccepted, fmt.Errorf("job %s: %w", record.ID, err)
 	}
 	if found.Token == record.Token && found.Owner == record.Owner && found.Process == record.Process {
 		s.accepted(record, items, result.Gets[0].ModRevision, asOf)
-		return nil
+		return Accepted, nil
 	}
 	klog.InfoS("Job was already accepted", "job", record.ID, "owner", found.Owner, "ended", found.Ended)
-	return nil
+	return Accepted, nil
 }
