--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -9,8 +9,8 @@
 	"eelgrassproxy.example/core/itemjob"
 )
 
-// stats counts ends of jobs and measures how late their owners find out, and how old the confirmations are with which items start. It counts the
-// items that are given up.
+// stats counts submissions and ends of jobs, and measures how late their owners find out, and how old the confirmations are with which items start.
+// It counts the items that are given up.
 type stats struct{ scope tally.Scope }
 
 func newStats(scope tally.Scope) stats { return stats{scope.SubScope("item_jobs")} }
@@ -18,6 +18,11 @@
 // ageBuckets are histogram buckets from 10 ms to about 20 s, each twice as large as the one before.
 var ageBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
 
+// submitted counts a submission by the outcome that its client is told.
+func (s stats) submitted(outcome Outcome) {
+	s.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("submissions").Inc(1)
+}
+
 // started records the age of a job's last confirmation when one of its items starts.
 func (s stats) started(confirmedAgo time.Duration) {
 	s.scope.Histogram("start_confirmation_age", ageBuckets).RecordDuration(confirmedAgo)
