node/gateway: read a required configuration apart from the other copies

The read of a required configuration waited for the round of CatchUp in progress, which takes up to 300 ms while the store does not respond, and an instance that watches the store did not ask its peers. A goroutine of its own now reads it from the nearest peer that announces the newest version, and only if none does from the store, for at most 300 ms. The value goes into the mirror like an event of its watch, so that peers get it with its revision. Routes.Await waits for it.

--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,8 +51,8 @@
 	seeds              []string // peer addresses to read from while no peer is known
 	client             *PeerClient
 	watchesStore       atomic.Bool   // this instance watches the store
-	required           chan struct{} // triggers a round because of Routes.Require
-	requiredRead       time.Time     // when readRequired last read the store; used by Run's goroutine only
+	required           chan struct{} // triggers serveRequired
+	requiredRead       time.Time     // when readRequired last read the store; used by serveRequired only
 	nextMembersRefresh time.Time     // when the membership records are to be read from a peer again; used by Run's goroutine only
 	configLag          lag           // of the routing table behind the versions that peers announce; used by Run's goroutine only
 	targetsLag         lag           // of the copy of the targets behind the revisions that peers announce; used by Run's goroutine only
@@ -143,7 +144,10 @@
 
 // Run reads copies from peers whenever they are needed, until ctx ends.
 func (c *CatchUp) Run(ctx context.Context) {
-	for ; c.awaitRound(ctx); c.readRequired(ctx) {
+	var group sync.WaitGroup
+	group.Go(func() { c.serveRequired(ctx) })
+	defer group.Wait()
+	for wait.For(ctx, catchUpInterval/2+rand.N(catchUpInterval)) {
 		if c.StoreLost() {
 			c.probe(ctx)
 		}
@@ -301,14 +305,10 @@
 
 // fetchCopies reads the wanted copies of one peer and merges them into the mirrors.
 func (c *CatchUp) fetchCopies(ctx context.Context, address string, wanted []string) error {
-	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
+	state, err := c.readCopies(ctx, address, wanted)
 	if err != nil {
 		return err
 	}
-	var state map[string]kvmirror.Snapshot
-	if err := json.Unmarshal(body, &state); err != nil {
-		return err
-	}
 	for name, snapshot := range state {
 		if m, ok := c.copies.byName()[name]; ok {
 			m.Merge(snapshot)
@@ -317,6 +317,15 @@
 	return nil
 }
 
+// readCopies reads the wanted copies of one peer.
+func (c *CatchUp) readCopies(ctx context.Context, address string, wanted []string) (state map[string]kvmirror.Snapshot, err error) {
+	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	return state, json.Unmarshal(body, &state)
+}
+
 // Handle registers the handler from which peers read this instance's copies.
 func (c *CatchUp) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
--- a/node/gateway/required.go
+++ b/node/gateway/required.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/adapters/kv"
-	"eelgrassproxy.example/node/kvmirror"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/node/internal/wait"
 )
 
 const (
@@ -16,7 +16,9 @@
 	// are billed, and one is enough unless the version does not exist.
 	requiredReadInterval = time.Second
 	// requiredReadTimeout bounds such a read.
-	requiredReadTimeout = time.Second
+	requiredReadTimeout = 300 * time.Millisecond
+	// requiredInterval is the minimum interval between two attempts to read a required version.
+	requiredInterval = 100 * time.Millisecond
 )
 
 // NewestVersion returns the newest version of the routing table that this instance knows to exist: its own, one that a peer announces, or a required
@@ -29,24 +31,32 @@
 	return newest
 }
 
-// awaitRound waits for the next check for newer copies, which comes at once if a newer version of the routing table is required. It returns false if
-// ctx ended.
-func (c *CatchUp) awaitRound(ctx context.Context) bool {
-	timer := time.NewTimer(catchUpInterval/2 + rand.N(catchUpInterval))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.required:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
+// serveRequired reads the configuration when a newer version is required, until ctx ends. It doesn't wait for the rounds of Run, which take longer while
+// the store does not respond.
+func (c *CatchUp) serveRequired(ctx context.Context) {
+	for {
+		select {
+		case <-c.required:
+		case <-ctx.Done():
+			return
+		}
+		c.readRequired(ctx)
+		wait.For(ctx, requiredInterval)
+	}
 }
 
-// readRequired reads the configuration from the store if a version is required that no peer provided. An instance that watches the store also does
-// so, since its watch may be late.
+// readRequired reads the configuration if a version is required that this instance lacks: from the nearest peer that announces a newer one, otherwise
+// from the store. An instance that watches the store does so too, since its watch may be late.
 func (c *CatchUp) readRequired(ctx context.Context) {
-	required := c.routes.Required()
-	if required <= c.version() || c.StoreLost() || time.Since(c.requiredRead) < requiredReadInterval {
+	if !c.needsVersion() {
+		return
+	}
+	if source, ok := c.newestSource(); ok {
+		if err := c.putConfigOf(ctx, source); err != nil {
+			klog.ErrorS(err, "Required configuration was not read from a peer", "peer", source, "required", c.routes.Required(), "in_force", c.version())
+		}
+	}
+	if !c.needsVersion() || c.StoreLost() || time.Since(c.requiredRead) < requiredReadInterval {
 		return
 	}
 	c.requiredRead = time.Now()
@@ -54,8 +64,34 @@
 	defer cancel()
 	listing, err := c.store.List(ctx, c.copies.Config.Prefix())
 	if err != nil {
-		klog.ErrorS(err, "Required configuration was not read from the store", "required", required, "in_force", c.version())
+		klog.ErrorS(err, "Required configuration was not read from the store", "required", c.routes.Required(), "in_force", c.version())
 		return
 	}
-	c.routes.Apply(kvmirror.Change{Put: listing.Items})
+	c.copies.Config.Put(listing.Items)
+}
+
+// needsVersion reports whether a version of the routing table is required that is newer than the one in force.
+func (c *CatchUp) needsVersion() bool { return c.routes.Required() > c.version() }
+
+// newestSource returns the address of the nearest of the peers that announce the newest version of the routing table, if that is newer than the one in
+// force.
+func (c *CatchUp) newestSource() (address string, ok bool) {
+	newest, nearest := c.version(), fleet.OtherRegion
+	for _, report := range c.peers.Reports() {
+		distance := c.topology.Distance(c.self.FailureDomain, report.Member.FailureDomain)
+		if report.Version > newest || ok && report.Version == newest && distance < nearest {
+			newest, nearest, address, ok = report.Version, distance, report.Member.PeerAddress, true
+		}
+	}
+	return address, ok
+}
+
+// putConfigOf reads a peer's copy of the configuration and adds it to the mirror.
+func (c *CatchUp) putConfigOf(ctx context.Context, address string) error {
+	state, err := c.readCopies(ctx, address, []string{copyConfig})
+	if err != nil {
+		return err
+	}
+	c.copies.Config.Put(state[copyConfig].Items)
+	return nil
 }
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -26,7 +26,7 @@
 	decode    func([]byte) (*routetable.Table, error)
 	onAdvance func()        // called with mu held after a newer table came into force
 	required  atomic.Int64  // see Require
-	onRequire func()        // called when a newer version is required than before
+	onRequire func()        // called when a newer version is required
 	advanced  chan struct{} // closed and replaced, with mu held, when a newer table came into force
 }
 
@@ -38,29 +38,28 @@
 	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}, advanced: make(chan struct{})}
 }
 
-// OnRequire sets the callback that runs when Require is called with a newer version than before and than the one in force. It must not block. Call
-// OnRequire before the first Require.
+// OnRequire sets the callback that runs when Require is called with a newer version than the one in force. It must not block. Call OnRequire before
+// the first Require.
 func (r *Routes) OnRequire(required func()) { r.onRequire = required }
 
 // Require states that a version is known to have been in force elsewhere and that this instance needs it.
 func (r *Routes) Require(version int64) {
-	for {
-		before := r.required.Load()
-		if version <= max(before, r.Version()) {
-			return
-		}
+	inForce := r.Version()
+	if version <= inForce {
+		return
+	}
+	for before := r.required.Load(); before < version; before = r.required.Load() {
 		if r.required.CompareAndSwap(before, version) {
-			klog.InfoS("Configuration is behind", "in_force", r.Version(), "required", version)
-			r.onRequire()
-			return
+			klog.InfoS("Configuration is behind", "in_force", inForce, "required", version)
 		}
 	}
+	r.onRequire()
 }
 
 // Await requires a version, waits until the table in force has at least that one or ctx ends, and returns the table in force.
 func (r *Routes) Await(ctx context.Context, version int64) *routetable.Table {
-	r.Require(version)
 	for {
+		r.Require(version)
 		r.mu.Lock()
 		table, advanced := r.Current(), r.advanced
 		r.mu.Unlock()
@@ -69,6 +68,7 @@
 		}
 		select {
 		case <-advanced:
+		case <-time.After(requiredInterval):
 		case <-ctx.Done():
 			return r.Current()
 		}
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -174,6 +174,14 @@
 	return true
 }
 
+// Put adds newer values of keys, from a peer or another read of the store, also while the mirror follows the store. Unlike Merge it removes no key. The
+// revision of the copy becomes that of the values, so that Put must only be used with mirrors of one key.
+func (m *Mirror) Put(items []kv.KeyValue) {
+	for _, item := range items {
+		m.applyEvent(kv.WatchEvent{KeyValue: item})
+	}
+}
+
 // recordFailure records that a call failed, and logs the first failure.
 func (m *Mirror) recordFailure(err error) {
 	m.mu.Lock()
--- a/node/kvmirror/mirror_test.go
+++ b/node/kvmirror/mirror_test.go
@@ -121,6 +121,22 @@
 	})
 }
 
+// Guards against an older value that replaces a newer one, and against a value of the store that is taken for an old one after Put.
+func TestPutAddsOnlyNewerValuesWhileTheStoreIsFollowed(t *testing.T) {
+	withMirror(t, func(store *memkv.Store, m *kvmirror.Mirror, recorder *changeRecorder) {
+		revision := m.Revision()
+		m.Put([]kv.KeyValue{{Key: "p/old", Value: []byte("older"), ModRevision: revision}})
+		requireItems(t, recorder, map[string]string{"p/old": "1"}, 0)
+		m.Put([]kv.KeyValue{{Key: "p/old", Value: []byte("newer"), ModRevision: revision + 1}})
+		requireItems(t, recorder, map[string]string{"p/old": "newer"}, 0)
+		require.Equal(t, revision+1, m.Snapshot().Revision, "peers get it with its revision")
+		put(t, store, "p/old", "2") // at the revision of the value that was put
+		put(t, store, "p/old", "3")
+		synctest.Wait()
+		requireItems(t, recorder, map[string]string{"p/old": "3"}, 0)
+	})
+}
+
 // Guards against store calls of a mirror that is to rely on the copies of peers, and against a mirror that never starts to follow the store.
 func TestMirrorFollowsOnlyWhenAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
