platform: no 404 while a newer configuration is known to exist

Clients got 404 for a route that exists, from an instance that was behind. A 404 is final: clients do not repeat the request. An instance whose path to the store is silent does not notice that at once and answered by the old table for more than 2 s, though the datagrams of a peer announced the newer version.

If no route matches and this instance knows of a newer version, it now requires that, waits for at most 300 ms, and decides by it. If it does not get it, the answer is 503 with Retry-After, which promises that the request was not run. A submission of a job to a route that is not known yet goes the same way.

--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -130,6 +130,14 @@
 // Routes returns the holder of the current routing table.
 func (i *Instance) Routes() *gateway.Routes { return i.routes }
 
+// AwaitNewestTable waits until the routing table is the newest one that this instance knows to exist, or ctx ends. It returns the table in force, and
+// whether it is that one.
+func (i *Instance) AwaitNewestTable(ctx context.Context) (table *routetable.Table, newest bool) {
+	version := i.catchUp.NewestVersion()
+	table = i.routes.Await(ctx, version)
+	return table, table != nil && table.Version >= version
+}
+
 // Forwarder returns the forwarder, which sends requests to targets.
 func (i *Instance) Forwarder() *gateway.Forwarder { return i.forwarder }
 
