node/gateway: only peers' announcements say that a newer configuration exists

A version that is required by a record which cannot be right would have kept an instance from answering 404 for as long as the job is open. TestRequiredConfigurationThatDoesNotExist had 99 as the newest version.

--- a/node/gateway/required.go
+++ b/node/gateway/required.go
@@ -21,10 +21,9 @@
 	requiredInterval = 100 * time.Millisecond
 )
 
-// NewestVersion returns the newest version of the routing table that this instance knows to exist: its own, one that a peer announces, or a required
-// one.
+// NewestVersion returns the newest version of the routing table that this instance knows to exist: its own, or one that a peer announces.
 func (c *CatchUp) NewestVersion() int64 {
-	newest := max(c.version(), c.routes.Required())
+	newest := c.version()
 	for _, report := range c.peers.Reports() {
 		newest = max(newest, report.Version)
 	}
