node/itemjobs: old jobs are removed by the store's revisions

The instance that removes old jobs compared its time of day with that of the instance that recorded the job. A margin of a minute covers a difference of seconds; with a larger one, for example on a machine whose clock was never set, results were removed before they had been kept for the promised time, or never.

An instance now remembers, for as long as it matters, which revisions of the store its own listings showed and when, by its monotonic clock: at most 18 entries at a retention of 2 minutes and no further calls. A record whose creation revision is not above one that was reached long enough ago is old enough. An instance that has just become the one that removes jobs starts to do so when it has known a revision for that long.

TestOldJobsAreRemovedByTheirAge failed with a clock an hour ahead, 'Should NOT be empty, but was []', and an hour behind, 'Should be empty, but was [{...part/j'.

--- a/node/itemjobs/clocks_test.go
+++ b/node/itemjobs/clocks_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/itemjobs"
 )
 
 // ahead is by how much the time of day of an owner is ahead in these tests.
@@ -130,3 +131,43 @@
 		f.requireNotGivenUpBefore(f.nodes[1], time.Now(), 10*time.Second)
 	})
 }
+
+// Guards against results that are removed before Config.Retention because the clock of the instance that removes old jobs is ahead, and against old
+// jobs that stay because it is behind.
+func TestOldJobsAreRemovedByTheirAge(t *testing.T) {
+	for name, step := range map[string]time.Duration{"ahead": time.Hour, "behind": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, func(t *testing.T, f *testFleet) {
+				collector, other := f.nodes[0], f.nodes[1]
+				time.Sleep(5 * time.Minute) // the collector knows which keys are old
+				collector.setAhead(step)
+				f.submitAt(other)
+				time.Sleep(resultsKept - time.Second)
+				requireCompleted(t, f.readAll(collector, "j"), "a")
+				requireCompleted(t, f.readAll(other, "j"), "a")
+				listing, err := f.store.List(t.Context(), "/eelgrass/item-jobs/")
+				require.NoError(t, err)
+				require.NotEmpty(t, listing.Items)
+				time.Sleep(3 * time.Minute)
+				listing, err = f.store.List(t.Context(), "/eelgrass/item-jobs/")
+				require.NoError(t, err)
+				require.Empty(t, listing.Items)
+			})
+		})
+	}
+}
+
+// Guards against an instance that has just begun to remove old jobs and does not know yet how old they are.
+func TestNextCollectorRemovesNoResultsTooSoon(t *testing.T) {
+	withFleet(t, 2, func(t *testing.T, f *testFleet) {
+		f.submitAt(f.nodes[1])
+		time.Sleep(10 * time.Second)
+		f.kill(f.nodes[0])
+		f.nodes[1].setAhead(time.Hour)
+		time.Sleep(resultsKept - 11*time.Second)
+		requireCompleted(t, f.readAll(f.nodes[1], "j"), "a")
+		time.Sleep(5 * time.Minute)
+		_, err := f.nodes[1].service.Read(t.Context(), "j", 0, 0)
+		require.ErrorIs(t, err, itemjobs.ErrNotFound)
+	})
+}
--- a/node/itemjobs/collect.go
+++ b/node/itemjobs/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,9 +16,10 @@
 const (
 	// collectInterval is the interval between removals of old jobs from memory and from the store.
 	collectInterval = time.Minute
-	// retentionMargin is added to Config.Retention before a job is removed from the store, for clients that read a little later and for clock
-	// differences.
+	// retentionMargin is added to Config.Retention before a job is removed from the store, for clients that read a little later.
 	retentionMargin = time.Minute
+	// revisionInterval is the minimum interval between the entries of a revisionLog.
+	revisionInterval = 10 * time.Second
 	// maxTxnEntries is the number of conditions, writes and removals that fit into one transaction of the store.
 	maxTxnEntries = 32
 	// collectTimeout bounds the store calls of one removeOld.
@@ -37,6 +39,50 @@
 	}
 }
 
+// revisionLog holds past revisions of the store and when a response of the store showed them. It tells how old a key is at least without the time
+// of day, which differs between instances and may be set. It is safe for concurrent use.
+type revisionLog struct {
+	mu      sync.Mutex // guards entries
+	entries []revisionEntry
+}
+
+// revisionEntry is a revision of the store that was reached at a time or earlier.
+type revisionEntry struct {
+	at       time.Time
+	revision kv.Revision
+}
+
+// add adds the revision in a response of the store that arrived at a time, and drops entries that are not needed for before with an age of maxAge.
+func (l *revisionLog) add(revision kv.Revision, at time.Time, maxAge time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := len(l.entries); n > 0 && at.Sub(l.entries[n-1].at) < revisionInterval {
+		return
+	}
+	l.entries = append(l.entries, revisionEntry{at, revision})
+	for len(l.entries) > 1 && at.Sub(l.entries[1].at) >= maxAge {
+		l.entries = l.entries[1:]
+	}
+}
+
+// before returns a revision that the store had reached at least age ago, or 0 if none is known.
+func (l *revisionLog) before(age time.Duration, now time.Time) kv.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var known kv.Revision
+	for _, e := range l.entries {
+		if now.Sub(e.at) >= age {
+			known = max(known, e.revision)
+		}
+	}
+	return known
+}
+
+// recordRevision adds a revision of the store, in a response that arrived just now, to Service.revisions.
+func (s *Service) recordRevision(revision kv.Revision) {
+	s.revisions.add(revision, s.Now(), s.Retention+retentionMargin)
+}
+
 // evictOld evicts complete jobs from memory when Config.Retention has passed since their submission. Later reads find them in the store as long as
 // they are there.
 func (s *Service) evictOld(now time.Time) {
@@ -60,7 +106,8 @@
 	return true
 }
 
-// removeOld removes the keys of jobs that are complete or ended and were submitted more than Config.Retention and retentionMargin ago.
+// removeOld removes the keys of jobs that are complete or ended and were recorded more than Config.Retention and retentionMargin ago, as far as this
+// instance has known the revisions of the store for that long.
 func (s *Service) removeOld(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(kv.AllowStale(kv.WithPurpose(ctx, "job-collect")), collectTimeout)
 	defer cancel()
@@ -76,13 +123,18 @@
 	if err != nil {
 		return err
 	}
+	s.recordRevision(records.Revision)
+	old := s.revisions.before(s.Retention+retentionMargin, now)
 	for _, item := range records.Items {
+		if item.CreateRevision > old {
+			continue
+		}
 		var record itemjob.Record
 		if err := decode(item.Value, &record); err != nil {
 			klog.ErrorS(err, "Record of a job skipped", "key", item.Key)
 			continue
 		}
-		if unfinished[record.ID] || now.Before(record.Submitted.Add(s.Retention+retentionMargin)) {
+		if unfinished[record.ID] {
 			continue
 		}
 		if err := s.removeJob(ctx, &record); err != nil {
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -318,6 +318,8 @@
 const (
 	targetAddress = "10.9.0.1:80"
 	targetSlots   = 8
+	// resultsKept is how long results stay readable after the job was submitted.
+	resultsKept = 2 * time.Minute
 )
 
 func newTestFleet(t *testing.T, instances int, detectByCalls bool) *testFleet {
@@ -378,7 +380,7 @@
 	})
 	n.service = itemjobs.New(itemjobs.Config{
 		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: n.routes, Peers: n.peers, Client: n.client,
-		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
+		Retention: resultsKept, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
 		Now: n.now, Metrics: n.metrics,
 	})
 	mux := http.NewServeMux()
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -78,6 +78,7 @@
 		return nil, err
 	}
 	now := s.Now()
+	s.recordRevision(open.Revision)
 	processes, serving := aliveProcesses(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -55,6 +55,7 @@
 	Config
 	calls          peerCalls
 	stats          stats
+	revisions      revisionLog
 	ctx            context.Context // cancelled by Run after its own ctx has ended
 	cancel         context.CancelFunc
 	scheduleSignal chan struct{} // triggers the scheduler
