node/itemjobs: only a 500 counts as a failure of an item

An item was given up after as many responses as its route allows failures, with whatever status that was neither an event stream nor said that the target had not run the item: also 502, 504, 404, or a 200 without events. Only a 500 is a failed attempt, and only a 422 says that the item can never succeed. After another status the item now waits for a second and is tried again, until the retention has passed.

TestOtherStatusesAreNoFailuresOfAnItem failed with 'Should be empty, but was [{timeout false } {absent false } {gateway false } {nostream false }]'.

--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -520,6 +520,13 @@
 	return err == nil
 }
 
+// setStatuses sets the status codes that the target responds with instead of a stream, by item.
+func (f *testFleet) setStatuses(statuses map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status = statuses
+}
+
 // runsOf returns the runs of an item so far, oldest first.
 func (f *testFleet) runsOf(item string) []run {
 	f.mu.Lock()
--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -349,6 +351,26 @@
 	})
 }
 
+// Guards against items that are given up because of responses which are neither a failure of the item nor say that it can never succeed, such as those
+// of a target that is overloaded or of one that is no target of the service.
+func TestOtherStatusesAreNoFailuresOfAnItem(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		statuses := map[string]int{"timeout": 504, "gateway": 502, "absent": 404, "nostream": 200}
+		items := slices.Sorted(maps.Keys(statuses))
+		f.setStatuses(statuses)
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), submission("j", items...)))
+		time.Sleep(20 * time.Second)
+		require.Empty(t, f.readAll(f.nodes[0], "j"))
+		for _, item := range items {
+			require.Greater(t, len(f.runsOf(item)), 3, item)
+			require.LessOrEqual(t, len(f.runsOf(item)), 21, item)
+		}
+		f.setStatuses(nil)
+		time.Sleep(8 * time.Second)
+		requireCompleted(t, f.readAll(f.nodes[0], "j"), items...)
+	})
+}
+
 // Guards against more waiting tokens on a route, summed over all instances, than its limit, and against a repeated submission that is rejected.
 func TestTokenLimitHoldsOverAllInstances(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, f *testFleet) {
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -27,6 +27,8 @@
 	maxStartJitter = 15 * time.Millisecond
 	// interruptedDelay is the delay before an item whose run was interrupted may start again, so that it does not take the next free slot.
 	interruptedDelay = 50 * time.Millisecond
+	// otherStatusDelay is the delay before an item is tried again to which a target responded with a status that is no failure of the item.
+	otherStatusDelay = time.Second
 	// unknownRouteDelay is the delay before an item is tried again whose route is not known here and may exist.
 	unknownRouteDelay = time.Second
 )
@@ -218,15 +220,26 @@
 	case gateway.Yielded:
 		r.job.RecordInterruption(task, 0, now)
 	case gateway.FailedAtTarget:
-		if reason := r.job.RecordFailure(task, outcome.Status == http.StatusUnprocessableEntity, now); reason != "" {
-			s.deadLetter(r.job, task, reason)
-		}
+		s.failed(r.job, task, outcome.Status, now)
 	default:
 		r.job.RecordInterruption(task, interruptedDelay, now)
 	}
 	wait.Wake(s.scheduleSignal)
 }
 
+// failed handles the response of a target that is not an event stream. Only the statuses that speak of the item itself count as its failures; others
+// come from an overloaded target or one that is no target of the service, and the item tries another one. The caller holds s.mu.
+func (s *Service) failed(j *ownedJob, task *itemjob.Task, status int, now time.Time) {
+	switch status {
+	case http.StatusInternalServerError, http.StatusUnprocessableEntity:
+		if reason := j.RecordFailure(task, status == http.StatusUnprocessableEntity, now); reason != "" {
+			s.deadLetter(j, task, reason)
+		}
+	default:
+		j.RecordInterruption(task, otherStatusDelay, now)
+	}
+}
+
 // deadLetter gives up on an item and finishes it without output. The caller holds s.mu.
 func (s *Service) deadLetter(j *ownedJob, task *itemjob.Task, reason itemjob.Reason) {
 	now := s.Now()
