node/itemjobs: test that items are never given up too soon in any order of events

A fleet of four in which clocks are set by up to 20 s either way, each version of the configuration adds a route and reaches the instances late, and instances are lost, drained, replaced, cut off from the store or each other. One item of each job never completes. Nothing may be given up before the retention has passed, and every item must have a result 75 s after the disorder.

--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -441,15 +441,18 @@
 	n.routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config", Value: []byte(config)}}})
 }
 
-// withoutRoute marks configurations that lack the route of the jobs, unusableRoute those that have it in a form that cannot be used; see tableOf.
+// withoutRoute marks configurations that lack the route of the jobs, unusableRoute those that have it in a form that cannot be used, and addedHosts
+// those in which each version added the route of a further host, which is named after it; see tableOf.
 const (
 	withoutRoute  = " without the route"
 	unusableRoute = " with an unusable route"
+	addedHosts    = " with added hosts"
 )
 
-// tableOf returns the table of a configuration, which is its version, and withoutRoute or unusableRoute if it applies.
+// tableOf returns the table of a configuration, which is its version, followed by the mark that applies.
 func tableOf(config string) *routetable.Table {
-	number, unusable := strings.CutSuffix(config, unusableRoute)
+	number, hostsAdded := strings.CutSuffix(config, addedHosts)
+	number, unusable := strings.CutSuffix(number, unusableRoute)
 	number, lacksRoute := strings.CutSuffix(number, withoutRoute)
 	version, err := strconv.ParseInt(number, 10, 64)
 	switch {
@@ -460,7 +463,13 @@
 		t.Incomplete = unusable
 		return t
 	}
-	return routetable.New(version, routetable.Limits{}, []*routetable.Route{jobsRoute()})
+	routes := []*routetable.Route{jobsRoute()}
+	for v := int64(1); hostsAdded && v <= version; v++ {
+		route := jobsRoute()
+		route.Host = fmt.Sprint("h", v)
+		routes = append(routes, route)
+	}
+	return routetable.New(version, routetable.Limits{}, routes)
 }
 
 func table() *routetable.Table { return tableOf("1") }
