node/itemjobs: take over jobs of a process whose clock was ahead

An owner that seems to be a later process of its instance than the known one counted as alive without end, since it may have just started. Processes are numbered by the time of day at their start. If a machine's clock is behind after a restart, its former process has the higher number: if no other instance had taken its jobs over before, for example after the loss of all instances, none ever did, and the accepted jobs were lost.

Such an owner now counts as alive for 10 s, by the monotonic clock of the instance that scans the open jobs. An owner that has really just started is known by then, or its instance is suspected and the job is taken over anyway.

TestJobsOfAProcessWhoseSuccessorHasAnEarlierClockAreTakenOver failed with one and with three instances: '"[]" should have 1 item(s), but has 0', 40 s after their restart.

--- a/node/itemjobs/clocks_test.go
+++ b/node/itemjobs/clocks_test.go
@@ -1,6 +1,7 @@
 package itemjobs_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -171,3 +172,27 @@
 		require.ErrorIs(t, err, itemjobs.ErrNotFound)
 	})
 }
+
+// Guards against jobs that nobody takes over because the next process of their owner started with a clock that is behind, and thus counts as an earlier
+// one.
+func TestJobsOfAProcessWhoseSuccessorHasAnEarlierClockAreTakenOver(t *testing.T) {
+	for _, instances := range []int{1, 3} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			withFleet(t, instances, func(t *testing.T, f *testFleet) {
+				f.submitAt(f.nodes[0])
+				time.Sleep(time.Second)
+				crashed := f.nodes
+				for _, n := range crashed {
+					f.kill(n)
+				}
+				f.ahead = -time.Minute
+				for i, n := range crashed {
+					f.network.Revive(n.address)
+					f.start(n.id, fmt.Sprintf("10.0.0.%d", i+1))
+				}
+				time.Sleep(40 * time.Second)
+				requireCompleted(t, f.readAll(f.nodes[instances], "j"), "a")
+			})
+		})
+	}
+}
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -311,6 +311,7 @@
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
 	config        string         // of the instances that are started from now on; see tableOf
+	ahead         time.Duration  // of the time of day of the instances that are started from now on
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 	capacity      float64        // cores of the instances that are started next
 }
@@ -359,7 +360,8 @@
 // start starts an instance, or its next process.
 func (f *testFleet) start(id fleet.InstanceID, host string) *node {
 	n := &node{id: id, host: host, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
-	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
+	n.ahead.Store(int64(f.ahead))
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(n.now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
 	packets, err := f.network.ListenPacket(n.address)
 	require.NoError(f.t, err)
 	n.listener, err = f.network.Listen(n.address)
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -82,6 +82,7 @@
 	processes, serving := aliveProcesses(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
+	laterSince := make(map[ownerProcess]time.Time)
 	for _, item := range open.Items {
 		var mark openMark
 		if err := decode(item.Value, &mark); err != nil {
@@ -93,7 +94,7 @@
 		switch {
 		case s.isUntracked(id, mark):
 			toTakeOver = append(toTakeOver, id)
-		case !isOwnerAlive(mark, processes):
+		case !s.isOwnerAlive(mark, processes, laterSince, now):
 			orphaned[mark.Route] += mark.Tokens
 			if successor(id, serving) == s.Self.ID {
 				toTakeOver = append(toTakeOver, id)
@@ -101,7 +102,7 @@
 		}
 	}
 	s.mu.Lock()
-	s.orphaned, s.seenOpen = orphaned, firstSeen(marks, s.seenOpen, now)
+	s.orphaned, s.seenOpen, s.laterSince = orphaned, firstSeen(marks, s.seenOpen, now), laterSince
 	s.mu.Unlock()
 	s.verifyOwned(ctx, marks, asOf)
 	return toTakeOver, nil
@@ -149,11 +150,32 @@
 	return !tracked && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
 }
 
-// isOwnerAlive reports whether the process that owns a job is alive. An owner that is a later process of its instance than the known one counts
-// as alive, since it has just started.
-func isOwnerAlive(mark openMark, processes map[fleet.InstanceID]uint64) bool {
+// ownerProcess is a process that owns jobs.
+type ownerProcess struct {
+	owner   fleet.InstanceID
+	process uint64
+}
+
+// maxLaterProcess is how long an owner that seems to be a later process of its instance than the known one counts as alive.
+const maxLaterProcess = 10 * time.Second
+
+// isOwnerAlive reports whether the process that owns a job is alive. An owner that seems to be a later process of its instance than the known one may
+// have just started, and counts as alive for maxLaterProcess since a scan first saw it. After that it is an earlier process whose clock was ahead of that of
+// the known one. laterSince collects when these owners were first seen.
+func (s *Service) isOwnerAlive(mark openMark, processes map[fleet.InstanceID]uint64, laterSince map[ownerProcess]time.Time, now time.Time) bool {
 	process, alive := processes[mark.Owner]
-	return alive && process <= mark.Process
+	if !alive || process >= mark.Process {
+		return alive && process == mark.Process
+	}
+	owner := ownerProcess{mark.Owner, mark.Process}
+	s.mu.Lock()
+	since, seen := s.laterSince[owner]
+	s.mu.Unlock()
+	if !seen {
+		since = now
+	}
+	laterSince[owner] = since
+	return now.Sub(since) < maxLaterProcess
 }
 
 // takeOver takes over a job whose owner is not alive. Each job has its own timeout: with one timeout for all of them, a slow store left the last
@@ -196,7 +218,7 @@
 	}
 	submittedBy := s.submittedBy(&record, handedOver)
 	mark := markOf(&record)
-	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && isOwnerAlive(mark, aliveProcesses(s.Peers.Members())) {
+	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && s.isOwnerAlive(mark, aliveProcesses(s.Peers.Members()), make(map[ownerProcess]time.Time), s.Now()) {
 		return nil
 	}
 	defer s.beginAcquisition(id)()
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -70,10 +70,12 @@
 	acquiring map[itemjob.ID]*acquisition
 	owners    map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
 	seenOpen  map[itemjob.ID]time.Time        // when a scan first listed the open jobs, those of the last scan only
-	orphaned  map[string]int64                // tokens, by route, of open jobs whose owner is not alive, as of the last scan
-	runs      map[fleet.TargetID][]*run       // items in flight, oldest first
-	pace      itemjob.Pace
-	draining  bool
+	// laterSince holds when a scan first saw the owners of open jobs that seem to be later processes than the known ones, those of the last scan only.
+	laterSince map[ownerProcess]time.Time
+	orphaned   map[string]int64          // tokens, by route, of open jobs whose owner is not alive, as of the last scan
+	runs       map[fleet.TargetID][]*run // items in flight, oldest first
+	pace       itemjob.Pace
+	draining   bool
 	// ownershipUncertain is set, and never cleared, when the outcome of a write that makes this instance the owner of a job is unknown.
 	ownershipUncertain bool
 	running            sync.WaitGroup
