node/gateway: know a process that started with an earlier clock

Processes of an instance are numbered by the time of day at their start, and peers took nothing from one with a lower number than the known one. An instance that started again within a second on a machine whose clock had been set back stayed suspected at the others for good: it got no callers and no jobs, and the jobs that it accepted were taken over at once.

A lower number now replaces the known process if the datagrams of that one have stopped.

--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -246,8 +246,11 @@
 		state.contact = p.contactWith(m.ID)
 		p.peers[m.ID] = state
 	}
-	replaced := known && state.member.Incarnation < m.Incarnation
-	if !known || m.Incarnation >= state.member.Incarnation {
+	replaced := known && state.isReplacedBy(m.Incarnation, time.Now())
+	if replaced && m.Incarnation < state.member.Incarnation {
+		state.process, state.sequence = 0, 0 // accept its datagrams
+	}
+	if !known || replaced || m.Incarnation == state.member.Incarnation {
 		state.member, state.address = m, address
 	}
 	if replaced {
@@ -265,6 +268,12 @@
 	}
 }
 
+// isReplacedBy reports whether the process with an incarnation, which a record names, replaces the known process of the peer: it has a higher one, or
+// a lower one while the datagrams of the known process have stopped. The clock of the machine may have been ahead when that one started.
+func (s *peerState) isReplacedBy(incarnation uint64, now time.Time) bool {
+	return incarnation > s.member.Incarnation || incarnation < s.member.Incarnation && s.isOverdue(now)
+}
+
 // recordRemoved handles the removal of a membership record. A peer whose datagrams still arrive is kept: its lease may have expired without the
 // peer being lost.
 func (p *Peers) recordRemoved(id fleet.InstanceID) {
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -130,8 +130,9 @@
 	network *memnet.Network
 	store   *memkv.Store
 	members []*member
-	// capacity is the capacity of the instances that are started from now on.
+	// capacity is the capacity of the instances that are started from now on, ahead by how much their time of day is ahead.
 	capacity float64
+	ahead    time.Duration
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -146,8 +147,13 @@
 // startInstance starts an instance in a failure domain. reaches says whether it can reach the store; seeds are the peer addresses that it is
 // configured with.
 func (p *testFleet) startInstance(id fleet.InstanceID, domain fleet.FailureDomain, reaches bool, seeds ...string) *member {
-	m := &member{id: id, address: fmt.Sprintf("10.0.0.%d:7720", len(p.members)+1), store: &interruptibleStore{Store: p.store, off: !reaches}}
-	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: m.address, CallerAddress: m.address, FailureDomain: domain, Capacity: p.capacity}
+	return p.startAt(id, fmt.Sprintf("10.0.0.%d:7720", len(p.members)+1), domain, reaches, seeds...)
+}
+
+// startAt is startInstance with the peer address of the instance.
+func (p *testFleet) startAt(id fleet.InstanceID, address string, domain fleet.FailureDomain, reaches bool, seeds ...string) *member {
+	m := &member{id: id, address: address, store: &interruptibleStore{Store: p.store, off: !reaches}}
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now().Add(p.ahead)), PeerAddress: m.address, CallerAddress: m.address, FailureDomain: domain, Capacity: p.capacity}
 	packets, err := p.network.ListenPacket(m.address)
 	require.NoError(p.t, err)
 	listener, err := p.network.Listen(m.address)
@@ -397,3 +403,28 @@
 		require.Len(t, a.peers.Members(), 1)
 	})
 }
+
+// Guards against an instance that its peers ignore for good because its clock was behind when it started again.
+func TestProcessWithAnEarlierClockIsKnown(t *testing.T) {
+	for name, restart := range map[string]time.Duration{"at once": 0, "after its peers have noticed": 5 * time.Second, "after its record has expired": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runInFleet(t, func(t *testing.T, p *testFleet) {
+				a, b := p.startInstance("a", "a1", true), p.startInstance("b", "a1", true)
+				time.Sleep(2 * time.Second)
+				b.stop()
+				time.Sleep(restart)
+				p.ahead = -time.Minute
+				next := p.startAt("b", b.address, "a1", true)
+				time.Sleep(5 * time.Second)
+				state, known := stateOf(a, "b")
+				require.True(t, known)
+				require.Equal(t, fleet.MemberAlive, state)
+				reservation, _ := next.board.ReserveOnline("s", "q", nil)
+				require.NotNil(t, reservation)
+				time.Sleep(100 * time.Millisecond)
+				require.Equal(t, 1, a.board.Pool("s").Load.Online, "its counts are known")
+				reservation.Release()
+			})
+		})
+	}
+}
