itemjobs: give new jobs also to peers that just miss the newest version

Peers that did not announce the version by which a job was accepted were passed over. For up to half a second after each change of the configuration few peers were left, so that jobs would gather at these; some deployments change it every few seconds. A peer that gets a job by a newer version reads that version at once, so only those are passed over that lack one which has been in force here for a second.

--- a/node/gateway/required_test.go
+++ b/node/gateway/required_test.go
@@ -6,6 +6,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/adapters/kv"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/kvmirror"
 )
 
 // Guards against an instance that needs a newer configuration, which a peer announces, and reads it only with its next periodic check.
@@ -69,3 +74,27 @@
 		require.Empty(t, peers.UpToDate(2))
 	})
 }
+
+// Guards against jobs that are given to few peers after each change of the configuration, because the others do not have it yet.
+func TestVersionIsSettledAfterASecond(t *testing.T) {
+	runInFleet(t, func(t *testing.T, p *testFleet) {
+		routes := gateway.NewRoutes(func(value []byte) (*routetable.Table, error) {
+			return routetable.New(int64(len(value)), routetable.Limits{}, nil), nil
+		})
+		apply := func(value string) {
+			routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config", Value: []byte(value)}}})
+		}
+		require.Zero(t, routes.Settled())
+		apply("v")
+		require.Zero(t, routes.Settled())
+		time.Sleep(time.Second)
+		require.Equal(t, int64(1), routes.Settled())
+		for _, value := range []string{"vv", "vvv", "vvvv"} {
+			apply(value)
+			time.Sleep(500 * time.Millisecond)
+			require.Equal(t, int64(1), routes.Settled(), "none of the newer ones was in force for a second")
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, int64(4), routes.Settled())
+	})
+}
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -28,6 +28,8 @@
 	required  atomic.Int64  // see Require
 	onRequire func()        // called when a newer version is required
 	advanced  chan struct{} // closed and replaced, with mu held, when a newer table came into force
+	since     time.Time     // when the present table came into force; guarded by mu
+	settled   int64         // the newest version before that had been in force for settleTime; guarded by mu
 }
 
 // OnAdvance sets the callback that runs after a newer table came into force. It must not block. Call OnAdvance before the first Apply.
@@ -86,6 +88,20 @@
 	return 0
 }
 
+// settleTime is the time in which the instances of a fleet get a version from each other that one of them has.
+const settleTime = time.Second
+
+// Settled returns the newest version that has been in force for settleTime, or 0 if there is none. An instance that lacks it is further behind than
+// others usually are after a change.
+func (r *Routes) Settled() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.since) >= settleTime {
+		return r.Version()
+	}
+	return r.settled
+}
+
 // Current returns the table in force, or nil before the first one.
 func (r *Routes) Current() *routetable.Table { return r.current.Load() }
 
@@ -115,6 +131,11 @@
 		klog.InfoS("Configuration is not newer than the one in force", "version", table.Version, "in_force", before)
 		return
 	}
+	now := time.Now()
+	if now.Sub(r.since) >= settleTime {
+		r.settled = before
+	}
+	r.since = now
 	r.current.Store(table)
 	klog.InfoS("Configuration is in force", "version", table.Version, "before", before, "revision", revision)
 	close(r.advanced)
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -127,9 +127,10 @@
 }
 
 // betterOwner returns the address of the peer that should own a job, or false if this instance should. Only in a fleet with a working set can that
-// be a peer: a less loaded one of the same region.
+// be a peer: a less loaded one of the same region. A peer that lacks a version which has just come into force reads it at once when it gets the job;
+// one that lacks an older version is passed over.
 func (s *Service) betterOwner(record *itemjob.Record) (string, bool) {
-	peers := s.Peers.Candidates(record.Version)
+	peers := s.Peers.Candidates(min(record.Version, s.Routes.Settled()))
 	if len(peers) == 0 || s.isDraining() {
 		return "", false
 	}
