--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -26,8 +26,10 @@
 	decode    func([]byte) (*routetable.Table, error)
 	onAdvance func()        // called with mu held after a newer table came into force
 	required  atomic.Int64  // see Require
-	onRequire func()        // called when a newer version is required than before
+	onRequire func()        // called when a newer version is required
 	advanced  chan struct{} // closed and replaced, with mu held, when a newer table came into force
+	since     time.Time     // when the present table came into force; guarded by mu
+	settled   int64         // the newest version before that had been in force for settleTime; guarded by mu
 }
 
 // OnAdvance sets the callback that runs after a newer table came into force. It must not block. Call OnAdvance before the first Apply.
@@ -38,29 +40,28 @@
 	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}, advanced: make(chan struct{})}
 }
 
-// OnRequire sets the callback that runs when Require is called with a newer version than before and than the one in force. It must not block. Call
-// OnRequire before the first Require.
+// OnRequire sets the callback that runs when Require is called with a newer version than the one in force. It must not block. Call OnRequire before
+// the first Require.
 func (r *Routes) OnRequire(required func()) { r.onRequire = required }
 
 // Require states that a version is known to have been in force elsewhere and that this instance needs it.
 func (r *Routes) Require(version int64) {
-	for {
-		before := r.required.Load()
-		if version <= max(before, r.Version()) {
-			return
-		}
+	inForce := r.Version()
+	if version <= inForce {
+		return
+	}
+	for before := r.required.Load(); before < version; before = r.required.Load() {
 		if r.required.CompareAndSwap(before, version) {
-			klog.InfoS("Configuration is behind", "in_force", r.Version(), "required", version)
-			r.onRequire()
-			return
+			klog.InfoS("Configuration is behind", "in_force", inForce, "required", version)
 		}
 	}
+	r.onRequire()
 }
 
 // Await requires a version, waits until the table in force has at least that one or ctx ends, and returns the table in force.
 func (r *Routes) Await(ctx context.Context, version int64) *routetable.Table {
-	r.Require(version)
 	for {
+		r.Require(version)
 		r.mu.Lock()
 		table, advanced := r.Current(), r.advanced
 		r.mu.Unlock()
@@ -69,6 +70,7 @@
 		}
 		select {
 		case <-advanced:
+		case <-time.After(requiredInterval):
 		case <-ctx.Done():
 			return r.Current()
 		}
@@ -86,6 +88,20 @@
 	return 0
 }
 
+// settleTime is the time in which the instances of a fleet get a version from each other that one of them has.
+const settleTime = time.Second
+
+// Settled returns the newest version that has been in force for settleTime, or 0 if there is none. An instance that lacks it is further behind than
+// others usually are after a change.
+func (r *Routes) Settled() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.since) >= settleTime {
+		return r.Version()
+	}
+	return r.settled
+}
+
 // Current returns the table in force, or nil before the first one.
 func (r *Routes) Current() *routetable.Table { return r.current.Load() }
 
@@ -115,6 +131,11 @@
 		klog.InfoS("Configuration is not newer than the one in force", "version", table.Version, "in_force", before)
 		return
 	}
+	now := time.Now()
+	if now.Sub(r.since) >= settleTime {
+		r.settled = before
+	}
+	r.since = now
 	r.current.Store(table)
 	klog.InfoS("Configuration is in force", "version", table.Version, "before", before, "revision", revision)
 	close(r.advanced)
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -311,6 +311,7 @@
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
 	config        string         // of the instances that are started from now on; see tableOf
+	ahead         time.Duration  // of the time of day of the instances that are started from now on
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 	capacity      float64        // cores of the instances that are started next
 }
@@ -318,6 +319,8 @@
 const (
 	targetAddress = "10.9.0.1:80"
 	targetSlots   = 8
+	// resultsKept is how long results stay readable after the job was submitted.
+	resultsKept = 2 * time.Minute
 )
 
 func newTestFleet(t *testing.T, instances int, detectByCalls bool) *testFleet {
@@ -357,7 +360,8 @@
 // start starts an instance, or its next process.
 func (f *testFleet) start(id fleet.InstanceID, host string) *node {
 	n := &node{id: id, host: host, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
-	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
+	n.ahead.Store(int64(f.ahead))
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(n.now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
 	packets, err := f.network.ListenPacket(n.address)
 	require.NoError(f.t, err)
 	n.listener, err = f.network.Listen(n.address)
@@ -378,7 +382,7 @@
 	})
 	n.service = itemjobs.New(itemjobs.Config{
 		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: n.routes, Peers: n.peers, Client: n.client,
-		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
+		Retention: resultsKept, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
 		Now: n.now, Metrics: n.metrics,
 	})
 	mux := http.NewServeMux()
@@ -439,20 +443,35 @@
 	n.routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config", Value: []byte(config)}}})
 }
 
-// withoutRoute marks configurations that lack the route of the jobs; see tableOf.
-const withoutRoute = " without the route"
+// withoutRoute marks configurations that lack the route of the jobs, unusableRoute those that have it in a form that cannot be used, and addedHosts
+// those in which each version added the route of a further host, which is named after it; see tableOf.
+const (
+	withoutRoute  = " without the route"
+	unusableRoute = " with an unusable route"
+	addedHosts    = " with added hosts"
+)
 
-// tableOf returns the table of a configuration, which is its version, followed by withoutRoute if it lacks the route of the jobs.
+// tableOf returns the table of a configuration, which is its version, followed by the mark that applies.
 func tableOf(config string) *routetable.Table {
-	number, lacksRoute := strings.CutSuffix(config, withoutRoute)
+	number, hostsAdded := strings.CutSuffix(config, addedHosts)
+	number, unusable := strings.CutSuffix(number, unusableRoute)
+	number, lacksRoute := strings.CutSuffix(number, withoutRoute)
 	version, err := strconv.ParseInt(number, 10, 64)
 	switch {
 	case err != nil:
 		panic(err)
-	case lacksRoute:
-		return routetable.New(version, routetable.Limits{}, nil)
+	case lacksRoute || unusable:
+		t := routetable.New(version, routetable.Limits{}, nil)
+		t.Incomplete = unusable
+		return t
 	}
-	return routetable.New(version, routetable.Limits{}, []*routetable.Route{jobsRoute()})
+	routes := []*routetable.Route{jobsRoute()}
+	for v := int64(1); hostsAdded && v <= version; v++ {
+		route := jobsRoute()
+		route.Host = fmt.Sprint("h", v)
+		routes = append(routes, route)
+	}
+	return routetable.New(version, routetable.Limits{}, routes)
 }
 
 func table() *routetable.Table { return tableOf("1") }
@@ -512,6 +531,13 @@
 	return err == nil
 }
 
+// setStatuses sets the status codes that the target responds with instead of a stream, by item.
+func (f *testFleet) setStatuses(statuses map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status = statuses
+}
+
 // runsOf returns the runs of an item so far, oldest first.
 func (f *testFleet) runsOf(item string) []run {
 	f.mu.Lock()
