itemjobs: take a job over anew when it is handed over to a former owner

What callers saw: an accepted job that no instance ran, until the membership changed or the instance that its record names stopped.

Cause: Adopt left a job alone that this instance had in memory. A former owner that had not noticed yet that it was replaced answered a hand-over with success and wrote nothing. The instance that handed the job over dropped it, the former owner found at its next confirmation that the record names another instance, and dropped it too. The instance that the record names scans the open jobs no more once it drains, or is on standby and owns none.

TestJobHandedOverToAFormerOwnerRuns forces the order. It failed before: "'[]' should have 1 item(s), but has 0", 10 s after the hand-over.

Fix: Adopt reads the record first. A job that this instance has in memory is its own only if the record is still at the revision at which it came to own it; otherwise it drops the job and takes it over. This costs one read for a hand-over to an instance that owns the job, which is rare.

--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -173,13 +174,16 @@
 // this instance owns it or, only with a nil handedOver, another alive instance does: a former owner that handed its progress over may drop the
 // job. Errors: ErrNotFound, ErrUnavailable, ErrBadRecord, errContended, and those of the store.
 func (s *Service) Adopt(ctx context.Context, id itemjob.ID, handedOver *progress) error {
-	if _, ok := s.ownedJob(id); ok {
-		return nil
-	}
 	record, revision, err := s.getRecord(ctx, id)
 	if err != nil {
 		return err
 	}
+	if j, ok := s.ownedJob(id); ok {
+		if j.revision == revision {
+			return nil
+		}
+		s.drop(j, fmt.Sprintf("its record names %q as the owner", record.Owner))
+	}
 	mark := markOf(&record)
 	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && isOwnerAlive(mark, aliveProcesses(s.Peers.Members())) {
 		return nil
