Keep the text of a cause without making it the error

- 59 calls whose message was the text of another error, or came from a variable, and the ones with the format "%v" or "%s", are now fmt.Errorf("%w: %v", kind, cause): kind is found by identity, the cause is text only.
- Eight declared errors had the text of another one, of another package or of the standard library (os.ErrNotExist): the store's "store is unavailable", which means that a call had no effect, was also the text of two errors that promise less.
They have texts of their own.
- "job %s" and "shard %s" could be the text of errors, depending on the id; they are "job %q" and "shard %q".

An error that keeps the text of a context's error is no longer that error; nothing compared with it.

--- a/adapters/peer/delta.go
+++ b/adapters/peer/delta.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -26,7 +27,7 @@
 	}
 	delta, err := bundle.DecodeDelta(data)
 	if err != nil {
-		return bundle.Delta{}, eris.Wrap(ErrMalformed, err.Error())
+		return bundle.Delta{}, fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
 	return delta, nil
 }
--- a/adapters/peer/errors.go
+++ b/adapters/peer/errors.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 
@@ -30,7 +31,7 @@
 	// ErrFull means that the peer's disk has no room.
 	ErrFull = eris.New("peer's disk is full")
 	// ErrDigest means that the content of a blob does not have the stated digest.
-	ErrDigest = eris.New("content does not have the stated digest")
+	ErrDigest = eris.New("blob does not have the stated digest")
 	// ErrMessageTooLarge means that a response exceeds its limit.
 	ErrMessageTooLarge = eris.New("peer message exceeds its size limit")
 )
@@ -40,7 +41,7 @@
 	if err == nil {
 		return nil
 	}
-	return eris.Wrap(kindOf(err), err.Error())
+	return fmt.Errorf("%w: %v", kindOf(err), err)
 }
 
 func kindOf(err error) error {
--- a/core/batch/chunk.go
+++ b/core/batch/chunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 )
@@ -43,7 +44,7 @@
 func DecodeChunk(value []byte) (Chunk, error) {
 	var c Chunk
 	if err := json.Unmarshal(value, &c); err != nil {
-		return Chunk{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Chunk{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	if c.State != ChunkClaimed && c.State != ChunkRecorded {
 		return Chunk{}, eris.Wrapf(ErrInvalidRecord, "chunk state %q", c.State)
--- a/core/batch/item.go
+++ b/core/batch/item.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -77,7 +78,7 @@
 	for decoder.More() {
 		var r Result
 		if err := decoder.Decode(&r); err != nil {
-			return nil, eris.Wrap(ErrInvalidRecord, err.Error())
+			return nil, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 		}
 		results = append(results, r)
 	}
--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -97,7 +98,7 @@
 func (j Job) Encode() ([]byte, error) {
 	value, err := json.Marshal(j)
 	if err != nil {
-		return nil, eris.Wrap(ErrInvalidRecord, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	if len(value) > MaxJobBytes {
 		return nil, eris.Wrapf(ErrJobTooLarge, "%d bytes for %d items", len(value), j.Items)
@@ -109,7 +110,7 @@
 func DecodeJob(value []byte) (Job, error) {
 	var j Job
 	if err := json.Unmarshal(value, &j); err != nil {
-		return Job{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Job{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	switch j.State {
 	case JobAccepted, JobCancelled, JobCompleted, JobExpired:
@@ -117,7 +118,7 @@
 		return Job{}, eris.Wrapf(ErrInvalidRecord, "job state %q", j.State)
 	}
 	if err := checkChunks(j.Items, j.Chunks); err != nil {
-		return Job{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Job{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	return j, nil
 }
--- a/core/batch/shard.go
+++ b/core/batch/shard.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"eelgrassproxy.example/core/fleet"
-	"github.com/rotisserie/eris"
 )
 
 // Shards is the number of shards among which jobs are divided.
@@ -100,7 +99,7 @@
 func DecodeOwner(value []byte) (Owner, error) {
 	var o Owner
 	if err := json.Unmarshal(value, &o); err != nil {
-		return Owner{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Owner{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	return o, nil
 }
@@ -115,7 +114,7 @@
 	}
 	epoch, err := strconv.ParseUint(string(value), 10, 64)
 	if err != nil {
-		return 0, eris.Wrap(ErrInvalidRecord, err.Error())
+		return 0, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	return epoch, nil
 }
--- a/core/batch/submission.go
+++ b/core/batch/submission.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -39,7 +40,7 @@
 		return eris.Wrapf(ErrInvalidSubmission, "%d metadata entries, allowed are %d", len(s.Metadata), MaxMetadata)
 	}
 	if err := checkChunks(s.Items, s.Chunks); err != nil {
-		return eris.Wrap(ErrInvalidSubmission, err.Error())
+		return fmt.Errorf("%w: %v", ErrInvalidSubmission, err)
 	}
 	return nil
 }
--- a/core/claims/record.go
+++ b/core/claims/record.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -107,7 +108,7 @@
 func Decode(value []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return Record{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Record{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	switch r.State {
 	case Claimed, Released, Unknown:
--- a/core/files/record.go
+++ b/core/files/record.go
@@ -116,7 +116,7 @@
 	}
 	value, err := json.Marshal(stored)
 	if err != nil {
-		return nil, eris.Wrap(ErrInvalidRecord, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	if len(value) > MaxRecordBytes {
 		return nil, eris.Wrapf(ErrRecordTooLarge, "%d bytes", len(value))
@@ -128,7 +128,7 @@
 func Decode(value []byte) (Record, error) {
 	var stored storedRecord
 	if err := json.Unmarshal(value, &stored); err != nil {
-		return Record{}, eris.Wrap(ErrInvalidRecord, err.Error())
+		return Record{}, fmt.Errorf("%w: %v", ErrInvalidRecord, err)
 	}
 	r := Record{ID: stored.ID, Caller: stored.Caller, Created: time.Unix(stored.Created, 0).UTC(), Lines: stored.Lines, Bytes: stored.Bytes}
 	r.Uploaded = r.Created.Add(time.Duration(stored.Renewed) * time.Second)
--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/core/batch"
@@ -83,7 +84,7 @@
 		return nil
 	}
 	if !t.pastDeadline() {
-		return eris.Wrapf(ErrBulk, "%v", err)
+		return fmt.Errorf("%w: %v", ErrBulk, err)
 	}
 	t.results = nil
 	for i := range t.chunkRecord.Covered {
--- a/node/batch/finish.go
+++ b/node/batch/finish.go
@@ -75,7 +75,7 @@
 	}
 	epoch, owned := r.shards.Epoch(id.Shard())
 	if !owned {
-		return eris.Wrapf(errNotOwnedNow, "job %s", id)
+		return eris.Wrapf(errNotOwnedNow, "job %q", id)
 	}
 	value, err := finished.Encode()
 	if err != nil {
@@ -110,7 +110,7 @@
 	defer r.mu.Unlock()
 	j, ok := r.jobs[id]
 	if !ok {
-		return batch.Job{}, 0, eris.Wrapf(ErrJobEnded, "job %s", id)
+		return batch.Job{}, 0, eris.Wrapf(ErrJobEnded, "job %q", id)
 	}
 	finished, err := j.record.Finish(j.counts, time.Now())
 	return finished, j.revision, err
--- a/node/batch/job.go
+++ b/node/batch/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -131,7 +132,7 @@
 		}
 		chunk, err := batch.DecodeChunk(item.Value)
 		if err != nil {
-			return eris.Wrap(err, item.Key)
+			return fmt.Errorf("key %q: %w", item.Key, err)
 		}
 		j.chunks[n] = chunkState{revision: item.ModRevision, claimed: &chunk}
 		if chunk.State == batch.ChunkRecorded {
--- a/node/batch/record.go
+++ b/node/batch/record.go
@@ -43,7 +43,7 @@
 			return epoch, err
 		}
 		if r.shardLost(t.id.job.Shard()) {
-			return 0, eris.Wrapf(ErrNotOwner, "shard %s", t.id.job.Shard())
+			return 0, eris.Wrapf(ErrNotOwner, "shard %q", t.id.job.Shard())
 		}
 		r.waitBeforeRetry(t.ctx)
 	}
@@ -61,7 +61,7 @@
 		return nil
 	}
 	if r.shardLost(t.id.job.Shard()) {
-		err = eris.Wrapf(ErrNotOwner, "shard %s", t.id.job.Shard())
+		err = eris.Wrapf(ErrNotOwner, "shard %q", t.id.job.Shard())
 	}
 	if isFinal(err) {
 		r.abandon(t)
@@ -85,7 +85,7 @@
 	for {
 		revision, open := r.jobRevision(t.id.job)
 		if !open {
-			return 0, eris.Wrapf(ErrJobEnded, "job %s", t.id.job)
+			return 0, eris.Wrapf(ErrJobEnded, "job %q", t.id.job)
 		}
 		epoch, owned := r.shards.Epoch(t.id.job.Shard())
 		if !owned {
--- a/node/bulk/errors.go
+++ b/node/bulk/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 
 	"eelgrassproxy.example/adapters/disk"
@@ -53,11 +54,11 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, disk.ErrNotFound), errors.Is(err, disk.ErrCorrupt):
-		return eris.Wrap(peer.ErrNotFound, err.Error())
+		return fmt.Errorf("%w: %v", peer.ErrNotFound, err)
 	case errors.Is(err, disk.ErrFull):
-		return eris.Wrap(peer.ErrFull, err.Error())
+		return fmt.Errorf("%w: %v", peer.ErrFull, err)
 	case errors.Is(err, disk.ErrDigest), errors.Is(err, disk.ErrBadDigest):
-		return eris.Wrap(peer.ErrDigest, err.Error())
+		return fmt.Errorf("%w: %v", peer.ErrDigest, err)
 	}
 	return err
 }
--- a/node/bulk/get.go
+++ b/node/bulk/get.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 
 	"eelgrassproxy.example/adapters/disk"
@@ -48,7 +49,7 @@
 	missing := s.absentHolders(ref.Holders, sources)
 	for _, source := range sources {
 		if ctx.Err() != nil {
-			return nil, eris.Wrap(ErrUnavailable, ctx.Err().Error())
+			return nil, fmt.Errorf("%w: %v", ErrUnavailable, ctx.Err())
 		}
 		content, err := s.fetch(ctx, source, ref)
 		if err == nil {
@@ -61,7 +62,7 @@
 	if len(missing) > 0 {
 		return nil, eris.Wrapf(ErrUnavailable, "blob %s: no usable response from %v", ref.Digest, missing)
 	}
-	return nil, eris.Wrap(ErrNotFound, ref.Digest)
+	return nil, fmt.Errorf("%w: %s", ErrNotFound, ref.Digest)
 }
 
 // absentHolders returns the holders that are not among the sources; they may return later with their copy.
--- a/node/bulk/repair.go
+++ b/node/bulk/repair.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"eelgrassproxy.example/adapters/peer"
 	"eelgrassproxy.example/core/batch"
 	"eelgrassproxy.example/core/fleet"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 )
 
@@ -69,7 +69,7 @@
 func (s *Store) copyOf(ctx context.Context, ref batch.BlobRef) ([]byte, error) {
 	for left := int(ref.Bytes); left > 0; left -= s.repairs.Burst() {
 		if err := s.repairs.WaitN(ctx, min(left, s.repairs.Burst())); err != nil {
-			return nil, eris.Wrap(ErrUnavailable, err.Error())
+			return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 		}
 	}
 	return s.Get(ctx, ref)
--- a/node/claims/acquire.go
+++ b/node/claims/acquire.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/claims"
 	"eelgrassproxy.example/node/internal/wait"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -93,7 +93,7 @@
 func (c *Claimer) claim(ctx context.Context, key string, r Request, previous storedClaim) (*Result, storedClaim, error) {
 	record, err := c.newRecord(r, previous.record)
 	if err != nil {
-		return nil, previous, eris.Wrap(ErrNotRun, err.Error())
+		return nil, previous, fmt.Errorf("%w: %v", ErrNotRun, err)
 	}
 	found, unconfirmed, err := c.writeClaim(ctx, key, record, previous)
 	if err == nil {
@@ -104,7 +104,7 @@
 		// fail because the release changes the revision that the write compares with; see nextRecord.
 		c.addPending(&outcome{kind: released, key: key, record: record, baseRevision: previous.revision})
 	}
-	return nil, previous, eris.Wrap(ErrNotRun, err.Error())
+	return nil, previous, fmt.Errorf("%w: %v", ErrNotRun, err)
 }
 
 // writeClaim sends the claim write and, if the response is lost, reads the key. If the read shows no effect, it sends the
--- a/node/claims/storecalls.go
+++ b/node/claims/storecalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -70,7 +71,7 @@
 func (c *Claimer) compareAndSwap(ctx context.Context, key string, base revision, r claims.Record) (storedClaim, error) {
 	value, err := r.Encode()
 	if err != nil {
-		return storedClaim{}, eris.Wrap(kv.ErrUnavailable, err.Error())
+		return storedClaim{}, fmt.Errorf("%w: %v", kv.ErrUnavailable, err)
 	}
 	lease, err := c.lease.current(ctx)
 	if err != nil {
--- a/node/control/membership/poller.go
+++ b/node/control/membership/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,7 +19,7 @@
 const listTimeout = 3 * time.Second
 
 // ErrListUnavailable is returned if the instance list could not be read. The members and targets read before stay in use.
-var ErrListUnavailable = eris.New("instance list is unavailable")
+var ErrListUnavailable = eris.New("instance list could not be read")
 
 // Changes holds the entries of the instance list that changed after a given revision, and the revision up to which it covers the changes.
 // Each ID occurs at most once, with its latest state.
@@ -66,7 +67,7 @@
 	defer cancel()
 	changes, err := p.source.Changes(ctx, p.revision)
 	if err != nil {
-		return eris.Wrap(ErrListUnavailable, err.Error())
+		return fmt.Errorf("%w: %v", ErrListUnavailable, err)
 	}
 	p.apply(changes)
 	p.revision = changes.Revision
--- a/node/control/membership/record.go
+++ b/node/control/membership/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -44,7 +45,7 @@
 func DecodeRecord(value []byte) (fleet.Member, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return fleet.Member{}, eris.Wrap(ErrBadRecord, err.Error())
+		return fleet.Member{}, fmt.Errorf("%w: %v", ErrBadRecord, err)
 	}
 	if r.Instance == "" {
 		return fleet.Member{}, eris.Wrap(ErrBadRecord, "instance is empty")
--- a/node/control/roll/roll.go
+++ b/node/control/roll/roll.go
@@ -83,7 +83,7 @@
 func check(seen fleet.Generation, doc *bundle.Document, sections bundle.Sections, signed bundle.SignedManifest) (bundle.Manifest, error) {
 	manifest, err := bundle.ParseManifest(signed.Manifest)
 	if err != nil {
-		return bundle.Manifest{}, eris.Wrapf(ErrInvalid, "%v", err)
+		return bundle.Manifest{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	if manifest.Generation <= seen {
 		return bundle.Manifest{}, eris.Wrapf(ErrNotNewer, "generation %d, seen %d", manifest.Generation, seen)
@@ -93,13 +93,13 @@
 	}
 	own, _, err := bundle.Split(doc)
 	if err != nil {
-		return bundle.Manifest{}, eris.Wrapf(ErrInvalid, "%v", err)
+		return bundle.Manifest{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	if own.Digest() != manifest.Digest() {
 		return bundle.Manifest{}, eris.Wrap(ErrInvalid, "the manifest does not describe the document")
 	}
 	if _, err := bundle.Assemble(manifest, sections); err != nil {
-		return bundle.Manifest{}, eris.Wrapf(ErrInvalid, "%v", err)
+		return bundle.Manifest{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	return manifest, nil
 }
--- a/node/control/upkeep/jobs.go
+++ b/node/control/upkeep/jobs.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/batch"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 )
 
@@ -44,7 +44,7 @@
 	for _, item := range records.chunks {
 		chunk, err := batch.DecodeChunk(item.Value)
 		if err != nil {
-			failed = errors.Join(failed, eris.Wrap(err, item.Key))
+			failed = errors.Join(failed, fmt.Errorf("key %q: %w", item.Key, err))
 			continue
 		}
 		final := chunk.State == batch.ChunkRecorded || job.State != batch.JobAccepted
--- a/node/control/upkeep/walk.go
+++ b/node/control/upkeep/walk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -92,7 +93,7 @@
 func (w *walk) job(ctx context.Context, records *jobRecords) error {
 	job, err := batch.DecodeJob(records.job.Value)
 	if err != nil {
-		return eris.Wrap(err, records.job.Key)
+		return fmt.Errorf("key %q: %w", records.job.Key, err)
 	}
 	if job.State != batch.JobAccepted && w.retentionPassed(job.Finished) {
 		return w.removeJob(ctx, job, records)
@@ -128,7 +129,7 @@
 func (w *walk) file(ctx context.Context, item kv.KeyValue) error {
 	record, err := files.Decode(item.Value)
 	if err != nil {
-		return eris.Wrap(err, item.Key)
+		return fmt.Errorf("key %q: %w", item.Key, err)
 	}
 	if w.retentionPassed(record.Uploaded) {
 		return w.write(ctx, []kv.Compare{recordUnchanged(item)}, []kv.Op{{Kind: kv.OpDelete, Key: item.Key}})
@@ -191,7 +192,7 @@
 		return eris.Wrapf(ErrStore, "write %s: %v", then[0].Key, err)
 	}
 	if !result.Succeeded {
-		return eris.Wrap(ErrChanged, then[0].Key)
+		return fmt.Errorf("%w: key %q", ErrChanged, then[0].Key)
 	}
 	return nil
 }
--- a/node/daemon/batch.go
+++ b/node/daemon/batch.go
@@ -161,9 +161,9 @@
 	record, err := f.files.Get(ctx, caller, id)
 	switch {
 	case errors.Is(err, files.ErrNotFound):
-		return jobs.File{}, eris.Wrap(jobs.ErrFileNotFound, err.Error())
+		return jobs.File{}, fmt.Errorf("%w: %v", jobs.ErrFileNotFound, err)
 	case err != nil:
-		return jobs.File{}, eris.Wrap(jobs.ErrUnavailable, err.Error())
+		return jobs.File{}, fmt.Errorf("%w: %v", jobs.ErrUnavailable, err)
 	}
 	file := jobs.File{Items: record.Lines}
 	for _, c := range record.Chunks {
--- a/node/daemon/bundles.go
+++ b/node/daemon/bundles.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -75,7 +76,7 @@
 func (p peerSource) Delta(ctx context.Context, address string, to fleet.Generation) (bundle.Delta, error) {
 	delta, err := p.client.Delta(ctx, address, to)
 	if errors.Is(err, peer.ErrNotFound) {
-		return delta, eris.Wrap(bundlesync.ErrNoDelta, err.Error())
+		return delta, fmt.Errorf("%w: %v", bundlesync.ErrNoDelta, err)
 	}
 	return delta, err
 }
--- a/node/files/errors.go
+++ b/node/files/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/node/bulk"
@@ -11,7 +12,7 @@
 // Errors of this layer, besides those of core/files for the content. Callers compare with errors.Is.
 var (
 	// ErrNotFound means that the caller has no such file.
-	ErrNotFound = eris.New("file does not exist")
+	ErrNotFound = eris.New("batch file does not exist")
 	// ErrBusy means that this instance is already receiving Options.MaxUploads uploads.
 	ErrBusy = eris.New("too many uploads at once")
 	// ErrTooSlow means that an upload took longer than UploadTimeout.
@@ -37,9 +38,9 @@
 	case errors.Is(err, kv.ErrNotFound):
 		return ErrNotFound
 	case errors.Is(err, kv.ErrOutcomeUnknown):
-		return eris.Wrap(ErrOutcomeUnknown, err.Error())
+		return fmt.Errorf("%w: %v", ErrOutcomeUnknown, err)
 	}
-	return eris.Wrap(ErrRecordUnavailable, err.Error())
+	return fmt.Errorf("%w: %v", ErrRecordUnavailable, err)
 }
 
 // blobError converts an error of the blobs to one of this package.
@@ -48,7 +49,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, bulk.ErrNotFound):
-		return eris.Wrap(ErrContentLost, err.Error())
+		return fmt.Errorf("%w: %v", ErrContentLost, err)
 	}
-	return eris.Wrap(ErrContentUnavailable, err.Error())
+	return fmt.Errorf("%w: %v", ErrContentUnavailable, err)
 }
--- a/node/files/files.go
+++ b/node/files/files.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -102,7 +103,7 @@
 	for _, item := range listing.Items {
 		record, err := files.Decode(item.Value)
 		if err != nil {
-			return nil, eris.Wrap(err, item.Key)
+			return nil, fmt.Errorf("key %q: %w", item.Key, err)
 		}
 		records = append(records, record)
 	}
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -45,7 +45,7 @@
 func resultEnd(id itemjob.ID, key string) (int, error) {
 	end, err := strconv.Atoi(strings.TrimPrefix(key, resultPrefix+string(id)+"/"))
 	if err != nil {
-		return 0, eris.Wrap(ErrBadRecord, err.Error())
+		return 0, fmt.Errorf("%w: %v", ErrBadRecord, err)
 	}
 	return end, nil
 }
@@ -106,7 +106,7 @@
 
 func decode(value []byte, into any) error {
 	if err := json.Unmarshal(value, into); err != nil {
-		return eris.Wrap(ErrBadRecord, err.Error())
+		return fmt.Errorf("%w: %v", ErrBadRecord, err)
 	}
 	return nil
 }
@@ -166,7 +166,7 @@
 	for i := range lengths {
 		length, err := binary.ReadUvarint(reader)
 		if err != nil {
-			return nil, eris.Wrap(ErrBadRecord, err.Error())
+			return nil, fmt.Errorf("%w: %v", ErrBadRecord, err)
 		}
 		lengths[i] = length
 	}
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -21,7 +21,7 @@
 // Errors of the service.
 var (
 	// ErrNotFound means that the job, or the item of it, does not exist.
-	ErrNotFound = eris.New("job does not exist")
+	ErrNotFound = eris.New("job or item does not exist")
 	// ErrUnavailable means that the store is unavailable. A submission had no effect; see End for the end of a job.
 	ErrUnavailable = eris.New("job cannot be looked up or changed now")
 	// ErrOutcomeUnknown means that the job may have been accepted.
--- a/node/jobs/create.go
+++ b/node/jobs/create.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/batch"
@@ -17,11 +18,11 @@
 	ctx = kv.WithPurpose(ctx, storePurpose)
 	job, err := batch.NewJob(caller, submission, utcNow())
 	if err != nil {
-		return JobWithProgress{}, eris.Wrap(ErrInvalid, err.Error())
+		return JobWithProgress{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	value, err := job.Encode()
 	if err != nil {
-		return JobWithProgress{}, eris.Wrap(ErrInvalid, err.Error())
+		return JobWithProgress{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	mayBeWritten := false
 	for range maxWriteAttempts {
@@ -32,9 +33,9 @@
 		case err == nil:
 			return s.existingJob(ctx, job, result)
 		case errors.Is(err, kv.ErrValueTooLarge):
-			return JobWithProgress{}, eris.Wrap(ErrInvalid, err.Error())
+			return JobWithProgress{}, fmt.Errorf("%w: %v", ErrInvalid, err)
 		case errors.Is(err, kv.ErrUnavailable) && !mayBeWritten:
-			return JobWithProgress{}, eris.Wrap(ErrNotAccepted, err.Error())
+			return JobWithProgress{}, fmt.Errorf("%w: %v", ErrNotAccepted, err)
 		}
 		// The transaction only creates a record that does not exist, so that repeating it reads back the effect of the first one.
 		mayBeWritten = mayBeWritten || !errors.Is(err, kv.ErrUnavailable)
@@ -66,10 +67,10 @@
 	}
 	existing, err := batch.DecodeJob(result.Gets[0].Value)
 	if err != nil {
-		return JobWithProgress{}, eris.Wrapf(err, "job %s", job.ID)
+		return JobWithProgress{}, eris.Wrapf(err, "job %q", job.ID)
 	}
 	if existing.RequestDigest != job.RequestDigest {
-		return JobWithProgress{}, eris.Wrapf(ErrKeyMismatch, "job %s", job.ID)
+		return JobWithProgress{}, eris.Wrapf(ErrKeyMismatch, "job %q", job.ID)
 	}
 	return JobWithProgress{Job: existing, Progress: existing.Counts}, nil
 }
--- a/node/jobs/list.go
+++ b/node/jobs/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -95,7 +96,7 @@
 		}
 		job, err := batch.DecodeJob(found.Value)
 		if err != nil {
-			return nil, eris.Wrap(err, found.Key)
+			return nil, fmt.Errorf("key %q: %w", found.Key, err)
 		}
 		jobs = append(jobs, job)
 	}
--- a/node/jobs/results.go
+++ b/node/jobs/results.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	if job.Caller != caller {
-		return eris.Wrapf(ErrNotFound, "job %s", id)
+		return eris.Wrapf(ErrNotFound, "job %q", id)
 	}
 	chunks, err := s.chunks(ctx, id)
 	if err != nil {
--- a/node/jobs/service.go
+++ b/node/jobs/service.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -20,15 +21,15 @@
 	// ErrUnconfirmed means that a change may have been written. Repeating the same request is safe and returns the outcome.
 	ErrUnconfirmed = eris.New("outcome of the write is unknown, send the same request again")
 	// ErrUnavailable means that the store or the bulk storage is unavailable. The call had no effect.
-	ErrUnavailable = eris.New("store is unavailable")
+	ErrUnavailable = eris.New("jobs cannot be read or changed now")
 	// ErrInvalid means that the submission is invalid or too large for the store.
-	ErrInvalid = eris.New("submission is invalid")
+	ErrInvalid = eris.New("submission is rejected as invalid")
 	// ErrKeyMismatch means that the idempotency key was used for another submission.
 	ErrKeyMismatch = eris.New("idempotency key was used for another submission")
 	// ErrNotFound means that the caller has no such job.
 	ErrNotFound = eris.New("job does not exist")
 	// ErrFileNotFound means that the caller has no such file.
-	ErrFileNotFound = eris.New("file does not exist")
+	ErrFileNotFound = eris.New("input file does not exist")
 	// ErrFinished means that the job has ended and cannot be cancelled.
 	ErrFinished = eris.New("job has already ended")
 )
@@ -81,7 +82,7 @@
 func (s *Service) Get(ctx context.Context, caller fleet.CallerID, id batch.JobID) (JobWithProgress, error) {
 	job, err := s.GetAny(ctx, id)
 	if err == nil && job.Caller != caller {
-		return JobWithProgress{}, eris.Wrapf(ErrNotFound, "job %s", id)
+		return JobWithProgress{}, eris.Wrapf(ErrNotFound, "job %q", id)
 	}
 	return job, err
 }
@@ -117,14 +118,14 @@
 	}
 	found, err := s.store.Get(ctx, id.Key())
 	if errors.Is(err, kv.ErrNotFound) {
-		return batch.Job{}, 0, eris.Wrapf(ErrNotFound, "job %s", id)
+		return batch.Job{}, 0, eris.Wrapf(ErrNotFound, "job %q", id)
 	}
 	if err != nil {
 		return batch.Job{}, 0, eris.Wrapf(ErrUnavailable, "read job %s: %v", id, err)
 	}
 	job, err := batch.DecodeJob(found.Value)
 	if err != nil {
-		return batch.Job{}, 0, eris.Wrapf(err, "job %s", id)
+		return batch.Job{}, 0, eris.Wrapf(err, "job %q", id)
 	}
 	return job, found.ModRevision, nil
 }
@@ -139,7 +140,7 @@
 	for _, item := range listing.Items {
 		chunk, err := batch.DecodeChunk(item.Value)
 		if err != nil {
-			return nil, eris.Wrap(err, item.Key)
+			return nil, fmt.Errorf("key %q: %w", item.Key, err)
 		}
 		chunks = append(chunks, chunk)
 	}
--- a/node/operations/bundles.go
+++ b/node/operations/bundles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -27,18 +28,18 @@
 	}
 	doc, err := bundle.ParseYAML([]byte(req.Document.Value), "document")
 	if err != nil {
-		return nil, eris.Wrap(ErrInvalid, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	if err := doc.Validate(); err != nil {
-		return nil, eris.Wrap(ErrInvalid, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	manifest, sections, err := bundle.Split(doc)
 	if err != nil {
-		return nil, eris.Wrap(ErrInvalid, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	signed := bundle.SignedManifest{Manifest: manifest.Bytes(), Signatures: signaturesOf(req.Signatures)}
 	if _, err := h.Verifier.Verify(signed); err != nil {
-		return nil, eris.Wrap(ErrInvalid, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	if err := roll.Roll(ctx, h.Store, fleet.Generation(req.SeenGeneration), doc, sections, signed); err != nil {
 		return nil, err
@@ -51,7 +52,7 @@
 func (h *Handler) rollDelta(ctx context.Context, req *operator.RollRequest) (*operator.BundleSummary, error) {
 	delta, err := bundle.DecodeDelta([]byte(req.Delta.Value))
 	if err != nil {
-		return nil, eris.Wrap(ErrInvalid, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
 	}
 	delta.Signatures = signaturesOf(req.Signatures)
 	seen := fleet.Generation(req.SeenGeneration)
@@ -138,7 +139,7 @@
 func (h *Handler) ListBundles(ctx context.Context) (*operator.BundleList, error) {
 	listing, err := h.Store.List(kv.WithPurpose(ctx, "bundle-history"), store.ManifestPrefix())
 	if err != nil {
-		return nil, eris.Wrap(ErrUnavailable, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	list := &operator.BundleList{Bundles: []operator.BundleSummary{}}
 	for _, item := range slices.Backward(listing.Items) {
--- a/node/operations/operations.go
+++ b/node/operations/operations.go
@@ -29,7 +29,7 @@
 	// ErrInvalid means that the content of the request, or the handler's configuration, is invalid.
 	ErrInvalid = eris.New("invalid request")
 	// ErrUnavailable means that the store cannot be reached.
-	ErrUnavailable = eris.New("store is unavailable")
+	ErrUnavailable = eris.New("store cannot be reached")
 )
 
 // PeerDecisions fetches the decision lines about a request from the instance at peerAddress.
--- a/node/settings/load.go
+++ b/node/settings/load.go
@@ -37,11 +37,11 @@
 	var s Settings
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField())
 	if err := decoder.Decode(&s); err != nil {
-		return nil, eris.Wrap(ErrInvalid, decodeMessage(err, file))
+		return nil, fmt.Errorf("%w: %s", ErrInvalid, decodeMessage(err, file))
 	}
 	s.applyDefaults()
 	if problems := s.problems(); len(problems) > 0 {
-		return nil, eris.Wrap(ErrInvalid, describe(problems, data, file))
+		return nil, fmt.Errorf("%w: %s", ErrInvalid, describe(problems, data, file))
 	}
 	return &s, nil
 }
--- a/standin/capacity/slopes.go
+++ b/standin/capacity/slopes.go
@@ -47,7 +47,7 @@
 func Load(path string) (*Slopes, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, eris.Wrap(ErrSlope, err.Error())
+		return nil, fmt.Errorf("%w: %v", ErrSlope, err)
 	}
 	s := &Slopes{}
 	if err := json.Unmarshal(data, s); err != nil {
