itemjobs: name the revision in the notice that a job was taken over

What callers saw: an accepted job that no instance ran for a minute, and whose items were then given up, since their time had passed.

Cause: the notice of a take-over to the former owner said only which job it was. If the former owner had taken the job over again before the notice arrived, it dropped the job that it owned by then. Its record still named it, and an instance on standby that owns no open job does not scan the open marks for such jobs. With a working set of a few instances, the job waited until the working set changed.

Fix: the notice names the revision of the record from which on the former owner does not own the job. An ownership at that revision or a later one is left alone, also one that is just being written. The end of a job is final and counts from any revision. A notice without a revision, of an earlier version, has the old meaning.

--- a/node/itemjobs/end.go
+++ b/node/itemjobs/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -34,7 +35,7 @@
 			return nil
 		}
 		if record.Ended {
-			owned := s.DropOwned(id, "its client ended it earlier")
+			owned := s.DropOwned(id, ended, "its client ended it earlier")
 			klog.InfoS("Job has already ended", "job", id, "ended_at", record.EndedAt, "owned", owned)
 			return nil
 		}
@@ -74,7 +75,7 @@
 // notifyOwnerOfEnd stops the items of a job at its owner, and reports whether the owner acknowledged. An unreachable owner finds out before it
 // starts further items, when it asks the store; see confirmJobs.
 func (s *Service) notifyOwnerOfEnd(ctx context.Context, record *itemjob.Record) bool {
-	s.DropOwned(record.ID, "its client ended it")
+	s.DropOwned(record.ID, ended, "its client ended it")
 	if record.Owner == s.Self.ID {
 		return true
 	}
@@ -82,21 +83,26 @@
 	if !ok {
 		return false
 	}
-	if err := s.calls.drop(ctx, address, record.ID); err != nil {
+	if err := s.calls.drop(ctx, address, record.ID, ended); err != nil {
 		klog.ErrorS(err, "Owner could not be notified that a job ended", "job", record.ID, "owner", record.Owner)
 		return false
 	}
 	return true
 }
 
-// DropOwned drops a job that this instance no longer owns. A job that this instance is still taking over does not start; see beginAcquisition.
-// It reports whether there was such a job.
-func (s *Service) DropOwned(id itemjob.ID, reason string) bool {
+// ended is the revision of a record from which on a job has no owner any more, since its client ended it.
+const ended kv.Revision = math.MaxInt64
+
+// DropOwned drops a job that this instance does not own since the given revision of its record. A notice that arrives late leaves a job alone that
+// this instance came to own again at a later one. A job that this instance is still taking over does not start; see beginAcquisition. It reports
+// whether there was such a job.
+func (s *Service) DropOwned(id itemjob.ID, since kv.Revision, reason string) bool {
 	s.mu.Lock()
 	j, ok := s.jobs[id]
+	ok = ok && j.revision < since
 	t, inProgress := s.acquiring[id]
 	if inProgress {
-		t.dropped = true
+		t.endedBy = max(t.endedBy, since)
 	}
 	s.mu.Unlock()
 	if ok {
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -203,17 +203,18 @@
 		}
 		return err
 	}
-	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former)
+	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former, revision)
 	return s.resumeJob(ctx, record, revision, former, handedOver, asOf)
 }
 
-// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced.
-func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID) {
+// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced at a revision of the
+// record.
+func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID, since kv.Revision) {
 	address, ok := s.knownAddress(former)
 	if !ok {
 		return
 	}
-	if err := s.calls.drop(ctx, address, id); err != nil {
+	if err := s.calls.drop(ctx, address, id, since); err != nil {
 		klog.V(1).InfoS("Former owner could not be notified that it was replaced", "job", id, "former_owner", former, "error", err.Error())
 	}
 }
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -122,9 +122,10 @@
 	return Accepted, nil
 }
 
-// drop notifies a peer that it no longer owns a job. It is no error if the peer does not have the job.
-func (c peerCalls) drop(ctx context.Context, address string, id itemjob.ID) error {
-	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/drop", nil, nil, 0)
+// drop notifies a peer that it does not own a job since a revision of its record. It is no error if the peer does not have the job.
+func (c peerCalls) drop(ctx context.Context, address string, id itemjob.ID, since kv.Revision) error {
+	query := url.Values{"since": {strconv.FormatInt(int64(since), 10)}}
+	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/drop", query, nil, 0)
 	if errors.Is(err, errNotOwner) {
 		return nil
 	}
@@ -186,7 +187,11 @@
 }
 
 func (s *Service) serveDrop(w http.ResponseWriter, r *http.Request) {
-	if !s.DropOwned(itemjob.ID(r.PathValue("job")), "a peer reported that it was ended or taken over") {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		since = int64(ended) // from an earlier version, which does not name the revision
+	}
+	if !s.DropOwned(itemjob.ID(r.PathValue("job")), kv.Revision(since), "a peer reported that it was ended or taken over") {
 		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
 	}
 }
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -170,8 +170,9 @@
 
 // acquisition is a job whose record may already name this instance as the owner, and which is not yet in Service.jobs.
 type acquisition struct {
-	calls   int  // number of calls in progress that make this instance the owner
-	dropped bool // the job was ended or taken over in the meantime
+	calls int // number of calls in progress that make this instance the owner
+	// endedBy is the highest revision in the drop notices that arrived in the meantime; see DropOwned.
+	endedBy kv.Revision
 }
 
 // beginAcquisition starts to remember drop notices for a job that arrive before addOwned adds it. It must be called before the write that makes
@@ -194,13 +195,13 @@
 	}
 }
 
-// addOwned adds a job that this instance owns and starts to run it, unless a drop notice arrived since beginAcquisition. asOf is when the store
+// addOwned adds a job that this instance owns and starts to run it, unless a drop notice for it arrived since beginAcquisition. asOf is when the store
 // call was sent whose response shows the ownership. It must be called between beginAcquisition and its end.
 func (s *Service) addOwned(job *itemjob.Job, revision kv.Revision, asOf time.Time) {
 	j := &ownedJob{Job: job, ownedSince: time.Now(), revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1)}
 	j.Confirm(asOf)
 	s.mu.Lock()
-	if t, ok := s.acquiring[job.ID]; ok && t.dropped {
+	if t, ok := s.acquiring[job.ID]; ok && revision < t.endedBy {
 		s.mu.Unlock()
 		klog.InfoS("Job does not run, it was ended or taken over before this instance started it", "job", job.ID, "revision", revision)
 		return
