conventions: check the messages of all errors of eris

The check of messages covered eris.Wrap and eris.Wrapf only. An error that is made in a function by eris.New or eris.Errorf is compared by its text too. None of these has the text of another error today.

--- a/standin/conventions/errors_test.go
+++ b/standin/conventions/errors_test.go
@@ -138,29 +138,38 @@
 	texts := sentinels(t)
 	set, files := sourceFiles(t)
 	for _, file := range files {
-		ast.Inspect(file, func(n ast.Node) bool {
-			name, call := callOf(n)
-			if name != "eris.Wrap" && name != "eris.Wrapf" {
-				return true
-			}
-			at := set.Position(call.Pos())
-			message, ok := stringOf(call.Args[1])
-			if !ok {
-				t.Errorf(`%s: message of %s is not a literal; use fmt.Errorf("%%w: %%v", ...) to keep the text of a cause`, at, name)
-				return true
-			}
-			possible := pattern(message)
-			if name == "eris.Wrap" {
-				possible = regexp.MustCompile("^" + regexp.QuoteMeta(message) + "$")
-			}
-			for _, text := range slices.Sorted(maps.Keys(texts)) {
-				if possible.MatchString(text) {
-					t.Errorf("%s: message %q can be %q, the text of the error at %s", at, message, text, texts[text])
-					break
+		for _, declaration := range file.Decls {
+			_, inFunction := declaration.(*ast.FuncDecl)
+			ast.Inspect(declaration, func(n ast.Node) bool {
+				name, call := callOf(n)
+				if argument, ok := messageArguments[name]; ok && (inFunction || name != "eris.New") { // others are among the texts
+					checkMessage(t, texts, set.Position(call.Pos()).String(), name, call.Args[argument])
 				}
-			}
-			return true
-		})
+				return true
+			})
+		}
+	}
+}
+
+// messageArguments has the index of the message in the arguments of the functions that make an error with a message of its own.
+var messageArguments = map[string]int{"eris.New": 0, "eris.Errorf": 0, "eris.Wrap": 1, "eris.Wrapf": 1}
+
+// checkMessage fails if the message of a call can be one of the texts.
+func checkMessage(t *testing.T, texts map[string]string, at, name string, argument ast.Expr) {
+	message, ok := stringOf(argument)
+	if !ok {
+		t.Errorf(`%s: message of %s is not a literal; use fmt.Errorf("%%w: %%v", ...) to keep the text of a cause`, at, name)
+		return
+	}
+	possible := regexp.MustCompile("^" + regexp.QuoteMeta(message) + "$")
+	if strings.HasSuffix(name, "f") {
+		possible = pattern(message)
+	}
+	for _, text := range slices.Sorted(maps.Keys(texts)) {
+		if possible.MatchString(text) {
+			t.Errorf("%s: message %q can be %q, the text of the error at %s", at, message, text, texts[text])
+			return
+		}
 	}
 }
 
