--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -209,14 +210,17 @@
 // this instance owns it or, only with a nil handedOver, another alive instance does: a former owner that handed its progress over may drop the
 // job. Errors: ErrNotFound, ErrUnavailable, ErrBadRecord, errContended, and those of the store.
 func (s *Service) Adopt(ctx context.Context, id itemjob.ID, handedOver *progress) error {
-	if _, ok := s.ownedJob(id); ok {
-		return nil
-	}
 	record, revision, err := s.getRecord(ctx, id)
 	if err != nil {
 		return err
 	}
 	submittedBy := s.submittedBy(&record, handedOver)
+	if j, ok := s.ownedJob(id); ok {
+		if j.revision == revision {
+			return nil
+		}
+		s.drop(j, fmt.Sprintf("its record names %q as the owner", record.Owner))
+	}
 	mark := markOf(&record)
 	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && s.isOwnerAlive(mark, aliveProcesses(s.Peers.Members()), make(map[ownerProcess]time.Time), s.Now()) {
 		return nil
@@ -236,7 +240,7 @@
 		}
 		return err
 	}
-	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former)
+	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former, revision)
 	return s.resumeJob(ctx, record, revision, former, handedOver, submittedBy, asOf)
 }
 
@@ -263,13 +267,14 @@
 	return a
 }
 
-// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced.
-func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID) {
+// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced at a revision of the
+// record.
+func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID, since kv.Revision) {
 	address, ok := s.knownAddress(former)
 	if !ok {
 		return
 	}
-	if err := s.calls.drop(ctx, address, id); err != nil {
+	if err := s.calls.drop(ctx, address, id, since); err != nil {
 		klog.V(1).InfoS("Former owner could not be notified that it was replaced", "job", id, "former_owner", former, "error", err.Error())
 	}
 }
