node/gateway: relay events only on routes that have streams

A safe request whose response was an event stream, and broke off, was sent again to another target, and the client got both runs one behind the other in one response that ended as complete.

Cause: a response was relayed as a stream by its content type alone, and a safe route is repeatable, so that the next try was sent as a resume. Only targets of routes with streams know positions to resume from.

On other routes a response with events is now read completely before it is passed on, like any other response.

--- a/node/gateway/broken_stream_test.go
+++ b/node/gateway/broken_stream_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/gateway"
 )
 
@@ -94,3 +95,18 @@
 		})
 	}
 }
+
+// Guards against joining the runs of a request whose route has no streams, and so no positions to resume from.
+func TestEventsOfARouteWithoutStreamsAreNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const text = "data: a\n\ndata: b\n\n"
+		w := newTestGateway(t, map[string]script{"t1": raw(streamHead + chunk(text)), "t2": streamOf(text)})
+		defer w.close()
+		w.route.Kind, w.route.Resumable = routetable.Safe, false
+		w.prefer("t1")
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, text, out.body.String())
+		require.Equal(t, []receivedRequest{{"t1", ""}, {"t2", ""}}, w.seen)
+	})
+}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -12,6 +12,7 @@
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
+	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/stream"
 )
 
@@ -90,7 +91,7 @@
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
 	case info.NotRunStatus && (x.sink == nil || !x.request.Route.Repeatable()):
 		return fmt.Errorf("%w: status %d", errUnconfirmed, response.Status)
-	case info.Events && response.Status < http.StatusMultipleChoices:
+	case info.Events && response.Status < http.StatusMultipleChoices && x.request.Route.Kind == routetable.Stream:
 		x.status = response.Status
 		return x.relay(ctx, reservation, response, info, watch)
 	}
