node/gateway: check where a stream goes on that its client resumes

A client that resumed a stream with Last-Event-Id after a broken connection got whatever the target sent: from the start again, or with a gap, as an answer that ended as complete.

Cause: the position of a stream was known only from the events that this instance had passed on. The client's own position went to the target in its header, and the first event of the response was taken without a check.

If the first event is not the next one, the try ends like one with events out of order, and nothing is passed on.

The test failed before for the three wrong positions with "answered" instead of "unknown".

--- a/node/gateway/broken_stream_test.go
+++ b/node/gateway/broken_stream_test.go
@@ -110,3 +110,30 @@
 		require.Equal(t, []receivedRequest{{"t1", ""}, {"t2", ""}}, w.seen)
 	})
 }
+
+// Guards against events that a client has already, or a gap before those that it asked for, in a stream that the client resumes.
+func TestStreamThatItsClientResumesGoesOnAtTheNextEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		first   int
+		verdict gateway.Verdict
+	}{"from the start": {0, gateway.Unknown}, "one too early": {2, gateway.Unknown}, "too late": {4, gateway.Unknown}, "next": {3, gateway.Answered}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": events(c.first, 5)})
+				defer w.close()
+				var out sink
+				now := time.Now()
+				outcome := w.forward.Do(t.Context(), &gateway.Request{
+					ID: "q1", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &w.route, Service: "s",
+					Resume: true, After: 2, Arrived: now, Deadline: now.Add(w.route.Timeout),
+				}, &out)
+				require.Equal(t, c.verdict, outcome.Verdict)
+				if c.verdict == gateway.Answered {
+					require.Equal(t, allEvents(3, 5), out.body.String())
+					return
+				}
+				require.Zero(t, out.status)
+			})
+		})
+	}
+}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -144,7 +144,7 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) Outcome {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, ErrDeadline)
 	defer cancel()
-	x := &execution{Forwarder: f, request: r, sink: sink, progress: &Progress{}, excluded: make(map[fleet.TargetID]bool)}
+	x := &execution{Forwarder: f, request: r, sink: sink, progress: &Progress{Last: r.After}, excluded: make(map[fleet.TargetID]bool)}
 	outcome := x.run(ctx)
 	x.recordOutcome(outcome)
 	return outcome
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Service            string // service of the route that was drawn for the request
 	Version            int64  // of the routing table
 	Arrived            time.Time
+	Resume             bool // the client asks for the rest of a stream, after the event After
+	After              int64
 	Deadline           time.Time // the earlier of the client's deadline and the end of the route's timeout
 }
 
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -203,7 +203,7 @@
 			continue
 		case !event.HasID:
 			return out, fmt.Errorf("%w: an event without one follows %d", errEventOrder, x.progress.Last)
-		case x.progress.Events > 0 && event.ID != x.progress.Last+1:
+		case (x.progress.Events > 0 || x.request.Resume) && event.ID != x.progress.Last+1:
 			return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
 		}
 		x.progress.Last = event.ID
