node/kvmirror: skip keys outside the mirrored prefix

A listing, a watch or a peer's copy with one item without a key, or with one shorter than the prefix, ended the process: the users of a mirror cut the prefix off each key. The instance read the same item after its restart and ended again. An item with another prefix was passed on under a wrong id.

Cause: the mirror trusted that the store and its peers return only keys of the prefix.

Such keys are skipped, also in a peer's copy, and the first one is logged. The test failed before: slice bounds out of range [7:0].

--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +60,7 @@
 	items       map[string]kv.KeyValue
 	revision    kv.Revision // of the newest listing, event or merged copy
 	failedSince time.Time   // when calls began to fail; zero while they succeed
+	strayLogged bool        // a skipped key outside the prefix was logged
 }
 
 // New returns a mirror that calls apply with each change, one at a time. The first change is the first listing, or a copy merged before it.
@@ -199,6 +201,9 @@
 	change := Change{AfterOutage: afterOutage}
 	seen := make(map[string]bool, len(s.Items))
 	for _, item := range s.Items {
+		if !m.covers(item.Key) {
+			continue
+		}
 		seen[item.Key] = true
 		if m.items[item.Key].ModRevision < item.ModRevision {
 			m.items[item.Key] = item
@@ -215,6 +220,19 @@
 	m.apply(change)
 }
 
+// covers reports whether a key is one of the mirrored keys, whose users rely on the prefix. It logs the first key that is not. The caller holds
+// m.mu.
+func (m *Mirror) covers(key string) bool {
+	if strings.HasPrefix(key, m.prefix) {
+		return true
+	}
+	if !m.strayLogged {
+		m.strayLogged = true
+		klog.InfoS("Key outside the mirrored prefix skipped, further ones are not logged", "prefix", m.prefix, "key", key)
+	}
+	return false
+}
+
 // watch applies the events after a revision until the watch fails or the mirror is to stop following the store.
 func (m *Mirror) watch(ctx context.Context, after kv.Revision) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -240,6 +258,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := e.KeyValue.Key
+	if !m.covers(key) {
+		return
+	}
 	existing, exists := m.items[key]
 	if e.KeyValue.ModRevision <= existing.ModRevision {
 		return
--- a/node/kvmirror/mirror_test.go
+++ b/node/kvmirror/mirror_test.go
@@ -215,3 +215,59 @@
 		<-done
 	})
 }
+
+// strayStore adds an item and an event with the given key to what the store returns.
+type strayStore struct {
+	kv.Store
+	key string
+}
+
+func (s strayStore) List(ctx context.Context, prefix string) (kv.Listing, error) {
+	listing, err := s.Store.List(ctx, prefix)
+	listing.Items = append(listing.Items, kv.KeyValue{Key: s.key, ModRevision: 1})
+	return listing, err
+}
+
+func (s strayStore) Watch(ctx context.Context, prefix string, after kv.Revision) (<-chan kv.WatchEvent, error) {
+	events, err := s.Store.Watch(ctx, prefix, after)
+	both := make(chan kv.WatchEvent, 2)
+	both <- kv.WatchEvent{KeyValue: kv.KeyValue{Key: s.key, ModRevision: 1 << 40}}
+	both <- kv.WatchEvent{KeyValue: kv.KeyValue{Key: s.key, ModRevision: 1 << 41}, Deleted: true}
+	go func() {
+		defer close(both)
+		for e := range events {
+			both <- e
+		}
+	}()
+	return both, err
+}
+
+// Guards against a process that ends because of one item without a key, and against changes that are missed after it.
+func TestItemsOutsideThePrefixAreSkipped(t *testing.T) {
+	for _, key := range []string{"", "k", "elsewhere/of/another/writer"} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer cancel()
+			store, recorder := memkv.New(), newChangeRecorder()
+			put(t, store, "prefix/a", "1")
+			mirror := kvmirror.New(strayStore{store, key}, "prefix/", func(change kvmirror.Change) {
+				for _, item := range change.Put {
+					_ = item.Key[len("prefix/"):] // as the users of mirrors do
+				}
+				recorder.apply(change)
+			})
+			go mirror.Run(ctx)
+			synctest.Wait()
+			put(t, store, "prefix/b", "2")
+			synctest.Wait()
+			requireItems(t, recorder, map[string]string{"prefix/a": "1", "prefix/b": "2"}, 0)
+
+			idle := newChangeRecorder()
+			copied := kvmirror.New(store, "prefix/", idle.apply)
+			copied.FollowWhile(func() bool { return false })
+			copied.Merge(kvmirror.Snapshot{Revision: 9, Items: []kv.KeyValue{{Key: key, ModRevision: 3}, {Key: "prefix/a", Value: []byte("1"), ModRevision: 2}}})
+			requireItems(t, idle, map[string]string{"prefix/a": "1"}, 0)
+		})
+	}
+}
