node/gateway: log an odd entry of the target list once

An entry that cannot be decoded was logged again whenever its writer changed it, by every instance, and with as many bytes as the decoder's error quotes of it. Targets write about once a second, and an entry may hold a megabyte.

An entry is now logged when the reason changes, with at most 200 bytes, and at most 100 entries are kept as logged at a time. The entry still removes its own target only, which the test shows too.

The test failed before with 50 lines instead of 1.

--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -82,9 +82,17 @@
 	mu      sync.Mutex // guards the fields below; taken before the board's mutex
 	targets map[fleet.TargetID]slots.Target
 	dropAt  map[fleet.TargetID]time.Time // when to drop targets whose entries disappeared in an outage
+	skipped map[fleet.TargetID]string    // logged reason for skipping the present entry
 	digest  uint64
 }
 
+const (
+	// maxSkippedLogged is the maximum number of entries whose reasons for being skipped are kept; further ones are not logged.
+	maxSkippedLogged = 100
+	// maxReasonBytes bounds a logged reason, which may quote the entry.
+	maxReasonBytes = 200
+)
+
 // Digest returns a hash of the list, which is equal on all instances with the same list. It is 0 before the first change.
 func (l *TargetList) Digest() uint64 {
 	l.mu.Lock()
@@ -101,6 +109,7 @@
 		onChange: func() {},
 		targets:  make(map[fleet.TargetID]slots.Target),
 		dropAt:   make(map[fleet.TargetID]time.Time),
+		skipped:  make(map[fleet.TargetID]string),
 	}
 }
 
@@ -124,6 +133,7 @@
 	}
 	for _, key := range change.Removed {
 		id := fleet.TargetID(key[len(l.prefix):])
+		delete(l.skipped, id)
 		if _, known := l.targets[id]; !known {
 			continue
 		}
@@ -144,7 +154,7 @@
 	id := fleet.TargetID(item.Key[len(l.prefix):])
 	target, err := l.decode(item.Key, item.Value)
 	if err != nil {
-		klog.ErrorS(err, "Entry of the target list skipped", "key", item.Key, "revision", item.ModRevision)
+		l.logSkipped(id, item, err)
 		if _, known := l.targets[id]; !known {
 			return false
 		}
@@ -152,6 +162,7 @@
 		return true
 	}
 	delete(l.dropAt, id)
+	delete(l.skipped, id)
 	known, ok := l.targets[id]
 	if ok && known == target {
 		return false
@@ -161,6 +172,18 @@
 	return true
 }
 
+// logSkipped logs an entry that cannot be decoded, once for each reason: its writer may change it as often as targets change theirs; l.mu is held.
+func (l *TargetList) logSkipped(id fleet.TargetID, item kv.KeyValue, err error) {
+	reason := err.Error()
+	reason = reason[:min(len(reason), maxReasonBytes)]
+	logged, known := l.skipped[id]
+	if logged == reason || !known && len(l.skipped) >= maxSkippedLogged {
+		return
+	}
+	l.skipped[id] = reason
+	klog.ErrorS(nil, "Entry of the target list skipped", "key", item.Key, "revision", item.ModRevision, "reason", reason)
+}
+
 // remove drops a target from the list; l.mu is held.
 func (l *TargetList) remove(id fleet.TargetID, reason string) {
 	delete(l.targets, id)
