node/control/membership: believe a record only under its own key

A membership record that named another instance than its key replaced what was known of that instance: its addresses, its state and its incarnation. Its peers sent their counts to the wrong address, and its own later records were taken for old ones if the odd one had a higher incarnation.

Cause: only the value of a record was read, and not its key.

The test failed before for that record: the other instance did not get the counts (0 instead of 1). Eight more odd records (1e999, 20 digits, a port out of range, deep nesting, missing fields, no bytes) hid only themselves before as well.

--- a/node/control/membership/record.go
+++ b/node/control/membership/record.go
@@ -40,6 +40,16 @@
 	})
 }
 
+// DecodeRecordOf decodes the membership record under a key of the store. It returns ErrBadRecord also for a record of another instance than the
+// one that the key names.
+func DecodeRecordOf(key string, value []byte) (fleet.Member, error) {
+	m, err := DecodeRecord(value)
+	if err == nil && key != MembersPrefix+string(m.ID) {
+		return fleet.Member{}, eris.Wrapf(ErrBadRecord, "record of instance %q under key %q", m.ID, key)
+	}
+	return m, err
+}
+
 // DecodeRecord decodes a membership record, or returns ErrBadRecord. A negative capacity is read as 0.
 func DecodeRecord(value []byte) (fleet.Member, error) {
 	var r record
--- a/node/control/membership/registrar.go
+++ b/node/control/membership/registrar.go
@@ -183,7 +183,7 @@
 	}
 	var members []fleet.Member
 	for _, item := range listing.Items {
-		m, err := DecodeRecord(item.Value)
+		m, err := DecodeRecordOf(item.Key, item.Value)
 		if err != nil {
 			klog.ErrorS(err, "Membership record skipped", "key", item.Key)
 			continue
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -217,7 +217,7 @@
 // applyRecords applies a change of the membership records in the store.
 func (p *Peers) applyRecords(change kvmirror.Change) {
 	for _, item := range change.Put {
-		member, err := membership.DecodeRecord(item.Value)
+		member, err := membership.DecodeRecordOf(item.Key, item.Value)
 		if err != nil {
 			klog.ErrorS(err, "Membership record skipped", "key", item.Key)
 			continue
