adapters/instancelist: keep the list in spite of one instance in it

One instance of an unknown kind or state, with a field missing or of another type, made the platform's list unavailable to every instance at each poll, since the generated decoder refuses the whole answer: members and targets were no longer followed until the entry was gone.

An answer that the generated client refuses is decoded again, instance by instance. Those that cannot be read are left out and counted, and the count is logged; polls go on after the answer's revision, so that an entry is logged once for each of its changes. An answer without a revision or without instances is still an outage.

--- a/adapters/instancelist/client.go
+++ b/adapters/instancelist/client.go
@@ -33,6 +33,7 @@
 	Entries          []EntryInstance
 	RemovedTargets   []fleet.TargetID
 	RemovedInstances []fleet.InstanceID
+	Unreadable       int // instances that were left out
 }
 
 // Client polls the instance list. It is safe for concurrent use.
@@ -46,20 +47,28 @@
 	if timeout <= 0 {
 		timeout = DefaultCallTimeout
 	}
-	api, err := platform.NewClient(baseURL, platform.WithClient(httpClient))
+	api, err := platform.NewClient(baseURL, platform.WithClient(keepingClient{httpClient}))
 	if err != nil {
 		return nil, eris.Wrapf(err, "parse the instance list's address %q", baseURL)
 	}
 	return &Client{api: api, timeout: timeout}, nil
 }
 
-// Changes returns what changed after the revision since; 0 asks for everything. The errors are ErrUnavailable.
+// Changes returns what changed after the revision since; 0 asks for everything. Instances that cannot be read are left out. The errors are
+// ErrUnavailable.
 func (c *Client) Changes(ctx context.Context, since int64) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	ctx, kept := keepAnswer(ctx)
 	res, err := c.api.ListInstances(ctx, platform.ListInstancesParams{Since: platform.NewOptInt64(since)})
 	if err != nil {
-		return Changes{}, eris.Wrapf(ErrUnavailable, "list changes since %d: %v", since, err)
+		readable, unreadable, looseErr := decodeEach(kept)
+		if looseErr != nil {
+			return Changes{}, eris.Wrapf(ErrUnavailable, "list changes since %d: %v", since, err)
+		}
+		changes := convert(readable)
+		changes.Unreadable = unreadable
+		return changes, nil
 	}
 	switch res := res.(type) {
 	case *platform.InstanceChanges:
--- a/adapters/instancelist/client_test.go
+++ b/adapters/instancelist/client_test.go
@@ -1,8 +1,10 @@
 package instancelist_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +68,46 @@
 		require.ErrorIs(t, err, instancelist.ErrUnavailable)
 	})
 }
+
+// Guards against one odd instance that makes the whole list unavailable, at each poll.
+func TestOddInstanceHidesOnlyItself(t *testing.T) {
+	for name, odd := range map[string]string{
+		"unknown kind":   `{"id":"x","kind":"printer","address":"10.0.0.9:1","failure_domain":"a","state":"live"}`,
+		"unknown state":  `{"id":"x","kind":"engine","address":"10.0.0.9:1","failure_domain":"a","state":"resting"}`,
+		"missing fields": `{"id":"x"}`,
+		"another type":   `{"id":7,"kind":"engine","address":"10.0.0.9:1","failure_domain":"a","state":"live"}`,
+		"null":           `null`,
+		"nested deeply":  strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
+		"1e999":          `1e999`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = io.WriteString(w, `{"revision":9,"instances":[{"id":"a","kind":"engine","address":"10.0.0.1:1","failure_domain":"a","state":"live"},`+odd+
+					`,{"id":"z","kind":"entry","address":"10.0.0.2:1","failure_domain":"a","state":"gone"}]}`)
+			})
+			client, err := instancelist.NewClient("http://list", &http.Client{Transport: direct{handler}}, 0)
+			require.NoError(t, err)
+			changes, err := client.Changes(t.Context(), 0)
+			require.NoError(t, err)
+			require.Equal(t, int64(9), changes.Revision)
+			require.Equal(t, 1, changes.Unreadable)
+			require.Len(t, changes.Targets, 1)
+			require.Equal(t, []fleet.InstanceID{"z"}, changes.RemovedInstances)
+		})
+	}
+}
+
+// Guards against a damaged answer that is taken for a list.
+func TestDamagedListIsUnavailable(t *testing.T) {
+	for _, answer := range []string{"", "{", `{"instances":[]}`, `{"revision":1e999,"instances":[]}`, `{"revision":3}`, `{"revision":3,"instances":[{"id":`} {
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, answer)
+		})
+		client, err := instancelist.NewClient("http://list", &http.Client{Transport: direct{handler}}, 0)
+		require.NoError(t, err)
+		_, err = client.Changes(t.Context(), 0)
+		require.ErrorIs(t, err, instancelist.ErrUnavailable, answer)
+	}
+}
--- a/node/daemon/members.go
+++ b/node/daemon/members.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"eelgrassproxy.example/adapters/instancelist"
 	"eelgrassproxy.example/core/fleet"
 	coremembership "eelgrassproxy.example/core/membership"
@@ -58,6 +60,9 @@
 	if err != nil {
 		return membership.Changes{}, err
 	}
+	if listed.Unreadable > 0 {
+		klog.ErrorS(nil, "Instances of the list cannot be read and are left out", "instances", listed.Unreadable, "since", since)
+	}
 	changes := membership.Changes{Revision: listed.Revision}
 	for _, e := range listed.Entries {
 		changes.Instances = append(changes.Instances, listEntry(e))
