node/gateway: bound the token counts and the log lines of odd datagrams

The tokens of unfinished items in a peer's datagram were added up as they came: a negative number hid the tokens of all other instances, so that jobs beyond the limit of their route were accepted, and a very large one made the sum negative. Datagrams that cannot be decoded were logged one by one.

Token counts are bounded like the counts of requests are, to 0 to 2^50, and unreadable datagrams are logged once in 10 s with their number so far.

The test failed before with "-" is not greater than or equal to "0", and with the bounds alone with 1005 log lines instead of at most 5. Deep nesting, 1e999 and fields of another type lost only their own datagram before as well.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -160,9 +160,13 @@
 	return encoded
 }
 
+// malformedLogInterval is the minimum interval between two log lines about malformed datagrams.
+const malformedLogInterval = 10 * time.Second
+
 // receiveLoop handles datagrams until the connection is closed.
 func (p *Peers) receiveLoop() {
 	buffer := make([]byte, maxDatagramBytes)
+	malformed, logAfter := 0, time.Time{}
 	for {
 		n, _, err := p.conn.ReadFrom(buffer)
 		if err != nil {
@@ -173,7 +177,11 @@
 		}
 		var message datagram
 		if err := json.Unmarshal(buffer[:n], &message); err != nil {
-			klog.ErrorS(err, "Malformed datagram from a peer skipped", "bytes", n)
+			malformed++
+			if now := time.Now(); now.After(logAfter) {
+				klog.ErrorS(err, "Malformed datagram from a peer skipped", "bytes", n, "so_far", malformed)
+				logAfter = now.Add(malformedLogInterval)
+			}
 			continue
 		}
 		p.handleDatagram(&message)
@@ -203,6 +211,17 @@
 // clampCount bounds a count in a datagram, which may come from a faulty or unknown sender.
 func clampCount(n int) int { return min(max(n, 0), math.MaxInt16) }
 
+// maxReportedTokens bounds the tokens of a route in a datagram, so that sums over all peers do not overflow.
+const maxReportedTokens = 1 << 50
+
+// clampTokens bounds the numbers of tokens in a datagram.
+func clampTokens(tokens map[string]int64) map[string]int64 {
+	for route, n := range tokens {
+		tokens[route] = min(max(n, 0), maxReportedTokens)
+	}
+	return tokens
+}
+
 // clampHeartbeatMs bounds the time in milliseconds until the next datagram, as announced in a datagram.
 func clampHeartbeatMs(ms int64) int64 {
 	return min(max(ms, heartbeatInterval.Milliseconds()), farHeartbeatInterval.Milliseconds())
@@ -218,7 +237,7 @@
 		return false
 	}
 	state.process, state.sequence = message.Process, message.Sequence
-	state.lastReceived, state.unfinished = time.Now(), message.Unfinished
+	state.lastReceived, state.unfinished = time.Now(), clampTokens(message.Unfinished)
 	if active := len(message.Counts) > 0; active != state.active {
 		state.active = active
 		state.setContact(p.contactWith(message.From), time.Now())
--- a/node/gateway/odd_records_test.go
+++ b/node/gateway/odd_records_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -47,3 +49,36 @@
 		})
 	}
 }
+
+// Guards against counts in a datagram that cancel those of other instances, and against logs that a sender of unreadable datagrams fills.
+func TestOddDatagramsHarmNothing(t *testing.T) {
+	log := captureLog(t)
+	runInFleet(t, func(t *testing.T, p *testFleet) {
+		a, _ := p.startInstance("a", "a1", true), p.startInstance("b", "b1", true)
+		time.Sleep(2 * time.Second)
+		sender, err := p.network.ListenPacket("10.0.9.9:1")
+		require.NoError(t, err)
+		defer sender.Close()
+		address, err := net.ResolveUDPAddr("udp", a.address)
+		require.NoError(t, err)
+		send := func(text string) {
+			_, err := sender.WriteTo([]byte(text), address)
+			require.NoError(t, err)
+			time.Sleep(time.Millisecond)
+		}
+		for range 1000 {
+			send(`{"i":"b","c":` + strings.Repeat("[", 15000))
+		}
+		for n, odd := range []string{`"w":{"r":-9223372036854775808}`, `"w":{"r":9223372036854775807}`, `"c":{"t1":[-1,-1,-9223372036854775808]}`, `"b":-9223372036854775808`} {
+			send(fmt.Sprintf(`{"i":"b","p":18446744073709551615,"n":%d,%s}`, n+1, odd))
+			require.GreaterOrEqual(t, a.peers.Waiting("r"), int64(0))
+			require.GreaterOrEqual(t, a.peers.Waiting("r")+1<<40, int64(0), "a limit is compared with the sum of the tokens that wait and those that arrive")
+			require.GreaterOrEqual(t, a.board.Pool("s").Load.Total(), 0)
+		}
+		for _, odd := range []string{`"n":1e999`, `"p":99999999999999999999`, `"c":{"t1":[1e999]}`, `"c":7`, `"s":{}`} {
+			send(`{"i":"b",` + odd + `}`)
+		}
+	})
+	require.LessOrEqual(t, strings.Count(log.String(), "Malformed datagram"), 5)
+	require.Positive(t, strings.Count(log.String(), "Malformed datagram"))
+}
