node/entry: break off the connection of a stream that is incomplete

On the product's own interface, a stream that was lost midway ended with an error event and then with the last chunk of its response, like a complete one. A caller that skips events with a name, as it may, saw a short answer with a proper end; only the missing [DONE] told it otherwise.

Dispatcher.Do now returns problem.ErrIncomplete in that case, and the entry breaks the connection off, as it does for results that cannot be written completely. The error event is still sent first.

The session target-lost-mid-stream failed before: no error where an unexpected EOF was required.

--- a/node/dispatch/body.go
+++ b/node/dispatch/body.go
@@ -24,3 +24,6 @@
 
 // Error implements error.
 func (i *incompleteError) Error() string { return i.problem.Error() }
+
+// Is reports whether target is problem.ErrIncomplete.
+func (i *incompleteError) Is(target error) bool { return target == problem.ErrIncomplete }
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -79,8 +78,9 @@
 	}
 }
 
-// Do runs an online request and writes its response. An error, usually a *problem.Error, means that nothing was written yet. If the
-// response was started and could not be completed, Do writes an error event to the stream and returns nil.
+// Do runs an online request and writes its response. If the response was started and could not be completed, Do writes an error event to the
+// stream and returns problem.ErrIncomplete; the caller of Do must then break off the connection. Any other error, usually a *problem.Error, means
+// that nothing was written yet.
 func (d *Dispatcher) Do(ctx context.Context, r *request.Request, w http.ResponseWriter) error {
 	started := time.Now()
 	d.onlineInFlight.Add(1)
@@ -91,10 +91,6 @@
 		err = d.run(ctx, r, w)
 	}
 	d.metrics.finished(r, err, time.Since(started))
-	var incomplete *incompleteError
-	if errors.As(err, &incomplete) {
-		return nil
-	}
 	return err
 }
 
--- a/node/entry/handler.go
+++ b/node/entry/handler.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -19,7 +20,7 @@
 	"eelgrassproxy.example/node/request"
 )
 
-// Dispatcher runs a request and writes its response. Do returns an error only if nothing was written yet.
+// Dispatcher runs a request and writes its response. Do returns an error only if nothing was written yet, or problem.ErrIncomplete.
 type Dispatcher interface {
 	Do(ctx context.Context, r *request.Request, w http.ResponseWriter) error
 }
@@ -133,7 +134,12 @@
 
 func (h *Handler) dispatch(ctx context.Context, r *request.Request, w http.ResponseWriter) error {
 	w.Header().Set("X-Request-Id", string(r.ID))
-	return h.dispatcher.Do(ctx, r, w)
+	err := h.dispatcher.Do(ctx, r, w)
+	if errors.Is(err, problem.ErrIncomplete) {
+		// Without the last chunk the response does not look complete, also to a caller that does not know the error event.
+		panic(http.ErrAbortHandler)
+	}
+	return err
 }
 
 // session is the result of authentication. It is kept in the request's context.
--- a/node/problem/problem.go
+++ b/node/problem/problem.go
@@ -9,10 +9,15 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"eelgrassproxy.example/api/caller"
 	"eelgrassproxy.example/core/fleet"
 )
 
+// ErrIncomplete means that a response was started and could not be completed.
+var ErrIncomplete = eris.New("response could not be completed")
+
 // Code identifies a kind of error in the caller API. Codes are stable.
 type Code string
 
--- a/standin/sessions/recorder_test.go
+++ b/standin/sessions/recorder_test.go
@@ -176,11 +176,14 @@
 func (s *session) send(r request, onEvent func(n int)) answer {
 	s.note("%s -> instance-%d POST %s id=%s key=%s", caller, r.instance+1, r.path, r.id, r.key)
 	a := s.do(r, onEvent)
-	if a.err != nil {
+	if a.err != nil && a.body == "" {
 		s.note("%s <- error %s", caller, kindOf(a.err))
 		return a
 	}
 	s.note("%s <- instance-%d status %d%s\n%s", caller, r.instance+1, a.status, replayMark(a.header), indent(a.body))
+	if a.err != nil {
+		s.note("%s <- error %s", caller, kindOf(a.err))
+	}
 	return a
 }
 
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -201,6 +202,7 @@
 				})
 				require.NotContains(s.t, a.body, "[DONE]")
 				require.Contains(s.t, a.body, "event: error")
+				require.ErrorIs(s.t, a.err, io.ErrUnexpectedEOF, "the connection ends without the last chunk")
 				return []string{"half"}
 			},
 		},
