core/stream: refuse lines of an error in the streams of engines too

The decoder for the product's own interface skipped lines whose field it does not know, like the splitter: an engine that stopped within an event and wrote the head of an error behind it had the cut event passed on as the next one, with the status line in its data.

A line that does not begin with the name of a field is malformed there too.

The two new cases failed before without an error.

--- a/core/stream/decoder.go
+++ b/core/stream/decoder.go
@@ -14,7 +14,7 @@
 	// ErrEventTooLarge means that an event exceeds the size limit of the Decoder or Splitter.
 	ErrEventTooLarge = eris.New("event is larger than the bound")
 	// ErrMalformedEvent means that an event has no usable id: two ids, or one that contains a NUL character or, for a Splitter, isn't
-	// a number. For a Splitter it also means that a line does not begin with the name of a field.
+	// a number. It also means that a line does not begin with the name of a field.
 	ErrMalformedEvent = eris.New("event is malformed")
 	// ErrTruncated means that the bytes ended within an event or before the event that ends the stream.
 	ErrTruncated = eris.New("event stream is truncated")
@@ -36,8 +36,8 @@
 //	decoder.Advance(n)
 //	for event, ok, err := decoder.Next(); ok; event, ok, err = decoder.Next() { ... }
 //
-// It differs from the event stream format of the HTML standard in two points: an id applies only to its own event, and an event with an
-// id but no data is returned, because it has a sequence number. Event names, retry times and comments are skipped. A Decoder isn't safe for
+// It differs from the event stream format of the HTML standard in three points: an id applies only to its own event, an event with an id but no
+// data is returned, because it has a sequence number, and names of fields have only lower-case letters, digits and hyphens. Event names, retry times and comments are skipped. A Decoder isn't safe for
 // concurrent use.
 type Decoder struct {
 	maxEvent int
--- a/core/stream/decoder_test.go
+++ b/core/stream/decoder_test.go
@@ -51,6 +51,8 @@
 		{"comments, other fields and a mark are skipped", "\xef\xbb\xbf: hi\n\nevent: e\ndata: a\n\n", []decoded{{"", "a"}}, nil},
 		{"two ids are malformed", "id: r/0\nid: s/0\ndata: a\n\n", nil, stream.ErrMalformedEvent},
 		{"a NUL in an id is malformed", "id: r\x00\ndata: a\n\n", nil, stream.ErrMalformedEvent},
+		{"a line of another protocol is malformed", "id: r/0\ndata: a\nHTTP/1.1 500 X\r\n\r\n", nil, stream.ErrMalformedEvent},
+		{"a header of another protocol is malformed", "id: r/0\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\n", nil, stream.ErrMalformedEvent},
 		{"an event at the bound passes", "data: " + long[:maxEvent-8] + "\n\n", []decoded{{"", long[:maxEvent-8]}}, nil},
 		{"an event beyond the bound fails", "data: " + long[:maxEvent-7] + "\n\n", nil, stream.ErrEventTooLarge},
 		{"an end inside an event is a truncation", "id: r/0\ndata: a\n\nid: r/1\n", []decoded{{"r/0", "a"}}, stream.ErrTruncated},
@@ -72,6 +74,7 @@
 	f.Add("id: r/0\r\ndata: a\r\n\r\ndata: b\n\n", 1)
 	f.Add("data: a\nid: r/0\ndata: b\n\n", 3)
 	f.Add("\xef\xbb\xbfdata\r\r\n", 2)
+	f.Add("id: r/0\ndata: aHTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror", 3)
 	f.Fuzz(func(t *testing.T, text string, piece int) {
 		if piece <= 0 {
 			piece = 1
--- a/core/stream/fields.go
+++ b/core/stream/fields.go
@@ -5,7 +5,7 @@
 	"fmt"
 )
 
-// parseField adds one line to the current event. Fields other than id and data are ignored.
+// parseField adds one line to the current event. Fields other than id and data are ignored, but a line that has no name of a field is an error.
 func (d *Decoder) parseField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
@@ -14,6 +14,10 @@
 		d.setID(value)
 	case "data":
 		d.appendData(value)
+	default:
+		if !isFieldName(name) {
+			d.err = fmt.Errorf("%w: field %.40q", ErrMalformedEvent, name)
+		}
 	}
 }
 
