adapters/rawhttp: take no switch of protocols for an answer

A response with status 101, which no request asks for, was returned as the answer to the request. With the platform's completion mark the gateway would have passed it on, and the client would have left HTTP on its own connection to the instance (read from the code, not run).

Status 101 is now an error that leaves the outcome unknown. A second test shows that late informational responses (100, 103) are skipped.

The first test failed before with no error where ErrOutcomeUnknown was required; the second one passed.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -196,6 +196,9 @@
 // errHeadTooLong means that a target sent more than maxHeadBytes without completing the header of its answer.
 var errHeadTooLong = eris.New("header of the response is too long")
 
+// errSwitched means that a target left HTTP on a connection, which no request asks for.
+var errSwitched = eris.New("target switched protocols")
+
 // headLimit bounds the bytes read while a header is expected.
 type headLimit struct {
 	source io.Reader
@@ -301,8 +304,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitched
 		}
 	}
 }
--- a/adapters/rawhttp/client_test.go
+++ b/adapters/rawhttp/client_test.go
@@ -350,3 +350,37 @@
 		})
 	}
 }
+
+// Guards against a response that ends the use of HTTP on the connection, which nobody asked for, and that is taken for an answer.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	var w *world
+	inWorld(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if w.read(in) {
+			_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n")
+			_, _ = in.ReadByte()
+		}
+	}, func(t *testing.T, world *world) {
+		w = world
+		_, err := w.post(t, "b")
+		require.ErrorIs(t, err, httpcall.ErrOutcomeUnknown)
+		require.NotErrorIs(t, err, httpcall.ErrNotSent)
+	})
+}
+
+// Guards against an informational response of an earlier request, or several, that hides the answer or is taken for it.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	var w *world
+	inWorld(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for w.read(in) {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: other\r\n\r\n"+ok)
+		}
+	}, func(t *testing.T, world *world) {
+		w = world
+		for range 2 {
+			response, err := w.post(t, "b")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.Status)
+			require.Equal(t, "hi", drain(t, response))
+		}
+	})
+}
