node/gateway: test a refusal within a response

A refusal of another request between the header and the chunks of a response breaks the chunks, so that the outcome is unknown. With a length instead of chunks, the refusal's bytes cannot be told from the body: bytes behind a complete response are allowed, and no part of the body identifies it.

--- a/node/gateway/stale_test.go
+++ b/node/gateway/stale_test.go
@@ -173,3 +173,20 @@
 	_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nId: q1\r\nContent-Length: 2\r\n\r\nhi")
 	return true
 }
+
+// Guards against a refusal of another request between the header and the body of a response that is passed on as the body, or believed.
+func TestRefusalWithinAResponsePromisesNothing(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: q1\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, stale := range []string{refusal("q0"), refusal(""), refusal("q1")} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestGateway(t, map[string]script{"t1": raw(head + stale + chunk("mine") + "0\r\n\r\n"), "t2": whole(200, "b")})
+			defer w.close()
+			w.route.Kind, w.route.Resumable = routetable.Unsafe, false
+			w.prefer("t1")
+			var out sink
+			require.Equal(t, gateway.Unknown, w.do(t.Context(), &out).Verdict)
+			require.Zero(t, out.status)
+			require.Len(t, w.seen, 1)
+		})
+	}
+}
