gateway: reject waiting requests at once when no target may get them

A caller whose request waited for a slot, while the last target of its service left or was removed from the list, was held until its deadline and then got 503 without Retry-After. Requests that came later joined the queue and waited too, as only an empty queue looked whether there is a target.

The queue asked for a free slot on each change and took "no target" for "full". Each waiting request now looks whether a target may still get it, and a new one does so before it joins the queue. Both are rejected as not run, with advice.

TestWaitingRequestsAreRejectedWithoutTargets failed before: "0s" is not positive (the advice in the rejection at the deadline).

--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -93,6 +93,12 @@
 	return result == Placed
 }
 
+// HasTarget reports whether a target of the service outside of exclude may get requests, though it may be full, avoided or ejected. Place
+// returns NoTarget otherwise.
+func (v *View) HasTarget(service string, exclude map[fleet.TargetID]bool) bool {
+	return slices.ContainsFunc(v.byService[service], func(t *target) bool { return !exclude[t.ID] && t.State == fleet.TargetLive })
+}
+
 // onlineScore rises with the expected wait. With a free slot it is the number of slots in use; otherwise it is the number of slots plus that
 // of the requests that do not yield.
 func onlineScore(load Count, slots int) float64 {
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -117,6 +117,13 @@
 	return b.view.OwnCount(id).Total()
 }
 
+// hasTarget reports whether a target of the service outside of exclude may get requests, though it may be full.
+func (b *Board) hasTarget(service string, exclude map[fleet.TargetID]bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.HasTarget(service, exclude)
+}
+
 // hasRoom reports whether a target that is neither other nor in exclude has room for an online request.
 func (b *Board) hasRoom(service string, other fleet.TargetID, exclude map[fleet.TargetID]bool) bool {
 	without := make(map[fleet.TargetID]bool, len(exclude)+1)
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -408,6 +408,29 @@
 	})
 }
 
+// Guards against holding requests until their deadline when the last target that may get them leaves, and those that come while they wait.
+func TestWaitingRequestsAreRejectedWithoutTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t, map[string]script{"t1": paced(0, 3, 500*time.Millisecond)})
+		defer w.close()
+		target := slots.Target{Slots: 1}
+		target.ID, target.Service, target.Address, target.State = "t1", "s", "10.0.0.1:80", fleet.TargetLive
+		w.board.SetTargets([]slots.Target{target})
+		go w.do(t.Context(), &sink{})
+		time.Sleep(10 * time.Millisecond)
+		target.State = fleet.TargetLeaving
+		time.AfterFunc(100*time.Millisecond, func() { w.board.SetTargets([]slots.Target{target}) })
+		for _, wait := range []time.Duration{100 * time.Millisecond, 0} {
+			started := time.Now()
+			outcome := w.do(t.Context(), &sink{})
+			require.Equal(t, gateway.NotRun, outcome.Verdict)
+			require.Positive(t, outcome.RetryAfter)
+			require.Equal(t, wait, time.Since(started))
+		}
+		time.Sleep(3 * time.Second) // the first request ends
+	})
+}
+
 // Guards against a request that continues at its target, and keeps its slot, after its caller has left.
 func TestCallerThatLeavesFreesTheSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/gateway/waitqueue.go
+++ b/node/gateway/waitqueue.go
@@ -90,6 +90,21 @@
 		}
 		room = w.board.RoomChanged()
 		w.serve(r.Service)
+		if !w.board.hasTarget(r.Service, exclude) {
+			return w.leaveWithoutTarget(r.Service, entry, own)
+		}
+	}
+}
+
+// leaveWithoutTarget removes a request from the queue that no target may get any more. It returns the slot that the request may have got before
+// that, otherwise errNoTarget.
+func (w *waitQueues) leaveWithoutTarget(service string, entry *slots.Waiting, own *waiter) (*Reservation, error) {
+	w.remove(service, entry)
+	select {
+	case reservation := <-own.reserved:
+		return reservation, nil
+	default:
+		return nil, errNoTarget
 	}
 }
 
@@ -98,6 +113,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	queue := w.queueFor(r.Service)
+	if !w.board.hasTarget(r.Service, exclude) {
+		return nil, nil, nil, errNoTarget
+	}
 	if queue.order.Len() == 0 {
 		reservation, result := w.board.ReserveOnline(r.Service, string(r.ID), exclude)
 		if result == slots.NoTarget {
@@ -150,13 +168,18 @@
 	}
 }
 
-// leave removes a request whose ctx has ended from the queue, and releases the slot that it may have got at the same moment.
-func (w *waitQueues) leave(ctx context.Context, service string, entry *slots.Waiting, own *waiter) error {
+// remove removes a request from the queue if it is still there.
+func (w *waitQueues) remove(service string, entry *slots.Waiting) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	queue := w.queueFor(service)
 	queue.order.Remove(entry)
 	delete(queue.waiters, entry)
-	w.mu.Unlock()
+}
+
+// leave removes a request whose ctx has ended from the queue, and releases the slot that it may have got at the same moment.
+func (w *waitQueues) leave(ctx context.Context, service string, entry *slots.Waiting, own *waiter) error {
+	w.remove(service, entry)
 	select {
 	case reservation := <-own.reserved:
 		reservation.Release()
