Keep requests from targets that say in a response that they are leaving

The users' platform has a new header, with which a target that leaves says so in all its answers, and a rule: a machine that has passed such an answer on sends the target nothing that a client sent more than the drain time later. An instance knew of departures from entries in the store only. A target that answers before its entry changes, or while the store is away, got requests for as long as that lasted, and callers' requests were cut when it ended.

platform/ decodes the header into ResponseInfo.Leaving. core/slots marks the target, by its id, and no placement uses it: new and waiting requests, retries, resumed streams, batch items. Only a change of its entry that was made after the response ends the mark: another registration, or an entry that is ready again after it said draining. Each reading of the list now says up to which revision it holds the changes from before its call (kv.Horizon), also in copies of peers; an entry from before the response, read late, therefore ends nothing. A start that the target states to be later than the request ends it in any case.

--- a/adapters/kv/kv.go
+++ b/adapters/kv/kv.go
@@ -100,11 +100,19 @@
 	Gets      []KeyValue
 }
 
+// Horizon says how far changes of the store are known: every change that the store made before At has a revision of at most Revision. The zero
+// value says nothing.
+type Horizon struct {
+	At       time.Time
+	Revision Revision
+}
+
 // WatchEvent is one change under a watched prefix, or the end of the watch.
 type WatchEvent struct {
 	KeyValue KeyValue
 	Deleted  bool
-	Err      error // last event of a watch that ended; ErrCompacted asks for a new listing
+	Horizon  Horizon // of the call that returned the event; zero if it is unknown
+	Err      error   // last event of a watch that ended; ErrCompacted asks for a new listing
 }
 
 // Store is the platform's key-value service. All methods are safe for concurrent use.
--- a/core/slots/health.go
+++ b/core/slots/health.go
@@ -70,7 +70,12 @@
 	}
 }
 
-// usable reports whether a target is live, not avoided and not ejected.
+// accepts reports whether a target may get new requests: it is live, and has not said since that it is leaving.
+func (v *View) accepts(t *target) bool {
+	return t.State == fleet.TargetLive && !v.isLeavingMarked(t.ID)
+}
+
+// usable reports whether a target accepts requests and is neither avoided nor ejected.
 func (v *View) usable(t *target, now time.Time) bool {
-	return t.State == fleet.TargetLive && !now.Before(t.avoidUntil) && v.healthOf(t.Service).Usable(t.ID, now)
+	return v.accepts(t) && !now.Before(t.avoidUntil) && v.healthOf(t.Service).Usable(t.ID, now)
 }
--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -71,7 +71,7 @@
 	found := bestTarget{salt: salt}
 	result := NoTarget
 	for _, t := range v.byService[service] {
-		if exclude[t.ID] || t.State != fleet.TargetLive || !includeAvoided && !v.usable(t, now) {
+		if exclude[t.ID] || !v.accepts(t) || !includeAvoided && !v.usable(t, now) {
 			continue
 		}
 		load := v.Load(t.ID, now)
@@ -96,7 +96,7 @@
 // HasTarget reports whether a target of the service outside of exclude may get requests, though it may be full, avoided or ejected. Place
 // returns NoTarget otherwise.
 func (v *View) HasTarget(service string, exclude map[fleet.TargetID]bool) bool {
-	return slices.ContainsFunc(v.byService[service], func(t *target) bool { return !exclude[t.ID] && t.State == fleet.TargetLive })
+	return slices.ContainsFunc(v.byService[service], func(t *target) bool { return !exclude[t.ID] && v.accepts(t) })
 }
 
 // onlineScore rises with the expected wait. With a free slot it is the number of slots in use; otherwise it is the number of slots plus that
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -40,6 +40,10 @@
 type Target struct {
 	fleet.Target
 	Slots int
+	// Started is when the target's process started, by its own clock, in milliseconds since 1970; 0 if it does not say so. Version is the version
+	// of its software. They tell its registrations apart and have no influence on placement.
+	Started int64
+	Version string
 }
 
 type target struct {
@@ -48,6 +52,9 @@
 	others     Count     // of all peers whose counts have not expired
 	foreign    bool      // its home is another instance, see Homes
 	avoidUntil time.Time // no new requests before this time, unless no other target is left
+
+	entryRevision int64     // of its entry in the store; 0 before the first ApplyEntries
+	entryReadAt   time.Time // when that revision was read
 }
 
 type peer struct {
@@ -68,19 +75,21 @@
 	byService    map[string][]*target               // listed targets by service, sorted by ID
 	peers        map[fleet.InstanceID]*peer         // peers whose last report has requests
 	oldestReport time.Time                          // lower bound of the report times of all peers
+	departures   departures                         // targets that said that they are leaving
 }
 
 // NewView returns a view without targets.
 func NewView(self fleet.InstanceID, domain fleet.FailureDomain, topology fleet.Topology, policy Policy) *View {
 	return &View{
-		self:      self,
-		domain:    domain,
-		topology:  topology,
-		policy:    policy,
-		health:    make(map[string]*limits.OutlierDetector),
-		targets:   make(map[fleet.TargetID]*target),
-		byService: make(map[string][]*target),
-		peers:     make(map[fleet.InstanceID]*peer),
+		self:       self,
+		domain:     domain,
+		topology:   topology,
+		policy:     policy,
+		health:     make(map[string]*limits.OutlierDetector),
+		targets:    make(map[fleet.TargetID]*target),
+		byService:  make(map[string][]*target),
+		peers:      make(map[fleet.InstanceID]*peer),
+		departures: make(departures),
 	}
 }
 
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -42,6 +42,7 @@
 	Load   slots.Count // load of the target when it was chosen, without this request
 	// PeerAge is the age of the oldest peer report that Load includes.
 	PeerAge  time.Duration
+	placed   time.Time
 	board    *Board
 	activity *activity
 	mu       sync.Mutex // guards count; taken before the board's mutex
@@ -99,7 +100,7 @@
 		last = &activity{}
 		b.lastActivity[target.ID] = last
 	}
-	return &Reservation{Target: target, Load: load, PeerAge: b.view.OldestReportAge(now), board: b, activity: last, count: count}
+	return &Reservation{Target: target, Load: load, PeerAge: b.view.OldestReportAge(now), placed: now, board: b, activity: last, count: count}
 }
 
 // markActive records that the target sent something just now.
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -218,7 +218,8 @@
 
 // missingCopies returns the names of the copies to read from a peer. While the store is unreachable, these are all copies of a peer that can reach
 // it or has a newer routing table. Otherwise an instance that watches the store reads none. One that does not watch it reads from peers that can
-// reach it: the copies that their datagrams announce as newer, and the membership records once nextMembersRefresh has passed.
+// reach it: the copies that their datagrams announce as newer, the list of targets also if one said that it is leaving (see horizonDelay), and the
+// membership records once nextMembersRefresh has passed.
 func (c *CatchUp) missingCopies(report PeerReport) []string {
 	switch {
 	case c.StoreLost() && (!report.StoreLost || report.Version > c.version()):
@@ -230,7 +231,7 @@
 	if report.Version > c.version() {
 		missing = append(missing, copyConfig)
 	}
-	if report.Targets != c.list.Digest() && report.Revision > c.copies.Targets.Revision() {
+	if (report.Targets != c.list.Digest() || c.list.awaitsHorizon()) && report.Revision > c.copies.Targets.Revision() {
 		missing = append(missing, copyTargets)
 	}
 	if time.Now().After(c.nextMembersRefresh) {
@@ -241,6 +242,7 @@
 
 // fetchCopies reads the wanted copies of one peer and merges them into the mirrors.
 func (c *CatchUp) fetchCopies(ctx context.Context, address string, wanted []string) error {
+	asked := time.Now()
 	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
 	if err != nil {
 		return err
@@ -251,7 +253,7 @@
 	}
 	for name, snapshot := range state {
 		if m, ok := c.copies.byName()[name]; ok {
-			m.Merge(snapshot)
+			m.Merge(snapshot, asked)
 		}
 	}
 	return nil
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -45,6 +45,7 @@
 		OtherTarget: status == http.StatusMisdirectedRequest,
 		Events:      h.Get("Content-Type") == "text/event-stream",
 		Complete:    h.Get("Signed") != "",
+		Leaving:     h.Get("Leaving") != "",
 	}
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -43,6 +43,7 @@
 	NotRun      bool // the target did not run the request and will not
 	OtherTarget bool // the address belongs to another target than the one meant
 	Events      bool // the body is an event stream
+	Leaving     bool // the target is leaving; says nothing about the request itself. Meaningless with OtherTarget
 	Complete    bool // the response has the platform's completion mark: a header of the target without which a success is not accepted
 }
 
--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -163,7 +164,8 @@
 			return slots.Target{}, fmt.Errorf("entry is broken")
 		}
 		target := slots.Target{Slots: 8}
-		target.ID, target.Service, target.State = fleet.TargetID(key[2:]), "s", fleet.TargetState(value)
+		state, version, _ := strings.Cut(string(value), " ")
+		target.ID, target.Service, target.State, target.Version = fleet.TargetID(key[2:]), "s", fleet.TargetState(state), version
 		return target, nil
 	})
 	config := kvmirror.New(m.reach, "config", m.routes.Apply)
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -119,8 +119,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := false
+	var entries []slots.Entry
 	for _, item := range change.Put {
 		changed = l.applyEntry(item) || changed
+		if target, ok := l.targets[fleet.TargetID(item.Key[len(l.prefix):])]; ok {
+			entries = append(entries, slots.Entry{Target: target, Revision: int64(item.ModRevision)})
+		}
 	}
 	for _, key := range change.Removed {
 		id := fleet.TargetID(key[len(l.prefix):])
@@ -137,6 +141,7 @@
 	if changed {
 		l.publish()
 	}
+	l.board.ApplyEntries(entries, slots.Horizon{At: change.Horizon.At, Revision: int64(change.Horizon.Revision)})
 }
 
 // applyEntry applies one entry and reports whether the list changed; l.mu is held.
@@ -183,6 +188,9 @@
 	})
 }
 
+// awaitsHorizon reports whether the list is to be read again because of a target that said that it is leaving; see horizonDelay.
+func (l *TargetList) awaitsHorizon() bool { return l.board.awaitsHorizon() }
+
 // publish updates the digest and passes the list to the board; l.mu is held.
 func (l *TargetList) publish() {
 	list := make([]slots.Target, 0, len(l.targets))
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -66,6 +66,9 @@
 	defer response.Body.Close()
 	info := x.protocol.DecodeResponse(response.Status, response.Header)
 	watch.headerReceived()
+	if info.Leaving && !info.OtherTarget {
+		x.targetLeaves(reservation, response.Status)
+	}
 	if !info.NotRun {
 		x.board.ClearSuspicion(reservation.Target.ID)
 	}
@@ -82,6 +85,15 @@
 	return x.relayWhole(ctx, reservation.Target.ID, response, info)
 }
 
+// targetLeaves keeps new requests from a target that has just said that it is leaving, and closes its pooled connections.
+func (x *execution) targetLeaves(reservation *Reservation, status int) {
+	if !x.board.markLeaving(reservation, x.request, status) {
+		return
+	}
+	x.metrics.Counter("target_departures").Inc(1)
+	x.client.CloseIdle(reservation.Target.Address)
+}
+
 // newRequest builds the HTTP request of a try.
 func (x *execution) newRequest(reservation *Reservation) *rawhttp.Request {
 	r := x.request
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -194,7 +194,7 @@
 	if op.Kind == kv.OpDelete {
 		delete(s.items, op.Key)
 	}
-	event := kv.WatchEvent{KeyValue: item, Deleted: op.Kind == kv.OpDelete}
+	event := kv.WatchEvent{KeyValue: item, Deleted: op.Kind == kv.OpDelete, Horizon: kv.Horizon{At: time.Now(), Revision: s.revision}}
 	s.history = append(s.history, event)
 	for ch, prefix := range s.watches {
 		if strings.HasPrefix(op.Key, prefix) {
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -37,12 +37,29 @@
 	// AfterOutage is set if the change comes from the first listing after an outage of the store. Leases may have expired during the outage, so
 	// that removed keys need not have been deleted on purpose.
 	AfterOutage bool
+	// Horizon of the call that returned the changes. Some of these may be newer.
+	Horizon kv.Horizon
 }
 
 // Snapshot is a copy of the keys as of a revision of the store.
 type Snapshot struct {
 	Revision kv.Revision   `json:"revision"`
 	Items    []kv.KeyValue `json:"items"`
+	Horizon  *Horizon      `json:"horizon,omitempty"` // nil if it is unknown
+}
+
+// Horizon is a kv.Horizon that another process can use: its age needs no agreement of clocks.
+type Horizon struct {
+	Revision kv.Revision `json:"revision"`
+	AgeMs    int64       `json:"age_ms"` // when the snapshot was taken, rounded up
+}
+
+// at returns the horizon in terms of this process's clock, for a snapshot that was taken at or after asked.
+func (h *Horizon) at(asked time.Time) kv.Horizon {
+	if h == nil {
+		return kv.Horizon{}
+	}
+	return kv.Horizon{At: asked.Add(-time.Duration(h.AgeMs) * time.Millisecond), Revision: h.Revision}
 }
 
 // Mirror keeps a copy of the keys under one prefix. Run must be called once. Revision, Snapshot and Merge are safe for concurrent use.
@@ -58,6 +75,7 @@
 	mu          sync.Mutex // guards the fields below; held while apply runs, so that changes are applied in order
 	items       map[string]kv.KeyValue
 	revision    kv.Revision // of the newest listing, event or merged copy
+	horizon     kv.Horizon  // the latest one
 	failedSince time.Time   // when calls began to fail; zero while they succeed
 }
 
@@ -141,19 +159,22 @@
 	for _, item := range m.items {
 		s.Items = append(s.Items, item)
 	}
+	if !m.horizon.At.IsZero() {
+		s.Horizon = &Horizon{Revision: m.horizon.Revision, AgeMs: time.Since(m.horizon.At).Milliseconds() + 1}
+	}
 	return s
 }
 
 // Merge replaces the copy with a peer's if that one is newer and this mirror does not follow the store or cannot reach it. It reports whether
-// the copy was replaced.
-func (m *Mirror) Merge(s Snapshot) bool {
+// the copy was replaced. The peer must have taken the snapshot at or after asked, a time of this process.
+func (m *Mirror) Merge(s Snapshot, asked time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedSince.IsZero() && m.follow() || s.Revision <= m.revision {
 		return false
 	}
 	klog.InfoS("Peer's copy is taken over", "prefix", m.prefix, "revision", s.Revision, "before", m.revision, "keys", len(s.Items))
-	m.replace(s, false)
+	m.replace(s, s.Horizon.at(asked), false)
 	return true
 }
 
@@ -169,10 +190,15 @@
 
 // list replaces the copy with a listing of the store.
 func (m *Mirror) list(ctx context.Context) (kv.Revision, error) {
+	sent, stale := time.Now(), m.allowStale
 	listing, err := m.listKeys(ctx)
 	if err != nil {
 		return 0, err
 	}
+	horizon := kv.Horizon{At: sent, Revision: listing.Revision}
+	if stale {
+		horizon = kv.Horizon{}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	afterOutage := !m.failedSince.IsZero() && time.Since(m.failedSince) > minOutage
@@ -180,7 +206,7 @@
 		klog.InfoS("Store is back", "prefix", m.prefix, "revision", listing.Revision, "outage_ms", time.Since(m.failedSince).Milliseconds())
 		m.failedSince = time.Time{}
 	}
-	m.replace(Snapshot{Revision: listing.Revision, Items: listing.Items}, afterOutage)
+	m.replace(Snapshot{Revision: listing.Revision, Items: listing.Items}, horizon, afterOutage)
 	return listing.Revision, nil
 }
 
@@ -195,8 +221,9 @@
 }
 
 // replace updates the copy to a newer one and applies the difference. The caller holds m.mu.
-func (m *Mirror) replace(s Snapshot, afterOutage bool) {
-	change := Change{AfterOutage: afterOutage}
+func (m *Mirror) replace(s Snapshot, horizon kv.Horizon, afterOutage bool) {
+	change := Change{AfterOutage: afterOutage, Horizon: horizon}
+	m.advanceHorizon(horizon)
 	seen := make(map[string]bool, len(s.Items))
 	for _, item := range s.Items {
 		seen[item.Key] = true
@@ -235,6 +262,13 @@
 	return ctx.Err()
 }
 
+// advanceHorizon keeps the latest horizon. The caller holds m.mu.
+func (m *Mirror) advanceHorizon(h kv.Horizon) {
+	if h.At.After(m.horizon.At) {
+		m.horizon = h
+	}
+}
+
 // applyEvent applies one event. Events that are not newer than the copy of their key are skipped, since a listing already included them.
 func (m *Mirror) applyEvent(e kv.WatchEvent) {
 	m.mu.Lock()
@@ -245,13 +279,14 @@
 		return
 	}
 	m.revision = max(m.revision, e.KeyValue.ModRevision)
+	m.advanceHorizon(e.Horizon)
 	if !e.Deleted {
 		m.items[key] = e.KeyValue
-		m.apply(Change{Put: []kv.KeyValue{e.KeyValue}})
+		m.apply(Change{Put: []kv.KeyValue{e.KeyValue}, Horizon: e.Horizon})
 		return
 	}
 	if exists {
 		delete(m.items, key)
-		m.apply(Change{Removed: []string{key}})
+		m.apply(Change{Removed: []string{key}, Horizon: e.Horizon})
 	}
 }
--- a/node/kvmirror/mirror_test.go
+++ b/node/kvmirror/mirror_test.go
@@ -111,13 +111,59 @@
 func TestMergeReplacesOnlyAnOlderCopyDuringAnOutage(t *testing.T) {
 	withMirror(t, func(store *memkv.Store, m *kvmirror.Mirror, recorder *changeRecorder) {
 		newer := kvmirror.Snapshot{Revision: 9, Items: []kv.KeyValue{{Key: "p/peer", Value: []byte("5"), ModRevision: 8}}}
-		require.False(t, m.Merge(newer), "the store is reachable")
+		require.False(t, m.Merge(newer, time.Now()), "the store is reachable")
 		store.SetDown(true)
 		time.Sleep(time.Second)
-		require.False(t, m.Merge(kvmirror.Snapshot{Revision: 1}), "not newer")
-		require.True(t, m.Merge(newer))
+		require.False(t, m.Merge(kvmirror.Snapshot{Revision: 1}, time.Now()), "not newer")
+		require.True(t, m.Merge(newer, time.Now()))
 		requireItems(t, recorder, map[string]string{"p/peer": "5"}, 0)
-		require.False(t, m.Merge(newer))
+		require.False(t, m.Merge(newer, time.Now()))
+	})
+}
+
+// Guards against a copy that seems younger than it is, by the time that it spent at a peer or by a listing that may be stale.
+func TestHorizonKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memkv.New()
+		put(t, store, "p/a", "1")
+		read := time.Now()
+		following := kvmirror.New(store, "p/", func(kvmirror.Change) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { following.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		s := following.Snapshot()
+		require.Equal(t, s.Revision, s.Horizon.Revision)
+
+		var change kvmirror.Change
+		other := kvmirror.New(memkv.New(), "p/", func(c kvmirror.Change) { change = c })
+		other.FollowWhile(func() bool { return false })
+		asked := time.Now()
+		time.Sleep(time.Second)
+		require.True(t, other.Merge(s, asked))
+		require.Equal(t, s.Revision, change.Horizon.Revision)
+		require.WithinRange(t, change.Horizon.At, read.Add(-2*time.Millisecond), read)
+		require.Equal(t, change.Horizon.Revision, other.Snapshot().Horizon.Revision)
+
+		put(t, store, "p/a", "2")
+		s = following.Snapshot()
+		s.Horizon = nil // a peer that does not say it
+		synctest.Wait()
+		s.Revision++
+		require.True(t, other.Merge(s, time.Now()))
+		require.Zero(t, change.Horizon)
+
+		cancel()
+		group.Wait()
+		stale := kvmirror.New(store, "p/", func(c kvmirror.Change) { change = c })
+		stale.AllowStaleFirstListing()
+		ctx, cancel = context.WithCancel(t.Context())
+		group.Go(func() { stale.Run(ctx) })
+		synctest.Wait()
+		require.Zero(t, change.Horizon)
+		require.Nil(t, stale.Snapshot().Horizon)
+		cancel()
+		group.Wait()
 	})
 }
 
@@ -149,7 +195,7 @@
 		calls := store.Calls()
 		time.Sleep(10 * time.Second)
 		require.Equal(t, calls, store.Calls())
-		require.True(t, m.Merge(kvmirror.Snapshot{Revision: 7, Items: []kv.KeyValue{{Key: "p/a", Value: []byte("3"), ModRevision: 7}}}))
+		require.True(t, m.Merge(kvmirror.Snapshot{Revision: 7, Items: []kv.KeyValue{{Key: "p/a", Value: []byte("3"), ModRevision: 7}}}, time.Now()))
 		requireItems(t, recorder, map[string]string{"p/a": "3"}, 0)
 		follow <- true
 		time.Sleep(time.Second)
