itemjobs: tell the peer that gets a job which targets are leaving

An instance that knows from a response that a target is leaving may forward a new job, or hand its jobs over when it drains or loses the store. The peer need not know of it, and sent the items there.

The calls that pass a job on now name the marked targets that are listed. The peer marks them unless it knows another registration of them. Peers of an earlier build ignore the field.

TestPeerLearnsOfLeavingTargetWithTheJob failed without it in both cases: "Should be empty, but was [{b 10.0.0.2:7720 ...}]".

--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -51,7 +51,7 @@
 func (testProtocol) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
 
 func (testProtocol) DecodeResponse(status int, h http.Header) gateway.ResponseInfo {
-	return gateway.ResponseInfo{NotRun: h.Get("Refused") != "", Events: h.Get("Content-Type") == "text/event-stream", Complete: true}
+	return gateway.ResponseInfo{NotRun: h.Get("Refused") != "", Events: h.Get("Content-Type") == "text/event-stream", Complete: true, Leaving: h.Get("Leaving") != ""}
 }
 
 // faultyStore is one instance's access to the store, with injected faults.
@@ -261,6 +261,7 @@
 	mu            sync.Mutex // guards runs and status
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
+	leaving       bool           // the target says in each response that it is leaving; guarded by mu
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 }
 
@@ -394,13 +395,16 @@
 	id, after := r.Header.Get("Id"), r.Header.Get("After")
 	f.mu.Lock()
 	f.runs = append(f.runs, run{id, after, c.RemoteAddr().String(), time.Now()})
-	status := f.status[id]
+	status, leaving := f.status[id], ""
+	if f.leaving {
+		leaving = "Leaving: 1\r\n"
+	}
 	f.mu.Unlock()
 	if status != 0 {
-		_, err = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: 0\r\n\r\n", status, id, leaving)
 		return err == nil
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, leaving)
 	first := 0
 	if n, err := strconv.Atoi(after); err == nil {
 		first = n + 1
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -71,7 +71,7 @@
 	s.mu.Lock()
 	remaining := s.remainingProgress(j)
 	s.mu.Unlock()
-	if err := s.calls.adopt(ctx, addresses[fleet.InstanceID(chosen[0])], j.ID, remaining); err != nil {
+	if err := s.calls.adopt(ctx, addresses[fleet.InstanceID(chosen[0])], j.ID, remaining, s.Board.Departing()); err != nil {
 		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
 		return false
 	}
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -16,6 +16,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
 )
 
@@ -73,8 +74,14 @@
 	return c.do(ctx, http.MethodGet, address, "/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
 }
 
-func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress) error {
-	body, err := json.Marshal(handedOver)
+// adoption is a job that an instance hands over to a peer.
+type adoption struct {
+	progress
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
+}
+
+func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress, departing []slots.Target) error {
+	body, err := json.Marshal(adoption{handedOver, departing})
 	if err != nil {
 		return err
 	}
@@ -86,15 +93,17 @@
 type submission struct {
 	Record itemjob.Record `json:"record"`
 	Parts  [][]byte       `json:"parts"`
+
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
 }
 
 // submit forwards a job to a peer. Errors: those of Submit.
-func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) error {
+func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, departing []slots.Target) error {
 	parts, err := encodeParts(items)
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
-	body, err := json.Marshal(submission{record, parts})
+	body, err := json.Marshal(submission{record, parts, departing})
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
@@ -158,11 +167,12 @@
 }
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
-	var handedOver progress
+	var handedOver adoption
 	if !decodePeerRequest(w, r, &handedOver) {
 		return
 	}
-	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver); err != nil {
+	s.Board.MarkDeparting(handedOver.Departing, r.RemoteAddr)
+	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver.progress); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
 		writePeerError(w, err)
 	}
@@ -188,6 +198,7 @@
 		}
 		items = append(items, unpacked...)
 	}
+	s.Board.MarkDeparting(sub.Departing, r.RemoteAddr)
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(r.Context()), "job-submit"), submitTimeout)
 	defer cancel()
 	if err := s.Accept(ctx, sub.Record, items); err != nil {
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -94,7 +94,7 @@
 // forward asks a peer to record a job as its owner. Errors: those of Submit.
 func (s *Service) forward(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, reason string) error {
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
-	return s.calls.submit(ctx, address, record, items)
+	return s.calls.submit(ctx, address, record, items, s.Board.Departing())
 }
 
 // acceptOrForward records a job with this instance as its owner, or forwards it if this instance is draining or does not reach the store.
