--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -64,8 +64,21 @@
 		return x.handleSendError(ctx, reservation, err)
 	}
 	defer response.Body.Close()
+	err = x.handleResponse(ctx, reservation, response, watch)
+	if err != nil {
+		// The request may be sent again with the same id, so that a repeated response on this connection could not be told from a new one.
+		response.Abort()
+	}
+	return err
+}
+
+// handleResponse relays a response whose header has arrived.
+func (x *execution) handleResponse(ctx context.Context, reservation *Reservation, response *rawhttp.Response, watch *silenceWatch) error {
 	info := x.protocol.DecodeResponse(response.Status, response.Header)
 	watch.headerReceived()
+	if info.Unidentified && !response.First {
+		return fmt.Errorf("%w: status %d", errUnidentified, response.Status)
+	}
 	if info.Leaving && !info.OtherTarget {
 		x.targetLeaves(reservation, response.Status)
 	}
@@ -78,7 +91,9 @@
 		return fmt.Errorf("%w: address belongs to another target", httpcall.ErrNotRun)
 	case info.NotRun:
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
-	case info.Events:
+	case info.NotRunStatus && (x.sink == nil || !x.request.Route.Repeatable()):
+		return fmt.Errorf("%w: status %d", errUnconfirmed, response.Status)
+	case info.Events && response.Status < http.StatusMultipleChoices:
 		x.status = response.Status
 		return x.relay(ctx, reservation, response, info, watch)
 	}
@@ -152,7 +167,7 @@
 
 // relay passes on whole events as they arrive and checks that their ids are consecutive, across tries as well.
 func (x *execution) relay(ctx context.Context, reservation *Reservation, response *rawhttp.Response, info ResponseInfo, watch *silenceWatch) error {
-	if !info.Complete && response.Status < http.StatusMultipleChoices {
+	if !info.Complete {
 		return errUnmarked
 	}
 	splitter := stream.NewSplitter(maxEventBytes)
@@ -193,12 +208,16 @@
 		if err != nil || !ok {
 			return out, err
 		}
-		if event.HasID {
-			if x.progress.Events > 0 && event.ID != x.progress.Last+1 {
-				return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
-			}
-			x.progress.Last = event.ID
+		switch {
+		case event.Comment:
+			out = append(out, event.Raw...)
+			continue
+		case !event.HasID:
+			return out, fmt.Errorf("%w: an event without one follows %d", errEventOrder, x.progress.Last)
+		case x.progress.Events > 0 && event.ID != x.progress.Last+1:
+			return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
 		}
+		x.progress.Last = event.ID
 		if x.firstEvent == 0 {
 			x.firstEvent = time.Since(x.request.Arrived)
 		}
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -27,6 +27,8 @@
 	maxStartJitter = 15 * time.Millisecond
 	// interruptedDelay is the delay before an item whose run was interrupted may start again, so that it does not take the next free slot.
 	interruptedDelay = 50 * time.Millisecond
+	// unknownRouteDelay is the delay before an item is tried again whose route is not known here and may exist.
+	unknownRouteDelay = time.Second
 )
 
 // run is an item in flight.
@@ -74,26 +76,35 @@
 func (s *Service) startItems(ctx context.Context) {
 	s.expire()
 	s.makeUrgentFirm()
-	unconfirmed := s.mayStartUnconfirmed(time.Now())
+	unconfirmed := s.mayStartUnconfirmed(s.Now())
 	for s.startNext(ctx, unconfirmed) {
 	}
-	if s.needsConfirmation(time.Now()) {
+	if s.needsConfirmation(s.Now()) {
 		wait.Wake(s.confirmSignal)
 	}
 }
 
 // startNext starts or gives up the next item. It returns false if no item may start or no slot is free. With unconfirmed, it also starts items
-// of jobs that the store has not confirmed recently.
+// of jobs that the store has not confirmed recently. Jobs that were accepted by a newer routing table than the one here wait for that one: their
+// routes may not be here yet, or lead to other services.
 func (s *Service) startNext(ctx context.Context, unconfirmed bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		return false
 	}
-	now := time.Now()
+	table := s.Routes.Current()
+	if table == nil {
+		return false
+	}
+	now := s.Now()
 	jobs := make([]*itemjob.Job, 0, len(s.jobs))
 	for _, j := range s.jobs {
-		if j.isRunnable() && (unconfirmed || j.IsConfirmed(now)) {
+		switch {
+		case !j.isRunnable():
+		case j.Version > table.Version:
+			s.Routes.Require(j.Version)
+		case unconfirmed || j.IsConfirmed(now):
 			jobs = append(jobs, j.Job)
 		}
 	}
@@ -102,13 +113,9 @@
 		return false
 	}
 	j := s.jobs[choice.Job.ID]
-	table := s.Routes.Current()
-	if table == nil {
-		return false
-	}
 	route := table.Match(j.Host, path(choice.Task.Item.Path))
 	if route == nil {
-		s.deadLetter(j, choice.Task, itemjob.RouteRemoved)
+		s.routeIsMissing(j, choice.Task, now)
 		return true
 	}
 	service := route.Backend(rand.Float64())
@@ -120,6 +127,16 @@
 	return true
 }
 
+// routeIsMissing handles an item whose route is not in the routing table, which is not older than the one by which the job was accepted: the route
+// was removed, and the item is given up. If that older version is not known, this instance may be behind, and the item waits. The caller holds s.mu.
+func (s *Service) routeIsMissing(j *ownedJob, task *itemjob.Task, now time.Time) {
+	if j.Version > 0 {
+		s.deadLetter(j, task, itemjob.RouteRemoved)
+		return
+	}
+	j.RecordInterruption(task, unknownRouteDelay, now)
+}
+
 func path(uri string) string {
 	p, _, _ := strings.Cut(uri, "?")
 	return p
@@ -149,7 +166,7 @@
 		Route:              itemRoute(route),
 		Service:            service,
 		Version:            table.Version,
-		Arrived:            time.Now(),
+		Arrived:            s.Now(),
 		OwnershipConfirmed: j.ConfirmedAt(),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnershipConfirmed))
@@ -182,7 +199,7 @@
 		r.events.Add(1)
 	})
 	r.slot.Release()
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeRun(r)
@@ -211,16 +228,21 @@
 
 // deadLetter gives up on an item and finishes it without output. The caller holds s.mu.
 func (s *Service) deadLetter(j *ownedJob, task *itemjob.Task, reason itemjob.Reason) {
-	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures)
-	j.Finish(task, false, time.Now())
+	now := s.Now()
+	// past_give_up_ms compares this instance's time of day with that of the instance that recorded the job.
+	klog.InfoS("Item is given up", "job", j.ID, "item", task.Item.ID, "reason", reason, "failures", task.Failures, "max_failures", j.MaxAttempts,
+		"age_ms", j.Age(now).Milliseconds(), "past_give_up_ms", now.Round(0).Sub(j.GiveUp).Milliseconds(), "owned_ms", now.Sub(j.ownedSince).Milliseconds(),
+		"version", s.Routes.Version(), "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
+	s.stats.givenUp(reason)
+	j.Finish(task, false, now)
 	wait.Wake(j.recordSignal)
 }
 
-// expire gives up the waiting items of jobs whose give-up time has passed; see itemjob.Record.
+// expire gives up the waiting items of jobs whose retention has passed.
 func (s *Service) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.Now()
 	for _, j := range s.jobs {
 		if !j.isOpen() {
 			continue
@@ -234,11 +256,11 @@
 // makeUrgentFirm makes running items firm that became urgent, so that they do not yield their slots.
 func (s *Service) makeUrgentFirm() {
 	var urgent []*run
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	for _, list := range s.runs {
 		for _, r := range list {
-			if !r.firm && !r.yielding && s.pace.Urgent(r.job.Due, int(r.events.Load()), now) {
+			if !r.firm && !r.yielding && s.pace.Urgent(r.job.DueTime(), int(r.events.Load()), now) {
 				urgent = append(urgent, r)
 			}
 		}
@@ -257,7 +279,7 @@
 // items rank last in the order in which items start end first.
 func (s *Service) yieldExcess(excess map[fleet.TargetID]int) {
 	var yielding []*run
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	for id, count := range excess {
 		for range count {
@@ -289,7 +311,7 @@
 		if r.firm || r.yielding {
 			continue
 		}
-		if rank := s.pace.Rank(r.job.Due, int(r.events.Load()), now); last == nil || lastRank.Before(rank) {
+		if rank := s.pace.Rank(r.job.DueTime(), int(r.events.Load()), now); last == nil || lastRank.Before(rank) {
 			last, lastRank = r, rank
 		}
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -37,6 +37,9 @@
 	// StoreUnreachable reports whether the store is unreachable from this instance.
 	StoreUnreachable func() bool
 	Seed             uint64 // of the random scan times and scheduling delays
+	// Now returns the current time, with a reading of the monotonic clock. The default is time.Now. The time of day may differ from that of other
+	// instances and be set at any time.
+	Now func() time.Time
 	// Metrics is the scope of the package's metrics.
 	Metrics tally.Scope
 }
@@ -65,6 +68,7 @@
 	jobs      map[itemjob.ID]*ownedJob
 	acquiring map[itemjob.ID]*acquisition
 	owners    map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
+	seenOpen  map[itemjob.ID]time.Time        // when a scan first listed the open jobs, those of the last scan only
 	orphaned  map[string]int64                // tokens, by route, of open jobs whose owner is not alive, as of the last scan
 	runs      map[fleet.TargetID][]*run       // items in flight, oldest first
 	pace      itemjob.Pace
@@ -78,6 +82,7 @@
 type ownedJob struct {
 	*itemjob.Job
 	ownedSince   time.Time     // when this instance became the owner
+	origin       origin        // how this instance became the owner
 	revision     kv.Revision   // of the record; every write of results is conditional on it
 	changed      chan struct{} // closed and replaced when results were recorded or the job is no longer owned
 	recordSignal chan struct{} // triggers the recorder
@@ -88,6 +93,17 @@
 	evictAt            time.Time // when the results are evicted from memory
 }
 
+// origin is how an instance became the owner of a job.
+type origin string
+
+// Origins of owned jobs.
+const (
+	originSubmitted  origin = "submission"
+	originForwarded  origin = "forwarded submission"
+	originHandedOver origin = "hand-over"
+	originTakenOver  origin = "take-over"
+)
+
 // isOpen reports whether this instance owns the job and not all of its results are recorded. The caller holds Service.mu.
 func (j *ownedJob) isOpen() bool { return !j.dropped && !j.AllStored() }
 
@@ -96,6 +112,9 @@
 
 // New returns a service and registers its callbacks with the board and the peers.
 func New(config Config) *Service {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	s := &Service{
 		Config:         config,
 		scheduleSignal: make(chan struct{}, 1),
@@ -157,7 +176,7 @@
 func (s *Service) unfinishedWork() (map[string]int64, []string) {
 	tokens := s.waitingTokens()
 	var newJobs []string
-	now := time.Now()
+	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
@@ -196,8 +215,10 @@
 
 // addOwned adds a job that this instance owns and starts to run it, unless a drop notice arrived since beginAcquisition. asOf is when the store
 // call was sent whose response shows the ownership. It must be called between beginAcquisition and its end.
-func (s *Service) addOwned(job *itemjob.Job, revision kv.Revision, asOf time.Time) {
-	j := &ownedJob{Job: job, ownedSince: time.Now(), revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1)}
+func (s *Service) addOwned(job *itemjob.Job, by origin, revision kv.Revision, asOf time.Time) {
+	j := &ownedJob{
+		Job: job, ownedSince: s.Now(), origin: by, revision: revision, changed: make(chan struct{}), recordSignal: make(chan struct{}, 1),
+	}
 	j.Confirm(asOf)
 	s.mu.Lock()
 	if t, ok := s.acquiring[job.ID]; ok && t.dropped {
@@ -243,7 +264,7 @@
 		r.cancel(errDropped)
 	}
 	klog.InfoS("Job is no longer owned", "job", j.ID, "reason", reason, "results", results, "runs", len(runs),
-		"confirmed_ms", time.Since(confirmed).Milliseconds())
+		"confirmed_ms", s.Now().Sub(confirmed).Milliseconds())
 }
 
 // dropChanged drops a job whose record was changed since this instance became the owner, by a take-over or by the end of the job, or was deleted.
@@ -257,7 +278,7 @@
 		klog.ErrorS(err, "Changed record of a job cannot be read", "job", j.ID)
 		s.drop(j, "its record changed")
 	case record.Ended:
-		after := time.Since(record.EndedAt)
+		after := s.Now().Sub(record.EndedAt)
 		s.stats.endFound(after)
 		s.drop(j, fmt.Sprintf("the store says that its client ended it %d ms ago", after.Milliseconds()))
 	default:
