--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -42,6 +42,7 @@
 	Load   slots.Count // load of the target when it was chosen, without this request
 	// PeerAge is the age of the oldest peer report that Load includes.
 	PeerAge  time.Duration
+	placed   time.Time
 	board    *Board
 	activity *activity
 	mu       sync.Mutex // guards count; taken before the board's mutex
@@ -99,7 +100,7 @@
 		last = &activity{}
 		b.lastActivity[target.ID] = last
 	}
-	return &Reservation{Target: target, Load: load, PeerAge: b.view.OldestReportAge(now), board: b, activity: last, count: count}
+	return &Reservation{Target: target, Load: load, PeerAge: b.view.OldestReportAge(now), placed: now, board: b, activity: last, count: count}
 }
 
 // markActive records that the target sent something just now.
@@ -117,6 +118,13 @@
 	return b.view.OwnCount(id).Total()
 }
 
+// hasTarget reports whether a target of the service outside of exclude may get requests, though it may be full.
+func (b *Board) hasTarget(service string, exclude map[fleet.TargetID]bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.HasTarget(service, exclude)
+}
+
 // hasRoom reports whether a target that is neither other nor in exclude has room for an online request.
 func (b *Board) hasRoom(service string, other fleet.TargetID, exclude map[fleet.TargetID]bool) bool {
 	without := make(map[fleet.TargetID]bool, len(exclude)+1)
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -285,8 +285,9 @@
 
 // missingCopies returns the names of the copies to read from a peer. While the store is unreachable, these are all copies of a peer that can reach
 // it or has a newer routing table. Otherwise an instance that watches the store reads none. One that does not watch it reads from peers that can
-// reach it: the copies that their datagrams announce as newer, and, if mayRefreshMembers is set, the membership records once nextMembersRefresh has
-// passed. The records of a peer that does not watch the store may be as old as this instance's own.
+// reach it: the copies that their datagrams announce as newer, the list of targets also if one said that it is leaving (see horizonDelay), and, if
+// mayRefreshMembers is set, the membership records once nextMembersRefresh has passed. The records of a peer that does not watch the store may be
+// as old as this instance's own.
 func (c *CatchUp) missingCopies(report PeerReport, mayRefreshMembers bool) []string {
 	switch {
 	case c.StoreLost() && (!report.StoreLost || report.Version > c.version()):
@@ -298,7 +299,7 @@
 	if report.Version > c.version() {
 		missing = append(missing, copyConfig)
 	}
-	if report.Targets != c.list.Digest() && report.Revision > c.copies.Targets.Revision() {
+	if (report.Targets != c.list.Digest() || c.list.awaitsHorizon()) && report.Revision > c.copies.Targets.Revision() {
 		missing = append(missing, copyTargets)
 	}
 	if mayRefreshMembers && time.Now().After(c.nextMembersRefresh) {
@@ -309,13 +310,14 @@
 
 // fetchCopies reads the wanted copies of one peer and merges them into the mirrors.
 func (c *CatchUp) fetchCopies(ctx context.Context, address string, wanted []string) error {
+	asked := time.Now()
 	state, err := c.readCopies(ctx, address, wanted)
 	if err != nil {
 		return err
 	}
 	for name, snapshot := range state {
 		if m, ok := c.copies.byName()[name]; ok {
-			m.Merge(snapshot)
+			m.Merge(snapshot, asked)
 		}
 	}
 	return nil
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -47,6 +47,7 @@
 	OtherTarget  bool // the address belongs to another target than the one meant
 	Events       bool // the body is an event stream
 	Unidentified bool // the header does not name the request that the response belongs to
+	Leaving      bool // the target is leaving; says nothing about the request itself. Meaningless with OtherTarget
 	Complete     bool // the response has the platform's completion mark: a header of the target without which a success is not accepted
 }
 
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -17,6 +17,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
 )
 
@@ -91,8 +92,14 @@
 	return c.do(ctx, http.MethodGet, address, "/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
 }
 
-func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress) error {
-	body, err := json.Marshal(handedOver)
+// adoption is a job that an instance hands over to a peer.
+type adoption struct {
+	progress
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
+}
+
+func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress, departing []slots.Target) error {
+	body, err := json.Marshal(adoption{handedOver, departing})
 	if err != nil {
 		return err
 	}
@@ -104,15 +111,17 @@
 type submission struct {
 	Record itemjob.Record `json:"record"`
 	Parts  [][]byte       `json:"parts"`
+
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
 }
 
 // submit forwards a job to a peer. The error is the cause of an outcome other than Accepted.
-func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) (Outcome, error) {
+func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, departing []slots.Target) (Outcome, error) {
 	parts, err := encodeParts(items)
 	if err != nil {
 		return Invalid, err
 	}
-	body, err := json.Marshal(submission{record, parts})
+	body, err := json.Marshal(submission{record, parts, departing})
 	if err != nil {
 		return Invalid, err
 	}
@@ -177,12 +186,13 @@
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
 	received := s.Now()
-	var handedOver progress
+	var handedOver adoption
 	if !decodePeerRequest(w, r, &handedOver) {
 		return
 	}
+	s.Board.MarkDeparting(handedOver.Departing, r.RemoteAddr)
 	handedOver.submittedBy = received.Add(-handedOver.Age)
-	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver); err != nil {
+	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver.progress); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 	}
@@ -214,6 +224,7 @@
 		}
 		items = append(items, unpacked...)
 	}
+	s.Board.MarkDeparting(sub.Departing, r.RemoteAddr)
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(r.Context()), "job-submit"), submitTimeout)
 	defer cancel()
 	if outcome, cause := s.accept(ctx, sub.Record, items); outcome != Accepted {
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -103,7 +103,7 @@
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
 	record.KnownAge = s.Now().Sub(record.Submitted)
 	started := time.Now()
-	outcome, cause := s.calls.submit(ctx, address, record, items)
+	outcome, cause := s.calls.submit(ctx, address, record, items, s.Board.Departing())
 	return attempt{instance: address, outcome: outcome, cause: cause, took: time.Since(started)}
 }
 
