core/itemjob: allow for clocks of different rates before an item is given up

A caller may see an item dead-lettered some milliseconds before the retention of its job has passed by the caller's clock: time synchronization changes the rate of a clock by up to 500 parts per million, 30 ms in the minute of a retention, and the age of a job is measured by the clocks of its owners.

A thousandth of the retention is added.

--- a/core/itemjob/schedule.go
+++ b/core/itemjob/schedule.go
@@ -127,9 +127,14 @@
 	return best
 }
 
-// Expired returns the tasks to give up: the waiting ones once the job is as old as its retention for certain. Running tasks aren't included.
+// clockRateMargin is the inverse of the share by which the clocks of two machines may differ in rate. Time synchronization changes the rate of a
+// clock by up to 500 parts per million.
+const clockRateMargin = 1000
+
+// Expired returns the tasks to give up: the waiting ones once the job is as old as its retention for certain, also by a clock that is slower than
+// those that measured its age. Running tasks aren't included.
 func (j *Job) Expired(now time.Time) []*Task {
-	if j.Age(now) < j.Retention() {
+	if j.Age(now) < j.Retention()+j.Retention()/clockRateMargin {
 		return nil
 	}
 	var expired []*Task
