soak: working sets, changing configurations, planned work and more overlapping faults

The soak ran fleets of up to 4 instances in one failure domain by default, and never changed the configuration.

--- a/cmd/eelgrassctl/soakcmd/soakcmd.go
+++ b/cmd/eelgrassctl/soakcmd/soakcmd.go
@@ -29,8 +29,10 @@
 	runs := flags.Int("runs", 1, "number of runs")
 	parallel := flags.Int("parallel", 3, "runs at a time, each with its own processes")
 	faults := flags.Duration("faults", 10*time.Second, "how long faults are injected in a run")
-	instances := flags.Int("instances", 4, "instances of a run, 50 at most")
-	targets := flags.Int("targets", 3, "targets of a run, 60 at most")
+	instances := flags.Int("instances", 4, fmt.Sprintf("instances of a run, %d at most; a fleet of more than 12 has a working set", soak.MaxHosts))
+	domains := flags.Int("domains", 0, "failure domains; 0 means 3 for more than 12 instances, otherwise 1")
+	regions := flags.Int("regions", 0, "regions; 0 means 2 for more than 2 failure domains, otherwise 1")
+	targets := flags.Int("targets", 4, fmt.Sprintf("targets of a run, %d at most, divided between two services", soak.MaxHosts-1))
 	binary := flags.String("binary", "bin/eelgrassproxy", "the program to run")
 	folder := flags.String("folder", filepath.Join(os.TempDir(), "eelgrass-soak"), "folder for settings and logs")
 	if err := flags.Parse(args); err != nil {
@@ -39,7 +41,7 @@
 		}
 		return exitUsage
 	}
-	if flags.NArg() > 0 || *runs < 1 || *parallel < 1 || *instances < 1 || *instances > 50 || *targets < 1 || *targets > 60 {
+	if flags.NArg() > 0 || *runs < 1 || *parallel < 1 || *instances < 1 || *instances > soak.MaxHosts || *targets < 2 || *targets >= soak.MaxHosts || *domains < 0 || *regions < 0 {
 		flags.Usage()
 		return exitUsage
 	}
@@ -52,7 +54,7 @@
 		group.Go(func() {
 			defer func() { <-places }()
 			o := soak.Options{
-				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Targets: *targets, Faults: *faults,
+				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Domains: *domains, Regions: *regions, Targets: *targets, Faults: *faults,
 				Folder: filepath.Join(*folder, fmt.Sprint(*seed+uint64(n))),
 			}
 			report, err := soak.Run(ctx, o)
