--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +20,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/clocktest"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/routetable"
@@ -63,6 +66,8 @@
 	staleListing *kv.Listing      // response to lists that may be stale; nil: they read the store
 	hanging      bool             // transactions have no effect and get no response
 	nextTxnErr   error            // returned by the next transaction, which has no effect
+	dead         bool             // the process of the instance has ended, so that its calls have no effect
+	onCreate     createFunc       // if set, makes the transactions that create a job
 	// delay is the time that each call takes.
 	delay time.Duration
 	// listedBytes is the number of bytes of the values in the listings since the last resetListedBytes.
@@ -106,6 +111,27 @@
 	g.beforeGet = get
 }
 
+// createsJob reports whether a transaction creates the record of a job.
+func createsJob(txn kv.Txn) bool {
+	c := txn.Compares[0]
+	return c.Target == kv.CompareCreateRevision && strings.HasPrefix(c.Key, "/eelgrass/item-jobs/record/")
+}
+
+// setOnCreate sets onCreate.
+func (g *faultyStore) setOnCreate(f createFunc) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onCreate = f
+}
+
+// createFunc makes a transaction that creates a job.
+type createFunc func(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
+
+// refuseCreation is a createFunc that has no effect and says so.
+func refuseCreation(context.Context, kv.Txn) (kv.TxnResult, error) {
+	return kv.TxnResult{}, fmt.Errorf("%w: status 503", kv.ErrUnavailable)
+}
+
 // setDelay delays each call.
 func (g *faultyStore) setDelay(delay time.Duration) {
 	g.mu.Lock()
@@ -136,10 +162,23 @@
 	g.unreachable = unreachable
 }
 
+// setDead makes all calls from now on fail without an effect.
+func (g *faultyStore) setDead() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+func (g *faultyStore) isDead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dead
+}
+
 func (g *faultyStore) err() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unreachable {
+	if g.unreachable || g.dead {
 		return kv.ErrUnavailable
 	}
 	return nil
@@ -214,9 +253,12 @@
 		return kv.TxnResult{}, err
 	}
 	g.mu.Lock()
-	hanging, txnErr := g.hanging, g.nextTxnErr
+	hanging, txnErr, onCreate := g.hanging, g.nextTxnErr, g.onCreate
 	g.nextTxnErr = nil
 	g.mu.Unlock()
+	if onCreate != nil && createsJob(txn) {
+		return onCreate(ctx, txn)
+	}
 	if txnErr != nil {
 		return kv.TxnResult{}, txnErr
 	}
@@ -241,16 +283,23 @@
 // node is one instance.
 type node struct {
 	id       fleet.InstanceID
+	host     string
 	address  string
 	store    *faultyStore
 	peers    *gateway.Peers
 	service  *itemjobs.Service
 	board    *gateway.Board
+	routes   *gateway.Routes
 	client   *gateway.PeerClient
+	metrics  tally.TestScope
 	listener net.Listener
 	stop     func()
+	ahead    atomic.Int64 // nanoseconds by which its time of day is ahead
 }
 
+// now returns a reading of the instance's clock.
+func (n *node) now() time.Time { return clocktest.Reading(time.Now(), time.Duration(n.ahead.Load())) }
+
 // testFleet is a fleet of instances with one store and one target that has targetSlots.
 type testFleet struct {
 	t             *testing.T
@@ -261,7 +310,9 @@
 	mu            sync.Mutex // guards runs and status
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
+	config        string         // of the instances that are started from now on; see tableOf
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
+	capacity      float64        // cores of the instances that are started next
 }
 
 const (
@@ -270,7 +321,7 @@
 )
 
 func newTestFleet(t *testing.T, instances int, detectByCalls bool) *testFleet {
-	f := &testFleet{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int), detectByCalls: detectByCalls}
+	f := &testFleet{t: t, network: memnet.New(), store: memkv.New(), status: make(map[string]int), config: "1", detectByCalls: detectByCalls}
 	var err error
 	f.target, err = f.network.Listen(targetAddress)
 	require.NoError(t, err)
@@ -282,10 +333,31 @@
 	return f
 }
 
+// workingSetSize is the number of instances that callers are sent to in a large test fleet: the first ones.
+const workingSetSize = 3
+
+// newLargeTestFleet starts a fleet that is large enough for a working set.
+func newLargeTestFleet(t *testing.T, detectByCalls bool) *testFleet {
+	const instances = 13
+	f := newTestFleet(t, 0, detectByCalls)
+	for i := range instances {
+		f.capacity = 0.01
+		if i < workingSetSize {
+			f.capacity = 0.05 // 0.12 are needed for the slots of the target
+		}
+		f.start(fleet.InstanceID(fmt.Sprintf("i%02d", i)), fmt.Sprintf("10.0.0.%d", i+1))
+	}
+	time.Sleep(8 * time.Second) // until all instances have chosen the same working set
+	for i, n := range f.nodes {
+		require.Equal(t, i < workingSetSize, n.peers.Serves(), "instance %s", n.id)
+	}
+	return f
+}
+
 // start starts an instance, or its next process.
 func (f *testFleet) start(id fleet.InstanceID, host string) *node {
-	n := &node{id: id, address: host + ":7720", store: &faultyStore{Store: f.store}}
-	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a"}
+	n := &node{id: id, host: host, address: host + ":7720", store: &faultyStore{Store: f.store}, metrics: tally.NewTestScope("", nil)}
+	self := fleet.Member{ID: id, Incarnation: fleet.NewIncarnation(time.Now()), PeerAddress: n.address, CallerAddress: host + ":80", FailureDomain: "a", Capacity: f.capacity}
 	packets, err := f.network.ListenPacket(n.address)
 	require.NoError(f.t, err)
 	n.listener, err = f.network.Listen(n.address)
@@ -297,15 +369,17 @@
 	n.board.SetTargets([]slots.Target{target})
 	store, lost := f.storeFor(n)
 	n.peers = gateway.NewPeers(self, fleet.Topology{}, store, n.board, packets)
-	routes := gateway.NewRoutes(func([]byte) (*routetable.Table, error) { return table(), nil })
-	routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config"}}})
+	n.routes = gateway.NewRoutes(func(config []byte) (*routetable.Table, error) { return tableOf(string(config)), nil })
+	n.configure(f.config)
 	n.client = gateway.NewPeerClient(dial)
 	forwarder := gateway.NewForwarder(n.board, rawhttp.New(dial), testProtocol{}, gateway.DefaultOptions(), tally.NoopScope)
-	n.peers.SetStateSource(func() gateway.SyncState { return gateway.SyncState{StoreLost: lost()} })
+	n.peers.SetStateSource(func() gateway.SyncState {
+		return gateway.SyncState{StoreLost: lost(), Version: n.routes.Current().Version}
+	})
 	n.service = itemjobs.New(itemjobs.Config{
-		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: routes, Peers: n.peers, Client: n.client,
+		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: n.routes, Peers: n.peers, Client: n.client,
 		Retention: 2 * time.Minute, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
-		Metrics: tally.NoopScope,
+		Now: n.now, Metrics: n.metrics,
 	})
 	mux := http.NewServeMux()
 	n.service.Handle(mux)
@@ -360,12 +434,34 @@
 	synctest.Wait()
 }
 
-func table() *routetable.Table {
-	route := &routetable.Route{
+// configure puts a configuration in force at the instance; see tableOf.
+func (n *node) configure(config string) {
+	n.routes.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "config", Value: []byte(config)}}})
+}
+
+// withoutRoute marks configurations that lack the route of the jobs; see tableOf.
+const withoutRoute = " without the route"
+
+// tableOf returns the table of a configuration, which is its version, followed by withoutRoute if it lacks the route of the jobs.
+func tableOf(config string) *routetable.Table {
+	number, lacksRoute := strings.CutSuffix(config, withoutRoute)
+	version, err := strconv.ParseInt(number, 10, 64)
+	switch {
+	case err != nil:
+		panic(err)
+	case lacksRoute:
+		return routetable.New(version, routetable.Limits{}, nil)
+	}
+	return routetable.New(version, routetable.Limits{}, []*routetable.Route{jobsRoute()})
+}
+
+func table() *routetable.Table { return tableOf("1") }
+
+func jobsRoute() *routetable.Route {
+	return &routetable.Route{
 		Name: "jobs", Host: "h", Prefix: "/j/", Kind: routetable.Batch, MaxAttempts: 3, JobObjective: 18 * time.Second, JobRetention: time.Minute,
 		Backends: []routetable.Backend{{Service: "s", Weight: 1}}, MaxWaitingTokens: 1000,
 	}
-	return routetable.New(1, routetable.Limits{}, []*routetable.Route{route})
 }
 
 // serveTarget responds to items with a stream that continues after the event in the header After.
@@ -443,7 +539,7 @@
 
 // submission returns a submission with items of 100 tokens each.
 func submission(id itemjob.ID, items ...string) itemjobs.Submission {
-	sub := itemjobs.Submission{ID: id, Host: "h", Route: table().Match("h", "/j/"), Arrived: time.Now()}
+	sub := itemjobs.Submission{ID: id, Host: "h", Route: table().Match("h", "/j/"), Version: table().Version, Arrived: time.Now()}
 	for _, item := range items {
 		sub.Items = append(sub.Items, itemjob.Item{ID: item, Path: "/j/" + item, Body: []byte("body of " + item), Tokens: 100})
 	}
