--- a/node/control/membership/record.go
+++ b/node/control/membership/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -40,11 +41,21 @@
 	})
 }
 
+// DecodeRecordOf decodes the membership record under a key of the store. It returns ErrBadRecord also for a record of another instance than the
+// one that the key names.
+func DecodeRecordOf(key string, value []byte) (fleet.Member, error) {
+	m, err := DecodeRecord(value)
+	if err == nil && key != MembersPrefix+string(m.ID) {
+		return fleet.Member{}, eris.Wrapf(ErrBadRecord, "record of instance %q under key %q", m.ID, key)
+	}
+	return m, err
+}
+
 // DecodeRecord decodes a membership record, or returns ErrBadRecord. A negative capacity is read as 0.
 func DecodeRecord(value []byte) (fleet.Member, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return fleet.Member{}, eris.Wrap(ErrBadRecord, err.Error())
+		return fleet.Member{}, fmt.Errorf("%w: %v", ErrBadRecord, err)
 	}
 	if r.Instance == "" {
 		return fleet.Member{}, eris.Wrap(ErrBadRecord, "instance is empty")
--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,8 +51,8 @@
 	seeds              []string // peer addresses to read from while no peer is known
 	client             *PeerClient
 	watchesStore       atomic.Bool   // this instance watches the store
-	required           chan struct{} // triggers a round because of Routes.Require
-	requiredRead       time.Time     // when readRequired last read the store; used by Run's goroutine only
+	required           chan struct{} // triggers serveRequired
+	requiredRead       time.Time     // when readRequired last read the store; used by serveRequired only
 	nextMembersRefresh time.Time     // when the membership records are to be read from a peer again; used by Run's goroutine only
 	configLag          lag           // of the routing table behind the versions that peers announce; used by Run's goroutine only
 	targetsLag         lag           // of the copy of the targets behind the revisions that peers announce; used by Run's goroutine only
@@ -130,7 +131,9 @@
 // syncState returns the part of this instance's datagrams that describes its copies.
 func (c *CatchUp) syncState() SyncState {
 	digest := c.list.Digest()
-	return SyncState{StoreLost: c.StoreLost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision()}
+	return SyncState{
+		StoreLost: c.StoreLost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision(), Watches: c.watchesStore.Load(),
+	}
 }
 
 // version returns the version of the routing table in force, or 0 without one.
@@ -143,7 +146,10 @@
 
 // Run reads copies from peers whenever they are needed, until ctx ends.
 func (c *CatchUp) Run(ctx context.Context) {
-	for ; c.awaitRound(ctx); c.readRequired(ctx) {
+	var group sync.WaitGroup
+	group.Go(func() { c.serveRequired(ctx) })
+	defer group.Wait()
+	for wait.For(ctx, catchUpInterval/2+rand.N(catchUpInterval)) {
 		if c.StoreLost() {
 			c.probe(ctx)
 		}
@@ -256,9 +262,10 @@
 func (c *CatchUp) chooseSource(reports []PeerReport) (string, []string) {
 	var sources, wanted []string
 	nearest := fleet.OtherRegion
+	hasWatcher := slices.ContainsFunc(reports, func(report PeerReport) bool { return report.Watches && !report.StoreLost })
 	for _, report := range reports {
 		distance := c.topology.Distance(c.self.FailureDomain, report.Member.FailureDomain)
-		missing := c.missingCopies(report)
+		missing := c.missingCopies(report, report.Watches || !hasWatcher)
 		switch {
 		case len(missing) == 0 || len(missing) < len(wanted) || len(missing) == len(wanted) && distance > nearest:
 			continue
@@ -278,8 +285,10 @@
 
 // missingCopies returns the names of the copies to read from a peer. While the store is unreachable, these are all copies of a peer that can reach
 // it or has a newer routing table. Otherwise an instance that watches the store reads none. One that does not watch it reads from peers that can
-// reach it: the copies that their datagrams announce as newer, and the membership records once nextMembersRefresh has passed.
-func (c *CatchUp) missingCopies(report PeerReport) []string {
+// reach it: the copies that their datagrams announce as newer, the list of targets also if one said that it is leaving (see horizonDelay), and, if
+// mayRefreshMembers is set, the membership records once nextMembersRefresh has passed. The records of a peer that does not watch the store may be
+// as old as this instance's own.
+func (c *CatchUp) missingCopies(report PeerReport, mayRefreshMembers bool) []string {
 	switch {
 	case c.StoreLost() && (!report.StoreLost || report.Version > c.version()):
 		return allCopies
@@ -290,10 +299,10 @@
 	if report.Version > c.version() {
 		missing = append(missing, copyConfig)
 	}
-	if report.Targets != c.list.Digest() && report.Revision > c.copies.Targets.Revision() {
+	if (report.Targets != c.list.Digest() || c.list.awaitsHorizon()) && report.Revision > c.copies.Targets.Revision() {
 		missing = append(missing, copyTargets)
 	}
-	if time.Now().After(c.nextMembersRefresh) {
+	if mayRefreshMembers && time.Now().After(c.nextMembersRefresh) {
 		missing = append(missing, copyMembers)
 	}
 	return missing
@@ -301,22 +310,28 @@
 
 // fetchCopies reads the wanted copies of one peer and merges them into the mirrors.
 func (c *CatchUp) fetchCopies(ctx context.Context, address string, wanted []string) error {
-	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
+	asked := time.Now()
+	state, err := c.readCopies(ctx, address, wanted)
 	if err != nil {
 		return err
 	}
-	var state map[string]kvmirror.Snapshot
-	if err := json.Unmarshal(body, &state); err != nil {
-		return err
-	}
 	for name, snapshot := range state {
 		if m, ok := c.copies.byName()[name]; ok {
-			m.Merge(snapshot)
+			m.Merge(snapshot, asked)
 		}
 	}
 	return nil
 }
 
+// readCopies reads the wanted copies of one peer.
+func (c *CatchUp) readCopies(ctx context.Context, address string, wanted []string) (state map[string]kvmirror.Snapshot, err error) {
+	body, err := c.client.Do(ctx, http.MethodGet, address, statePath, url.Values{"copy": wanted}, nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	return state, json.Unmarshal(body, &state)
+}
+
 // Handle registers the handler from which peers read this instance's copies.
 func (c *CatchUp) Handle(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Service            string // service of the route that was drawn for the request
 	Version            int64  // of the routing table
 	Arrived            time.Time
+	Resume             bool // the client asks for the rest of a stream, after the event After
+	After              int64
 	Deadline           time.Time // the earlier of the client's deadline and the end of the route's timeout
 }
 
@@ -45,6 +47,7 @@
 	OtherTarget  bool // the address belongs to another target than the one meant
 	Events       bool // the body is an event stream
 	Unidentified bool // the header does not name the request that the response belongs to
+	Leaving      bool // the target is leaving; says nothing about the request itself. Meaningless with OtherTarget
 	Complete     bool // the response has the platform's completion mark: a header of the target without which a success is not accepted
 }
 
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -217,7 +217,7 @@
 // applyRecords applies a change of the membership records in the store.
 func (p *Peers) applyRecords(change kvmirror.Change) {
 	for _, item := range change.Put {
-		member, err := membership.DecodeRecord(item.Value)
+		member, err := membership.DecodeRecordOf(item.Key, item.Value)
 		if err != nil {
 			klog.ErrorS(err, "Membership record skipped", "key", item.Key)
 			continue
@@ -246,8 +246,11 @@
 		state.contact = p.contactWith(m.ID)
 		p.peers[m.ID] = state
 	}
-	replaced := known && state.member.Incarnation < m.Incarnation
-	if !known || m.Incarnation >= state.member.Incarnation {
+	replaced := known && state.isReplacedBy(m.Incarnation, time.Now())
+	if replaced && m.Incarnation < state.member.Incarnation {
+		state.process, state.sequence = 0, 0 // accept its datagrams
+	}
+	if !known || replaced || m.Incarnation == state.member.Incarnation {
 		state.member, state.address = m, address
 	}
 	if replaced {
@@ -265,6 +268,12 @@
 	}
 }
 
+// isReplacedBy reports whether the process with an incarnation, which a record names, replaces the known process of the peer: it has a higher one, or
+// a lower one while the datagrams of the known process have stopped. The clock of the machine may have been ahead when that one started.
+func (s *peerState) isReplacedBy(incarnation uint64, now time.Time) bool {
+	return incarnation > s.member.Incarnation || incarnation < s.member.Incarnation && s.isOverdue(now)
+}
+
 // recordRemoved handles the removal of a membership record. A peer whose datagrams still arrive is kept: its lease may have expired without the
 // peer being lost.
 func (p *Peers) recordRemoved(id fleet.InstanceID) {
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -26,8 +26,10 @@
 	decode    func([]byte) (*routetable.Table, error)
 	onAdvance func()        // called with mu held after a newer table came into force
 	required  atomic.Int64  // see Require
-	onRequire func()        // called when a newer version is required than before
+	onRequire func()        // called when a newer version is required
 	advanced  chan struct{} // closed and replaced, with mu held, when a newer table came into force
+	since     time.Time     // when the present table came into force; guarded by mu
+	settled   int64         // the newest version before that had been in force for settleTime; guarded by mu
 }
 
 // OnAdvance sets the callback that runs after a newer table came into force. It must not block. Call OnAdvance before the first Apply.
@@ -38,29 +40,28 @@
 	return &Routes{decode: decode, onAdvance: func() {}, onRequire: func() {}, advanced: make(chan struct{})}
 }
 
-// OnRequire sets the callback that runs when Require is called with a newer version than before and than the one in force. It must not block. Call
-// OnRequire before the first Require.
+// OnRequire sets the callback that runs when Require is called with a newer version than the one in force. It must not block. Call OnRequire before
+// the first Require.
 func (r *Routes) OnRequire(required func()) { r.onRequire = required }
 
 // Require states that a version is known to have been in force elsewhere and that this instance needs it.
 func (r *Routes) Require(version int64) {
-	for {
-		before := r.required.Load()
-		if version <= max(before, r.Version()) {
-			return
-		}
+	inForce := r.Version()
+	if version <= inForce {
+		return
+	}
+	for before := r.required.Load(); before < version; before = r.required.Load() {
 		if r.required.CompareAndSwap(before, version) {
-			klog.InfoS("Configuration is behind", "in_force", r.Version(), "required", version)
-			r.onRequire()
-			return
+			klog.InfoS("Configuration is behind", "in_force", inForce, "required", version)
 		}
 	}
+	r.onRequire()
 }
 
 // Await requires a version, waits until the table in force has at least that one or ctx ends, and returns the table in force.
 func (r *Routes) Await(ctx context.Context, version int64) *routetable.Table {
-	r.Require(version)
 	for {
+		r.Require(version)
 		r.mu.Lock()
 		table, advanced := r.Current(), r.advanced
 		r.mu.Unlock()
@@ -69,6 +70,7 @@
 		}
 		select {
 		case <-advanced:
+		case <-time.After(requiredInterval):
 		case <-ctx.Done():
 			return r.Current()
 		}
@@ -86,6 +88,20 @@
 	return 0
 }
 
+// settleTime is the time in which the instances of a fleet get a version from each other that one of them has.
+const settleTime = time.Second
+
+// Settled returns the newest version that has been in force for settleTime, or 0 if there is none. An instance that lacks it is further behind than
+// others usually are after a change.
+func (r *Routes) Settled() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.since) >= settleTime {
+		return r.Version()
+	}
+	return r.settled
+}
+
 // Current returns the table in force, or nil before the first one.
 func (r *Routes) Current() *routetable.Table { return r.current.Load() }
 
@@ -115,6 +131,11 @@
 		klog.InfoS("Configuration is not newer than the one in force", "version", table.Version, "in_force", before)
 		return
 	}
+	now := time.Now()
+	if now.Sub(r.since) >= settleTime {
+		r.settled = before
+	}
+	r.since = now
 	r.current.Store(table)
 	klog.InfoS("Configuration is in force", "version", table.Version, "before", before, "revision", revision)
 	close(r.advanced)
@@ -136,9 +157,17 @@
 	mu      sync.Mutex // guards the fields below; taken before the board's mutex
 	targets map[fleet.TargetID]slots.Target
 	dropAt  map[fleet.TargetID]time.Time // when to drop targets whose entries disappeared in an outage
+	skipped map[fleet.TargetID]string    // logged reason for skipping the present entry
 	digest  uint64
 }
 
+const (
+	// maxSkippedLogged is the maximum number of entries whose reasons for being skipped are kept; further ones are not logged.
+	maxSkippedLogged = 100
+	// maxReasonBytes bounds a logged reason, which may quote the entry.
+	maxReasonBytes = 200
+)
+
 // Digest returns a hash of the list, which is equal on all instances with the same list. It is 0 before the first change.
 func (l *TargetList) Digest() uint64 {
 	l.mu.Lock()
@@ -155,6 +184,7 @@
 		onChange: func() {},
 		targets:  make(map[fleet.TargetID]slots.Target),
 		dropAt:   make(map[fleet.TargetID]time.Time),
+		skipped:  make(map[fleet.TargetID]string),
 	}
 }
 
@@ -173,11 +203,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := false
+	var entries []slots.Entry
 	for _, item := range change.Put {
 		changed = l.applyEntry(item) || changed
+		if target, ok := l.targets[fleet.TargetID(item.Key[len(l.prefix):])]; ok {
+			entries = append(entries, slots.Entry{Target: target, Revision: int64(item.ModRevision)})
+		}
 	}
 	for _, key := range change.Removed {
 		id := fleet.TargetID(key[len(l.prefix):])
+		delete(l.skipped, id)
 		if _, known := l.targets[id]; !known {
 			continue
 		}
@@ -191,6 +226,7 @@
 	if changed {
 		l.publish()
 	}
+	l.board.ApplyEntries(entries, slots.Horizon{At: change.Horizon.At, Revision: int64(change.Horizon.Revision)})
 }
 
 // applyEntry applies one entry and reports whether the list changed; l.mu is held.
@@ -198,7 +234,7 @@
 	id := fleet.TargetID(item.Key[len(l.prefix):])
 	target, err := l.decode(item.Key, item.Value)
 	if err != nil {
-		klog.ErrorS(err, "Entry of the target list skipped", "key", item.Key, "revision", item.ModRevision)
+		l.logSkipped(id, item, err)
 		if _, known := l.targets[id]; !known {
 			return false
 		}
@@ -206,6 +242,7 @@
 		return true
 	}
 	delete(l.dropAt, id)
+	delete(l.skipped, id)
 	known, ok := l.targets[id]
 	if ok && known == target {
 		return false
@@ -215,6 +252,18 @@
 	return true
 }
 
+// logSkipped logs an entry that cannot be decoded, once for each reason: its writer may change it as often as targets change theirs; l.mu is held.
+func (l *TargetList) logSkipped(id fleet.TargetID, item kv.KeyValue, err error) {
+	reason := err.Error()
+	reason = reason[:min(len(reason), maxReasonBytes)]
+	logged, known := l.skipped[id]
+	if logged == reason || !known && len(l.skipped) >= maxSkippedLogged {
+		return
+	}
+	l.skipped[id] = reason
+	klog.ErrorS(nil, "Entry of the target list skipped", "key", item.Key, "revision", item.ModRevision, "reason", reason)
+}
+
 // remove drops a target from the list; l.mu is held.
 func (l *TargetList) remove(id fleet.TargetID, reason string) {
 	delete(l.targets, id)
@@ -237,6 +286,9 @@
 	})
 }
 
+// awaitsHorizon reports whether the list is to be read again because of a target that said that it is leaving; see horizonDelay.
+func (l *TargetList) awaitsHorizon() bool { return l.board.awaitsHorizon() }
+
 // publish updates the digest and passes the list to the board; l.mu is held.
 func (l *TargetList) publish() {
 	list := make([]slots.Target, 0, len(l.targets))
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -12,6 +12,7 @@
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
+	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/stream"
 )
 
@@ -79,6 +80,9 @@
 	if info.Unidentified && !response.First {
 		return fmt.Errorf("%w: status %d", errUnidentified, response.Status)
 	}
+	if info.Leaving && !info.OtherTarget {
+		x.targetLeaves(reservation, response.Status)
+	}
 	if !info.NotRun {
 		x.board.ClearSuspicion(reservation.Target.ID)
 	}
@@ -90,13 +94,22 @@
 		return fmt.Errorf("%w: status %d", httpcall.ErrNotRun, response.Status)
 	case info.NotRunStatus && (x.sink == nil || !x.request.Route.Repeatable()):
 		return fmt.Errorf("%w: status %d", errUnconfirmed, response.Status)
-	case info.Events && response.Status < http.StatusMultipleChoices:
+	case info.Events && response.Status < http.StatusMultipleChoices && x.request.Route.Kind == routetable.Stream:
 		x.status = response.Status
 		return x.relay(ctx, reservation, response, info, watch)
 	}
 	return x.relayWhole(ctx, reservation.Target.ID, response, info)
 }
 
+// targetLeaves keeps new requests from a target that has just said that it is leaving, and closes its pooled connections.
+func (x *execution) targetLeaves(reservation *Reservation, status int) {
+	if !x.board.markLeaving(reservation, x.request, status) {
+		return
+	}
+	x.metrics.Counter("target_departures").Inc(1)
+	x.client.CloseIdle(reservation.Target.Address)
+}
+
 // newRequest builds the HTTP request of a try.
 func (x *execution) newRequest(reservation *Reservation) *rawhttp.Request {
 	r := x.request
@@ -202,7 +215,7 @@
 			continue
 		case !event.HasID:
 			return out, fmt.Errorf("%w: an event without one follows %d", errEventOrder, x.progress.Last)
-		case x.progress.Events > 0 && event.ID != x.progress.Last+1:
+		case (x.progress.Events > 0 || x.request.Resume) && event.ID != x.progress.Last+1:
 			return out, fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, x.progress.Last)
 		}
 		x.progress.Last = event.ID
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -78,9 +79,11 @@
 		return nil, err
 	}
 	now := s.Now()
+	s.recordRevision(open.Revision)
 	processes, serving := aliveProcesses(s.Peers.Members()), s.Peers.Serving()
 	orphaned := make(map[string]int64)
 	marks := make(map[itemjob.ID]openMark, len(open.Items))
+	laterSince := make(map[ownerProcess]time.Time)
 	for _, item := range open.Items {
 		var mark openMark
 		if err := decode(item.Value, &mark); err != nil {
@@ -92,7 +95,7 @@
 		switch {
 		case s.isUntracked(id, mark):
 			toTakeOver = append(toTakeOver, id)
-		case !isOwnerAlive(mark, processes):
+		case !s.isOwnerAlive(mark, processes, laterSince, now):
 			orphaned[mark.Route] += mark.Tokens
 			if successor(id, serving) == s.Self.ID {
 				toTakeOver = append(toTakeOver, id)
@@ -100,7 +103,7 @@
 		}
 	}
 	s.mu.Lock()
-	s.orphaned, s.seenOpen = orphaned, firstSeen(marks, s.seenOpen, now)
+	s.orphaned, s.seenOpen, s.laterSince = orphaned, firstSeen(marks, s.seenOpen, now), laterSince
 	s.mu.Unlock()
 	s.verifyOwned(ctx, marks, asOf)
 	return toTakeOver, nil
@@ -148,11 +151,32 @@
 	return !tracked && mark.Owner == s.Self.ID && mark.Process == s.Self.Incarnation
 }
 
-// isOwnerAlive reports whether the process that owns a job is alive. An owner that is a later process of its instance than the known one counts
-// as alive, since it has just started.
-func isOwnerAlive(mark openMark, processes map[fleet.InstanceID]uint64) bool {
+// ownerProcess is a process that owns jobs.
+type ownerProcess struct {
+	owner   fleet.InstanceID
+	process uint64
+}
+
+// maxLaterProcess is how long an owner that seems to be a later process of its instance than the known one counts as alive.
+const maxLaterProcess = 10 * time.Second
+
+// isOwnerAlive reports whether the process that owns a job is alive. An owner that seems to be a later process of its instance than the known one may
+// have just started, and counts as alive for maxLaterProcess since a scan first saw it. After that it is an earlier process whose clock was ahead of that of
+// the known one. laterSince collects when these owners were first seen.
+func (s *Service) isOwnerAlive(mark openMark, processes map[fleet.InstanceID]uint64, laterSince map[ownerProcess]time.Time, now time.Time) bool {
 	process, alive := processes[mark.Owner]
-	return alive && process <= mark.Process
+	if !alive || process >= mark.Process {
+		return alive && process == mark.Process
+	}
+	owner := ownerProcess{mark.Owner, mark.Process}
+	s.mu.Lock()
+	since, seen := s.laterSince[owner]
+	s.mu.Unlock()
+	if !seen {
+		since = now
+	}
+	laterSince[owner] = since
+	return now.Sub(since) < maxLaterProcess
 }
 
 // takeOver takes over a job whose owner is not alive. Each job has its own timeout: with one timeout for all of them, a slow store left the last
@@ -186,16 +210,19 @@
 // this instance owns it or, only with a nil handedOver, another alive instance does: a former owner that handed its progress over may drop the
 // job. Errors: ErrNotFound, ErrUnavailable, ErrBadRecord, errContended, and those of the store.
 func (s *Service) Adopt(ctx context.Context, id itemjob.ID, handedOver *progress) error {
-	if _, ok := s.ownedJob(id); ok {
-		return nil
-	}
 	record, revision, err := s.getRecord(ctx, id)
 	if err != nil {
 		return err
 	}
 	submittedBy := s.submittedBy(&record, handedOver)
+	if j, ok := s.ownedJob(id); ok {
+		if j.revision == revision {
+			return nil
+		}
+		s.drop(j, fmt.Sprintf("its record names %q as the owner", record.Owner))
+	}
 	mark := markOf(&record)
-	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && isOwnerAlive(mark, aliveProcesses(s.Peers.Members())) {
+	if record.Ended || handedOver == nil && !s.isUntracked(id, mark) && s.isOwnerAlive(mark, aliveProcesses(s.Peers.Members()), make(map[ownerProcess]time.Time), s.Now()) {
 		return nil
 	}
 	defer s.beginAcquisition(id)()
@@ -213,7 +240,7 @@
 		}
 		return err
 	}
-	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former)
+	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former, revision)
 	return s.resumeJob(ctx, record, revision, former, handedOver, submittedBy, asOf)
 }
 
@@ -240,13 +267,14 @@
 	return a
 }
 
-// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced.
-func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID) {
+// notifyFormerOwner asks the former owner of a job to stop its items, in case it does not know yet that it was replaced at a revision of the
+// record.
+func (s *Service) notifyFormerOwner(ctx context.Context, id itemjob.ID, former fleet.InstanceID, since kv.Revision) {
 	address, ok := s.knownAddress(former)
 	if !ok {
 		return
 	}
-	if err := s.calls.drop(ctx, address, id); err != nil {
+	if err := s.calls.drop(ctx, address, id, since); err != nil {
 		klog.V(1).InfoS("Former owner could not be notified that it was replaced", "job", id, "former_owner", former, "error", err.Error())
 	}
 }
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -17,6 +17,7 @@
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
 )
 
@@ -91,8 +92,14 @@
 	return c.do(ctx, http.MethodGet, address, "/"+string(id)+"/body", url.Values{"item": {item}}, nil, 0)
 }
 
-func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress) error {
-	body, err := json.Marshal(handedOver)
+// adoption is a job that an instance hands over to a peer.
+type adoption struct {
+	progress
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
+}
+
+func (c peerCalls) adopt(ctx context.Context, address string, id itemjob.ID, handedOver progress, departing []slots.Target) error {
+	body, err := json.Marshal(adoption{handedOver, departing})
 	if err != nil {
 		return err
 	}
@@ -104,15 +111,17 @@
 type submission struct {
 	Record itemjob.Record `json:"record"`
 	Parts  [][]byte       `json:"parts"`
+
+	Departing []slots.Target `json:"departing,omitempty"` // see gateway.Board.Departing
 }
 
 // submit forwards a job to a peer. The error is the cause of an outcome other than Accepted.
-func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item) (Outcome, error) {
+func (c peerCalls) submit(ctx context.Context, address string, record itemjob.Record, items []itemjob.Item, departing []slots.Target) (Outcome, error) {
 	parts, err := encodeParts(items)
 	if err != nil {
 		return Invalid, err
 	}
-	body, err := json.Marshal(submission{record, parts})
+	body, err := json.Marshal(submission{record, parts, departing})
 	if err != nil {
 		return Invalid, err
 	}
@@ -122,9 +131,10 @@
 	return Accepted, nil
 }
 
-// drop notifies a peer that it no longer owns a job. It is no error if the peer does not have the job.
-func (c peerCalls) drop(ctx context.Context, address string, id itemjob.ID) error {
-	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/drop", nil, nil, 0)
+// drop notifies a peer that it does not own a job since a revision of its record. It is no error if the peer does not have the job.
+func (c peerCalls) drop(ctx context.Context, address string, id itemjob.ID, since kv.Revision) error {
+	query := url.Values{"since": {strconv.FormatInt(int64(since), 10)}}
+	_, err := c.do(ctx, http.MethodPost, address, "/"+string(id)+"/drop", query, nil, 0)
 	if errors.Is(err, errNotOwner) {
 		return nil
 	}
@@ -176,19 +186,24 @@
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
 	received := s.Now()
-	var handedOver progress
+	var handedOver adoption
 	if !decodePeerRequest(w, r, &handedOver) {
 		return
 	}
+	s.Board.MarkDeparting(handedOver.Departing, r.RemoteAddr)
 	handedOver.submittedBy = received.Add(-handedOver.Age)
-	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver); err != nil {
+	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver.progress); err != nil {
 		klog.ErrorS(err, "Job was not taken up", "job", r.PathValue("job"))
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 	}
 }
 
 func (s *Service) serveDrop(w http.ResponseWriter, r *http.Request) {
-	if !s.DropOwned(itemjob.ID(r.PathValue("job")), "a peer reported that it was ended or taken over") {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		since = int64(ended) // from an earlier version, which does not name the revision
+	}
+	if !s.DropOwned(itemjob.ID(r.PathValue("job")), kv.Revision(since), "a peer reported that it was ended or taken over") {
 		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
 	}
 }
@@ -209,6 +224,7 @@
 		}
 		items = append(items, unpacked...)
 	}
+	s.Board.MarkDeparting(sub.Departing, r.RemoteAddr)
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(r.Context()), "job-submit"), submitTimeout)
 	defer cancel()
 	if outcome, cause := s.accept(ctx, sub.Record, items); outcome != Accepted {
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -55,6 +55,7 @@
 	Config
 	calls          peerCalls
 	stats          stats
+	revisions      revisionLog
 	ctx            context.Context // cancelled by Run after its own ctx has ended
 	cancel         context.CancelFunc
 	scheduleSignal chan struct{} // triggers the scheduler
@@ -69,10 +70,12 @@
 	acquiring map[itemjob.ID]*acquisition
 	owners    map[itemjob.ID]fleet.InstanceID // last known owners of other instances' jobs
 	seenOpen  map[itemjob.ID]time.Time        // when a scan first listed the open jobs, those of the last scan only
-	orphaned  map[string]int64                // tokens, by route, of open jobs whose owner is not alive, as of the last scan
-	runs      map[fleet.TargetID][]*run       // items in flight, oldest first
-	pace      itemjob.Pace
-	draining  bool
+	// laterSince holds when a scan first saw the owners of open jobs that seem to be later processes than the known ones, those of the last scan only.
+	laterSince map[ownerProcess]time.Time
+	orphaned   map[string]int64          // tokens, by route, of open jobs whose owner is not alive, as of the last scan
+	runs       map[fleet.TargetID][]*run // items in flight, oldest first
+	pace       itemjob.Pace
+	draining   bool
 	// ownershipUncertain is set, and never cleared, when the outcome of a write that makes this instance the owner of a job is unknown.
 	ownershipUncertain bool
 	running            sync.WaitGroup
@@ -189,8 +192,9 @@
 
 // acquisition is a job whose record may already name this instance as the owner, and which is not yet in Service.jobs.
 type acquisition struct {
-	calls   int  // number of calls in progress that make this instance the owner
-	dropped bool // the job was ended or taken over in the meantime
+	calls int // number of calls in progress that make this instance the owner
+	// endedBy is the highest revision in the drop notices that arrived in the meantime; see DropOwned.
+	endedBy kv.Revision
 }
 
 // beginAcquisition starts to remember drop notices for a job that arrive before addOwned adds it. It must be called before the write that makes
@@ -213,7 +217,7 @@
 	}
 }
 
-// addOwned adds a job that this instance owns and starts to run it, unless a drop notice arrived since beginAcquisition. asOf is when the store
+// addOwned adds a job that this instance owns and starts to run it, unless a drop notice for it arrived since beginAcquisition. asOf is when the store
 // call was sent whose response shows the ownership. It must be called between beginAcquisition and its end.
 func (s *Service) addOwned(job *itemjob.Job, by origin, revision kv.Revision, asOf time.Time) {
 	j := &ownedJob{
@@ -221,7 +225,7 @@
 	}
 	j.Confirm(asOf)
 	s.mu.Lock()
-	if t, ok := s.acquiring[job.ID]; ok && t.dropped {
+	if t, ok := s.acquiring[job.ID]; ok && revision < t.endedBy {
 		s.mu.Unlock()
 		klog.InfoS("Job does not run, it was ended or taken over before this instance started it", "job", job.ID, "revision", revision)
 		return
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -21,7 +21,7 @@
 // Errors of the service.
 var (
 	// ErrNotFound means that the job, or the item of it, does not exist.
-	ErrNotFound = eris.New("job does not exist")
+	ErrNotFound = eris.New("job or item does not exist")
 	// ErrUnavailable means that the store is unavailable. A submission had no effect; see End for the end of a job.
 	ErrUnavailable = eris.New("job cannot be looked up or changed now")
 	// ErrOutcomeUnknown means that the job may have been accepted.
@@ -103,7 +103,7 @@
 	klog.InfoS("Job is forwarded to a peer", "job", record.ID, "peer", address, "reason", reason)
 	record.KnownAge = s.Now().Sub(record.Submitted)
 	started := time.Now()
-	outcome, cause := s.calls.submit(ctx, address, record, items)
+	outcome, cause := s.calls.submit(ctx, address, record, items, s.Board.Departing())
 	return attempt{instance: address, outcome: outcome, cause: cause, took: time.Since(started)}
 }
 
@@ -127,9 +127,10 @@
 }
 
 // betterOwner returns the address of the peer that should own a job, or false if this instance should. Only in a fleet with a working set can that
-// be a peer: a less loaded one of the same region.
+// be a peer: a less loaded one of the same region. A peer that lacks a version which has just come into force reads it at once when it gets the job;
+// one that lacks an older version is passed over.
 func (s *Service) betterOwner(record *itemjob.Record) (string, bool) {
-	peers := s.Peers.Candidates(record.Version)
+	peers := s.Peers.Candidates(min(record.Version, s.Routes.Settled()))
 	if len(peers) == 0 || s.isDraining() {
 		return "", false
 	}
--- a/node/kvmirror/mirror.go
+++ b/node/kvmirror/mirror.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,12 +42,29 @@
 	// AfterOutage is set if the change comes from the first listing after an outage of the store. Leases may have expired during the outage, so
 	// that removed keys need not have been deleted on purpose.
 	AfterOutage bool
+	// Horizon of the call that returned the changes. Some of these may be newer.
+	Horizon kv.Horizon
 }
 
 // Snapshot is a copy of the keys as of a revision of the store.
 type Snapshot struct {
 	Revision kv.Revision   `json:"revision"`
 	Items    []kv.KeyValue `json:"items"`
+	Horizon  *Horizon      `json:"horizon,omitempty"` // nil if it is unknown
+}
+
+// Horizon is a kv.Horizon that another process can use: its age needs no agreement of clocks.
+type Horizon struct {
+	Revision kv.Revision `json:"revision"`
+	AgeMs    int64       `json:"age_ms"` // when the snapshot was taken, rounded up
+}
+
+// at returns the horizon in terms of this process's clock, for a snapshot that was taken at or after asked.
+func (h *Horizon) at(asked time.Time) kv.Horizon {
+	if h == nil {
+		return kv.Horizon{}
+	}
+	return kv.Horizon{At: asked.Add(-time.Duration(h.AgeMs) * time.Millisecond), Revision: h.Revision}
 }
 
 // Mirror keeps a copy of the keys under one prefix. Run must be called once. Relist, Revision, Snapshot and Merge are safe for
@@ -64,7 +82,9 @@
 	mu          sync.Mutex // guards the fields below; held while apply runs, so that changes are applied in order
 	items       map[string]kv.KeyValue
 	revision    kv.Revision // of the newest listing, event or merged copy
+	horizon     kv.Horizon  // the latest one
 	failedSince time.Time   // when calls began to fail; zero while they succeed
+	strayLogged bool        // a skipped key outside the prefix was logged
 }
 
 // New returns a mirror that calls apply with each change, one at a time. The first change is the first listing, or a copy merged before it.
@@ -158,22 +178,33 @@
 	for _, item := range m.items {
 		s.Items = append(s.Items, item)
 	}
+	if !m.horizon.At.IsZero() {
+		s.Horizon = &Horizon{Revision: m.horizon.Revision, AgeMs: time.Since(m.horizon.At).Milliseconds() + 1}
+	}
 	return s
 }
 
 // Merge replaces the copy with a peer's if that one is newer and this mirror does not follow the store or cannot reach it. It reports whether
-// the copy was replaced.
-func (m *Mirror) Merge(s Snapshot) bool {
+// the copy was replaced. The peer must have taken the snapshot at or after asked, a time of this process.
+func (m *Mirror) Merge(s Snapshot, asked time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedSince.IsZero() && m.follow() || s.Revision <= m.revision {
 		return false
 	}
 	klog.InfoS("Peer's copy is taken over", "prefix", m.prefix, "revision", s.Revision, "before", m.revision, "keys", len(s.Items))
-	m.replace(s, false)
+	m.replace(s, s.Horizon.at(asked), false)
 	return true
 }
 
+// Put adds newer values of keys, from a peer or another read of the store, also while the mirror follows the store. Unlike Merge it removes no key. The
+// revision of the copy becomes that of the values, so that Put must only be used with mirrors of one key.
+func (m *Mirror) Put(items []kv.KeyValue) {
+	for _, item := range items {
+		m.applyEvent(kv.WatchEvent{KeyValue: item})
+	}
+}
+
 // recordFailure records that a call failed, and logs the first failure.
 func (m *Mirror) recordFailure(err error) {
 	m.mu.Lock()
@@ -186,10 +217,15 @@
 
 // list replaces the copy with a listing of the store.
 func (m *Mirror) list(ctx context.Context) (kv.Revision, error) {
+	sent, stale := time.Now(), m.allowStale
 	listing, err := m.listKeys(ctx)
 	if err != nil {
 		return 0, err
 	}
+	horizon := kv.Horizon{At: sent, Revision: listing.Revision}
+	if stale {
+		horizon = kv.Horizon{}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	afterOutage := !m.failedSince.IsZero() && time.Since(m.failedSince) > minOutage
@@ -197,7 +233,7 @@
 		klog.InfoS("Store is back", "prefix", m.prefix, "revision", listing.Revision, "outage_ms", time.Since(m.failedSince).Milliseconds())
 		m.failedSince = time.Time{}
 	}
-	m.replace(Snapshot{Revision: listing.Revision, Items: listing.Items}, afterOutage)
+	m.replace(Snapshot{Revision: listing.Revision, Items: listing.Items}, horizon, afterOutage)
 	return listing.Revision, nil
 }
 
@@ -212,10 +248,14 @@
 }
 
 // replace updates the copy to a newer one and applies the difference. The caller holds m.mu.
-func (m *Mirror) replace(s Snapshot, afterOutage bool) {
-	change := Change{AfterOutage: afterOutage}
+func (m *Mirror) replace(s Snapshot, horizon kv.Horizon, afterOutage bool) {
+	change := Change{AfterOutage: afterOutage, Horizon: horizon}
+	m.advanceHorizon(horizon)
 	seen := make(map[string]bool, len(s.Items))
 	for _, item := range s.Items {
+		if !m.covers(item.Key) {
+			continue
+		}
 		seen[item.Key] = true
 		if m.items[item.Key].ModRevision < item.ModRevision {
 			m.items[item.Key] = item
@@ -232,6 +272,19 @@
 	m.apply(change)
 }
 
+// covers reports whether a key is one of the mirrored keys, whose users rely on the prefix. It logs the first key that is not. The caller holds
+// m.mu.
+func (m *Mirror) covers(key string) bool {
+	if strings.HasPrefix(key, m.prefix) {
+		return true
+	}
+	if !m.strayLogged {
+		m.strayLogged = true
+		klog.InfoS("Key outside the mirrored prefix skipped, further ones are not logged", "prefix", m.prefix, "key", key)
+	}
+	return false
+}
+
 // watch applies the events after a revision until the watch fails, Relist is called, or the mirror is to stop following the store.
 func (m *Mirror) watch(ctx context.Context, after kv.Revision) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -259,23 +312,34 @@
 	}
 }
 
+// advanceHorizon keeps the latest horizon. The caller holds m.mu.
+func (m *Mirror) advanceHorizon(h kv.Horizon) {
+	if h.At.After(m.horizon.At) {
+		m.horizon = h
+	}
+}
+
 // applyEvent applies one event. Events that are not newer than the copy of their key are skipped, since a listing already included them.
 func (m *Mirror) applyEvent(e kv.WatchEvent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := e.KeyValue.Key
+	if !m.covers(key) {
+		return
+	}
 	existing, exists := m.items[key]
 	if e.KeyValue.ModRevision <= existing.ModRevision {
 		return
 	}
 	m.revision = max(m.revision, e.KeyValue.ModRevision)
+	m.advanceHorizon(e.Horizon)
 	if !e.Deleted {
 		m.items[key] = e.KeyValue
-		m.apply(Change{Put: []kv.KeyValue{e.KeyValue}})
+		m.apply(Change{Put: []kv.KeyValue{e.KeyValue}, Horizon: e.Horizon})
 		return
 	}
 	if exists {
 		delete(m.items, key)
-		m.apply(Change{Removed: []string{key}})
+		m.apply(Change{Removed: []string{key}, Horizon: e.Horizon})
 	}
 }
