node/itemjobs: an item runs by the route of its job only

An item ran by whatever route its path matched. After a configuration had removed the route of a job, its items ran at the service of another route on the same host whose shorter prefix began their paths, instead of being given up; a new route with a longer prefix moved items to its service in the same way, or kept them waiting if that service had no targets.

An item belongs to the route of its job, which the record names. The owner now looks that route up by host and name, among the batch routes only; its absence means that the route was removed, as before under the condition that the table is complete and not older than the one that accepted the job. A route that is given another name counts as removed.

Both tests failed before: the first with 'Should be empty, but was [{a ...' (the item ran, route="beside"), the second with '"[]" should have 1 item(s), but has 0'.

--- a/core/routetable/routetable.go
+++ b/core/routetable/routetable.go
@@ -98,15 +98,29 @@
 // Match returns the route with the longest prefix that matches a request, or nil if there is none. host may have a port, and its case
 // does not matter if the routes have their hosts in lower case. path is the raw path without the query.
 func (t *Table) Match(host, path string) *Route {
-	list, ok := t.byHost[host]
-	if !ok {
-		name, _, _ := strings.Cut(host, ":")
-		list = t.byHost[strings.ToLower(name)]
-	}
-	for _, r := range list {
+	for _, r := range t.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
 	}
 	return nil
 }
+
+// BatchRoute returns the batch route of a host with a name, or nil if there is none. host is as for Match.
+func (t *Table) BatchRoute(host, name string) *Route {
+	for _, r := range t.routesOf(host) {
+		if r.Kind == Batch && r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// routesOf returns the routes of a host, longest prefix first. host is as for Match.
+func (t *Table) routesOf(host string) []*Route {
+	if list, ok := t.byHost[host]; ok {
+		return list
+	}
+	name, _, _ := strings.Cut(host, ":")
+	return t.byHost[strings.ToLower(name)]
+}
--- a/core/routetable/routetable_test.go
+++ b/core/routetable/routetable_test.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// Guards against the route of a job that is taken from another host or for a route of another kind.
+func TestBatchRouteIsFoundByItsHostAndName(t *testing.T) {
+	table := routetable.New(3, routetable.Limits{}, []*routetable.Route{
+		{Name: "jobs", Host: "a.example", Prefix: "/j/", Kind: routetable.Batch},
+		{Name: "beside", Host: "a.example", Prefix: "/j/x/", Kind: routetable.Batch},
+		{Name: "online", Host: "a.example", Prefix: "/o/", Kind: routetable.Stream},
+	})
+	require.Equal(t, "/j/", table.BatchRoute("a.example", "jobs").Prefix)
+	require.Equal(t, "/j/", table.BatchRoute("A.EXAMPLE:80", "jobs").Prefix)
+	require.Nil(t, table.BatchRoute("a.example", "online"))
+	require.Nil(t, table.BatchRoute("a.example", "none"))
+	require.Nil(t, table.BatchRoute("b.example", "jobs"))
+}
+
 // Guards against a weighted choice of a service with weight 0 or of an index beyond the backends.
 func TestBackendFollowsTheWeights(t *testing.T) {
 	route := &routetable.Route{Backends: []routetable.Backend{{Service: "none", Weight: 0}, {Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -452,8 +452,26 @@
 	addedHosts    = " with added hosts"
 )
 
-// tableOf returns the table of a configuration, which is its version, followed by the mark that applies.
+// beside is the mark, after any other one, of configurations that have another batch route on the host of the jobs.
+func beside(service, prefix string) string { return besideMark + service + " " + prefix }
+
+const besideMark = " beside "
+
+// besideRoutes returns the routes of the mark that beside returned, less besideMark.
+func besideRoutes(mark string) []*routetable.Route {
+	service, prefix, found := strings.Cut(mark, " ")
+	if !found {
+		return nil
+	}
+	route := jobsRoute()
+	route.Name, route.Prefix, route.Backends = "beside", prefix, []routetable.Backend{{Service: service, Weight: 1}}
+	return []*routetable.Route{route}
+}
+
+// tableOf returns the table of a configuration, which is its version, followed by the marks that apply.
 func tableOf(config string) *routetable.Table {
+	config, mark, _ := strings.Cut(config, besideMark)
+	others := besideRoutes(mark)
 	number, hostsAdded := strings.CutSuffix(config, addedHosts)
 	number, unusable := strings.CutSuffix(number, unusableRoute)
 	number, lacksRoute := strings.CutSuffix(number, withoutRoute)
@@ -462,11 +480,11 @@
 	case err != nil:
 		panic(err)
 	case lacksRoute || unusable:
-		t := routetable.New(version, routetable.Limits{}, nil)
+		t := routetable.New(version, routetable.Limits{}, others)
 		t.Incomplete = unusable
 		return t
 	}
-	routes := []*routetable.Route{jobsRoute()}
+	routes := append(others, jobsRoute())
 	for v := int64(1); hostsAdded && v <= version; v++ {
 		route := jobsRoute()
 		route.Host = fmt.Sprint("h", v)
--- a/node/itemjobs/routes_test.go
+++ b/node/itemjobs/routes_test.go
@@ -186,3 +186,30 @@
 		require.Equal(t, int64(5), record.Version)
 	})
 }
+
+// Guards against items that run by another route whose prefix also begins their paths, after that of their job was removed.
+func TestItemsDoNotRunByARouteBesideTheRemovedOne(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		release := fillSlots(t, f.nodes[0])
+		f.submitByVersion(f.nodes[0])
+		time.Sleep(time.Second)
+		f.nodes[0].configure("2" + withoutRoute + beside("s", "/"))
+		release()
+		time.Sleep(8 * time.Second)
+		require.Empty(t, f.runsOf("a"))
+		require.Equal(t, []itemjob.Result{{Item: "a"}}, f.readAll(f.nodes[0], "j"))
+	})
+}
+
+// Guards against items that leave the service of their job's route for a new route whose longer prefix begins their paths.
+func TestItemsKeepTheRouteOfTheirJobBesideALongerPrefix(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		release := fillSlots(t, f.nodes[0])
+		f.submitByVersion(f.nodes[0])
+		time.Sleep(time.Second)
+		f.nodes[0].configure("2" + beside("other", "/j/a"))
+		release()
+		time.Sleep(8 * time.Second)
+		requireCompleted(t, f.readAll(f.nodes[0], "j"), "a")
+	})
+}
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +114,7 @@
 		return false
 	}
 	j := s.jobs[choice.Job.ID]
-	route := table.Match(j.Host, path(choice.Task.Item.Path))
+	route := table.BatchRoute(j.Host, j.Route)
 	if route == nil {
 		s.routeIsMissing(j, choice.Task, table, now)
 		return true
@@ -129,7 +128,7 @@
 	return true
 }
 
-// routeIsMissing handles an item whose route is not in the routing table, which is not older than the one by which the job was accepted: the route
+// routeIsMissing handles an item whose job's route is not in the routing table, which is not older than the one by which the job was accepted: the route
 // was removed, and the item is given up. The item waits if that older version is not known, since this instance may be behind, and if the table lacks
 // routes that exist. The caller holds s.mu.
 func (s *Service) routeIsMissing(j *ownedJob, task *itemjob.Task, table *routetable.Table, now time.Time) {
@@ -140,11 +139,6 @@
 	j.RecordInterruption(task, unknownRouteDelay, now)
 }
 
-func path(uri string) string {
-	p, _, _ := strings.Cut(uri, "?")
-	return p
-}
-
 // start runs an item in a goroutine at the target whose slot is held. The caller holds s.mu.
 func (s *Service) start(ctx context.Context, j *ownedJob, choice itemjob.Choice, route *routetable.Route, table *routetable.Table, service string, slot *gateway.Reservation) {
 	task := choice.Task
