itemjobs: promise that a job was not ended only when that is certain

A client whose call to end a job failed was always answered 503, which promises that the call has no effect, also if the store's answer to the write was lost and the record could not be read again: the job had ended, or ended later.

End returned ErrUnavailable for both.

--- a/node/itemjobs/end.go
+++ b/node/itemjobs/end.go
@@ -16,10 +16,26 @@
 // endTimeout bounds all attempts of one call to end a job.
 const endTimeout = 3 * time.Second
 
+// EndError is the error of a job that was not ended for certain. Like a SubmissionError, it passes the outcome on as a value.
+type EndError struct {
+	MayHaveEnded bool // the store may have recorded the end, or may still do so
+	cause        error
+}
+
+// Error implements error.
+func (e *EndError) Error() string {
+	if e.MayHaveEnded {
+		return "job may have ended: " + e.cause.Error()
+	}
+	return "job was not ended: " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *EndError) Unwrap() error { return e.cause }
+
 // End ends a job for its client: no further results are recorded, and its owner starts no further items once it has been notified or has asked
 // the store. If the store's response to the write is lost, the record is read again to find out whether the job has ended. The write is not
-// undone when ctx is cancelled. Ending an ended job succeeds. Errors: ErrNotFound; ErrUnavailable, after which the job may have ended;
-// ErrBadRecord.
+// undone when ctx is cancelled. Ending an ended job succeeds. Errors: ErrNotFound, *EndError.
 func (s *Service) End(ctx context.Context, id itemjob.ID) error {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.WithoutCancel(ctx), "job-end"), endTimeout)
 	defer cancel()
@@ -27,8 +43,11 @@
 	var attempted *itemjob.Record // as it was before a write of this call whose outcome is unknown
 	for {
 		record, revision, err := s.getRecord(ctx, id)
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrNotFound):
 			return err
+		case err != nil:
+			return &EndError{MayHaveEnded: attempted != nil, cause: err}
 		}
 		if record.Ended && attempted != nil {
 			s.reportEnd(ctx, attempted, started)
@@ -49,7 +68,7 @@
 			attempted = &record
 		case !errors.Is(err, errContended):
 			klog.ErrorS(err, "Job was not ended, or the outcome is unknown", "job", id, "revision", revision, "owner", record.Owner)
-			return errors.Join(ErrUnavailable, err)
+			return &EndError{MayHaveEnded: attempted != nil || !hadNoEffect(err), cause: err}
 		}
 	}
 }
--- a/node/itemjobs/ended_test.go
+++ b/node/itemjobs/ended_test.go
@@ -11,6 +11,7 @@
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/itemjobs"
 )
 
 // endBound is the time after the acknowledgement of a job's end within which its items may still reach a target.
@@ -108,6 +109,29 @@
 	})
 }
 
+// Guards against the promise that a job was not ended although the store may have recorded its end, and against one that is missing where it holds.
+func TestOnlyACertainFailureOfAnEndIsAPromise(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		n := f.nodes[0]
+		f.submitMany(n)
+		end := func() bool {
+			var failed *itemjobs.EndError
+			require.ErrorAs(t, n.service.End(t.Context(), "j"), &failed)
+			return failed.MayHaveEnded
+		}
+		n.store.failOnce(kv.ErrUnavailable)
+		require.False(t, end(), "the store refused the write")
+		n.store.setUnreachable(true)
+		require.False(t, end(), "nothing was written")
+		n.store.setUnreachable(false)
+		f.store.OnTxn(nil, func(kv.Txn) error {
+			n.store.setUnreachable(true)
+			return kv.ErrOutcomeUnknown
+		})
+		require.True(t, end(), "the write was executed")
+	})
+}
+
 // Guards against an end that took effect but is reported as failed, and whose owner is not notified, when the response of the store is lost.
 func TestEndIsAcknowledgedAfterALostResponse(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, f *testFleet) {
