node/itemjobs: close a complete job that is taken over

An instance that took over a job by an open mark that was stale, since the former owner recorded the last results after the mark was read, put the mark back. Nothing deleted it again: the job was taken over once a minute for ever, its keys were never removed from the store, and its tokens counted against the limit of its route while its owner was lost.

The take-over is conditional on the record, which results do not change. The new owner finds out when it has read the results, and now deletes the mark.

The test failed before with 'Should be empty, but was [{/eelgrass/item-jobs/open/j ...', after four lines 'Job taken up'.

--- a/node/itemjobs/moved_test.go
+++ b/node/itemjobs/moved_test.go
@@ -46,3 +46,23 @@
 		requireCompleted(t, f.readAll(owner, "j"), "a")
 	})
 }
+
+// Guards against a complete job that stays open for ever, and is taken over again and again, because it was taken over by an open mark that was stale.
+func TestCompleteJobThatWasTakenOverIsClosed(t *testing.T) {
+	withFleet(t, 2, func(t *testing.T, f *testFleet) {
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		f.nodes[1].store.freezeListings(t, openMarks)
+		time.Sleep(8 * time.Second)
+		results := f.readAll(f.nodes[1], "j")
+		requireCompleted(t, results, "a")
+		f.kill(f.nodes[0])
+		time.Sleep(6 * time.Second)
+		f.nodes[1].store.unfreezeListings()
+		require.Equal(t, results, f.readAll(f.nodes[1], "j"))
+		time.Sleep(3 * time.Minute)
+		open, err := f.store.List(t.Context(), openMarks)
+		require.NoError(t, err)
+		require.Empty(t, open.Items)
+		require.Len(t, f.runsOf("a"), 1)
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -300,10 +300,22 @@
 	continued := handedOver.apply(job, now)
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
 		"due_in_ms", job.DueTime().Sub(now).Milliseconds(), "age_ms", job.Age(now).Milliseconds(), "version", record.Version, "accepted_by", record.AcceptedBy, "owned_by", by)
+	if job.AllStored() {
+		s.closeComplete(ctx, record.ID, revision)
+	}
 	s.addOwned(job, by, revision, asOf)
 	return nil
 }
 
+// closeComplete deletes the open mark of a complete job, which the write at the revision put back. That write does not depend on the results: the former
+// owner may have recorded the last ones after the mark was read.
+func (s *Service) closeComplete(ctx context.Context, id itemjob.ID, revision kv.Revision) {
+	_, err := s.replaceRecord(ctx, id, revision, []kv.Op{{Kind: kv.OpDelete, Key: openKey(id)}, {Kind: kv.OpDelete, Key: partialKey(id)}})
+	if err != nil {
+		klog.ErrorS(err, "Complete job was not closed, it will be taken over again", "job", id)
+	}
+}
+
 // dueIn returns the estimated time until a job is due that this instance takes over. The age that is known for certain may lack seconds, which
 // would make all its results late. Hence, if the former owner does not say when it is due, the time of day decides unless it is certainly wrong.
 func dueIn(job *itemjob.Job, handedOver *progress, now time.Time) time.Duration {
