core/slots: a later start of a target ends what a peer reported of it

An instance that got a job together with the report that a target is leaving, and did not list the target at that time, kept all requests from the registration of the same id that it listed next, until a further change, if that registration was made before the report: the mark was treated like a response that arrived with the report, which a process started shortly before might have sent.

A peer names the registration that is leaving. Any later start of the target is another process, whenever it was.

The test failed before with 'Not equal: expected: false, actual: true' for the registration that was started between the reported one and the report.

--- a/core/slots/departures.go
+++ b/core/slots/departures.go
@@ -44,7 +44,7 @@
 // departure is the mark of a target that said in a response that it is leaving.
 type departure struct {
 	target  Target    // newest registration that may have sent the response
-	sent    time.Time // when the request was placed that the response belongs to
+	sent    time.Time // when the request was placed that the response belongs to; zero if a peer reported it
 	said    time.Time // when the response arrived
 	read    bool      // the list was read since then; floor holds
 	floor   int64     // changes with a higher revision were made after the response
@@ -107,7 +107,8 @@
 	if v.isLeavingMarked(t.ID) || listed && !isSameRegistration(known.Target, t) {
 		return false
 	}
-	return v.MarkLeaving(t, now, now)
+	// The peer names the registration that is leaving: any later start of the target ends the mark, whenever that was.
+	return v.MarkLeaving(t, time.Time{}, now)
 }
 
 // boundDepartures drops the oldest marks of targets that are not in the view, if there are too many.
--- a/core/slots/departures_test.go
+++ b/core/slots/departures_test.go
@@ -124,6 +124,21 @@
 	requireNoTarget(t, v)
 }
 
+// Guards against a peer's report of an unlisted target that keeps requests for ever from a registration that followed before the report.
+func TestLaterRegistrationEndsThePeersReport(t *testing.T) {
+	reported := departureTarget(departureStart, fleet.TargetLive)
+	for _, c := range []struct {
+		listed slots.Target
+		ends   bool
+	}{{departureTarget(now.Add(-time.Second), fleet.TargetLive), true}, {reported, false}, {departureTarget(departureStart.Add(-time.Second), fleet.TargetLive), false}} {
+		v := newView("i1", target("t2", "a2"))
+		require.True(t, v.MarkLeavingFromPeer(reported, now))
+		v.SetTargets([]slots.Target{c.listed})
+		v.ApplyEntries([]slots.Entry{{Target: c.listed, Revision: 11}}, slots.Horizon{At: now.Add(time.Second), Revision: 11}, now)
+		require.Equal(t, !c.ends, !v.HasTarget("s", nil), "%+v", c.listed)
+	}
+}
+
 // Guards against memory that grows with each target that ever left, and against forgetting listed ones for that.
 func TestDeparturesAreBounded(t *testing.T) {
 	listed := departureTarget(departureStart, fleet.TargetLive)
