itemjobs: wait for the scheduler in tests that change the configuration

Four tests put a configuration in force and free the slots at the same instant of virtual time. A round of the scheduler that had taken the table before could then find a free slot and start the item by the older table, which is right and not what the tests are about.

--- a/node/itemjobs/routes_test.go
+++ b/node/itemjobs/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -108,6 +109,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("2" + withoutRoute)
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []itemjob.Result{{Item: "a"}}, f.readAll(f.nodes[0], "j"))
@@ -121,6 +123,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("4" + unusableRoute)
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		f.requireWaitsForVersion(f.nodes[0])
 	})
@@ -194,6 +197,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("2" + withoutRoute + beside("s", "/"))
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		time.Sleep(8 * time.Second)
 		require.Empty(t, f.runsOf("a"))
@@ -208,6 +212,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("2" + beside("other", "/j/a"))
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		time.Sleep(8 * time.Second)
 		requireCompleted(t, f.readAll(f.nodes[0], "j"), "a")
