node/gateway: digests of target lists that earlier builds share

The digest that instances announce of their target lists covers all fields of a target. Two fields were added to it (the start and the version of the target), so that the lists of an earlier and of this build always seem to differ. While a fleet is updated, an instance that does not watch the store then reads the whole list in each of its rounds, about every 300 ms, from peers of the other build, as the targets rewrite their entries all the time and the revision of the list advances.

The digest in the present field of the datagram now covers the fields that earlier builds have, and a new field announces one of all fields, which is compared only with peers that announce it.

--- a/node/gateway/catchup.go
+++ b/node/gateway/catchup.go
@@ -130,9 +130,10 @@
 
 // syncState returns the part of this instance's datagrams that describes its copies.
 func (c *CatchUp) syncState() SyncState {
-	digest := c.list.Digest()
+	digests := c.list.Digests()
 	return SyncState{
-		StoreLost: c.StoreLost(), Version: c.version(), Targets: digest, Revision: c.copies.Targets.Revision(), Watches: c.watchesStore.Load(),
+		StoreLost: c.StoreLost(), Version: c.version(), Targets: digests.Placement, Registrations: digests.Registrations,
+		Revision: c.copies.Targets.Revision(), Watches: c.watchesStore.Load(),
 	}
 }
 
@@ -235,14 +236,14 @@
 		c.configLag.announced, c.targetsLag.announced = 0, 0
 		return
 	}
-	digest := c.list.Digest()
+	digests := c.list.Digests()
 	var version, revision int64
 	for _, report := range reports {
 		if report.StoreLost {
 			continue
 		}
 		version = max(version, report.Version)
-		if report.Targets != digest {
+		if digests.differ(report.SyncState) {
 			revision = max(revision, int64(report.Revision))
 		}
 	}
@@ -299,7 +300,7 @@
 	if report.Version > c.version() {
 		missing = append(missing, copyConfig)
 	}
-	if (report.Targets != c.list.Digest() || c.list.awaitsHorizon()) && report.Revision > c.copies.Targets.Revision() {
+	if (c.list.Digests().differ(report.SyncState) || c.list.awaitsHorizon()) && report.Revision > c.copies.Targets.Revision() {
 		missing = append(missing, copyTargets)
 	}
 	if mayRefreshMembers && time.Now().After(c.nextMembersRefresh) {
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -48,11 +48,13 @@
 
 // SyncState describes an instance's copies of the store's keys to its peers. It is part of each datagram.
 type SyncState struct {
-	StoreLost bool        `json:"l,omitempty"` // the store is unreachable for the sender
-	Version   int64       `json:"v,omitempty"` // of the sender's routing table
-	Targets   uint64      `json:"t,omitempty"` // digest of the sender's list of targets, see TargetList.Digest
-	Revision  kv.Revision `json:"r,omitempty"` // revision of the store that the list corresponds to
-	Watches   bool        `json:"f,omitempty"` // the sender watches the store
+	StoreLost bool   `json:"l,omitempty"` // the store is unreachable for the sender
+	Version   int64  `json:"v,omitempty"` // of the sender's routing table
+	Targets   uint64 `json:"t,omitempty"` // of the sender's list of targets, see TargetDigests.Placement
+	// Registrations is that of TargetDigests; earlier builds do not send it.
+	Registrations uint64      `json:"g,omitempty"`
+	Revision      kv.Revision `json:"r,omitempty"` // revision of the store that the list corresponds to
+	Watches       bool        `json:"f,omitempty"` // the sender watches the store
 }
 
 // datagram is the message that an instance sends to its peers after each change of its own state, and as a heartbeat.
--- a/node/gateway/tables.go
+++ b/node/gateway/tables.go
@@ -158,7 +158,20 @@
 	targets map[fleet.TargetID]slots.Target
 	dropAt  map[fleet.TargetID]time.Time // when to drop targets whose entries disappeared in an outage
 	skipped map[fleet.TargetID]string    // logged reason for skipping the present entry
-	digest  uint64
+	digests TargetDigests
+}
+
+// TargetDigests are hashes of a list of targets. They are 0 before the first change.
+type TargetDigests struct {
+	// Placement covers what decides where requests go. It is equal on all instances with the same list, also on those of builds that announce
+	// no other one.
+	Placement     uint64
+	Registrations uint64 // covers all fields
+}
+
+// differ reports whether a peer that announces its digests has another list. Earlier builds announce 0 as Registrations.
+func (d TargetDigests) differ(announced SyncState) bool {
+	return announced.Targets != d.Placement || announced.Registrations != 0 && announced.Registrations != d.Registrations
 }
 
 const (
@@ -168,11 +181,11 @@
 	maxReasonBytes = 200
 )
 
-// Digest returns a hash of the list, which is equal on all instances with the same list. It is 0 before the first change.
-func (l *TargetList) Digest() uint64 {
+// Digests returns the hashes of the list.
+func (l *TargetList) Digests() TargetDigests {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.digest
+	return l.digests
 }
 
 // NewTargetList returns an empty list of the targets whose entries have keys under prefix. decode decodes one entry.
@@ -289,18 +302,23 @@
 // awaitsHorizon reports whether the list is to be read again because of a target that said that it is leaving; see horizonDelay.
 func (l *TargetList) awaitsHorizon() bool { return l.board.awaitsHorizon() }
 
-// publish updates the digest and passes the list to the board; l.mu is held.
+// publish updates the digests and passes the list to the board; l.mu is held.
 func (l *TargetList) publish() {
 	list := make([]slots.Target, 0, len(l.targets))
 	for _, t := range l.targets {
 		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b slots.Target) int { return cmp.Compare(a.ID, b.ID) })
-	digest := xxhash.New()
+	placement, registrations := xxhash.New(), xxhash.New()
 	for _, t := range list {
-		fmt.Fprintln(digest, t) // writes to a hash do not fail
+		// Writes to a hash do not fail. Fields that are added to targets must not change the first hash.
+		fmt.Fprintln(placement, struct {
+			fleet.Target
+			Slots int
+		}{t.Target, t.Slots})
+		fmt.Fprintln(registrations, t)
 	}
-	l.digest = digest.Sum64()
+	l.digests = TargetDigests{Placement: placement.Sum64(), Registrations: registrations.Sum64()}
 	l.board.SetTargets(list)
 	l.onChange()
 }
--- a/node/gateway/targetlist_test.go
+++ b/node/gateway/targetlist_test.go
@@ -93,3 +93,22 @@
 	}
 	require.LessOrEqual(t, lines(), 200)
 }
+
+// Guards against lists that differ for ever between builds, whose instances would then read the whole list from each other all the time.
+func TestDigestOfPlacementIsThatOfEarlierBuilds(t *testing.T) {
+	digests := func(started int64, slotsOfTarget int) gateway.TargetDigests {
+		board := gateway.NewBoard(slots.NewView("i1", "a", fleet.Topology{}, slots.DefaultPolicy()))
+		list := gateway.NewTargetList(board, "t/", func(string, []byte) (slots.Target, error) {
+			target := slots.Target{Slots: slotsOfTarget, Started: started}
+			target.ID, target.Service, target.Address, target.FailureDomain, target.State = "t1", "s", "10.8.0.1:80", "a", fleet.TargetLive
+			return target, nil
+		})
+		list.Apply(kvmirror.Change{Put: []kv.KeyValue{{Key: "t/t1", ModRevision: 1}}})
+		return list.Digests()
+	}
+	first, restarted, larger := digests(1, 8), digests(2, 8), digests(1, 9)
+	require.Equal(t, uint64(0xd7f678f8465e7b5), first.Placement, "of a target without the fields Started and Version")
+	require.Equal(t, first.Placement, restarted.Placement)
+	require.NotEqual(t, first.Registrations, restarted.Registrations, "it may end the departure of a target")
+	require.NotEqual(t, first.Placement, larger.Placement)
+}
