node/itemjobs: a forwarded job that was not sent was not recorded

An instance that forwards a submitted job to a peer that has just stopped cannot connect to it. It took that for an unknown outcome: if the store then refused the instance itself, the client was told 504, although no instance had been sent the job.

A call to a peer that got no connection now ends with an error type of its own, and the outcome of that attempt is that the job was not recorded.

The test failed before with 'Target error should be in err chain: expected: "job cannot be looked up or changed now" in chain: "job may have been accepted: [10.0.0.2:7720 in 0 ms: unknown: ... connection refused'.

--- a/node/gateway/peerclient.go
+++ b/node/gateway/peerclient.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"eelgrassproxy.example/adapters/httpcall"
@@ -29,6 +31,15 @@
 // Error implements error.
 func (e *PeerStatusError) Error() string { return fmt.Sprintf("peer returned status %d", e.Status) }
 
+// PeerNotSentError means that no byte of a call was sent, since no connection to the peer could be opened.
+type PeerNotSentError struct{ cause error }
+
+// Error implements error.
+func (e *PeerNotSentError) Error() string { return "call to a peer was not sent: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PeerNotSentError) Unwrap() error { return e.cause }
+
 // PeerClient makes HTTP calls to other instances. It is safe for concurrent use.
 type PeerClient struct{ client *http.Client }
 
@@ -41,7 +52,8 @@
 func (c *PeerClient) CloseIdle() { c.client.CloseIdleConnections() }
 
 // Do makes one call and returns the body of the response. processingTime is the time that the peer may take for processing, in addition to
-// peerCallTimeout. A response with a status other than 200 results in a *PeerStatusError.
+// peerCallTimeout. A response with a status other than 200 results in a *PeerStatusError, and a call that was certainly not sent in a
+// *PeerNotSentError.
 func (c *PeerClient) Do(ctx context.Context, method, address, path string, query url.Values, body []byte, processingTime time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, processingTime+peerCallTimeout)
 	defer cancel()
@@ -51,8 +63,16 @@
 	if err != nil {
 		return nil, err
 	}
+	var asked, connected atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { asked.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	response, err := c.client.Do(request)
-	if err != nil {
+	switch {
+	case err != nil && asked.Load() && !connected.Load():
+		return nil, &PeerNotSentError{err}
+	case err != nil:
 		return nil, err
 	}
 	defer response.Body.Close()
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -125,10 +125,15 @@
 	if err != nil {
 		return Invalid, err
 	}
-	if _, err = c.client.Do(ctx, http.MethodPost, address, submissionPath, nil, body, submitTimeout); err != nil {
-		return statusOutcome(statusOf(err)), err
-	}
-	return Accepted, nil
+	_, err = c.client.Do(ctx, http.MethodPost, address, submissionPath, nil, body, submitTimeout)
+	var notSent *gateway.PeerNotSentError
+	switch {
+	case err == nil:
+		return Accepted, nil
+	case errors.As(err, &notSent):
+		return Unavailable, err
+	}
+	return statusOutcome(statusOf(err)), err
 }
 
 // drop notifies a peer that it does not own a job since a revision of its record. It is no error if the peer does not have the job.
--- a/node/itemjobs/promises_test.go
+++ b/node/itemjobs/promises_test.go
@@ -44,3 +44,22 @@
 		require.Equal(t, int64(1), called.submissionsCounted("unknown"))
 	})
 }
+
+// Guards against an answer that promises nothing although no instance was sent the job, since the peer that should own it has just stopped.
+func TestJobThatWasSentToNoInstanceIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLargeTestFleet(t, false)
+		defer f.close()
+		called := f.nodes[0]
+		require.NoError(t, called.service.Submit(t.Context(), submission("load", "x", "y")))
+		time.Sleep(time.Second) // until the peers know that they are less loaded
+		for _, n := range f.nodes {
+			n.store.setOnCreate(refuseCreation)
+			f.network.Refuse(n.address)
+		}
+		err := called.service.Submit(t.Context(), submission("j", "a"))
+		require.ErrorIs(t, err, itemjobs.ErrUnavailable)
+		time.Sleep(15 * time.Second)
+		require.Empty(t, f.runsOf("a"))
+	})
+}
