--- a/node/itemjobs/routes_test.go
+++ b/node/itemjobs/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -108,6 +109,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("2" + withoutRoute)
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		time.Sleep(2 * time.Second)
 		require.Equal(t, []itemjob.Result{{Item: "a"}}, f.readAll(f.nodes[0], "j"))
@@ -121,6 +123,7 @@
 		f.submitByVersion(f.nodes[0])
 		time.Sleep(time.Second)
 		f.nodes[0].configure("4" + unusableRoute)
+		synctest.Wait() // until no round of the scheduler has the table before
 		release()
 		f.requireWaitsForVersion(f.nodes[0])
 	})
@@ -186,3 +189,32 @@
 		require.Equal(t, int64(5), record.Version)
 	})
 }
+
+// Guards against items that run by another route whose prefix also begins their paths, after that of their job was removed.
+func TestItemsDoNotRunByARouteBesideTheRemovedOne(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		release := fillSlots(t, f.nodes[0])
+		f.submitByVersion(f.nodes[0])
+		time.Sleep(time.Second)
+		f.nodes[0].configure("2" + withoutRoute + beside("s", "/"))
+		synctest.Wait() // until no round of the scheduler has the table before
+		release()
+		time.Sleep(8 * time.Second)
+		require.Empty(t, f.runsOf("a"))
+		require.Equal(t, []itemjob.Result{{Item: "a"}}, f.readAll(f.nodes[0], "j"))
+	})
+}
+
+// Guards against items that leave the service of their job's route for a new route whose longer prefix begins their paths.
+func TestItemsKeepTheRouteOfTheirJobBesideALongerPrefix(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		release := fillSlots(t, f.nodes[0])
+		f.submitByVersion(f.nodes[0])
+		time.Sleep(time.Second)
+		f.nodes[0].configure("2" + beside("other", "/j/a"))
+		synctest.Wait() // until no round of the scheduler has the table before
+		release()
+		time.Sleep(8 * time.Second)
+		requireCompleted(t, f.readAll(f.nodes[0], "j"), "a")
+	})
+}
