node/gateway: report a lost instance whose record was removed before it fell silent

Callers of instances on standby were sent to a lost instance for up to nine seconds instead of four if its membership record was removed while its last datagram was still recent: it crashed right after it had removed the record, or its lease ended first. The instances of the working set noticed its silence and dropped it, since it had no record, but reported only listed peers and those whose record was removed after they had fallen silent. Instances on standby then had to wait for their own, longer timeout.

A peer that falls silent without a record is now reported like one whose record is removed after that, for the same time. The reports also come from members of the working set that do not watch the store. The list of dropped instances is now pruned on instances that report none as well; there it only grew.

TestLossIsReportedAfterTheRecordWasRemoved failed 3 of 3 times before: '[i00 i01 i02 i04 i05 i24] should not contain "i24"' at i03, 4 s after the loss. It passes 3 of 3 times now.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -272,7 +272,7 @@
 		served = served || p.workingSet != nil && p.workingSet[id]
 		lost = append(lost, state.member)
 		if !state.listed {
-			delete(p.peers, id)
+			p.forget(id, now)
 		}
 	}
 	p.mu.Unlock()
--- a/node/gateway/large_fleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -104,6 +104,32 @@
 	})
 }
 
+// startLargest starts a large fleet and one more instance that joins its working set; most others know it from its datagrams only.
+func startLargest(t *testing.T, p *testFleet) *member {
+	startLargeFleet(p)
+	p.capacity = 0.8
+	largest := p.startInstance("i24", "a1", true)
+	time.Sleep(4 * time.Second) // less than until the next refresh of the records
+	for _, m := range p.members {
+		require.Contains(t, serving(m), largest.id, "%s", m.id)
+	}
+	return largest
+}
+
+// Guards against instances on standby that send callers to a lost instance for long because those that missed its datagrams had already seen the
+// removal of its membership record.
+func TestLossIsReportedAfterTheRecordWasRemoved(t *testing.T) {
+	runInFleet(t, func(t *testing.T, p *testFleet) {
+		lost := startLargest(t, p)
+		p.network.Crash(lost.address)
+		lost.stop() // removes the membership record at once
+		time.Sleep(4 * time.Second)
+		for _, m := range p.members[:24] {
+			require.NotContains(t, serving(m), lost.id, "%s", m.id)
+		}
+	})
+}
+
 // holdRequestAtStandby makes an instance on standby hold a slot of a target for half a second.
 func holdRequestAtStandby(t *testing.T, standby *member) {
 	t.Helper()
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -39,7 +39,7 @@
 	farSent           time.Time // when datagrams were last sent to far peers
 	peers             map[fleet.InstanceID]*peerState
 	active            bool                           // this instance has requests at targets
-	removedRecords    map[fleet.InstanceID]time.Time // when the membership records of lost instances were removed
+	removedRecords    map[fleet.InstanceID]time.Time // when lost instances without a membership record were dropped
 	workingSet        map[fleet.InstanceID]bool      // the working set; nil if all instances serve callers
 	workingSetSlots   int                            // number of target slots that the working set is chosen for
 	workingSetSlotsAt time.Time                      // when there last were that many
@@ -282,8 +282,7 @@
 	if known {
 		state.listed = false
 		if now := time.Now(); state.lost || !state.receivedRecently(now) {
-			delete(p.peers, id)
-			p.removedRecords[id] = now
+			p.forget(id, now)
 		}
 	}
 	p.mu.Unlock()
@@ -293,3 +292,9 @@
 		p.onMembers()
 	}
 }
+
+// forget drops a lost peer that has no membership record. It is still reported as silent for removedRecordTTL; p.mu is held.
+func (p *Peers) forget(id fleet.InstanceID, now time.Time) {
+	delete(p.peers, id)
+	p.removedRecords[id] = now
+}
--- a/node/gateway/workingset.go
+++ b/node/gateway/workingset.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -183,25 +184,19 @@
 	}
 }
 
-// removedRecordTTL is how long an instance is reported as silent after its membership record was removed: until the others have read a new copy
-// of the records.
+// removedRecordTTL is how long a lost instance without a membership record is reported as silent after it was dropped: until the others have read
+// a new copy of the records.
 const removedRecordTTL = membersRefreshInterval + 30*time.Second
 
 // silentPeers returns the instances that the next datagram reports as silent, ordered by ID: the listed peers whose datagrams have stopped
-// arriving, and those whose membership records were removed lately, which instances on standby may still list. Only members of the working set
+// arriving, and lost ones without a membership record, which instances on standby may still list. Only members of the working set
 // report any. p.mu is held.
 func (p *Peers) silentPeers(now time.Time) []fleet.InstanceID {
+	maps.DeleteFunc(p.removedRecords, func(_ fleet.InstanceID, since time.Time) bool { return now.Sub(since) > removedRecordTTL })
 	if p.workingSet == nil || !p.workingSet[p.self.ID] {
 		return nil
 	}
-	var silent []fleet.InstanceID
-	for id, since := range p.removedRecords {
-		if now.Sub(since) > removedRecordTTL {
-			delete(p.removedRecords, id)
-			continue
-		}
-		silent = append(silent, id)
-	}
+	silent := slices.Collect(maps.Keys(p.removedRecords))
 	for id, s := range p.peers {
 		if s.listed && s.isOverdue(now) {
 			silent = append(silent, id)
