node/gateway: drop lost peers that have neither a membership record nor datagrams

Instances on standby sent callers to a lost instance again after it had been out of use for almost two minutes, and chose another working set than the rest.

An instance that does not watch the store knows an instance that started lately from its datagrams only. When members of the working set reported it as silent, it left the working set at such an instance, before its own longer timeout had passed. From then on no datagrams are expected from it there, and only a report keeps it suspected: it was never marked as lost, and as its record was never read, the refresh of the records could not remove it. When the reports ended, 90 seconds after the removal of its record, it counted as alive. The same happened to a peer whose record was removed while its last datagram was recent, if none were expected afterwards; it stayed in the list of members for good.

A peer without a record from which no datagrams are expected is now dropped when the latest one is as old as the reports last. By then the copy of the records has been refreshed, which lists the peer if it is still there.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -256,6 +256,10 @@
 	return true
 }
 
+// unlistedPeerTTL is how long a peer is kept after its latest datagram if none are expected from it and it has no membership record here. It leaves
+// time to read a new copy of the records, and ends before others stop reporting the peer as silent.
+const unlistedPeerTTL = removedRecordTTL
+
 // suspectSilentPeers marks the peers whose datagrams have stopped arriving, and drops their counts. They stay suspected until the next datagram
 // arrives: a suspected peer leaves the working set and is then expected to send less often, so that its silence alone would not keep it
 // suspected.
@@ -265,6 +269,11 @@
 	now := time.Now()
 	p.mu.Lock()
 	for id, state := range p.peers {
+		if state.contact == contactNone && !state.listed && now.Sub(state.silentSince()) > unlistedPeerTTL {
+			klog.InfoS("Peer without a membership record is dropped", "instance", id, "incarnation", state.member.Incarnation)
+			delete(p.peers, id)
+			continue
+		}
 		if state.lost || state.contact == contactNone || now.Sub(state.silentSince()) < state.silenceTimeout() {
 			continue
 		}
--- a/node/gateway/large_fleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -130,6 +130,30 @@
 	})
 }
 
+// Guards against sending callers to a lost instance again once no other reports it any more: an instance on standby that knew it from its
+// datagrams only does not learn that its membership record was removed.
+func TestLostInstanceWithoutAKnownRecordIsForgotten(t *testing.T) {
+	runInFleet(t, func(t *testing.T, p *testFleet) {
+		lost := startLargest(t, p)
+		p.network.Crash(lost.address)
+		time.Sleep(4 * time.Second)
+		for i := range 80 {
+			if i == 5 {
+				_, err := p.store.Txn(t.Context(), kv.Txn{Then: []kv.Op{{Kind: kv.OpDelete, Key: "/eelgrass/members/" + string(lost.id)}}})
+				require.NoError(t, err)
+			}
+			for _, m := range p.members[:24] {
+				require.NotContains(t, serving(m), lost.id, "%s after %d s", m.id, 4+2*i)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		for _, m := range p.members[:24] {
+			_, known := stateOf(m, lost.id)
+			require.False(t, known, "%s", m.id)
+		}
+	})
+}
+
 // holdRequestAtStandby makes an instance on standby hold a slot of a target for half a second.
 func holdRequestAtStandby(t *testing.T, standby *member) {
 	t.Helper()
