core/membership: get the record of a sender that was forgotten

An instance that was frozen or cut off for longer than the retention of dead members (10 minutes), and that the instance list no longer named, stayed unknown to the others for good after its return: it got no callers, no targets' reports and no blobs. It sends its own record only to members that may not have it, and each of these had got it before the absence. Its probes were acknowledged, but a receiver without a record of the sender took nothing from them.

Such a receiver now reports the sender to itself as suspected. The sender refutes that, which makes it send its record to everyone again, also to members that only hear of it from others.

TestForgottenInstanceIsKnownAgain failed 3 of 3 times before: no other instance lists it a minute after its return ('expected: map[0:4], actual: map[]'). It passes 3 of 3 times now.

This is not shown to be the cause of the failure of TestAnOwnerThatWakesAfterItsLeaseDoesNoHarm, whose instance is frozen for less than a minute.

--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -84,7 +84,8 @@
 }
 
 // HandleProbe applies a peer's probe and returns the acknowledgement to send. A probe whose sender is this instance itself is
-// acknowledged but not applied.
+// acknowledged but not applied. A sender that has no record here, because it was removed during a long absence, is reported to itself as suspected:
+// its refutation contains its own record.
 func (d *Detector) HandleProbe(now time.Time, p Probe) Probe {
 	d.start(now)
 	if p.From == d.self.ID {
@@ -97,6 +98,8 @@
 	ack := d.message(r, isNew)
 	if r != nil {
 		r.selfDelivered = d.self.Incarnation
+	} else {
+		ack.Updates = append(ack.Updates, Update{ID: p.From, State: fleet.MemberSuspect, Incarnation: p.Incarnation})
 	}
 	return ack
 }
--- a/node/control/membership/membership_test.go
+++ b/node/control/membership/membership_test.go
@@ -279,3 +279,23 @@
 		})
 	})
 }
+
+// Guards against an instance that stays unknown after an absence in which the others forgot it: it had already told them its addresses.
+func TestForgottenInstanceIsKnownAgain(t *testing.T) {
+	runFleet(t, 5, newFakeStore(), func(nodes []*node, net *network) {
+		time.Sleep(20 * time.Second)
+		net.setCut(nodes[2].member.PeerAddress, true)
+		for _, n := range nodes {
+			n.poller.apply(Changes{Instances: []membership.ListEntry{{ID: "i2", State: membership.ListGone}}})
+		}
+		time.Sleep(membership.DefaultDeadRetention + time.Minute)
+		assert.Empty(t, countStates(nodes, "i2"))
+		net.setCut(nodes[2].member.PeerAddress, false)
+		time.Sleep(time.Minute)
+		for _, n := range nodes {
+			assert.Equal(t, map[fleet.MemberState]int{fleet.MemberAlive: 4}, countStates(nodes, n.member.ID), "%s", n.member.ID)
+			m, _ := n.board.Members.Get("i2")
+			assert.Equal(t, nodes[2].member.CallerAddress, m.CallerAddress, "%s", n.member.ID)
+		}
+	})
+}
