cmd/eelgrassproxy: print logs and member lists when a process test fails

TestAnOwnerThatWakesAfterItsLeaseDoesNoHarm failed once and left nothing that tells whether the woken process still ran, what it logged and how the other instances saw it. A failed test of processes now prints the ends of their logs, how they ended, and what each instance that answers says of the others.

Checked with a test that kills one of three instances and fails.

--- a/cmd/eelgrassproxy/process_test.go
+++ b/cmd/eelgrassproxy/process_test.go
@@ -93,7 +93,37 @@
 	require.NoError(p.t, p.command(i).Process.Signal(s))
 }
 
+// logTailBytes is how much of each instance's log a failed test prints.
+const logTailBytes = 16 << 10
+
+// describe logs what each instance says of the others, for a failed test.
+func (p *processes) describe() {
+	for i, instance := range p.fleet.Instances {
+		s, err := p.status(i)
+		if err != nil {
+			p.t.Logf("%s does not answer: %v", instance.ID, err)
+			continue
+		}
+		p.t.Logf("%s has %+v", instance.ID, s.Instances)
+	}
+}
+
+// logTails logs the ends of the logs of the instances, which must have ended.
+func (p *processes) logTails() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, log := range p.logs {
+		tail := log.Bytes()
+		tail = tail[max(0, len(tail)-logTailBytes):]
+		p.t.Logf("%s ended with %v; end of its log:\n%s", id, p.commands[id].ProcessState, tail)
+	}
+}
+
 func (p *processes) stop() {
+	if p.t.Failed() {
+		p.describe()
+		defer p.logTails()
+	}
 	for i := range p.fleet.Instances {
 		_ = p.command(i).Process.Signal(syscall.SIGCONT)
 		_ = p.command(i).Process.Kill()
