node/itemjobs: scan for a job that was taken over and could not be loaded

Callers saw an accepted job without results for as long as a process lived. An instance on standby wrote itself into the record of a job and could not read its items. It does not scan the open jobs while it knows of none of its own, and to all others the job's owner was alive.

A failure to load the job now counts like a write whose outcome is unknown: the instance scans the open jobs and takes the job up.

TestStandbyThatCannotLoadAJobItTookOverLoadsItLater failed before ('"[]" should have 1 item(s), but has 0', 2 of 2 runs) and passes 5 of 5 times.

--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -241,7 +241,11 @@
 		return err
 	}
 	go s.notifyFormerOwner(context.WithoutCancel(ctx), id, former, revision)
-	return s.resumeJob(ctx, record, revision, former, handedOver, submittedBy, asOf)
+	if err := s.resumeJob(ctx, record, revision, former, handedOver, submittedBy, asOf); err != nil {
+		s.setOwnershipUncertain() // so that this instance finds the job by its scans, on standby too
+		return err
+	}
+	return nil
 }
 
 // submittedBy returns a time as for itemjob.NewJob, for a job whose record was just read: the earliest by the record, the progress that a former
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -76,7 +76,8 @@
 	runs       map[fleet.TargetID][]*run // items in flight, oldest first
 	pace       itemjob.Pace
 	draining   bool
-	// ownershipUncertain is set, and never cleared, when the outcome of a write that makes this instance the owner of a job is unknown.
+	// ownershipUncertain is set, and never cleared, when a record may name this instance as the owner of a job that is not in jobs: the outcome of
+	// the write is unknown, or the items could not be read after it.
 	ownershipUncertain bool
 	running            sync.WaitGroup
 }
