node/gateway: test that no event without an id begins a stream

The check that refuses events without an id was covered only where an event follows others, which the check of their order refuses as well. Without the check, the test fails with an answer whose body begins with the error.

--- a/node/gateway/broken_stream_test.go
+++ b/node/gateway/broken_stream_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// Guards against an error that is taken for the first event of a stream.
+func TestStreamDoesNotBeginWithAnEventWithoutID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t, map[string]script{"t1": streamOf("event: error\ndata: " + errorText + "\n\n"), "t2": events(0, 2)})
+		defer w.close()
+		w.prefer("t1")
+		var out sink
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 2), out.body.String())
+		require.Equal(t, []receivedRequest{{"t1", ""}, {"t2", ""}}, w.seen)
+	})
+}
+
 // Guards against joining the runs of a request whose route has no streams, and so no positions to resume from.
 func TestEventsOfARouteWithoutStreamsAreNotResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
