node/bulk: keep waiting for slow disks if no other one can take a blob

An upload or a batch result failed with 'too few disk holders in different failure domains took the blob' when both disks needed more than 5 s to make a blob durable, although they were about to acknowledge it, and although the time for the blob as a whole was 15 s. The caller had to send the whole file again.

Each holder had 5 s, and 1 s per MiB, for the transfer and its syncs together, and was then given up; the transfer of a small chunk takes almost none of that, so it bounds the syncs, during which no progress can be seen. The limit serves to try another holder soon, but it also applied if there was none.

A holder that is slow by that limit is now kept, and the next candidate is tried beside it; the first two acknowledgements from different failure domains count. Both are given up after the time that the blob had as a whole. A slow holder that failed after 5 s before delays nothing: the next one starts at that time.

In the tests of this package the network now does not end a call to a silent holder by itself, as before after 5 s. Without the check for the failure domain, TestSlowDisksOfOneFailureDomainStoreOneCopy fails.

--- a/adapters/peer/blobs.go
+++ b/adapters/peer/blobs.go
@@ -22,11 +22,18 @@
 	blobBytesPerSecond = 1 << 20
 )
 
-// BlobTimeout covers the transfer of a blob and the syncs of the receiver's disk.
+// BlobTimeout covers the transfer of a blob and the syncs of the receiver's disk, unless that one is slow.
 func BlobTimeout(bytes int64) time.Duration {
 	return FetchTimeout + time.Duration(bytes)*time.Second/blobBytesPerSecond
 }
 
+// slowPutFactor is how many times BlobTimeout a write of a blob may take. Another holder is tried after BlobTimeout, but if all disks are slow, a
+// late copy is better than none.
+const slowPutFactor = 3
+
+// PutBlobTimeout bounds a write of a blob, also to a disk that is slow.
+func PutBlobTimeout(bytes int64) time.Duration { return slowPutFactor * BlobTimeout(bytes) }
+
 // BlobHandlers are what the server needs of the instance's disk. All are nil on an instance without a disk, which answers every call
 // with 404. Errors: ErrNotFound, ErrFull, ErrDigest.
 type BlobHandlers struct {
@@ -49,7 +56,7 @@
 // PutBlob stores a blob on the peer's disk; nil means that it survives a crash of the peer. Errors: ErrFull, ErrNotFound if the peer
 // has no disk, and those of every call. content is not read after the return.
 func (c *Client) PutBlob(ctx context.Context, address, digest string, content []byte) error {
-	ctx, cancel := prepare(ctx, address, BlobTimeout(int64(len(content))), maxControlResponse)
+	ctx, cancel := prepare(ctx, address, PutBlobTimeout(int64(len(content))), maxControlResponse)
 	defer cancel()
 	body := detach.NewReader(content)
 	defer body.Detach()
--- a/node/bulk/bulk.go
+++ b/node/bulk/bulk.go
@@ -21,8 +21,6 @@
 const (
 	// copies is the number of holders of a blob, each in its own failure domain.
 	copies = 2
-	// putAttempts is the number of consecutive transfers to unresponsive holders that the timeout of one Put allows for.
-	putAttempts = 3
 
 	defaultRepairDelay = 2 * time.Minute
 	// defaultRepairBytesPerSecond uses a third of a link of 25 Mbit/s between regions, the worst case for a repair.
@@ -90,7 +88,7 @@
 	if len(data) > MaxBlobBytes {
 		return batch.BlobRef{}, eris.Wrapf(ErrInvalid, "blob has %d bytes, the limit is %d", len(data), MaxBlobBytes)
 	}
-	ctx, cancel := context.WithTimeout(ctx, putAttempts*peer.BlobTimeout(int64(len(data))))
+	ctx, cancel := context.WithTimeout(ctx, peer.PutBlobTimeout(int64(len(data))))
 	defer cancel()
 	ref := batch.BlobRef{Digest: disk.Digest(data), Bytes: int64(len(data))}
 	holders, err := s.place(ctx, blob{digest: ref.Digest, content: data}, s.candidates(ref.Digest, s.config.FailureDomain), nil, copies)
--- a/node/bulk/bulk_test.go
+++ b/node/bulk/bulk_test.go
@@ -105,6 +105,66 @@
 	}
 }
 
+// Guards against uploads that fail because all disks are slow, and against waiting for a slow disk while others are fast.
+func TestSlowDisksStoreABlob(t *testing.T) {
+	const tolerance = time.Second
+	cases := map[string]struct {
+		instances, slow []fleet.InstanceID
+		sync            time.Duration
+		atMost          time.Duration
+		want            []fleet.InstanceID
+	}{
+		"all disks":                      {[]fleet.InstanceID{"a1x", "a2x"}, []fleet.InstanceID{"a1x", "a2x"}, 12 * time.Second, 12 * time.Second, []fleet.InstanceID{"a1x", "a2x"}},
+		"one of two":                     {[]fleet.InstanceID{"a1x", "a2x"}, []fleet.InstanceID{"a2x"}, 12 * time.Second, 12 * time.Second, []fleet.InstanceID{"a1x", "a2x"}},
+		"two of four":                    {[]fleet.InstanceID{"a1x", "a2x", "a3x", "a4x"}, []fleet.InstanceID{"a1x", "a2x"}, 12 * time.Second, 10 * time.Second, []fleet.InstanceID{"a3x", "a4x"}},
+		"one of two in a failure domain": {[]fleet.InstanceID{"a1x", "a1y", "a2x"}, []fleet.InstanceID{"a1x"}, 12 * time.Second, 5 * time.Second, []fleet.InstanceID{"a1y", "a2x"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, c.instances...)
+				for _, id := range c.slow {
+					w.open(id, disk.Options{FS: slowFS{sync: c.sync}})
+				}
+				start := time.Now()
+				ref := put(t, w.store("b1z"))
+				assert.LessOrEqual(t, time.Since(start), c.atMost+tolerance)
+				assert.ElementsMatch(t, c.want, ref.Holders)
+				time.Sleep(2 * c.sync) // the slow disks still write what was given up
+			})
+		})
+	}
+}
+
+// Guards against two copies in one failure domain, of a slow disk and of the one that was tried instead.
+func TestSlowDisksOfOneFailureDomainStoreOneCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a1x", "a1y", "a2x")
+		for _, id := range []fleet.InstanceID{"a1x", "a1y", "a2x"} {
+			w.open(id, disk.Options{FS: slowFS{sync: 8 * time.Second}})
+		}
+		w.silent["a2x"] = true
+		_, err := w.store("b1z").Put(t.Context(), data)
+		require.ErrorIs(t, err, ErrNoHolders)
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against uploads that wait without limit for disks that hang.
+func TestHungDisksAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a1x", "a2x")
+		for _, id := range []fleet.InstanceID{"a1x", "a2x"} {
+			w.open(id, disk.Options{FS: slowFS{sync: time.Hour}})
+		}
+		start := time.Now()
+		_, err := w.store("a1x").Put(t.Context(), data)
+		require.ErrorIs(t, err, ErrNoHolders)
+		assert.LessOrEqual(t, time.Since(start), 16*time.Second)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
 // Guards against returning corrupt content, and against a corrupt copy that is never replaced, so that only one good copy is left.
 func TestACorruptCopyIsNeverReturnedAndIsRepaired(t *testing.T) {
 	damage := map[string]func(name string) error{
--- a/node/bulk/world_test.go
+++ b/node/bulk/world_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -94,11 +95,24 @@
 }
 
 func (w *world) PutBlob(ctx context.Context, address, digest string, content []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, peer.PutBlobTimeout(int64(len(content))))
+	defer cancel()
+	if w.silent[fleet.InstanceID(address)] {
+		<-ctx.Done()
+		return peer.ErrTimeout
+	}
 	h, err := w.handlersOf(ctx, address)
 	if err != nil {
 		return err
 	}
-	return h.Put(ctx, digest, bytes.NewReader(content))
+	done := make(chan error, 1)
+	go func() { done <- h.Put(ctx, digest, bytes.NewReader(content)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return peer.ErrTimeout
+	}
 }
 
 func (w *world) GetBlob(ctx context.Context, address, digest string, size int64) ([]byte, error) {
@@ -139,3 +153,24 @@
 	require.Len(t, ref.Holders, 2)
 	return ref
 }
+
+// slowFS is a file system whose syncs of files take a time.
+type slowFS struct {
+	disk.OS
+	sync time.Duration
+}
+
+type slowFile struct {
+	disk.File
+	sync time.Duration
+}
+
+func (f slowFS) Create(name string) (disk.File, error) {
+	file, err := f.OS.Create(name)
+	return slowFile{file, f.sync}, err
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(f.sync)
+	return f.File.Sync()
+}
