node/gateway: let a watch end before a change that is to be read late

The test means a registration that the instance reads after a peer's report. Its watch was still open for up to 300 ms, so that the change could be delivered at the same virtual instant before the report.

The test now waits until the watch has ended.

--- a/node/gateway/departures_test.go
+++ b/node/gateway/departures_test.go
@@ -166,7 +166,7 @@
 				}
 				time.Sleep(time.Second)
 				m.store.set(true)
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(500 * time.Millisecond) // its watch ends, so that it reads the change only later
 				p.put("t/t1", "live second")
 				target := slots.Target{Slots: 8}
 				target.ID, target.Service, target.State = "t1", "s", fleet.TargetLive
