node/batch: measure the age of a job by monotonic clocks

Callers of the batch API could see items expire before the deadline that they were told (expires_at). The deadline is a time of day of the instance that accepted the job, and the owner of the shard compared it with its own time of day. An owner whose clock is ahead, or is set forward, expired the items too early by the difference, ended requests in flight, and gave up blobs that could not be read for a while: items without lines expired, stored results became unknown. With a clock that is behind, items ran long after the deadline.

Items now expire when the age that the job has for certain reaches its window, which is the difference of two times of one clock. An owner counts the age by its monotonic clock from when it first read the job. Once a minute it stores the ages of the open jobs of a shard under one key, in a transaction that compares the epoch; the next owner reads them once and continues from there. An entry is identified by the create revision of the job's record, so that a job that is submitted again after its removal does not inherit an age. Time without an owner and the time since the last write are missing: the age is never too high and an item may expire late, not too soon. Jobs of earlier builds have no stored age and count from when a new owner read them. The deadline shown does not change.

The run with random faults, in which clocks are now set, failed after 4 tests: 'item quotes-69 expired before the end of its window'.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -65,6 +65,9 @@
 }
 
 // Job is the value stored for a job, as JSON.
+//
+// Created and Deadline are times of day at the instance that accepted the job. Clocks of instances differ and may be set, so that the end of the job
+// does not depend on a comparison of Deadline with another time of day; see Window.
 type Job struct {
 	ID            JobID             `json:"id"`
 	Caller        fleet.CallerID    `json:"caller"`
@@ -82,6 +85,9 @@
 	Counts        Counts            `json:"counts"` // set by Finish; Cancel doesn't set it
 }
 
+// Window returns the age of the job from which on its items expire.
+func (j Job) Window() time.Duration { return j.Deadline.Sub(j.Created) }
+
 // ItemsIn returns the number of items in chunk n.
 func (j Job) ItemsIn(n int) int { return j.Chunks[n].Lines }
 
--- a/node/batch/chunk.go
+++ b/node/batch/chunk.go
@@ -57,7 +57,7 @@
 // lines.
 func (r *Runner) readLines(t *task) error {
 	data, err := r.getBlob(t, t.jobRecord.Chunks[t.id.n].BlobRef)
-	if err != nil && !t.pastDeadline() {
+	if err != nil && !r.pastDeadline(t) {
 		return err
 	}
 	t.lines = splitLines(data)
@@ -83,7 +83,7 @@
 	if err == nil {
 		return nil
 	}
-	if !t.pastDeadline() {
+	if !r.pastDeadline(t) {
 		return fmt.Errorf("%w: %v", ErrBulk, err)
 	}
 	t.results = nil
@@ -96,7 +96,7 @@
 }
 
 // pastDeadline reports whether the job's deadline has passed.
-func (t *task) pastDeadline() bool { return !time.Now().Before(t.jobRecord.Deadline) }
+func (r *Runner) pastDeadline(t *task) bool { return r.config.Now().Sub(t.expires) >= 0 }
 
 // runRepeatable runs all items together without a claim, since running an item again is harmless.
 func (r *Runner) runRepeatable(t *task) error {
--- a/node/batch/cluster_test.go
+++ b/node/batch/cluster_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrassproxy.example/adapters/kv"
 	core "eelgrassproxy.example/core/batch"
+	"eelgrassproxy.example/core/clocktest"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/node/batch"
 	"eelgrassproxy.example/node/control/shards"
@@ -114,6 +116,7 @@
 	jobs    *jobs.Service
 	stop    context.CancelFunc
 	killed  bool
+	ahead   atomic.Int64 // of the time of day, in nanoseconds
 	done    sync.WaitGroup
 }
 
@@ -137,7 +140,10 @@
 		Self: n.id, AliveInstances: members.get, Lease: &lease{}, Seed: uint64(len(c.nodes)),
 		IsBusy: func(s core.Shard) bool { return n.runner.Busy(s) },
 	})
-	n.runner = batch.New(n.link, c.bulk, n.keeper, n, batch.Config{Workers: 4})
+	n.runner = batch.New(n.link, c.bulk, n.keeper, n, batch.Config{
+		Workers: 4,
+		Now:     func() time.Time { return clocktest.Reading(time.Now(), time.Duration(n.ahead.Load())) },
+	})
 	n.jobs = jobs.New(n.link, c.bulk)
 	ctx, n.stop = context.WithCancel(ctx)
 	c.mu.Lock()
--- a/node/batch/finish.go
+++ b/node/batch/finish.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/batch"
@@ -35,7 +34,7 @@
 	j.chunks[t.id.n] = chunkState{revision: t.revision, recorded: true}
 	j.counts = j.counts.Plus(t.outcome.counts)
 	j.pending--
-	j.rate.Observe(t.itemCount(), time.Now())
+	j.rate.Observe(t.itemCount(), r.config.Now())
 	return j.pending == 0
 }
 
@@ -112,7 +111,7 @@
 	if !ok {
 		return batch.Job{}, 0, eris.Wrapf(ErrJobEnded, "job %q", id)
 	}
-	finished, err := j.record.Finish(j.counts, time.Now())
+	finished, err := j.record.Finish(j.counts, r.config.Now())
 	return finished, j.revision, err
 }
 
--- a/node/batch/items.go
+++ b/node/batch/items.go
@@ -72,7 +72,7 @@
 // runItem makes attempts until the item has a result. It returns false if there is none because the task ended or the shard is not owned.
 // The last attempt then certainly did not run, or the item is repeatable.
 func (r *Runner) runItem(t *task, i int, claimEpoch *uint64) (batch.Result, bool) {
-	ctx, cancel := context.WithDeadline(t.ctx, t.jobRecord.Deadline)
+	ctx, cancel := context.WithTimeout(t.ctx, t.expires.Sub(r.config.Now()))
 	defer cancel()
 	ran := 0
 	last := ItemOutcome{Reason: "the item was not started before the deadline"}
@@ -124,7 +124,7 @@
 		Try:        attempt,
 		Line:       t.lines[i],
 		Repeatable: t.jobRecord.Repeatable,
-		Deadline:   t.jobRecord.Deadline,
+		Deadline:   t.expires,
 		AtRisk:     t.atRisk,
 		MayRun: func() bool {
 			epoch, owned := r.shards.Epoch(t.id.job.Shard())
--- a/node/batch/job.go
+++ b/node/batch/job.go
@@ -18,7 +18,10 @@
 type job struct {
 	record    batch.Job
 	revision  kv.Revision
-	epoch     uint64 // epoch of the shard when the records were read
+	created   kv.Revision // of the record
+	createdBy time.Time   // by this instance's clock: the job was created then or earlier
+	expires   time.Time   // by this instance's clock: the end of the job's window, counted from createdBy
+	epoch     uint64      // epoch of the shard when the records were read
 	chunks    []chunkState
 	pending   int // chunks that are not recorded
 	counts    batch.Counts
@@ -64,6 +67,12 @@
 		open[batch.JobID(strings.TrimPrefix(item.Key, shard.OpenPrefix()))] = true
 	}
 	r.dropEnded(shard, open)
+	if len(open) == 0 {
+		return nil
+	}
+	if err := r.readAges(ctx, shard, epoch); err != nil {
+		return err
+	}
 	for id := range open {
 		if r.upToDate(id, epoch) {
 			continue
@@ -75,7 +84,7 @@
 			klog.ErrorS(err, "Batch job cannot be read", "job", id)
 		}
 	}
-	return nil
+	return r.saveAges(ctx, shard, epoch)
 }
 
 func (r *Runner) upToDate(id batch.JobID, epoch uint64) bool {
@@ -103,7 +112,8 @@
 	if err != nil {
 		return eris.Wrapf(ErrStore, "list chunks of job %s: %v", id, err)
 	}
-	j := &job{record: record, revision: found.ModRevision, epoch: epoch}
+	j := &job{record: record, revision: found.ModRevision, created: found.CreateRevision, epoch: epoch}
+	j.createdBy = r.ages[id.Shard()].createdBy(j.created, r.config.Now())
 	if err := j.setChunks(listing); err != nil {
 		return err
 	}
@@ -152,10 +162,14 @@
 	if old, ok := r.jobs[j.record.ID]; ok {
 		j.ctx, j.cancel, j.rate = old.ctx, old.cancel, old.rate
 		j.stale = old.pending != before
+		if old.created == j.created {
+			j.createdBy = earlier(j.createdBy, old.createdBy)
+		}
 	} else {
 		j.ctx, j.cancel = context.WithCancel(context.Background())
-		j.rate.Observe(0, time.Now())
+		j.rate.Observe(0, r.config.Now())
 	}
+	j.expires = j.createdBy.Add(j.record.Window())
 	r.jobs[j.record.ID] = j
 	r.ready.Broadcast()
 }
@@ -185,6 +199,11 @@
 			r.dropJob(id)
 		}
 	}
+	for shard := range r.ages {
+		if _, owned := r.shards.Epoch(shard); !owned {
+			delete(r.ages, shard)
+		}
+	}
 }
 
 // dropJob removes a job and cancels its items in flight. The caller must hold r.mu.
--- a/node/batch/property_test.go
+++ b/node/batch/property_test.go
@@ -46,7 +46,7 @@
 }
 
 func drawSteps(rt *rapid.T) []step {
-	kinds := []string{"kill", "start", "pause", "pause at write", "pause at write", "outage", "lose before", "lose after", "refuse", "resubmit", "cancel"}
+	kinds := []string{"kill", "start", "pause", "pause at write", "pause at write", "outage", "lose before", "lose after", "refuse", "resubmit", "cancel", "set ahead", "set behind"}
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 		return step{
 			After: time.Duration(rapid.IntRange(0, 9000).Draw(rt, "after")) * time.Millisecond,
@@ -77,8 +77,9 @@
 	acked map[string]core.JobID // by key
 }
 
-// Guards against lost or duplicate results, second runs of non-repeatable items, writes by former owners, and results written after a
-// cancellation, while owners are lost or paused, responses are lost, the store has outages, and jobs are resubmitted.
+// Guards against lost or duplicate results, second runs of non-repeatable items, writes by former owners, results written after a
+// cancellation, and items that expire before the end of their window, while owners are lost or paused, clocks are set, responses are lost,
+// the store has outages, and jobs are resubmitted.
 func TestEachItemOfAnAcceptedJobEndsOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := drawSteps(rt)
@@ -138,6 +139,10 @@
 		n.link.setFaults(func(l *link) { l.loseAfter++ })
 	case "refuse":
 		n.link.setFaults(func(l *link) { l.refuseFirst++ })
+	case "set ahead":
+		n.ahead.Store(int64(s.For * 1000)) // up to 14 h
+	case "set behind":
+		n.ahead.Store(-int64(s.For * 1000))
 	case "resubmit":
 		r.submit(s.Job, n)
 	case "cancel":
--- a/node/batch/results_test.go
+++ b/node/batch/results_test.go
@@ -69,6 +69,8 @@
 		r.violation("non-repeatable item %s-%d ran %d times", key, i, ran)
 	case status == "completed" && ran == 0:
 		r.violation("item %s-%d is completed although it never ran", key, i)
+	case status == string(core.ItemExpired):
+		r.violation("item %s-%d expired before the end of its window", key, i)
 	case repeatable && status == string(core.ItemUnknown):
 		r.violation("repeatable item %s-%d ended as unknown", key, i)
 	case status == string(core.ItemFailed) && i%17 != 3:
--- a/node/batch/runner.go
+++ b/node/batch/runner.go
@@ -49,12 +49,12 @@
 	Job        batch.JobID
 	Caller     fleet.CallerID
 	Endpoint   string
-	Index      int    // index within the job
-	Try        int    // attempts at the item before this one
-	Line       []byte // JSON line as the caller uploaded it; must not be modified
-	Repeatable bool   // if false, the item must not be repeated unless it certainly did not run
-	Deadline   time.Time
-	AtRisk     bool // the job may miss its deadline
+	Index      int       // index within the job
+	Try        int       // attempts at the item before this one
+	Line       []byte    // JSON line as the caller uploaded it; must not be modified
+	Repeatable bool      // if false, the item must not be repeated unless it certainly did not run
+	Deadline   time.Time // by this instance's clock
+	AtRisk     bool      // the job may miss its deadline
 	// MayRun reports whether the item's shard is still owned. The executor calls it immediately before it sends the item, since the lease
 	// may expire while the item waits for room at a target or while the process is paused.
 	MayRun func() bool
@@ -93,6 +93,9 @@
 	MaxUnsaved        int // finished chunks not yet recorded, about 1 KB each, at which no further chunk is started; 0 means 1024
 	StoreRetryDelayMs int // delay before a store or bulk call is retried, in milliseconds; 0 means 1000
 
+	// Now returns the current time, with a reading of the monotonic clock; nil means time.Now. The time of day may differ from that of other
+	// instances and be set at any time.
+	Now func() time.Time
 	// OnItemNotCompleted is called for each item that ends without being completed, with its result, which holds the reason. It must not block and
 	// must be safe for concurrent use. It may be nil.
 	OnItemNotCompleted func(batch.Job, batch.Result)
@@ -105,6 +108,9 @@
 		maxUnsaved        = 1024
 		storeRetryDelayMs = 1000
 	)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	if c.OnItemNotCompleted == nil {
 		c.OnItemNotCompleted = func(batch.Job, batch.Result) {}
 	}
@@ -139,6 +145,8 @@
 	owningSince time.Time         // time since which this instance owns shards; zero while it owns none
 	scheduler   *batch.Scheduler
 	draining    bool
+
+	ages map[batch.Shard]shardAges // used by Reconcile only
 }
 
 // chunkID identifies a chunk by its job and its number within the job.
@@ -158,6 +166,7 @@
 		jobs:      make(map[batch.JobID]*job),
 		tasks:     make(map[chunkID]*task),
 		scheduler: batch.NewScheduler(),
+		ages:      make(map[batch.Shard]shardAges),
 	}
 	r.ready = sync.NewCond(&r.mu)
 	return r
@@ -170,7 +179,7 @@
 // whose chunks are all recorded.
 func (r *Runner) Reconcile(ctx context.Context) error {
 	ctx = kv.WithPurpose(ctx, storePurpose)
-	r.updateOwningSince(time.Now())
+	r.updateOwningSince(r.config.Now())
 	r.saveAll(ctx)
 	err := r.load(ctx)
 	r.finishAll(ctx)
@@ -236,7 +245,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.owningSince.IsZero() && time.Since(r.owningSince) > shardWaitTimeout
+	return !r.owningSince.IsZero() && r.config.Now().Sub(r.owningSince) > shardWaitTimeout
 }
 
 // wakeWorkers makes waiting workers look for a chunk again.
--- a/node/batch/schedule.go
+++ b/node/batch/schedule.go
@@ -14,7 +14,8 @@
 type task struct {
 	id          chunkID
 	jobRecord   batch.Job
-	firstItem   int // index of the chunk's first item within the job
+	expires     time.Time // as in job
+	firstItem   int       // index of the chunk's first item within the job
 	atRisk      bool
 	ctx         context.Context // ends with the job or the runner
 	cancel      context.CancelFunc
@@ -49,7 +50,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for ctx.Err() == nil {
-		if t := r.startNext(ctx, time.Now()); t != nil {
+		if t := r.startNext(ctx, r.config.Now()); t != nil {
 			return t
 		}
 		r.ready.Wait()
@@ -127,7 +128,7 @@
 
 // newTask registers a chunk as running and returns its task. The caller must hold r.mu.
 func (r *Runner) newTask(ctx context.Context, j *job, n int) *task {
-	t := &task{id: chunkID{j.record.ID, n}, jobRecord: j.record, firstItem: j.record.FirstItem(n), revision: j.chunks[n].revision}
+	t := &task{id: chunkID{j.record.ID, n}, jobRecord: j.record, expires: j.expires, firstItem: j.record.FirstItem(n), revision: j.chunks[n].revision}
 	if j.chunks[n].claimed != nil {
 		t.chunkRecord = *j.chunks[n].claimed
 	}
@@ -165,7 +166,7 @@
 	defer r.mu.Unlock()
 	delete(r.tasks, t.id)
 	if j, ok := r.jobs[t.id.job]; ok {
-		j.chunks[t.id.n].earliestStart = time.Now().Add(unreadableChunkDelay)
+		j.chunks[t.id.n].earliestStart = r.config.Now().Add(unreadableChunkDelay)
 		j.nextChunk = min(j.nextChunk, t.id.n)
 	}
 	r.ready.Broadcast()
