node/gateway: end a test watch whose mirror has stopped reading

The watch of the test store waited without limit for its receiver. A mirror that stops following the store, or is told to list again, leaves its watch without reading on; the goroutine of the watch then stayed behind, and the bubble of the test ended in a panic. It has no test of its own; the order of events can't be forced from outside.

--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -110,7 +110,11 @@
 				if !ok {
 					return
 				}
-				out <- e
+				select {
+				case out <- e:
+				case <-ctx.Done():
+					return
+				}
 			case <-timer.C:
 				select {
 				case out <- kv.WatchEvent{Err: kv.ErrCompacted}:
