node/gateway: test the working sets of instances that start at different times

TestLostInstanceLeavesTheWorkingSetEverywhere failed now and then: instances chose different working sets, at the start and after a loss. All failures whose is known has this cause: instances that do not watch the store had missed the records of others in their first listing, and their first refresh took the copy of a peer that had missed them too. An instance that is unknown to another one sends it no datagrams either, so that it is suspected there, and the next in order is taken instead.

TestInstancesThatStartLaterReplaceALostOneEverywhere starts nine instances after the others have decided which of them watch the store, and asks for complete lists 6 s later and for equal working sets from 3 s after a loss.

--- a/node/gateway/large_fleet_test.go
+++ b/node/gateway/large_fleet_test.go
@@ -104,6 +104,39 @@
 	})
 }
 
+// Guards against instances that choose different working sets after a loss, because some that do not watch the store have missed the records of
+// instances that started after their first listing.
+func TestInstancesThatStartLaterReplaceALostOneEverywhere(t *testing.T) {
+	runInFleet(t, func(t *testing.T, p *testFleet) {
+		domains := []fleet.FailureDomain{"a1", "a2", "b1"}
+		for i := range 24 {
+			p.capacity = 0.2
+			if i < 6 {
+				p.capacity = 0.8
+			}
+			if i == 15 {
+				time.Sleep(time.Second) // the first ones have decided which of them watch the store
+			}
+			p.startInstance(fleet.InstanceID(fmt.Sprintf("i%02d", i)), domains[i%len(domains)], true)
+		}
+		time.Sleep(6 * time.Second)
+		for _, m := range p.members {
+			require.Len(t, m.peers.Members(), len(p.members), "%s", m.id)
+		}
+		lost := p.members[0]
+		p.network.Crash(lost.address)
+		time.Sleep(3 * time.Second)
+		replaced := serving(p.members[1])
+		require.Len(t, replaced, 6)
+		for range 10 {
+			for _, m := range p.members[1:] {
+				require.Equal(t, replaced, serving(m), "%s", m.id)
+			}
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 // startLargest starts a large fleet and one more instance that joins its working set; most others know it from its datagrams only.
 func startLargest(t *testing.T, p *testFleet) *member {
 	startLargeFleet(p)
