cmd/eelgrassproxy: take the reload signal before anything else

A process ended by itself if SIGHUP reached it while it started: the signal was only taken up after the settings and the log, and ends a process that does not expect it.

The signal is taken up first. A window of milliseconds between the start of the process and main stays.

--- a/cmd/eelgrassproxy/platform.go
+++ b/cmd/eelgrassproxy/platform.go
@@ -19,6 +19,9 @@
 
 // runPlatform runs the instance on the users' platform, whose settings file the environment names.
 func runPlatform(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // first, since the signal ends a process that does not expect it
+	defer signal.Stop(reload)
 	flags := flag.NewFlagSet("eelgrassproxy platform", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	check := flags.Bool("check-settings", false, "check the settings file and exit")
@@ -46,9 +49,6 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	if err := platform.Run(ctx, settings, reload, platform.SystemEnvironment()); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
--- a/cmd/eelgrassproxy/process_test.go
+++ b/cmd/eelgrassproxy/process_test.go
@@ -17,6 +17,7 @@
 
 	"eelgrassproxy.example/api/operator"
 	corefleet "eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/platform"
 	"eelgrassproxy.example/standin/fleet"
 )
 
@@ -29,6 +30,11 @@
 		main()
 		return
 	}
+	if os.Getenv(platform.EnvSettings) != "" {
+		os.Args = []string{"eelgrassproxy", "platform"}
+		main()
+		return
+	}
 	os.Exit(m.Run())
 }
 
