--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -40,6 +40,7 @@
 	replicas             []*standin.Target
 	instances            []*process
 	servers              []*http.Server
+	replicaServers       map[string]*http.Server // by the id of the replica
 	record               *record
 	limitMemory          bool
 }
@@ -56,7 +57,7 @@
 )
 
 func newFleet(binary, root, folder string, rec *record) (*fleet, error) {
-	f := &fleet{binary: binary, root: root, folder: folder, store: standin.NewStore(), ledger: &standin.Ledger{}, record: rec}
+	f := &fleet{binary: binary, root: root, folder: folder, store: standin.NewStore(), ledger: &standin.Ledger{}, record: rec, replicaServers: make(map[string]*http.Server)}
 	for range 20 {
 		f.network = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
 		f.port = 20000 + rand.IntN(1000)*10
@@ -105,8 +106,11 @@
 // addReplicaOf starts a sound replica of a service.
 func (f *fleet) addReplicaOf(service string, events int, pause time.Duration, wrap func(*standin.Target) http.Handler) error {
 	n := len(f.replicas)
-	address := f.address(100+n, portReplica)
-	t := &standin.Target{ID: fmt.Sprintf("i-%010x", 0xd00495c352+n), Service: service, Addr: address, Zone: zones[n%len(zones)], Slots: 8, Events: events, Pause: pause, Ledger: f.ledger}
+	address, zone := f.address(100+n, portReplica), zones[n%len(zones)]
+	if service == otherService {
+		zone = zones[len(zones)-1] // a small service, which stands in one zone
+	}
+	t := &standin.Target{ID: fmt.Sprintf("i-%010x", 0xd00495c352+n), Service: service, Addr: address, Zone: zone, Slots: 8, Events: events, Pause: pause, Ledger: f.ledger}
 	var handler http.Handler = t
 	if wrap != nil {
 		handler = wrap(t)
@@ -114,6 +118,7 @@
 	if err := f.serve(address, handler); err != nil {
 		return err
 	}
+	f.replicaServers[t.ID] = f.servers[len(f.servers)-1]
 	f.replicas = append(f.replicas, t)
 	t.Register(f.store, "ready")
 	return nil
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -42,6 +42,7 @@
 	"poison":  playPoison,
 	"results": playResults,
 	"stale":   playStale,
+	"blocked": playBlocked,
 	"slow":    playSlow,
 }
 
