--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -43,6 +43,8 @@
 	replicaServers       map[string]*http.Server // by the id of the replica
 	record               *record
 	limitMemory          bool
+	slowStore            bool     // the store answers after storeAnswer; set before start
+	dead                 sync.Map // ids of the replicas that crashed
 }
 
 // Offsets of an instance's ports.
@@ -62,12 +64,25 @@
 		f.network = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
 		f.port = 20000 + rand.IntN(1000)*10
 		if f.portsAreFree() {
-			return f, f.serve(f.address(1, portStore), f.store)
+			return f, f.serve(f.address(1, portStore), f.delayed(f.store))
 		}
 	}
 	return nil, fmt.Errorf("no free ports")
 }
 
+// storeAnswer is how long the platform's store takes for an answer, as the sheets say.
+const storeAnswer = 4 * time.Millisecond
+
+// delayed lets the store answer as late as the sheets say. Watches wait by themselves.
+func (f *fleet) delayed(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.slowStore && r.URL.Path != "/-/kv-watch" {
+			time.Sleep(storeAnswer)
+		}
+		store.ServeHTTP(w, r)
+	})
+}
+
 func (f *fleet) portsAreFree() bool {
 	for _, host := range []int{1, 10, 11, 12, 13, 100, 101, 102, 103} {
 		for port := range 8 {
@@ -156,6 +171,26 @@
 	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false}
 }
 
+// beatAll lets the replicas that live write their entries once a beat, as the platform's pages say, until the returned function is called.
+func (f *fleet) beatAll() (stop func()) {
+	stopped := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-time.After(beat):
+			case <-stopped:
+				return
+			}
+			for _, r := range f.replicas {
+				if _, dead := f.dead.Load(r.ID); !dead {
+					r.Register(f.store, "ready")
+				}
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(stopped) })
+}
+
 // start starts the instances and waits until they are ready.
 func (f *fleet) start(instances int) error {
 	for n := range instances {
@@ -333,6 +368,14 @@
 	}()
 }
 
+// remove takes the machine away for good: SIGTERM, SIGKILL after the grace period, and no other start.
+func (p *process) remove() {
+	p.mu.Lock()
+	p.closing = true
+	p.mu.Unlock()
+	p.terminate()
+}
+
 func (p *process) stop() {
 	p.mu.Lock()
 	p.closing = true
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -44,6 +44,8 @@
 	"stale":   playStale,
 	"blocked": playBlocked,
 	"slow":    playSlow,
+	"homes":   playHomes,
+	"oneslot": playOneSlot,
 }
 
 func main() {
