--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 [ -x "$root/target/eelgrassproxy" ] && [ -x ../bin/stand ] || exit 2
-exec ../bin/stand -play oneslot -folder "$PWD" -root "$root"
+exec ../bin/stand -play homes -folder "$PWD" -root "$root"
