itemjobs: a run is bounded by the output that its item asks for

Seen by operators: with long prompts, targets that send without end to items fill the memory of the instances, although the bound of each run should be small.

Cause: the bound of a run was taken from the tokens of the item, which hold the prompt beside the longest output.

Items without it, and those that an earlier build stored, keep the sum as an upper bound.

Before, an item with 70,000 tokens of prompt and 80 of output was run with a bound for 70,080.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -26,7 +26,17 @@
 	Path    string            `json:"path"`
 	Headers map[string]string `json:"headers,omitempty"`
 	Tokens  int64             `json:"tokens"` // of the prompt plus the maximum output
-	Body    []byte            `json:"-"`
+	// OutputTokens is the number of tokens that the output may have at most; 0 if the client does not state it apart from the prompt.
+	OutputTokens int64  `json:"output_tokens,omitempty"`
+	Body         []byte `json:"-"`
+}
+
+// MaxOutputTokens returns the number of tokens that the output may have at most, or an upper bound of it; 0 if nothing is stated.
+func (i *Item) MaxOutputTokens() int64 {
+	if i.OutputTokens > 0 && (i.Tokens == 0 || i.OutputTokens < i.Tokens) {
+		return i.OutputTokens
+	}
+	return i.Tokens
 }
 
 // Record is the stored record of a job. Its items and results are stored under other keys.
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -177,7 +177,7 @@
 		Version:            table.Version,
 		Arrived:            s.Now(),
 		OwnershipConfirmed: j.ConfirmedAt(),
-		MaxTokens:          task.Item.Tokens,
+		MaxTokens:          task.Item.MaxOutputTokens(),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnershipConfirmed))
 	progress := &gateway.Progress{Last: task.LastEventID, Events: task.Events, SilentTries: task.SilentRuns}
