slots: items leave targets that send more than they ask for

Seen by operators: while most targets of a service send without end to items, items go on to these targets, and sound targets beside them do not do the items of the same job in time.

Cause: only the ejection of failing targets kept items away, and that is bounded to 0.4 of the targets, since online requests need some. Of nine targets of which five were spoiled, two stayed in use and failed the fastest.

Change: a target that sent more than a request asked for gets no batch items for 0.5 s, doubling up to 4 s, and after that one item of an instance at a time until it has sent a whole response. The share of the targets does not matter, since items can wait. Online requests are placed as before.

--- a/core/slots/batch.go
+++ b/core/slots/batch.go
@@ -95,7 +95,7 @@
 		if t.foreign {
 			p.overflow += t.own.Yieldable
 		}
-		if exclude[t.ID] || !v.usable(t, now) {
+		if exclude[t.ID] || !v.usable(t, now) || !t.takesItems(now) {
 			continue
 		}
 		load := v.Load(t.ID, now)
--- a/core/slots/health.go
+++ b/core/slots/health.go
@@ -70,6 +70,46 @@
 	}
 }
 
+const (
+	// minOverlongPause and maxOverlongPause bound the time for which batch items avoid a target that sent too much. It doubles each time.
+	minOverlongPause = 500 * time.Millisecond
+	maxOverlongPause = 4 * time.Second
+)
+
+// MarkOverlong records that a target sent more than a request asked for. Batch items avoid it for the returned time, and after that one item of this
+// instance at a time tries it until ClearOverlong. What the target sends costs memory and a slot that sound targets would use better. Unlike an ejection,
+// this has no bound on the share of the targets.
+func (v *View) MarkOverlong(id fleet.TargetID, now time.Time) time.Duration {
+	t, ok := v.targets[id]
+	if !ok {
+		return 0
+	}
+	pause := min(minOverlongPause<<min(t.overlong, maxOverlongDoublings), maxOverlongPause)
+	if !now.Before(t.batchFrom) { // requests that ran at the same time count once
+		t.overlong++
+		t.batchFrom = now.Add(pause)
+	}
+	return t.batchFrom.Sub(now)
+}
+
+// maxOverlongDoublings bounds the doublings of minOverlongPause.
+const maxOverlongDoublings = 3
+
+// ClearOverlong records that a target sent a whole response to a batch item. It reports whether items avoided the target.
+func (v *View) ClearOverlong(id fleet.TargetID) bool {
+	t, ok := v.targets[id]
+	if !ok || t.overlong == 0 {
+		return false
+	}
+	t.overlong, t.batchFrom = 0, time.Time{}
+	return true
+}
+
+// takesItems reports whether batch items may use a target that is usable. See MarkOverlong.
+func (t *target) takesItems(now time.Time) bool {
+	return t.overlong == 0 || !now.Before(t.batchFrom) && t.own.Yieldable+t.own.Firm == 0
+}
+
 // accepts reports whether a target may get new requests: it is live, and has not said since that it is leaving.
 func (v *View) accepts(t *target) bool {
 	return t.State == fleet.TargetLive && !v.isLeavingMarked(t.ID)
--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -53,6 +53,9 @@
 	foreign    bool      // its home is another instance, see Homes
 	avoidUntil time.Time // no new requests before this time, unless no other target is left
 
+	overlong  int       // times that it sent more than was asked for, since ClearOverlong
+	batchFrom time.Time // no batch items before this time; see MarkOverlong
+
 	entryRevision int64     // of its entry in the store; 0 before the first ApplyEntries
 	entryReadAt   time.Time // when that revision was read
 }
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -285,6 +285,23 @@
 	}
 }
 
+// MarkOverlong records that a target sent more than a request asked for, and keeps batch items from it for a while.
+func (b *Board) MarkOverlong(id fleet.TargetID) {
+	b.mu.Lock()
+	d := b.view.MarkOverlong(id, time.Now())
+	b.mu.Unlock()
+	klog.InfoS("Items avoid a target that sends more than they ask for", "target", id, "for_ms", d.Milliseconds())
+}
+
+// ClearOverlong records that a target sent a whole response to a batch item.
+func (b *Board) ClearOverlong(id fleet.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.view.ClearOverlong(id) {
+		b.wakeWaiters()
+	}
+}
+
 // EndUnobserved ends a request whose outcome does not reflect the health of its target.
 func (b *Board) EndUnobserved(id fleet.TargetID) {
 	b.mu.Lock()
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -45,6 +45,12 @@
 		outcome.Latency = x.firstEvent - started.Sub(x.request.Arrived)
 	}
 	x.board.Observe(reservation.Target.ID, outcome)
+	switch {
+	case errors.Is(err, errOverlong):
+		x.board.MarkOverlong(reservation.Target.ID)
+	case err == nil && x.sink == nil:
+		x.board.ClearOverlong(reservation.Target.ID)
+	}
 	return err
 }
 
--- a/node/itemjobs/endless_test.go
+++ b/node/itemjobs/endless_test.go
@@ -1,10 +1,14 @@
 package itemjobs_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/slots"
 )
 
 // Guards against an owner whose memory fills up with the events of a target that never ends its response, and against a result that has any of these
@@ -36,3 +40,29 @@
 		requireCompleted(t, f.readAll(f.nodes[1], "j"), "a", "b")
 	})
 }
+
+// Guards against items that go on to targets which send without end in each response, because no more than a share of the targets is ever ejected: sound
+// targets do the items in time.
+func TestItemsLeaveTargetsThatSendWithoutEnd(t *testing.T) {
+	withFleet(t, 1, func(t *testing.T, f *testFleet) {
+		var targets []slots.Target
+		for i := range 9 {
+			targets = append(targets, f.addTarget(fleet.TargetID(fmt.Sprint("x", i)), fmt.Sprintf("10.9.1.%d", i+1), i%2 == 0))
+		}
+		f.nodes[0].board.SetTargets(targets)
+		var items []string
+		for i := range 40 {
+			items = append(items, fmt.Sprint("a", i))
+		}
+		sub := submission("j", items...)
+		route := *sub.Route
+		route.MaxWaitingTokens = 0
+		sub.Route = &route
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(sub.Route.JobObjective)
+		requireCompleted(t, f.readAll(f.nodes[0], "j"), items...)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Less(t, len(f.runs), 2*len(items))
+	})
+}
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -321,7 +321,8 @@
 	store         *memkv.Store
 	nodes         []*node
 	target        net.Listener
-	mu            sync.Mutex // guards runs and status
+	added         []net.Listener // of the targets of addTarget
+	mu            sync.Mutex     // guards runs and status
 	runs          []run
 	status        map[string]int // status codes that the target responds with instead of a stream, by item
 	leaving       bool           // the target says in each response that it is leaving; guarded by mu
@@ -333,6 +334,7 @@
 	ahead         time.Duration  // of the time of day of the instances that are started from now on
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 	capacity      float64        // cores of the instances that are started next
+	endlessLine   int            // bytes of data of each event without end; 0 means 16 KB; guarded by mu
 }
 
 const (
@@ -347,7 +349,7 @@
 	var err error
 	f.target, err = f.network.Listen(targetAddress)
 	require.NoError(t, err)
-	go f.serveTarget()
+	go f.serveTarget(f.target, false)
 	for i := range instances {
 		f.start(fleet.InstanceID(fmt.Sprintf("i%d", i)), fmt.Sprintf("10.0.0.%d", i+1))
 	}
@@ -456,7 +458,9 @@
 	for _, n := range f.nodes {
 		n.stop()
 	}
-	_ = f.target.Close()
+	for _, listener := range append(f.added, f.target) {
+		_ = listener.Close()
+	}
 	f.network.Close()
 	time.Sleep(2 * eventPause) // until the target's streams have ended
 	synctest.Wait()
@@ -525,24 +529,35 @@
 	}
 }
 
-// serveTarget responds to items with a stream that continues after the event in the header After.
-func (f *testFleet) serveTarget() {
+// addTarget starts a further target, which may send events without end in all responses, and returns it.
+func (f *testFleet) addTarget(id fleet.TargetID, host string, endless bool) slots.Target {
+	t := testTarget(id, "s", targetSlots)
+	t.Address = host + ":80"
+	listener, err := f.network.Listen(t.Address)
+	require.NoError(f.t, err)
+	f.added = append(f.added, listener)
+	go f.serveTarget(listener, endless)
+	return t
+}
+
+// serveTarget responds to items with a stream that continues after the event in the header After, and with endless goes on without end.
+func (f *testFleet) serveTarget(listener net.Listener, endless bool) {
 	for {
-		c, err := f.target.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		go func() {
 			defer c.Close()
 			reader := bufio.NewReader(c)
-			for f.serveRequest(c, reader) {
+			for f.serveRequest(c, reader, endless) {
 			}
 		}()
 	}
 }
 
 // serveRequest serves one request of a connection. It returns false if the connection is to be closed.
-func (f *testFleet) serveRequest(c net.Conn, reader *bufio.Reader) bool {
+func (f *testFleet) serveRequest(c net.Conn, reader *bufio.Reader, endless bool) bool {
 	r, err := http.ReadRequest(reader)
 	if err != nil {
 		return false
@@ -582,7 +597,7 @@
 			return false
 		}
 	}
-	if f.takeEndless(id) {
+	if endless || f.takeEndless(id) {
 		f.sendWithoutEnd(c, id)
 		return false
 	}
@@ -603,7 +618,13 @@
 
 // sendWithoutEnd sends events until the connection is closed.
 func (f *testFleet) sendWithoutEnd(c net.Conn, id string) {
-	line := strings.Repeat("x", 16<<10)
+	f.mu.Lock()
+	size := f.endlessLine
+	f.mu.Unlock()
+	if size == 0 {
+		size = 16 << 10
+	}
+	line := strings.Repeat("x", size)
 	for i, sent := itemEvents, 0; sent < maxEndlessBytes; i++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, line)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
