--- a/adapters/kv/kv.go
+++ b/adapters/kv/kv.go
@@ -47,6 +47,7 @@
 type Listing struct {
 	Revision Revision
 	Items    []KeyValue
+	More     bool // there are further keys; only with OnePage
 }
 
 // CompareTarget says what a comparison looks at.
--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -11,7 +11,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"eelgrassproxy.example/core/fleet"
@@ -116,14 +115,16 @@
 	LastEventID int64     // id of the last event received
 	Events      int       // number of events received in all runs
 	SilentRuns  int       // runs that were ended because their target sent nothing for too long
-	Output      []string  // data of the received events
+	Output      Output    // of the received events
+	RunBytes    int64     // memory in bytes that the next run needs as far as is known from earlier ones; 0 if nothing is known
 }
 
 // Job is the state of a job in the instance that owns it. It isn't safe for concurrent use.
 type Job struct {
 	Record
 	Tasks        []*Task
-	Results      []Result  // stored results, by position
+	Results      []Result  // stored results, by position; see ForgetOutputs
+	forgotten    int       // number of first results whose outputs were forgotten
 	Immediate    bool      // results are stored at once instead of in groups
 	submittedBy  time.Time // by this instance's clock: the job was submitted then or earlier
 	due          time.Time // by this instance's clock
@@ -192,9 +193,9 @@
 	}
 	result := Result{Item: t.Item.ID, Completed: completed}
 	if completed {
-		result.Output = strings.Join(t.Output, "\n")
+		result.Output = t.Output.Text()
 	}
-	t.Phase, t.Output = Finished, nil
+	t.Phase, t.Output = Finished, Output{}
 	if len(j.pending) == 0 {
 		j.pendingSince = now
 	}
@@ -257,6 +258,45 @@
 	return j.pending[:n:n], 0
 }
 
+// HeldBytes returns the memory that the outputs of unfinished items and of results that aren't stored take up, in bytes.
+func (j *Job) HeldBytes() int64 {
+	var held int64
+	for _, t := range j.Tasks {
+		held += t.Output.Bytes()
+	}
+	for _, r := range j.pending {
+		held += int64(len(r.Output))
+	}
+	return held
+}
+
+// DiscardOutputs drops the outputs that HeldBytes counts. The items run again from the beginning.
+func (j *Job) DiscardOutputs() {
+	for _, t := range j.Tasks {
+		t.LastEventID, t.Events, t.Output = 0, 0, Output{}
+	}
+	var kept []Result
+	for _, r := range j.pending {
+		if !r.Completed {
+			kept = append(kept, r)
+			continue
+		}
+		j.byItem[r.Item].Phase = Waiting
+	}
+	j.pending = kept
+}
+
+// ForgetOutputs drops the outputs of the first n stored results, so that they take up no memory. The results keep their positions.
+func (j *Job) ForgetOutputs(n int) {
+	for i := j.forgotten; i < min(n, len(j.Results)); i++ {
+		j.Results[i].Output = ""
+	}
+	j.forgotten = max(j.forgotten, min(n, len(j.Results)))
+}
+
+// HasOutputs reports whether the outputs of the stored results from a position on are kept.
+func (j *Job) HasOutputs(position int) bool { return position >= j.forgotten }
+
 // PendingResults returns a copy of the results that aren't stored yet, in the order of their positions.
 func (j *Job) PendingResults() []Result { return slices.Clone(j.pending) }
 
@@ -266,6 +306,7 @@
 		j.byItem[r.Item].Phase = Stored
 	}
 	j.Results = append(j.Results, j.pending[:n]...)
+	clear(j.pending[:n]) // the outputs would be kept as long as the slice
 	j.pending = j.pending[n:]
 	j.pendingSince = now
 }
--- a/core/itemjob/itemjob_test.go
+++ b/core/itemjob/itemjob_test.go
@@ -1,6 +1,7 @@
 package itemjob_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 
 func finish(j *itemjob.Job, item string, output ...string) {
 	task := j.Task(item)
-	task.Output = output
+	task.Output = itemjob.NewOutput(strings.Join(output, "\n"), len(output))
 	j.Finish(task, true, now)
 }
 
--- a/node/gateway/buffers.go
+++ b/node/gateway/buffers.go
@@ -1,46 +1,46 @@
 package gateway
 
-import "sync/atomic"
+import "eelgrassproxy.example/core/limits"
 
-// smallResponseBytes is the size in bytes of a response that can be read whatever other responses take up.
+// smallResponseBytes is the size in bytes of what a target sends to an online request that can be kept whatever other requests take up.
 const smallResponseBytes = 64 << 10
 
-// bufferBudget bounds the memory for responses that are read whole. Targets that send bytes without end would otherwise fill the memory of the process, with
-// the bound of each single response times the number of requests. It is safe for concurrent use.
-type bufferBudget struct {
-	limit int64
-	used  atomic.Int64
+// reserver is a budget, or a part of one.
+type reserver interface {
+	Reserve(n int64) bool
+	Release(n int64)
 }
 
-// heldBuffers is the part of a budget that one request holds.
+var _ reserver = &limits.Budget{}
+
+// heldBuffers is the part of a budget that one request holds. It bounds the memory for what targets send and is not passed on yet: their bound for each
+// request times the number of requests would fill the memory of the process.
 type heldBuffers struct {
-	budget *bufferBudget
+	budget reserver
+	free   int   // number of bytes that need no reservation
+	size   int   // of the current buffer
+	base   int64 // held for earlier buffers
 	held   int64
 }
 
-// reserve reserves a buffer of a size in bytes. It returns false if the budget is used up. Small buffers are not counted.
-func (h *heldBuffers) reserve(size int) bool {
-	if size <= smallResponseBytes {
+// next begins another buffer, beside the ones so far.
+func (h *heldBuffers) next() { h.size, h.base = 0, h.held }
+
+// grow reserves memory for the current buffer, which is to have a size in bytes. It returns false if the budget is used up.
+func (h *heldBuffers) grow(size int) bool {
+	if size <= max(h.size, h.free) {
 		return true
 	}
-	if h.budget.used.Add(int64(size)) > h.budget.limit {
-		h.budget.used.Add(-int64(size))
+	need := h.base + int64(size) - h.held
+	if !h.budget.Reserve(need) {
 		return false
 	}
-	h.held += int64(size)
+	h.size, h.held = size, h.held+need
 	return true
 }
 
-// release returns a buffer that was reserved.
-func (h *heldBuffers) release(size int) {
-	if size > smallResponseBytes {
-		h.budget.used.Add(-int64(size))
-		h.held -= int64(size)
-	}
-}
-
-// releaseAll returns all that is still held.
+// releaseAll returns all that is held.
 func (h *heldBuffers) releaseAll() {
-	h.budget.used.Add(-h.held)
-	h.held = 0
+	h.budget.Release(h.held)
+	h.size, h.base, h.held = 0, 0, 0
 }
--- a/node/gateway/departures_test.go
+++ b/node/gateway/departures_test.go
@@ -75,7 +75,7 @@
 		defer w.close()
 		request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &w.route, Service: "s", Arrived: time.Now()}
 		reservation := w.board.ReserveBatch("s", "q1", nil, false)
-		outcome := w.forward.RunItem(t.Context(), request, reservation, &gateway.Progress{}, func([]byte) {})
+		outcome := w.forward.RunItem(t.Context(), request, reservation, &gateway.Progress{}, eventFunc(func([]byte) {}))
 		reservation.Release()
 		require.Equal(t, gateway.Answered, outcome.Verdict)
 		require.Nil(t, w.board.ReserveBatch("s", "q1", nil, false))
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -36,8 +36,10 @@
 	errUnmarked = eris.New("success response lacks the completion mark")
 	// errOverlong means that a target sent more than the request asks for.
 	errOverlong = eris.New("response is longer than the request asks for")
-	// errBuffersFull means that there is no memory for another part of a response that is not a stream.
+	// errBuffersFull means that there is no memory for another part of a response.
 	errBuffersFull = eris.New("responses that are being read take up all of their memory")
+	// ErrNotKept means that an ItemSink did not take an event.
+	ErrNotKept = eris.New("event of the item cannot be kept")
 )
 
 // Sink receives the response to a request. An error of its methods ends the request.
@@ -71,7 +73,8 @@
 	FreshWithin time.Duration
 	// MaxResponseBytes is the maximum body size of a response that is not a stream, and of a stream for which the request states no length.
 	MaxResponseBytes int64
-	// MaxBufferedBytes bounds the memory for all responses that are not streams and are being read, beyond smallResponseBytes of each.
+	// MaxBufferedBytes bounds the memory for all responses to online requests that are read whole and for the events that are being read, beyond
+	// smallResponseBytes of each request.
 	MaxBufferedBytes int64
 }
 
@@ -96,14 +99,14 @@
 	client   *rawhttp.Client
 	protocol Protocol
 	options  Options
-	buffers  bufferBudget
+	buffers  *limits.Budget
 	metrics  tally.Scope
 }
 
 // NewForwarder returns a Forwarder that reserves slots on board, sends with client and reports below the scope metrics.
 func NewForwarder(board *Board, client *rawhttp.Client, protocol Protocol, options Options, metrics tally.Scope) *Forwarder {
 	return &Forwarder{board: board, queues: newWaitQueues(board), client: client, protocol: protocol, options: options,
-		buffers: bufferBudget{limit: options.MaxBufferedBytes}, metrics: metrics.SubScope("gateway")}
+		buffers: limits.NewBudget(options.MaxBufferedBytes), metrics: metrics.SubScope("gateway")}
 }
 
 // Verdict says how a request ended.
@@ -120,6 +123,7 @@
 	Yielded        Verdict = "yielded"          // a batch item ended for an online request; the events received so far are kept
 	FailedAtTarget Verdict = "failed_at_target" // a batch item whose target sent a failure response
 	Overlong       Verdict = "overlong"         // a batch item whose target sent more than it asks for; none of the events of the try counts
+	NotKept        Verdict = "not_kept"         // a batch item whose events cannot be kept; none of those of the try counts
 )
 
 // Outcome is the result of a request.
@@ -134,10 +138,10 @@
 type execution struct {
 	*Forwarder
 	request         *Request
-	sink            Sink         // nil for a batch item
-	onEvent         func([]byte) // receives the data of each event of a batch item
+	sink            Sink     // nil for a batch item
+	items           ItemSink // of a batch item, otherwise nil
 	progress        *Progress
-	buffers         heldBuffers // of responses that are read whole, until the request ends
+	buffers         heldBuffers // of what is being read; for a whole response until the request ends
 	tries           limits.Tries
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
 	sinkStarted     bool                    // the sink was started
@@ -156,7 +160,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, ErrDeadline)
 	defer cancel()
 	x := &execution{
-		Forwarder: f, request: r, sink: sink, progress: &Progress{Last: r.After}, excluded: make(map[fleet.TargetID]bool), buffers: heldBuffers{budget: &f.buffers},
+		Forwarder: f, request: r, sink: sink, progress: &Progress{Last: r.After}, excluded: make(map[fleet.TargetID]bool), buffers: heldBuffers{budget: f.buffers, free: smallResponseBytes},
 	}
 	defer x.buffers.releaseAll()
 	outcome := x.run(ctx)
--- a/node/gateway/forward_test.go
+++ b/node/gateway/forward_test.go
@@ -292,7 +292,7 @@
 			reservation := w.board.ReserveBatch("s", "q1", nil, false)
 			require.Equal(t, fleet.TargetID("t1"), reservation.Target.ID)
 			request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &w.route, Service: "s", Arrived: now}
-			outcome := w.forward.RunItem(t.Context(), request, reservation, &gateway.Progress{}, func([]byte) {})
+			outcome := w.forward.RunItem(t.Context(), request, reservation, &gateway.Progress{}, eventFunc(func([]byte) {}))
 			reservation.Release()
 			require.Equal(t, gateway.FailedAtTarget, outcome.Verdict)
 		}
@@ -525,7 +525,7 @@
 		route := w.route
 		route.MaxAttempts = 10
 		request := &gateway.Request{ID: "q1", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &route, Service: "s", Arrived: time.Now()}
-		outcome := w.forward.RunItem(ctx, request, reservation, &progress, func(data []byte) { received = append(received, string(data)) })
+		outcome := w.forward.RunItem(ctx, request, reservation, &progress, eventFunc(func(data []byte) { received = append(received, string(data)) }))
 		require.Equal(t, gateway.Yielded, outcome.Verdict)
 		require.Equal(t, []string{"e0", "e1"}, received)
 		require.Equal(t, int64(1), progress.Last)
--- a/node/gateway/item.go
+++ b/node/gateway/item.go
@@ -7,13 +7,27 @@
 	"eelgrassproxy.example/core/fleet"
 )
 
-// RunItem makes one try of a batch item at the reserved target, continuing after progress, which it updates. It calls event with the data of each
-// event; the data is only valid during the call. The verdict is Answered after the last event, Yielded if ctx was cancelled with ErrYielded,
-// FailedAtTarget with the status of the response if the target sent a failure or another valid response that is not an event stream, NotRun if the
-// target ran no part of the item, Overlong if it sent more than the item asks for, and otherwise Unknown. After Overlong, progress is as before the
-// try, and the caller must drop the events that it got from it: where the sound ones end is not known. The caller releases the reservation.
-func (f *Forwarder) RunItem(ctx context.Context, r *Request, reservation *Reservation, progress *Progress, event func([]byte)) Outcome {
-	x := &execution{Forwarder: f, request: r, onEvent: event, progress: progress, excluded: make(map[fleet.TargetID]bool)}
+// ItemSink receives the output of a batch item.
+type ItemSink interface {
+	// Event receives the data of an event, which is valid during the call. An error ends the try.
+	Event(data []byte) error
+	// Reserve and Release reserve and return memory in bytes for parts of events, beyond MinItemBuffer. If Reserve returns false, the try ends.
+	Reserve(n int64) bool
+	Release(n int64)
+}
+
+// MinItemBuffer is the memory in bytes that any try of a batch item takes up, without the events that are complete: the buffers of its connection and of
+// the response, and the request.
+const MinItemBuffer = 32 << 10
+
+// RunItem makes one try of a batch item at the reserved target, continuing after progress, which it updates. The sink receives the events. The verdict
+// is Answered after the last event, Yielded if ctx was cancelled with ErrYielded, FailedAtTarget with the status of the response if the target sent a
+// failure or another valid response that is not an event stream, NotRun if the target ran no part of the item, Overlong if it sent more than the item
+// asks for, NotKept if the sink did not take an event or has no memory for it, and otherwise Unknown. After Overlong and NotKept, progress is as before
+// the try, and the caller must drop the events that it got from it: where the sound ones end is not known. The caller releases the reservation.
+func (f *Forwarder) RunItem(ctx context.Context, r *Request, reservation *Reservation, progress *Progress, sink ItemSink) Outcome {
+	x := &execution{Forwarder: f, request: r, items: sink, progress: progress, excluded: make(map[fleet.TargetID]bool),
+		buffers: heldBuffers{budget: sink, free: relayBufferBytes * eventCopies}}
 	before := *progress
 	err := x.try(ctx, reservation)
 	var status *statusError
@@ -21,14 +35,18 @@
 	switch {
 	case err == nil:
 		outcome = Outcome{Verdict: Answered, Status: x.status}
+	case errors.Is(err, errOverlong):
+		outcome.Verdict = Overlong
+	case errors.Is(err, ErrNotKept) || errors.Is(err, errBuffersFull):
+		outcome.Verdict = NotKept
 	case errors.Is(context.Cause(ctx), ErrYielded):
 		outcome.Verdict = Yielded
 	case errors.As(err, &status):
 		outcome.Verdict, outcome.Status = FailedAtTarget, status.status
 	case isNotRun(err):
 		outcome.Verdict = NotRun
-	case errors.Is(err, errOverlong):
-		outcome.Verdict = Overlong
+	}
+	if outcome.Verdict == Overlong || outcome.Verdict == NotKept {
 		progress.Last, progress.Events = before.Last, before.Events
 	}
 	x.tryLog = []string{describeTry(reservation)}
--- a/node/gateway/peerclient.go
+++ b/node/gateway/peerclient.go
@@ -55,6 +55,12 @@
 // peerCallTimeout. A response with a status other than 200 results in a *PeerStatusError, and a call that was certainly not sent in a
 // *PeerNotSentError.
 func (c *PeerClient) Do(ctx context.Context, method, address, path string, query url.Values, body []byte, processingTime time.Duration) ([]byte, error) {
+	return c.DoAdmitted(ctx, method, address, path, query, body, processingTime, nil)
+}
+
+// DoAdmitted is Do with a function that is called with the size of the body of a response with status 200 in bytes before it is read. Its error ends the
+// call. The size is -1 if the response does not state it. admit may be nil.
+func (c *PeerClient) DoAdmitted(ctx context.Context, method, address, path string, query url.Values, body []byte, processingTime time.Duration, admit func(size int64) error) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, processingTime+peerCallTimeout)
 	defer cancel()
 	target := httpcall.BaseURL(address)
@@ -76,6 +82,11 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if admit != nil && response.StatusCode == http.StatusOK {
+		if err := admit(response.ContentLength); err != nil {
+			return nil, err
+		}
+	}
 	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxPeerResponseBytes))
 	if err != nil {
 		return nil, err
--- a/node/gateway/stale_test.go
+++ b/node/gateway/stale_test.go
@@ -124,7 +124,7 @@
 	route := w.route
 	route.Kind, route.Resumable, route.MaxAttempts = routetable.Stream, true, 10
 	request := &gateway.Request{ID: "q1", Job: "j", Method: http.MethodPost, URI: "/p/1", Host: "h", Route: &route, Service: "s", Arrived: time.Now()}
-	return w.forward.RunItem(w.t.Context(), request, reservation, progress, event)
+	return w.forward.RunItem(w.t.Context(), request, reservation, progress, eventFunc(event))
 }
 
 // repeating runs the scripts like perRequest. Before each response it repeats the last one on the same connection, if there is one.
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -58,7 +58,8 @@
 // item counts as such a reason, since the item itself may be the cause and fail at every target.
 func (x *execution) isUnrelatedToHealth(ctx context.Context, err error) bool {
 	var itemFailure *statusError
-	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.As(err, &itemFailure) || ctx.Err() != nil
+	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
+		errors.As(err, &itemFailure) || ctx.Err() != nil
 }
 
 // sendAndRelay sends the request to the reserved target and relays the response.
@@ -184,6 +185,9 @@
 	// maxTokenBytes is the maximum size of a stream in bytes per token, with the framing of the events. Tokens have a few bytes each, and an event with
 	// one token about a hundred.
 	maxTokenBytes = 1 << 10
+	// eventCopies is the number of times that the bytes of an event may be in memory while it is passed on: the buffer of the splitter grows by doubling,
+	// and a client's copy is made.
+	eventCopies = 3
 	// streamOverheadBytes is the size in bytes that any stream may have in addition, for example for comments.
 	streamOverheadBytes = 64 << 10
 )
@@ -207,12 +211,17 @@
 	splitter := stream.NewSplitter(int(min(maxEventBytes, left)))
 	buffer := make([]byte, relayBufferBytes)
 	var out []byte
+	buffers := heldBuffers{budget: x.buffers.budget, free: x.buffers.free}
+	defer buffers.releaseAll()
 	for {
 		n, readErr := response.Body.Read(buffer)
 		if left -= int64(n); left < 0 {
 			x.metrics.Counter("overlong_responses").Inc(1)
 			return fmt.Errorf("%w: %d bytes for %d tokens", errOverlong, x.maxStreamBytes(), x.request.MaxTokens)
 		}
+		if !buffers.grow(eventCopies * (splitter.Pending() + n)) {
+			return fmt.Errorf("%w: %d bytes of an event", errBuffersFull, splitter.Pending()+n)
+		}
 		splitter.Add(buffer[:n])
 		before := x.progress.Events
 		var err error
@@ -253,7 +262,7 @@
 		}
 		switch {
 		case event.Comment:
-			out = append(out, event.Raw...)
+			out = x.appendEvent(out, event)
 			continue
 		case !event.HasID:
 			return out, fmt.Errorf("%w: an event without one follows %d", errEventOrder, x.progress.Last)
@@ -265,11 +274,21 @@
 			x.firstEvent = time.Since(x.request.Arrived)
 		}
 		x.progress.Events++
-		if x.onEvent != nil {
-			x.onEvent(event.Data)
+		if x.items != nil {
+			if err := x.items.Event(event.Data); err != nil {
+				return out, fmt.Errorf("%w: %w", ErrNotKept, err)
+			}
 		}
-		out = append(out, event.Raw...)
+		out = x.appendEvent(out, event)
+	}
+}
+
+// appendEvent appends an event to the bytes that are to be passed on, unless there is no client to pass them on to.
+func (x *execution) appendEvent(out []byte, event stream.RawEvent) []byte {
+	if x.sink == nil {
+		return out
 	}
+	return append(out, event.Raw...)
 }
 
 // writeEvents writes events to the sink. Before the first events of the request it writes the status and the header of the response.
@@ -359,15 +378,14 @@
 		return nil, err
 	}
 	var whole []byte
+	x.buffers.next()
 	for {
 		if len(whole) == cap(whole) {
 			next := min(max(smallResponseBytes, 2*cap(whole)), int(limit)+1)
-			if !x.buffers.reserve(next) {
+			if !x.buffers.grow(next + cap(whole)) {
 				return nil, fmt.Errorf("%w: %d bytes", errBuffersFull, x.options.MaxBufferedBytes)
 			}
-			grown := append(make([]byte, 0, next), whole...)
-			x.buffers.release(cap(whole))
-			whole = grown
+			whole = append(make([]byte, 0, next), whole...)
 		}
 		n, err := body.Read(whole[len(whole):cap(whole)])
 		whole = whole[:len(whole)+n]
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -45,10 +45,12 @@
 	DecodeConfig func([]byte) (*routetable.Table, error)
 	TargetPrefix string
 	DecodeTarget func(key string, value []byte) (slots.Target, error)
-	Seeds        []string             // peer addresses of some instances
-	FirstStart   bool                 // all instances of the fleet start for the first time, at about the same time
-	ResultsKept  time.Duration        // how long results stay readable after a job was submitted
-	Grace        func() time.Duration // maximum time from the stop signal to the end of the process
+	Seeds        []string      // peer addresses of some instances
+	FirstStart   bool          // all instances of the fleet start for the first time, at about the same time
+	ResultsKept  time.Duration // how long results stay readable after a job was submitted
+	// ItemMemoryBytes bounds the memory for the outputs of batch items; see itemjobs.Config.MemoryBytes.
+	ItemMemoryBytes int64
+	Grace           func() time.Duration // maximum time from the stop signal to the end of the process
 }
 
 // Listener is an address on which an instance serves HTTP, in addition to the address for its peers.
@@ -120,6 +122,7 @@
 		Retention:        c.ResultsKept,
 		StoreUnreachable: i.catchUp.StoreLost,
 		Seed:             c.Self.Incarnation,
+		MemoryBytes:      c.ItemMemoryBytes,
 		Metrics:          c.Metrics,
 	})
 	return i, nil
--- a/node/internal/memkv/memkv.go
+++ b/node/internal/memkv/memkv.go
@@ -107,7 +107,7 @@
 }
 
 // ListAfter implements kv.Store.
-func (s *Store) ListAfter(_ context.Context, prefix, after string) (kv.Listing, error) {
+func (s *Store) ListAfter(ctx context.Context, prefix, after string) (kv.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.beginCall(); err != nil {
@@ -120,9 +120,26 @@
 		}
 	}
 	slices.SortFunc(listing.Items, func(a, b kv.KeyValue) int { return cmp.Compare(a.Key, b.Key) })
+	if kv.IsOnePage(ctx) {
+		cutPage(&listing)
+	}
 	return listing, nil
 }
 
+// maxPageBytes bounds the values of a page that has several items, as the platform's store does.
+const maxPageBytes = 1 << 20
+
+// cutPage reduces a listing to its first page.
+func cutPage(listing *kv.Listing) {
+	size := 0
+	for i, item := range listing.Items {
+		if size += len(item.Value); i > 0 && size > maxPageBytes {
+			listing.Items, listing.More = listing.Items[:i], true
+			return
+		}
+	}
+}
+
 // Txn implements kv.Store.
 func (s *Store) Txn(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	s.mu.Lock()
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -45,12 +44,17 @@
 
 // checkpointOnce writes the progress of the jobs that dueCheckpoints returns, and drops those of them that this instance no longer owns.
 func (s *Service) checkpointOnce(ctx context.Context) {
-	batch := s.dueCheckpoints()
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-progress"), checkpointTimeout)
+	defer cancel()
+	done, err := s.memory.encode(ctx, maxCheckpointBytes)
+	if err != nil {
+		return // as above
+	}
+	defer done()
+	batch, _ := s.dueCheckpoints()
 	if len(batch) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-progress"), checkpointTimeout)
-	defer cancel()
 	var txn kv.Txn
 	var jobs []*ownedJob
 	for _, entry := range batch {
@@ -80,69 +84,90 @@
 	}
 }
 
-// dueCheckpoints returns the progress of jobs with at least minCheckpointEvents new events, as far as it fits into one transaction.
-func (s *Service) dueCheckpoints() []checkpointEntry {
+// dueCheckpoints returns the progress of jobs with at least minCheckpointEvents new events, as far as it fits into one transaction, and its size in bytes.
+func (s *Service) dueCheckpoints() (batch []checkpointEntry, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var batch []checkpointEntry
-	size := 0
 	for _, j := range s.jobs {
 		if !j.isRunnable() || len(batch) == maxCheckpointJobs {
 			continue
 		}
-		value := s.currentProgress(j)
+		parts, bytes := s.unfinishedOutputs(j)
 		events := 0
-		for _, p := range value.Partials {
-			events += p.Events
+		for _, p := range parts {
+			events += p.progress.Events
 		}
-		bytes := sizeOf(value.Partials)
 		if events < j.checkpointedEvents+minCheckpointEvents || size+bytes > maxCheckpointBytes {
 			continue
 		}
 		size += bytes
-		batch = append(batch, checkpointEntry{j, events, value})
+		batch = append(batch, checkpointEntry{j, events, s.progressOf(j, parts)})
 	}
-	return batch
+	return batch, size
 }
 
-// currentProgress returns the progress of a job's waiting and running items, up to maxProgressBytes. The caller holds s.mu.
-func (s *Service) currentProgress(j *ownedJob) progress {
-	p := progress{Age: j.Age(s.Now())}
+// unfinishedOutput is the progress of an item without its output, and the run that the item is in, or nil.
+type unfinishedOutput struct {
+	task     *itemjob.Task
+	run      *run
+	progress partial
+}
+
+// unfinishedOutputs returns the progress of a job's waiting and running items, up to maxProgressBytes, and the size of its outputs as JSON, in bytes.
+// Nothing is copied. The caller holds s.mu.
+func (s *Service) unfinishedOutputs(j *ownedJob) (parts []unfinishedOutput, size int) {
 	running := make(map[*itemjob.Task]*run)
 	for _, r := range s.runsOf(j) {
 		running[r.task] = r
 	}
-	size := 0
 	for _, t := range j.Tasks {
-		item := partial{Index: t.Index, Last: t.LastEventID, Events: t.Events, Output: t.Output, Silent: t.SilentRuns}
-		if r, ok := running[t]; ok {
+		part := unfinishedOutput{task: t, run: running[t], progress: partial{Index: t.Index, Last: t.LastEventID, Events: t.Events, Silent: t.SilentRuns}}
+		bytes := t.Output.EncodedSize() + partOverhead
+		if r := part.run; r != nil {
 			r.mu.Lock()
-			if len(r.received) > 0 {
-				item.Last, item.Events = r.lastEvent, t.Events+len(r.received)
-				item.Output = append(slices.Clip(t.Output), r.received...)
+			if n := r.output.Events(); n > 0 {
+				part.progress.Last, part.progress.Events = r.lastEvent, t.Events+n
+				bytes += r.output.EncodedSize() + partOverhead
 			}
 			r.mu.Unlock()
 		} else if t.Phase != itemjob.Waiting {
 			continue
 		}
-		if item.Events == 0 && item.Silent == 0 {
+		if part.progress.Events == 0 && part.progress.Silent == 0 {
 			continue
 		}
-		if size += sizeOf([]partial{item}); size > maxProgressBytes {
+		if size+bytes > maxProgressBytes {
 			break
 		}
-		p.Partials = append(p.Partials, item)
+		size += bytes
+		parts = append(parts, part)
 	}
-	return p
+	return parts, size
 }
 
-// sizeOf returns the size of outputs as JSON, in bytes.
-func sizeOf(partials []partial) int {
-	size := 0
-	for _, p := range partials {
-		for _, data := range p.Output {
-			size += itemjob.EncodedSize(data) + eventOverhead
+// progressOf returns the progress of a job with copies of the outputs. Events that arrived since unfinishedOutputs are included. The caller holds s.mu.
+func (s *Service) progressOf(j *ownedJob, parts []unfinishedOutput) progress {
+	p := progress{Age: j.Age(s.Now())}
+	for _, part := range parts {
+		item := part.progress
+		if part.task.Output.Events() > 0 {
+			item.Output = append(item.Output, part.task.Output.Text())
+		}
+		if r := part.run; r != nil {
+			r.mu.Lock()
+			if n := r.output.Events(); n > 0 {
+				item.Last, item.Events = r.lastEvent, part.task.Events+n
+				item.Output = append(item.Output, r.output.Text())
+			}
+			r.mu.Unlock()
 		}
+		p.Partials = append(p.Partials, item)
 	}
-	return size
+	return p
+}
+
+// currentProgress returns the progress of a job's waiting and running items, up to maxProgressBytes. The caller holds s.mu.
+func (s *Service) currentProgress(j *ownedJob) progress {
+	parts, _ := s.unfinishedOutputs(j)
+	return s.progressOf(j, parts)
 }
--- a/node/itemjobs/collect.go
+++ b/node/itemjobs/collect.go
@@ -91,6 +91,7 @@
 	for id, j := range s.jobs {
 		if j.AllStored() && now.After(j.evictAt) {
 			delete(s.jobs, id)
+			s.memory.recorded.remove(j)
 		}
 	}
 }
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -334,6 +334,7 @@
 	ahead         time.Duration  // of the time of day of the instances that are started from now on
 	detectByCalls bool           // instances find out from failed calls that the store is unreachable, as in production
 	capacity      float64        // cores of the instances that are started next
+	memory        int64          // Config.MemoryBytes of the instances that are started next
 	endlessLine   int            // bytes of data of each event without end; 0 means 16 KB; guarded by mu
 }
 
@@ -402,7 +403,7 @@
 	n.service = itemjobs.New(itemjobs.Config{
 		Self: self, Store: store, Board: n.board, Forwarder: forwarder, Routes: n.routes, Peers: n.peers, Client: n.client,
 		Retention: resultsKept, StoreUnreachable: lost, Seed: uint64(len(f.nodes)),
-		Now: n.now, Metrics: n.metrics,
+		MemoryBytes: f.memory, Now: n.now, Metrics: n.metrics,
 	})
 	mux := http.NewServeMux()
 	n.service.Handle(mux)
--- a/node/itemjobs/handover.go
+++ b/node/itemjobs/handover.go
@@ -81,6 +81,14 @@
 	s.mu.Lock()
 	remaining := s.remainingProgress(j)
 	s.mu.Unlock()
+	// Results that do not fit belong to items that run again.
+	remaining.Finished = remaining.Finished[:itemjob.FittingResults(remaining.Finished, maxPageBytes)]
+	encoded, err := s.memory.encode(ctx, remaining.outputBytes())
+	if err != nil {
+		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
+		return false
+	}
+	defer encoded()
 	if err := s.calls.adopt(ctx, addresses[fleet.InstanceID(chosen[0])], j.ID, remaining, s.Board.Departing()); err != nil {
 		klog.ErrorS(err, "Job was not handed over", "job", j.ID, "successor", chosen[0])
 		return false
@@ -97,6 +105,12 @@
 	record.Owner, record.Process, record.KnownAge = "", 0, remaining.Age
 	remaining.DueIn = 0 // nobody knows when the next owner reads it
 	remaining.Finished = remaining.Finished[:itemjob.FittingResults(remaining.Finished, maxFinishedBytes)]
+	encoded, err := s.memory.encode(ctx, remaining.outputBytes())
+	if err != nil {
+		klog.ErrorS(err, "Job could not be released, another instance takes it over when this one has stopped", "job", j.ID)
+		return
+	}
+	defer encoded()
 	ops, err := putJSON(recordKey(j.ID), record, openKey(j.ID), markOf(&record), partialKey(j.ID), remaining)
 	if err == nil {
 		_, err = s.replaceRecord(ctx, j.ID, revision, ops)
--- a/node/itemjobs/large_results_test.go
+++ b/node/itemjobs/large_results_test.go
@@ -61,6 +61,7 @@
 		require.NoError(f.t, err)
 		require.Less(f.t, len(encoded), 3<<20)
 		results = append(results, page.Results...)
+		page.Release()
 	}
 }
 
--- /dev/null
+++ b/node/itemjobs/memory_test.go
@@ -0,0 +1,200 @@
+package itemjobs_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/itemjobs"
+)
+
+// testMemory is the memory for items of the instances of these tests.
+const testMemory = 4 << 20
+
+// withMemory runs a test with a fleet whose instances have testMemory.
+func withMemory(t *testing.T, instances int, test func(*testing.T, *testFleet)) {
+	withFleet(t, 0, func(t *testing.T, f *testFleet) {
+		f.memory = testMemory
+		for i := range instances {
+			f.start(fleet.InstanceID(fmt.Sprint("i", i)), fmt.Sprintf("10.0.0.%d", i+1))
+		}
+		time.Sleep(2 * time.Second)
+		test(t, f)
+	})
+}
+
+// largeSubmission returns a submission of items that ask for long outputs, and their ids.
+func largeSubmission(id itemjob.ID, items int) (itemjobs.Submission, []string) {
+	var ids []string
+	for i := range items {
+		ids = append(ids, fmt.Sprint(id, "-", i))
+	}
+	sub := submission(id, ids...)
+	for i := range sub.Items {
+		sub.Items[i].Tokens = 72_000
+	}
+	route := *sub.Route
+	route.MaxWaitingTokens = 0
+	sub.Route = &route
+	return sub, ids
+}
+
+// memoryOf returns the memory of an instance for items by its metrics, and the limit, in bytes.
+func memoryOf(n *node) (used, limit float64) {
+	for _, gauge := range n.metrics.Snapshot().Gauges() {
+		switch gauge.Name() {
+		case "item_jobs.memory_bytes":
+			used += gauge.Value()
+		case "item_jobs.memory_limit_bytes":
+			limit += gauge.Value()
+		}
+	}
+	return used, limit
+}
+
+// heapBytes returns the memory of all reachable objects.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// Guards against an instance whose memory is used up by many runs at targets that all send without end: each run was bounded, and nothing bounded their sum.
+func TestRunsThatAreAllSpoiledShareTheMemory(t *testing.T) {
+	for name, line := range map[string]int{"large events": 16 << 10, "events of one byte": 1, "one event": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			withMemory(t, 1, func(t *testing.T, f *testFleet) {
+				const slots = 40
+				f.setSlots(slots)
+				sub, items := largeSubmission("j", 2*slots)
+				f.mu.Lock()
+				for _, item := range items {
+					f.endless[item] = 1 << 20
+				}
+				f.endlessLine = line
+				f.mu.Unlock()
+				before := heapBytes()
+				require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+				time.Sleep(itemEvents * eventPause)
+				for range 40 {
+					time.Sleep(50 * time.Millisecond)
+					used, limit := memoryOf(f.nodes[0])
+					require.Positive(t, limit)
+					require.LessOrEqual(t, limit, float64(testMemory))
+					require.LessOrEqual(t, used, limit)
+					// The connections and the items themselves take up some memory as well.
+					require.Less(t, heapBytes()-before, int64(3*testMemory))
+				}
+				f.mu.Lock()
+				clear(f.endless)
+				f.mu.Unlock()
+				time.Sleep(40 * time.Second)
+				requireCompleted(t, f.readAll(f.nodes[0], "j"), items...)
+			})
+		})
+	}
+}
+
+// Guards against outputs that wait for the store and fill the memory: items wait instead, and are done when the store answers again.
+func TestItemsWaitWhileOutputsFillTheMemory(t *testing.T) {
+	withMemory(t, 1, func(t *testing.T, f *testFleet) {
+		f.text = strings.Repeat("y", 4<<10) // 80 KB an output
+		f.setSlots(40)
+		sub, items := largeSubmission("j", 60)
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		f.nodes[0].store.hangTxns()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			used, limit := memoryOf(f.nodes[0])
+			require.LessOrEqual(t, used, limit)
+		}
+		f.nodes[0].store.resumeTxns()
+		time.Sleep(40 * time.Second)
+		require.Len(t, f.readPages(f.nodes[0], "j"), len(items))
+	})
+}
+
+// Guards against results of complete jobs that fill the memory until their retention has passed: the oldest ones are read from the store, by any instance,
+// also after the owner is lost.
+func TestResultsBeyondTheMemoryAreReadFromTheStore(t *testing.T) {
+	withMemory(t, 2, func(t *testing.T, f *testFleet) {
+		f.text = markup
+		f.setSlots(40)
+		sub, items := submissionOfMarkup()
+		jobs := []itemjob.ID{"j0", "j1", "j2"}
+		for _, id := range jobs {
+			sub.ID = id
+			require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+			time.Sleep(18 * time.Second)
+		}
+		used, limit := memoryOf(f.nodes[0])
+		require.LessOrEqual(t, used, limit)
+		for _, id := range jobs {
+			requireMarkup(t, f.readPages(f.nodes[0], id), items)
+			requireMarkup(t, f.readPages(f.nodes[1], id), items)
+		}
+		f.kill(f.nodes[0])
+		time.Sleep(5 * time.Second)
+		for _, id := range jobs {
+			requireMarkup(t, f.readPages(f.nodes[1], id), items)
+		}
+	})
+}
+
+// Guards against progress that is handed over and does not fit into the memory of the next owner: the items run again.
+func TestProgressBeyondTheMemoryOfTheNextOwnerRunsAgain(t *testing.T) {
+	withMemory(t, 1, func(t *testing.T, f *testFleet) {
+		f.text = markup
+		f.setSlots(40)
+		sub, items := submissionOfMarkup()
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		f.nodes[0].store.hangTxns() // the results are not recorded
+		time.Sleep(5500 * time.Millisecond)
+		f.nodes[0].store.resumeTxns()
+		f.memory = 512 << 10
+		next := f.start("i9", "10.0.0.9")
+		time.Sleep(2 * time.Second)
+		f.nodes[0].service.Drain(t.Context())
+		f.kill(f.nodes[0])
+		time.Sleep(time.Minute)
+		requireMarkup(t, f.readPages(next, "j"), items)
+	})
+}
+
+// Guards against readers that together take up any amount of memory: the pages that are being read have a limit, and the results come when it is free again.
+func TestPagesThatAreBeingReadShareTheMemory(t *testing.T) {
+	withMemory(t, 2, func(t *testing.T, f *testFleet) {
+		f.text = markup
+		f.setSlots(40)
+		sub, items := submissionOfMarkup()
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(18 * time.Second)
+		for _, n := range f.nodes {
+			var pages []itemjobs.Page
+			for {
+				page, err := n.service.Read(t.Context(), "j", 0, 0)
+				if err != nil {
+					require.ErrorIs(t, err, itemjobs.ErrUnavailable)
+					break
+				}
+				require.NotEmpty(t, page.Results)
+				pages = append(pages, page)
+				require.Less(t, len(pages), 100)
+			}
+			time.Sleep(200 * time.Millisecond)
+			used, limit := memoryOf(n)
+			require.LessOrEqual(t, used, limit)
+			for i := range pages {
+				pages[i].Release()
+			}
+			requireMarkup(t, f.readPages(n, "j"), items)
+		}
+	})
+}
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -289,7 +289,7 @@
 	if err != nil {
 		return err
 	}
-	results, err := s.loadResults(ctx, record.ID, 0)
+	results, outputs, err := s.loadAllResults(ctx, record.ID)
 	if err != nil {
 		return err
 	}
@@ -300,6 +300,9 @@
 		submittedBy = earlier(submittedBy, handedOver.submittedBy)
 	}
 	job, now := itemjob.NewJob(record, items, results, submittedBy), s.Now()
+	if !outputs {
+		job.ForgetOutputs(len(results))
+	}
 	job.SetDueIn(dueIn(job, handedOver, now), now)
 	continued := handedOver.apply(job, now)
 	klog.InfoS("Job taken up", "job", record.ID, "former_owner", former, "items", len(items), "results", len(results), "continued", continued,
@@ -332,9 +335,13 @@
 // storedProgress reads the progress that the former owner wrote to the store. It is empty if there is none or it cannot be read.
 func (s *Service) storedProgress(ctx context.Context, id itemjob.ID) *progress {
 	p := &progress{}
-	found, err := s.Store.Get(ctx, partialKey(id))
+	decoded, err := s.memory.encode(ctx, maxProgressBytes)
 	if err == nil {
-		err = decode(found.Value, p)
+		defer decoded()
+		var found kv.KeyValue
+		if found, err = s.Store.Get(ctx, partialKey(id)); err == nil {
+			err = decode(found.Value, p)
+		}
 	}
 	p.submittedBy = s.Now().Add(-p.Age)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -36,7 +36,12 @@
 // do calls a peer. The status 404 becomes errNotOwner, others a *gateway.PeerStatusError. maxWait is the time that the peer may take in addition to
 // the usual one.
 func (c peerCalls) do(ctx context.Context, method, address, path string, query url.Values, body []byte, maxWait time.Duration) ([]byte, error) {
-	response, err := c.client.Do(ctx, method, address, submissionPath+path, query, body, maxWait)
+	return c.doAdmitted(ctx, method, address, path, query, body, maxWait, nil)
+}
+
+// doAdmitted is do with a function that may refuse to read the response; see gateway.PeerClient.DoAdmitted.
+func (c peerCalls) doAdmitted(ctx context.Context, method, address, path string, query url.Values, body []byte, maxWait time.Duration, admit func(size int64) error) ([]byte, error) {
+	response, err := c.client.DoAdmitted(ctx, method, address, submissionPath+path, query, body, maxWait, admit)
 	if statusOf(err) == http.StatusNotFound {
 		return nil, errNotOwner
 	}
@@ -78,9 +83,10 @@
 	return MayBeAccepted
 }
 
-func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, maxWait time.Duration) (Page, error) {
+// read reads a page of results. admit is called with its size in bytes before it is read.
+func (c peerCalls) read(ctx context.Context, address string, id itemjob.ID, after int, maxWait time.Duration, admit func(size int64) error) (Page, error) {
 	query := url.Values{"after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(maxWait.Milliseconds(), 10)}}
-	body, err := c.do(ctx, http.MethodGet, address, "/"+string(id)+"/results", query, nil, maxWait)
+	body, err := c.doAdmitted(ctx, http.MethodGet, address, "/"+string(id)+"/results", query, nil, maxWait, admit)
 	if err != nil {
 		return Page{}, err
 	}
@@ -170,6 +176,11 @@
 		http.Error(w, errNotOwner.Error(), http.StatusNotFound)
 		return
 	}
+	if !s.memory.reservePage(&page) {
+		http.Error(w, errPagesFull.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer page.Release()
 	body, err := encodeJSON(page)
 	if err != nil {
 		klog.ErrorS(err, "Page of results cannot be encoded", "job", r.PathValue("job"))
@@ -177,6 +188,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // if the write fails, the peer reads the store
 }
 
@@ -191,10 +203,23 @@
 
 func (s *Service) serveAdopt(w http.ResponseWriter, r *http.Request) {
 	received := s.Now()
+	decoded, err := s.memory.encode(r.Context(), max(r.ContentLength, 0))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	var handedOver adoption
-	if !decodePeerRequest(w, r, &handedOver) {
+	ok := decodePeerRequest(w, r, &handedOver)
+	decoded() // taking up the job waits for the same memory
+	if !ok {
 		return
 	}
+	if size := handedOver.outputBytes(); s.memory.kept.Reserve(size) {
+		defer s.memory.kept.Release(size)
+	} else {
+		klog.InfoS("Outputs of a job that is handed over do not fit into the memory for items, its unfinished items run again", "job", r.PathValue("job"), "bytes", size)
+		handedOver.Partials, handedOver.Finished = nil, nil
+	}
 	s.Board.MarkDeparting(handedOver.Departing, r.RemoteAddr)
 	handedOver.submittedBy = received.Add(-handedOver.Age)
 	if err := s.Adopt(context.WithoutCancel(r.Context()), itemjob.ID(r.PathValue("job")), &handedOver.progress); err != nil {
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"eelgrassproxy.example/adapters/kv"
@@ -15,6 +16,16 @@
 	Total   int              `json:"total"`   // number of items of the job
 	Results []itemjob.Result `json:"results"` // from the requested position on
 	Next    int              `json:"next"`    // position after the last of them
+
+	release func() // returns the memory for the page
+}
+
+// Release ends the use of the page. It must be called when the results were passed on, or no longer are.
+func (p *Page) Release() {
+	if p.release != nil {
+		p.release()
+		p.release = nil
+	}
 }
 
 const (
@@ -31,27 +42,55 @@
 }
 
 // Read returns the recorded results of a job from position after on. If there are none yet, it waits for one, for at most maxWait. It reads
-// from the owner of the job, or from the store without waiting if the owner cannot be read. Errors: ErrNotFound, ErrUnavailable, ErrBadRecord.
+// from the owner of the job, or from the store without waiting if the owner cannot be read. The caller must call Page.Release after it. Errors:
+// ErrNotFound, ErrUnavailable, also if pages that are being sent to other readers take up their memory, ErrBadRecord.
 func (s *Service) Read(ctx context.Context, id itemjob.ID, after int, maxWait time.Duration) (Page, error) {
 	if page, ok := s.ReadOwned(ctx, id, after, maxWait); ok {
+		if !s.memory.reservePage(&page) {
+			return Page{}, errPagesFull
+		}
 		return page, nil
 	}
 	if owner, ok := s.ownerOf(id); ok {
-		if page, err := s.calls.read(ctx, owner, id, after, maxWait); err == nil {
+		if page, err := s.readPeer(ctx, owner, id, after, maxWait); err == nil {
 			return page, nil
 		}
 	}
 	return s.readStored(kv.WithPurpose(ctx, "job-read"), id, after, maxWait)
 }
 
-// ReadOwned is Read for a job that this instance owns or keeps in memory; ok is false for any other job.
+// errPagesFull means that the memory for pages is used up.
+var errPagesFull = fmt.Errorf("%w: results that are being read take up their memory", ErrUnavailable)
+
+// readPeer reads from the owner of a job.
+func (s *Service) readPeer(ctx context.Context, address string, id itemjob.ID, after int, maxWait time.Duration) (Page, error) {
+	var held Page
+	page, err := s.calls.read(ctx, address, id, after, maxWait, func(size int64) error {
+		if size < 0 {
+			size = maxPageBytes // from a peer of an earlier build
+		}
+		if !s.memory.reservePageBytes(&held, size*peerPageCopies) {
+			return errPagesFull
+		}
+		return nil
+	})
+	if err != nil {
+		held.Release()
+		return Page{}, err
+	}
+	page.release = held.release
+	return page, nil
+}
+
+// ReadOwned is Read for a job that this instance owns or keeps in memory; ok is false for any other job, and for results that it does not keep. No
+// memory is reserved for the page.
 func (s *Service) ReadOwned(ctx context.Context, id itemjob.ID, after int, maxWait time.Duration) (page Page, ok bool) {
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
 		j, owned := s.jobs[id]
-		if !owned || j.dropped {
+		if !owned || j.dropped || !j.HasOutputs(after) {
 			s.mu.Unlock()
 			return Page{}, false
 		}
@@ -115,15 +154,24 @@
 		return Page{}, err
 	}
 	if address, ok := s.cacheRecordOwner(&record); ok {
-		if page, err := s.calls.read(ctx, address, id, after, maxWait); err == nil {
+		if page, err := s.readPeer(ctx, address, id, after, maxWait); err == nil {
 			return page, nil
 		}
 	}
-	results, err := s.loadResults(ctx, id, after)
+	loaded, err := s.memory.encode(ctx, maxPageBytes)
 	if err != nil {
 		return Page{}, errors.Join(ErrUnavailable, err)
 	}
-	return pageOf(record.Items, results, after), nil
+	defer loaded()
+	results, _, err := s.loadResults(ctx, id, after)
+	if err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	page := pageOf(record.Items, results, after)
+	if !s.memory.reservePage(&page) {
+		return Page{}, errPagesFull
+	}
+	return page, nil
 }
 
 // cacheRecordOwner caches the owner that a record names and returns its address, or false if the job has no owner or its owner is not a peer
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -67,7 +67,7 @@
 	Index  int      `json:"index"`
 	Last   int64    `json:"last"`
 	Events int      `json:"events"`
-	Output []string `json:"output"`
+	Output []string `json:"output"`           // joined by newlines, the data of the events
 	Silent int      `json:"silent,omitempty"` // itemjob.Task.SilentRuns; earlier builds do not write it
 }
 
@@ -81,12 +81,23 @@
 	submittedBy time.Time // see itemjob.NewJob; by the clock of the instance that received or read the progress
 }
 
+// outputBytes returns the size of all outputs in bytes.
+func (p *progress) outputBytes() int64 {
+	size := outputBytes(p.Finished)
+	for _, q := range p.Partials {
+		for _, text := range q.Output {
+			size += int64(len(text))
+		}
+	}
+	return size
+}
+
 // apply sets the progress on the unfinished items of a job, and returns the number of items that continue from it.
 func (p *progress) apply(job *itemjob.Job, now time.Time) int {
 	continued := 0
 	for _, r := range p.Finished {
 		if t := job.Task(r.Item); t != nil && t.Phase == itemjob.Waiting {
-			t.Output = []string{r.Output}
+			t.Output = itemjob.NewOutput(r.Output, 1)
 			job.Finish(t, r.Completed, now)
 			continued++
 		}
@@ -96,7 +107,8 @@
 			continue
 		}
 		t := job.Tasks[q.Index]
-		t.LastEventID, t.Events, t.Output, t.SilentRuns = q.Last, q.Events, q.Output, max(q.Silent, 0)
+		t.LastEventID, t.Events, t.SilentRuns = q.Last, q.Events, max(q.Silent, 0)
+		t.Output = itemjob.NewOutput(strings.Join(q.Output, "\n"), q.Events)
 		if t.Events > 0 {
 			continued++
 		}
@@ -105,8 +117,8 @@
 }
 
 const (
-	// eventOverhead is the number of bytes that JSON adds to the encoded data of an event.
-	eventOverhead = 4
+	// partOverhead is the number of bytes that JSON adds to each string of partial.Output.
+	partOverhead = 4
 	// maxFinishedBytes bounds the JSON of the finished results in the progress of a job; items whose results do not fit run again.
 	maxFinishedBytes = 300 << 10
 	// maxProgressBytes bounds the JSON of the outputs of unfinished items in the progress of a job; those that do not fit restart from the beginning.
--- a/node/itemjobs/report.go
+++ b/node/itemjobs/report.go
@@ -60,3 +60,24 @@
 			"usable_targets", pool.Usable, "at_home_elsewhere", pool.Foreign, "slots", pool.Slots, "online", pool.Load.Online, "firm", pool.Load.Firm, "yieldable", pool.Load.Yieldable)
 	}
 }
+
+// reportMemory updates the metrics of the memory for items.
+func (s *Service) reportMemory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.memory(&s.memory)
+}
+
+// reportMemoryFull logs that items wait for memory. Only the scheduler calls it; the caller holds s.mu.
+func (s *Service) reportMemoryFull(now time.Time) {
+	if now.Sub(s.memoryFullReported) < fullReportInterval {
+		return
+	}
+	s.memoryFullReported = now
+	runs := 0
+	for _, list := range s.runs {
+		runs += len(list)
+	}
+	klog.InfoS("Items wait because the memory for items is used up", "used_bytes", s.memory.kept.Used(), "limit_bytes", s.memory.kept.Limit(),
+		"runs", runs, "jobs", len(s.jobs))
+}
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -118,6 +118,12 @@
 func (s *Service) recordGroup(ctx context.Context, j *ownedJob, group []itemjob.Result) bool {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-results"), recordTimeout)
 	defer cancel()
+	encoded, err := s.memory.encode(ctx, outputBytes(group))
+	if err != nil {
+		klog.ErrorS(err, "Results were not recorded yet", "job", j.ID, "results", len(group))
+		return false
+	}
+	defer encoded()
 	s.mu.Lock()
 	position, revision, total := len(j.Results), j.revision, len(j.Tasks)
 	s.mu.Unlock()
@@ -170,7 +176,10 @@
 	now := s.Now()
 	s.mu.Lock()
 	j.Confirm(asOf)
+	bytes := outputBytes(group)
 	j.MarkStored(len(group), now)
+	s.memory.recorded.add(j, position+len(group), bytes)
+	s.chargeKept(j)
 	complete := j.AllStored()
 	if complete {
 		j.evictAt = j.SubmittedBy().Add(s.Retention)
@@ -181,30 +190,57 @@
 		"due_in_ms", j.DueTime().Sub(now).Milliseconds())
 }
 
-// loadResults reads the recorded results of a job from a position on. Errors: ErrBadRecord, and those of the store.
-func (s *Service) loadResults(ctx context.Context, id itemjob.ID, position int) ([]itemjob.Result, error) {
-	listing, err := s.Store.ListAfter(ctx, resultPrefix+string(id)+"/", resultKey(id, position))
+// loadResults reads recorded results of a job from a position on, as many as one page of the store holds; more reports whether there are others. The
+// caller holds the memory for them, see memory.encode. Errors: ErrBadRecord, and those of the store.
+func (s *Service) loadResults(ctx context.Context, id itemjob.ID, position int) (results []itemjob.Result, more bool, err error) {
+	listing, err := s.Store.ListAfter(kv.OnePage(ctx), resultPrefix+string(id)+"/", resultKey(id, position))
 	if err != nil || len(listing.Items) == 0 {
-		return nil, err
+		return nil, false, err
 	}
 	end, err := resultEnd(id, listing.Items[len(listing.Items)-1].Key)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	var results []itemjob.Result
 	for _, item := range listing.Items {
 		var group []itemjob.Result
 		if err := decode(item.Value, &group); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		results = append(results, group...)
 	}
 	// The first group may begin before the position.
 	surplus := position - (end - len(results))
 	if surplus < 0 || surplus > len(results) {
-		return nil, eris.Wrapf(ErrBadRecord, "%d results of job %s end at position %d, those from %d on are asked for", len(results), id, end, position)
+		return nil, false, eris.Wrapf(ErrBadRecord, "%d results of job %s end at position %d, those from %d on are asked for", len(results), id, end, position)
+	}
+	return results[surplus:], listing.More, nil
+}
+
+// loadAllResults reads all recorded results of a job. outputs reports whether they have their outputs, which are dropped unless one page of the store
+// holds all of them. Errors: as for loadResults.
+func (s *Service) loadAllResults(ctx context.Context, id itemjob.ID) (all []itemjob.Result, outputs bool, err error) {
+	loaded, err := s.memory.encode(ctx, maxPageBytes)
+	if err != nil {
+		return nil, false, err
+	}
+	defer loaded()
+	outputs = true
+	for {
+		page, more, err := s.loadResults(ctx, id, len(all))
+		if err != nil {
+			return nil, false, err
+		}
+		outputs = outputs && !more
+		for _, r := range page {
+			if !outputs {
+				r.Output = ""
+			}
+			all = append(all, r)
+		}
+		if !more {
+			return all, outputs, nil
+		}
 	}
-	return results[surplus:], nil
 }
 
 // loadItems reads the items of a job from the store. Errors: ErrBadRecord, and those of the store.
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/gateway"
 	"eelgrassproxy.example/node/internal/wait"
@@ -28,6 +30,8 @@
 	interruptedDelay = 50 * time.Millisecond
 	// otherStatusDelay is the delay before an item is tried again to which a target responded with a status that is no failure of the item.
 	otherStatusDelay = time.Second
+	// notKeptDelay is the delay before an item is tried again whose output could not be kept.
+	notKeptDelay = time.Second
 	// unknownRouteDelay is the delay before an item is tried again whose route is not known here and may exist.
 	unknownRouteDelay = time.Second
 )
@@ -41,10 +45,15 @@
 	firm     bool         // keeps its slot when online requests need it; see gateway.Board.ReserveBatch
 	yielding bool         // was asked to yield its slot
 	events   atomic.Int64 // number of events received so far, over all runs of the item
+	budget   *limits.Budget
+	progress *gateway.Progress // only the goroutine of the run uses it
+	keptSize int               // size of the output of earlier runs as JSON, in bytes
 
 	mu        sync.Mutex // guards the fields below; no other mutex is locked while it is held
 	lastEvent int64      // id of the last event of this run
-	received  []string   // data of the events of this run
+	output    itemjob.Output
+	used      int64 // bytes of memory that this run uses
+	charged   int64 // bytes of budget that this run holds, at least used
 }
 
 // schedule starts items whenever slots may have become free, until ctx ends.
@@ -78,6 +87,7 @@
 func (s *Service) startItems(ctx context.Context) {
 	s.expire()
 	s.makeUrgentFirm()
+	s.reportMemory()
 	if table := s.Routes.Current(); table != nil {
 		round := itemjob.NewRound(func(j *itemjob.Job) string { return serviceOf(table, j) })
 		unconfirmed := s.mayStartUnconfirmed(s.Now())
@@ -130,12 +140,18 @@
 		round.Done(choice)
 		return true
 	}
+	charged := s.memory.startBytes(choice.Task)
+	if !s.memory.kept.Reserve(charged) {
+		s.reportMemoryFull(now)
+		return false
+	}
 	slot := s.Board.ReserveBatch(choice.Service, choice.Task.Item.ID, nil, choice.Urgent)
 	if slot == nil {
+		s.memory.kept.Release(charged)
 		round.Full(choice)
 		return true
 	}
-	s.start(ctx, j, choice, route, table, slot)
+	s.start(ctx, j, choice, route, table, slot, charged)
 	round.Done(choice)
 	return true
 }
@@ -151,12 +167,13 @@
 	j.RecordInterruption(task, unknownRouteDelay, now)
 }
 
-// start runs an item in a goroutine at the target whose slot is held. The caller holds s.mu.
-func (s *Service) start(ctx context.Context, j *ownedJob, choice itemjob.Choice, route *routetable.Route, table *routetable.Table, slot *gateway.Reservation) {
+// start runs an item in a goroutine at the target whose slot is held, with charged bytes of the memory for items. The caller holds s.mu.
+func (s *Service) start(ctx context.Context, j *ownedJob, choice itemjob.Choice, route *routetable.Route, table *routetable.Table, slot *gateway.Reservation, charged int64) {
 	task := choice.Task
 	task.Phase = itemjob.Running
 	ctx, cancel := context.WithCancelCause(ctx)
-	r := &run{job: j, task: task, slot: slot, cancel: cancel, firm: slot.IsFirm()}
+	r := &run{job: j, task: task, slot: slot, cancel: cancel, firm: slot.IsFirm(), budget: s.memory.kept, used: gateway.MinItemBuffer, charged: charged, keptSize: task.Output.EncodedSize()}
+	r.progress = &gateway.Progress{Last: task.LastEventID, Events: task.Events, SilentTries: task.SilentRuns}
 	r.events.Store(int64(task.Events))
 	id := slot.Target.ID
 	s.runs[id] = append(s.runs[id], r)
@@ -180,11 +197,10 @@
 		MaxTokens:          task.Item.MaxOutputTokens(),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnershipConfirmed))
-	progress := &gateway.Progress{Last: task.LastEventID, Events: task.Events, SilentTries: task.SilentRuns}
 	klog.V(1).InfoS("Item starts", "job", j.ID, "item", task.Item.ID, "target", id, "urgent", choice.Urgent, "resume_after", task.LastEventID, "events", task.Events, "silent_runs", task.SilentRuns)
 	s.running.Go(func() {
 		defer cancel(nil)
-		s.runItem(ctx, r, request, progress)
+		s.runItem(ctx, r, request)
 	})
 }
 
@@ -200,14 +216,10 @@
 const maxItemAttempts = 1 << 20
 
 // runItem runs an item until the run ends, and updates its task.
-func (s *Service) runItem(ctx context.Context, r *run, request *gateway.Request, progress *gateway.Progress) {
+func (s *Service) runItem(ctx context.Context, r *run, request *gateway.Request) {
+	progress := r.progress
 	eventsBefore := progress.Events
-	outcome := s.Forwarder.RunItem(ctx, request, r.slot, progress, func(data []byte) {
-		r.mu.Lock()
-		r.received, r.lastEvent = append(r.received, string(data)), progress.Last
-		r.mu.Unlock()
-		r.events.Add(1)
-	})
+	outcome := s.Forwarder.RunItem(ctx, request, r.slot, progress, r)
 	r.slot.Release()
 	now := s.Now()
 	s.mu.Lock()
@@ -215,22 +227,24 @@
 	s.removeRun(r)
 	task := r.task
 	task.LastEventID, task.Events, task.SilentRuns = progress.Last, progress.Events, progress.SilentTries
-	if outcome.Verdict == gateway.Overlong {
+	switch {
+	case errors.Is(outcome.Cause, errOutputTooLong):
+		// Neither this output nor a longer one can be listed, so that the item starts from the beginning.
+		task.LastEventID, task.Events, task.Output = 0, 0, itemjob.Output{}
+		r.job.checkpointedEvents = -minCheckpointEvents
+	case outcome.Verdict == gateway.Overlong, outcome.Verdict == gateway.NotKept:
 		r.job.checkpointedEvents = -minCheckpointEvents // the progress in the store may have events of this run
-	} else {
-		task.Output = append(task.Output, r.received...)
+	default:
+		task.Output.AppendOutput(r.output)
 	}
+	s.chargeKept(r.job)
+	r.budget.Release(r.charged)
 	if r.job.dropped {
 		return
 	}
+	defer s.chargeKept(r.job)
 	switch outcome.Verdict {
 	case gateway.Answered:
-		if size := outputSize(task); size > itemjob.MaxOutputBytes {
-			klog.ErrorS(nil, "Output of an item is too long to be listed, it runs again", "job", r.job.ID, "item", task.Item.ID, "bytes", size, "limit", itemjob.MaxOutputBytes)
-			task.LastEventID, task.Events, task.Output = 0, 0, nil
-			r.job.RecordInterruption(task, otherStatusDelay, now)
-			break
-		}
 		s.pace.Observe(task.Events, task.Events-eventsBefore, now.Sub(request.Arrived))
 		r.job.Finish(task, true, now)
 		wait.Wake(r.job.recordSignal)
@@ -238,21 +252,16 @@
 		r.job.RecordInterruption(task, 0, now)
 	case gateway.FailedAtTarget:
 		s.failed(r.job, task, outcome.Status, now)
+	case gateway.NotKept:
+		s.stats.notKept(outcome.Cause)
+		task.RunBytes = 2 * r.charged
+		r.job.RecordInterruption(task, notKeptDelay, now)
 	default:
 		r.job.RecordInterruption(task, interruptedDelay, now)
 	}
 	wait.Wake(s.scheduleSignal)
 }
 
-// outputSize returns the size of the output of a task as JSON, in bytes.
-func outputSize(t *itemjob.Task) int {
-	size := 0
-	for _, data := range t.Output {
-		size += itemjob.EncodedSize(data) + len(`\n`)
-	}
-	return size
-}
-
 // failed handles the response of a target that is not an event stream. Only the statuses that speak of the item itself count as its failures; others
 // come from an overloaded target or one that is no target of the service, and the item tries another one. The caller holds s.mu.
 func (s *Service) failed(j *ownedJob, task *itemjob.Task, status int, now time.Time) {
@@ -275,6 +284,7 @@
 		"version", s.Routes.Version(), "accepted_version", j.Version, "accepted_by", j.AcceptedBy, "owner", s.Self.ID, "owned_by", j.origin)
 	s.stats.givenUp(reason)
 	j.Finish(task, false, now)
+	s.chargeKept(j)
 	wait.Wake(j.recordSignal)
 }
 
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -37,6 +37,9 @@
 	// StoreUnreachable reports whether the store is unreachable from this instance.
 	StoreUnreachable func() bool
 	Seed             uint64 // of the random scan times and scheduling delays
+	// MemoryBytes bounds the memory for the outputs of items: of runs, until they are recorded, while they are encoded, and for readers. The default is
+	// DefaultMemoryBytes.
+	MemoryBytes int64
 	// Now returns the current time, with a reading of the monotonic clock. The default is time.Now. The time of day may differ from that of other
 	// instances and be set at any time.
 	Now func() time.Time
@@ -54,6 +57,7 @@
 type Service struct {
 	Config
 	calls          peerCalls
+	memory         memory
 	stats          stats
 	revisions      revisionLog
 	ctx            context.Context // cancelled by Run after its own ctx has ended
@@ -65,6 +69,8 @@
 	// outageSince is when the scheduler first saw that no known instance reaches the store; zero while one does. Only the scheduler uses it.
 	outageSince time.Time
 	full        map[string]*fullService // services without room for waiting items; only the scheduler uses it
+	// memoryFullReported is when it was last logged that items wait for memory; only the scheduler uses it.
+	memoryFullReported time.Time
 
 	mu        sync.Mutex // guards the fields below and the jobs in them
 	jobs      map[itemjob.ID]*ownedJob
@@ -95,6 +101,7 @@
 	suspended          bool
 	checkpointedEvents int       // number of events in the progress that was written last
 	dropped            bool      // another instance owns the job, or the client ended it
+	charged            int64     // bytes of memory.kept that the job holds
 	evictAt            time.Time // when the results are evicted from memory
 }
 
@@ -135,6 +142,10 @@
 		runs:           make(map[fleet.TargetID][]*run),
 		full:           make(map[string]*fullService),
 	}
+	if config.MemoryBytes <= 0 {
+		s.MemoryBytes = DefaultMemoryBytes
+	}
+	s.memory = newMemory(s.MemoryBytes)
 	s.calls = peerCalls{config.Client}
 	s.stats = newStats(config.Metrics)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -240,9 +251,14 @@
 		s.mu.Unlock()
 		return
 	}
+	fits := s.chargeNew(j)
 	s.jobs[job.ID] = j
 	delete(s.owners, job.ID)
+	s.memory.recorded.add(j, len(j.Results), outputBytes(j.Results))
 	s.mu.Unlock()
+	if !fits {
+		klog.InfoS("Outputs of a job do not fit into the memory for items, its unfinished items run again", "job", job.ID)
+	}
 	s.running.Go(func() { s.recordResults(s.ctx, j) })
 	wait.Wake(s.scheduleSignal)
 	s.Peers.SendToAll()
@@ -263,6 +279,8 @@
 		return
 	}
 	j.dropped = true
+	s.chargeKept(j)
+	s.memory.recorded.remove(j)
 	if s.jobs[j.ID] == j {
 		delete(s.jobs, j.ID)
 	}
--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -1,6 +1,7 @@
 package itemjobs
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -38,6 +39,26 @@
 	s.scope.Tagged(map[string]string{"service": service}).Histogram("without_room", ageBuckets).RecordDuration(after)
 }
 
+// notKept counts a run that ended because its output could not be kept.
+func (s stats) notKept(cause error) {
+	reason := "memory_full"
+	if errors.Is(cause, errOutputTooLong) {
+		reason = "output_too_long"
+	}
+	s.scope.Tagged(map[string]string{"reason": reason}).Counter("runs_not_kept").Inc(1)
+}
+
+// memory reports the memory in bytes that parts of the memory for items take up, and their limits.
+func (s stats) memory(m *memory) {
+	for part, held := range map[string][2]int64{
+		"kept": {m.kept.Used(), m.kept.Limit()}, "pages": {m.pages.Used(), m.pages.Limit()}, "recorded": {m.recorded.used, m.recorded.limit},
+	} {
+		scope := s.scope.Tagged(map[string]string{"part": part})
+		scope.Gauge("memory_bytes").Update(float64(held[0]))
+		scope.Gauge("memory_limit_bytes").Update(float64(held[1]))
+	}
+}
+
 // givenUp counts an item that was given up.
 func (s stats) givenUp(reason itemjob.Reason) {
 	s.scope.Tagged(map[string]string{"reason": reasonTags[reason]}).Counter("given_up").Inc(1)
