rawhttp: bound what may arrive on idle connections

Seen by operators: bytes that have arrived and are not read count as memory of a machine. A target may go on sending after a sound response, and the connection is only looked at when it is used again.

Cause: up to 32 idle connections were kept to each target, without a bound on all, and the operating system lets the receive buffer of a connection that has carried a large response grow to megabytes.

Change: at most 128 idle connections in all, the oldest one goes first, and a receive buffer of 64 KiB for each connection, so that 8 MiB may wait unread on idle connections.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -25,6 +25,12 @@
 const (
 	// maxIdlePerAddress bounds the pooled connections to one target; a target serves about ten requests of an instance at once.
 	maxIdlePerAddress = 32
+	// maxIdle bounds the pooled connections to all targets. A target may send on them at any time, and what has arrived and is not read takes up memory of
+	// the machine.
+	maxIdle = 128
+	// receiveBuffer is the size in bytes of the receive buffer of a connection in the operating system, which would otherwise grow to megabytes. Streams
+	// need a small part of it, and over the 25 ms to another region it allows 2.5 MB/s.
+	receiveBuffer = 64 << 10
 	// maxForeign bounds the responses of other requests that are skipped on one connection.
 	maxForeign = 2
 	// maxForeignBytes bounds the body of a skipped response.
@@ -79,8 +85,9 @@
 type Client struct {
 	dial httpcall.DialFunc
 
-	mu     sync.Mutex // guards idle and dialed; a leaf
+	mu     sync.Mutex // guards the fields below; a leaf
 	idle   map[string][]*conn
+	pooled int // number of connections in idle
 	dialed int64
 }
 
@@ -120,6 +127,7 @@
 	c.mu.Lock()
 	list := c.idle[address]
 	delete(c.idle, address)
+	c.pooled -= len(list)
 	c.mu.Unlock()
 	for _, k := range list {
 		k.Close()
@@ -130,7 +138,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	all := c.idle
-	c.idle = make(map[string][]*conn)
+	c.idle, c.pooled = make(map[string][]*conn), 0
 	c.mu.Unlock()
 	for _, list := range all {
 		for _, k := range list {
@@ -186,6 +194,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if sized, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = sized.SetReadBuffer(receiveBuffer) // fails only for a closed connection, whose first use fails too
+	}
 	c.mu.Lock()
 	c.dialed++
 	c.mu.Unlock()
@@ -235,24 +246,48 @@
 	}
 	k := list[len(list)-1]
 	c.idle[address] = list[:len(list)-1]
+	c.pooled--
 	return k
 }
 
-// put pools a connection whose response was read to its end.
+// put pools a connection whose response was read to its end. The connection that was idle for the longest time is closed if there are too many to its
+// target or to all.
 func (c *Client) put(k *conn, header http.Header) {
 	k.since = time.Now()
 	k.expires = k.since.Add(keepAlive(header))
 	c.mu.Lock()
-	list := append(c.idle[k.address], k)
-	var oldest *conn
-	if len(list) > maxIdlePerAddress {
-		oldest, list = list[0], list[1:]
+	c.idle[k.address] = append(c.idle[k.address], k)
+	c.pooled++
+	var surplus *conn
+	switch {
+	case len(c.idle[k.address]) > maxIdlePerAddress:
+		surplus = c.removeOldest(k.address)
+	case c.pooled > maxIdle:
+		surplus = c.removeOldest(c.oldestAddress())
 	}
-	c.idle[k.address] = list
 	c.mu.Unlock()
-	if oldest != nil {
-		oldest.Close()
+	if surplus != nil {
+		surplus.Close()
+	}
+}
+
+// oldestAddress returns the address with the connection that was idle for the longest time. c.mu is held, and there is one.
+func (c *Client) oldestAddress() string {
+	oldest := ""
+	for address, list := range c.idle {
+		if len(list) > 0 && (oldest == "" || list[0].since.Before(c.idle[oldest][0].since)) {
+			oldest = address
+		}
 	}
+	return oldest
+}
+
+// removeOldest removes the connection to an address that was idle for the longest time. c.mu is held, and there is one.
+func (c *Client) removeOldest(address string) *conn {
+	list := c.idle[address]
+	c.idle[address] = list[1:]
+	c.pooled--
+	return list[0]
 }
 
 // keepAlive returns how long an idle connection may be used, from the target's Keep-Alive header.
