itemjobs: progress that is being written cannot outlive the events it holds

The next owner listed a result with events that its target had sent without end.

Cause: when a run is ended because its target sent too much, the progress in the store is to be replaced by the next checkpoint. A checkpoint that was being written at that moment set the mark for that back when it succeeded, so that its events stayed in the store until the next run had sent more.

Change: a checkpoint that read the progress before events were discarded leaves the mark alone.

--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -40,6 +40,8 @@
 	job    *ownedJob
 	events int // number of events in the progress
 	value  progress
+	// discarded is ownedJob.discarded when the progress was read.
+	discarded int
 }
 
 // checkpointOnce writes the progress of the jobs that dueCheckpoints returns, and drops those of them that this instance no longer owns.
@@ -80,10 +82,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, entry := range batch {
-		entry.job.checkpointedEvents = entry.events
+		if entry.job.discarded == entry.discarded {
+			entry.job.checkpointedEvents = entry.events
+		}
 	}
 }
 
+// replaceProgress makes the next checkpoint write the progress of a job, since the one in the store, or one that is being written, may have events that
+// were discarded. The caller holds s.mu.
+func (j *ownedJob) replaceProgress() {
+	j.discarded++
+	j.checkpointedEvents = -minCheckpointEvents
+}
+
 // dueCheckpoints returns the progress of jobs with at least minCheckpointEvents new events, as far as it fits into one transaction, and its size in bytes.
 func (s *Service) dueCheckpoints() (batch []checkpointEntry, size int) {
 	s.mu.Lock()
@@ -101,7 +112,7 @@
 			continue
 		}
 		size += bytes
-		batch = append(batch, checkpointEntry{j, events, s.progressOf(j, parts)})
+		batch = append(batch, checkpointEntry{j, events, s.progressOf(j, parts), j.discarded})
 	}
 	return batch, size
 }
--- a/node/itemjobs/endless_test.go
+++ b/node/itemjobs/endless_test.go
@@ -41,6 +41,33 @@
 	})
 }
 
+// Guards against a result with events of a response without end that were being written to the store when the run was ended: the write succeeded after
+// that, and no later one replaced it before the owner was lost.
+func TestEventsWithoutEndThatAreBeingWrittenAreReplaced(t *testing.T) {
+	withFleet(t, 2, func(t *testing.T, f *testFleet) {
+		f.mu.Lock()
+		f.endless["a"] = 1
+		f.endlessPause = 100 * time.Millisecond // a second until there are too many
+		f.mu.Unlock()
+		f.setPauses(func(_ string, _ int, first bool) time.Duration {
+			if first {
+				return 50 * time.Millisecond
+			}
+			return 280 * time.Millisecond
+		})
+		time.Sleep(1700 * time.Millisecond)
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), submission("j", "a")))
+		time.Sleep(5500 * time.Millisecond) // until just after the first events that are not the target's, and before a checkpoint
+		f.nodes[0].store.setDelay(900 * time.Millisecond)
+		time.Sleep(1700 * time.Millisecond)
+		f.nodes[0].store.setDelay(0)
+		time.Sleep(2500 * time.Millisecond)
+		f.kill(f.nodes[0])
+		time.Sleep(20 * time.Second)
+		requireCompleted(t, f.readAll(f.nodes[1], "j"), "a")
+	})
+}
+
 // Guards against items that go on to targets which send without end in each response, because no more than a share of the targets is ever ejected: sound
 // targets do the items in time.
 func TestItemsLeaveTargetsThatSendWithoutEnd(t *testing.T) {
--- a/node/itemjobs/fleet_test.go
+++ b/node/itemjobs/fleet_test.go
@@ -336,6 +336,7 @@
 	capacity      float64        // cores of the instances that are started next
 	memory        int64          // Config.MemoryBytes of the instances that are started next
 	endlessLine   int            // bytes of data of each event without end; 0 means 16 KB; guarded by mu
+	endlessPause  time.Duration  // between these events; guarded by mu
 }
 
 const (
@@ -620,7 +621,7 @@
 // sendWithoutEnd sends events until the connection is closed.
 func (f *testFleet) sendWithoutEnd(c net.Conn, id string) {
 	f.mu.Lock()
-	size := f.endlessLine
+	size, pause := f.endlessLine, f.endlessPause
 	f.mu.Unlock()
 	if size == 0 {
 		size = 16 << 10
@@ -632,6 +633,7 @@
 			return
 		}
 		sent += len(event)
+		time.Sleep(pause)
 		f.mu.Lock()
 		f.endlessBytes += len(event)
 		f.mu.Unlock()
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -231,9 +231,9 @@
 	case errors.Is(outcome.Cause, errOutputTooLong):
 		// Neither this output nor a longer one can be listed, so that the item starts from the beginning.
 		task.LastEventID, task.Events, task.Output = 0, 0, itemjob.Output{}
-		r.job.checkpointedEvents = -minCheckpointEvents
+		r.job.replaceProgress()
 	case outcome.Verdict == gateway.Overlong, outcome.Verdict == gateway.NotKept:
-		r.job.checkpointedEvents = -minCheckpointEvents // the progress in the store may have events of this run
+		r.job.replaceProgress() // it may have events of this run
 	default:
 		task.Output.AppendOutput(r.output)
 	}
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -99,7 +99,8 @@
 	recordSignal chan struct{} // triggers the recorder
 	// suspended keeps items from starting while the job is handed over.
 	suspended          bool
-	checkpointedEvents int       // number of events in the progress that was written last
+	checkpointedEvents int       // number of events in the progress that was written last; see replaceProgress
+	discarded          int       // number of calls of replaceProgress
 	dropped            bool      // another instance owns the job, or the client ended it
 	charged            int64     // bytes of memory.kept that the job holds
 	evictAt            time.Time // when the results are evicted from memory
