itemjobs: the oldest run always gets its memory

Seen in a test: with the memory for items used up by runs of equal size, all of them ended each other again and again, and none was done. Giving the next run of such an item more memory at its start made everything slow after the trouble had ended.

Change: a run that needs more memory than there is takes it from runs that started later, which end. If only parts of the outputs of waiting items are left, those of the job that is due last are dropped. A target that sends more than can be kept, one event without end or a header without end is left by items like one that sends more than asked for, whatever the bound of the request. It gets one item again only if that gets no slot elsewhere. Checkpoints reserve the memory that they need. The metrics of the memory are looked up once.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -204,8 +204,8 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBuffer), head: head, address: address}, nil
 }
 
-// errHeadTooLong means that a target sent more than maxHeadBytes without completing the header of its answer.
-var errHeadTooLong = eris.New("header of the response is too long")
+// ErrHeadTooLong means that a target sent more than maxHeadBytes without completing the header of its answer.
+var ErrHeadTooLong = eris.New("header of the response is too long")
 
 // errSwitched means that a target left HTTP on a connection, which no request asks for.
 var errSwitched = eris.New("target switched protocols")
@@ -217,13 +217,13 @@
 	left   int
 }
 
-// Read implements io.Reader. It fails with errHeadTooLong.
+// Read implements io.Reader. It fails with ErrHeadTooLong.
 func (h *headLimit) Read(p []byte) (int, error) {
 	if !h.active {
 		return h.source.Read(p)
 	}
 	if h.left <= 0 {
-		return 0, errHeadTooLong
+		return 0, ErrHeadTooLong
 	}
 	n, err := h.source.Read(p[:min(len(p), h.left)])
 	h.left -= n
--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -116,7 +116,6 @@
 	Events      int       // number of events received in all runs
 	SilentRuns  int       // runs that were ended because their target sent nothing for too long
 	Output      Output    // of the received events
-	RunBytes    int64     // memory in bytes that the next run needs as far as is known from earlier ones; 0 if nothing is known
 }
 
 // Job is the state of a job in the instance that owns it. It isn't safe for concurrent use.
@@ -270,11 +269,23 @@
 	return held
 }
 
-// DiscardOutputs drops the outputs that HeldBytes counts. The items run again from the beginning.
-func (j *Job) DiscardOutputs() {
+// HasPartialOutputs reports whether an item that waits has a part of its output.
+func (j *Job) HasPartialOutputs() bool {
+	return slices.ContainsFunc(j.Tasks, func(t *Task) bool { return t.Phase == Waiting && t.Output.Bytes() > 0 })
+}
+
+// DiscardPartialOutputs drops the outputs of the items that wait, which run again from the beginning.
+func (j *Job) DiscardPartialOutputs() {
 	for _, t := range j.Tasks {
-		t.LastEventID, t.Events, t.Output = 0, 0, Output{}
+		if t.Phase == Waiting {
+			t.LastEventID, t.Events, t.Output = 0, 0, Output{}
+		}
 	}
+}
+
+// DiscardOutputs drops the outputs that HeldBytes counts. The items run again from the beginning.
+func (j *Job) DiscardOutputs() {
+	j.DiscardPartialOutputs()
 	var kept []Result
 	for _, r := range j.pending {
 		if !r.Completed {
--- a/core/itemjob/output.go
+++ b/core/itemjob/output.go
@@ -23,6 +23,7 @@
 	case o.events == 0:
 		*o = other
 	default:
+		o.Grow(max(len(o.text)+len("\n")+len(other.text)-cap(o.text), 0)) // not by doubling, as append does
 		o.append(other.text, other.events)
 	}
 }
--- a/core/slots/batch.go
+++ b/core/slots/batch.go
@@ -52,6 +52,7 @@
 	own      bestTarget // the item may start there at once
 	foreign  bestTarget // its home is another instance, which needs the slot less
 	reserved bestTarget // its free slots are kept for online requests, or those of its home
+	probed   bestTarget // it sent too much, and one item tries whether it still does; see MarkOverlong
 	overflow int        // yieldable items of this instance at targets whose home is another one
 }
 
@@ -65,6 +66,7 @@
 //   - Items that have waited for OverflowDelay also get slots at targets of other instances: a few at first, and more as long as none has to yield.
 //     Online requests there come from an instance that learns late of these items. An instance that is the home of a usable target of the service
 //     therefore uses others only while less than half of the slots of the target, and of the service, are taken.
+//   - A target that sent more than it was asked for gets one item, if none of the above gives a slot; see MarkOverlong.
 //   - If a service has had a free slot of any kind for MaxIdle, and none of its items started here in that time, one item gets the slot.
 //
 // The last rule bounds the time for which a usable target is idle while an item waits, whatever the other rules keep it from.
@@ -87,7 +89,7 @@
 // batchPlaces returns the best targets for an item.
 func (v *View) batchPlaces(service, salt string, exclude map[fleet.TargetID]bool, urgent bool, now time.Time) batchPlaces {
 	best := bestTarget{salt: salt}
-	p := batchPlaces{own: best, foreign: best, reserved: best}
+	p := batchPlaces{own: best, foreign: best, reserved: best, probed: best}
 	smallReserve := v.smallTargetReserve(service, now)
 	pool := v.Pool(service, now)
 	isHome, idleService := pool.Foreign < pool.Usable, isMostlyFree(pool.Load, pool.Slots)
@@ -103,6 +105,8 @@
 		score := float64(load.Total()) + v.distancePenalty(t)
 		switch {
 		case free <= 0:
+		case t.overlong > 0:
+			p.probed.consider(t, score)
 		case urgent && load.Firm < v.policy.FirmLimit:
 			p.own.consider(t, score)
 		case t.Slots >= v.policy.ReserveUnit && free <= v.policy.BatchReserve, t.Slots < v.policy.ReserveUnit && smallReserve:
@@ -137,6 +141,9 @@
 	case p.overflow < w.overflowLimit(policy.OverflowDelay, now):
 		return p.foreign.target
 	}
+	if p.probed.target != nil {
+		return p.probed.target
+	}
 	if p.foreign.target == nil && p.reserved.target == nil {
 		return nil
 	}
--- a/core/slots/health.go
+++ b/core/slots/health.go
@@ -77,7 +77,7 @@
 )
 
 // MarkOverlong records that a target sent more than a request asked for. Batch items avoid it for the returned time, and after that one item of this
-// instance at a time tries it until ClearOverlong. What the target sends costs memory and a slot that sound targets would use better. Unlike an ejection,
+// instance at a time tries it, if it gets no slot elsewhere, until ClearOverlong. What the target sends costs memory and a slot that sound targets would use better. Unlike an ejection,
 // this has no bound on the share of the targets.
 func (v *View) MarkOverlong(id fleet.TargetID, now time.Time) time.Duration {
 	t, ok := v.targets[id]
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -40,6 +40,8 @@
 	errBuffersFull = eris.New("responses that are being read take up all of their memory")
 	// ErrNotKept means that an ItemSink did not take an event.
 	ErrNotKept = eris.New("event of the item cannot be kept")
+	// ErrOutputTooLong is the error of an ItemSink for an output that it could not keep even with all of its memory.
+	ErrOutputTooLong = eris.New("output of the item is too long to be listed")
 )
 
 // Sink receives the response to a request. An error of its methods ends the request.
--- a/node/gateway/item.go
+++ b/node/gateway/item.go
@@ -23,7 +23,7 @@
 // RunItem makes one try of a batch item at the reserved target, continuing after progress, which it updates. The sink receives the events. The verdict
 // is Answered after the last event, Yielded if ctx was cancelled with ErrYielded, FailedAtTarget with the status of the response if the target sent a
 // failure or another valid response that is not an event stream, NotRun if the target ran no part of the item, Overlong if it sent more than the item
-// asks for, NotKept if the sink did not take an event or has no memory for it, and otherwise Unknown. After Overlong and NotKept, progress is as before
+// asks for, NotKept if the sink did not take an event or has no memory for it, or ctx was cancelled with ErrNotKept, and otherwise Unknown. After Overlong and NotKept, progress is as before
 // the try, and the caller must drop the events that it got from it: where the sound ones end is not known. The caller releases the reservation.
 func (f *Forwarder) RunItem(ctx context.Context, r *Request, reservation *Reservation, progress *Progress, sink ItemSink) Outcome {
 	x := &execution{Forwarder: f, request: r, items: sink, progress: progress, excluded: make(map[fleet.TargetID]bool),
@@ -37,7 +37,7 @@
 		outcome = Outcome{Verdict: Answered, Status: x.status}
 	case errors.Is(err, errOverlong):
 		outcome.Verdict = Overlong
-	case errors.Is(err, ErrNotKept) || errors.Is(err, errBuffersFull):
+	case errors.Is(err, ErrNotKept) || errors.Is(err, errBuffersFull) || errors.Is(context.Cause(ctx), ErrNotKept):
 		outcome.Verdict = NotKept
 	case errors.Is(context.Cause(ctx), ErrYielded):
 		outcome.Verdict = Yielded
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -36,6 +36,12 @@
 	started, before := time.Now(), x.progress.Events
 	x.firstEvent = 0
 	err := x.sendAndRelay(ctx, reservation)
+	switch {
+	case sentTooMuch(err):
+		x.board.MarkOverlong(reservation.Target.ID)
+	case err == nil && x.sink == nil:
+		x.board.ClearOverlong(reservation.Target.ID)
+	}
 	if err != nil && x.isUnrelatedToHealth(ctx, err) {
 		x.board.EndUnobserved(reservation.Target.ID)
 		return err
@@ -45,17 +51,21 @@
 		outcome.Latency = x.firstEvent - started.Sub(x.request.Arrived)
 	}
 	x.board.Observe(reservation.Target.ID, outcome)
-	switch {
-	case errors.Is(err, errOverlong):
-		x.board.MarkOverlong(reservation.Target.ID)
-	case err == nil && x.sink == nil:
-		x.board.ClearOverlong(reservation.Target.ID)
-	}
 	return err
 }
 
+// sentTooMuch reports whether a try failed because its target sent more than the request asks for or than can be kept.
+func sentTooMuch(err error) bool {
+	for _, tooMuch := range []error{errOverlong, ErrOutputTooLong, stream.ErrEventTooLarge, rawhttp.ErrHeadTooLong} {
+		if errors.Is(err, tooMuch) {
+			return true
+		}
+	}
+	return false
+}
+
 // isUnrelatedToHealth reports whether a try failed for a reason that does not reflect the health of its target. The failure response to a batch
-// item counts as such a reason, since the item itself may be the cause and fail at every target.
+// item and an output that cannot be kept count as such reasons, since the item itself may be the cause and fail at every target.
 func (x *execution) isUnrelatedToHealth(ctx context.Context, err error) bool {
 	var itemFailure *statusError
 	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
--- a/node/itemjobs/checkpoint.go
+++ b/node/itemjobs/checkpoint.go
@@ -48,12 +48,17 @@
 func (s *Service) checkpointOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(kv.WithPurpose(ctx, "job-progress"), checkpointTimeout)
 	defer cancel()
-	done, err := s.memory.encode(ctx, maxCheckpointBytes)
+	due, size := s.dueCheckpoints()
+	if len(due) == 0 {
+		return
+	}
+	done, err := s.memory.encode(ctx, int64(size))
 	if err != nil {
-		return // as above
+		klog.V(1).InfoS("Progress of jobs could not be written", "jobs", len(due), "error", err.Error())
+		return // the next round writes it again
 	}
 	defer done()
-	batch, _ := s.dueCheckpoints()
+	batch := s.checkpointEntries(due)
 	if len(batch) == 0 {
 		return
 	}
@@ -95,26 +100,47 @@
 	j.checkpointedEvents = -minCheckpointEvents
 }
 
-// dueCheckpoints returns the progress of jobs with at least minCheckpointEvents new events, as far as it fits into one transaction, and its size in bytes.
-func (s *Service) dueCheckpoints() (batch []checkpointEntry, size int) {
+// dueCheckpoints returns jobs with at least minCheckpointEvents new events, as far as their progress fits into one transaction, and its size in bytes.
+func (s *Service) dueCheckpoints() (due []*ownedJob, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
-		if !j.isRunnable() || len(batch) == maxCheckpointJobs {
+		if !j.isRunnable() || len(due) == maxCheckpointJobs {
 			continue
 		}
 		parts, bytes := s.unfinishedOutputs(j)
-		events := 0
-		for _, p := range parts {
-			events += p.progress.Events
-		}
-		if events < j.checkpointedEvents+minCheckpointEvents || size+bytes > maxCheckpointBytes {
+		if eventsOf(parts) < j.checkpointedEvents+minCheckpointEvents || size+bytes > maxCheckpointBytes {
 			continue
 		}
 		size += bytes
-		batch = append(batch, checkpointEntry{j, events, s.progressOf(j, parts), j.discarded})
+		due = append(due, j)
+	}
+	return due, size
+}
+
+// checkpointEntries returns the progress of those of the jobs that still run here, as far as it fits into one transaction.
+func (s *Service) checkpointEntries(due []*ownedJob) []checkpointEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var batch []checkpointEntry
+	size := 0
+	for _, j := range due {
+		parts, bytes := s.unfinishedOutputs(j)
+		if size += bytes; !j.isRunnable() || size > maxCheckpointBytes {
+			continue
+		}
+		batch = append(batch, checkpointEntry{j, eventsOf(parts), s.progressOf(j, parts), j.discarded})
+	}
+	return batch
+}
+
+// eventsOf returns the number of events in the progress of items.
+func eventsOf(parts []unfinishedOutput) int {
+	events := 0
+	for _, p := range parts {
+		events += p.progress.Events
 	}
-	return batch, size
+	return events
 }
 
 // unfinishedOutput is the progress of an item without its output, and the run that the item is in, or nil.
--- a/node/itemjobs/memory.go
+++ b/node/itemjobs/memory.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/semaphore"
+	"k8s.io/klog/v2"
 
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/limits"
@@ -38,12 +40,8 @@
 	maxStartBytes = 64 << 10
 )
 
-var (
-	// errOutputTooLong means that the output of an item cannot be listed, see itemjob.MaxOutputBytes.
-	errOutputTooLong = eris.New("output of the item is too long to be listed")
-	// errMemoryFull means that the memory for items is used up.
-	errMemoryFull = eris.New("memory for items is used up")
-)
+// errMemoryFull means that the memory for items is used up.
+var errMemoryFull = eris.New("memory for items is used up")
 
 // memory bounds what an instance keeps for items, whatever targets send and readers leave unread. Its parts add up to Config.MemoryBytes. The items
 // themselves, as submitted, are not included: the token limit of their route bounds them.
@@ -140,11 +138,9 @@
 	})
 }
 
-// startBytes returns the memory that a run of an item is given at its start: what it asks for at least, and more if an earlier run needed more than there
-// was. Runs that all grow at the same time would otherwise end each other again and again.
-func (m *memory) startBytes(task *itemjob.Task) int64 {
-	first := gateway.MinItemBuffer + min(task.Item.MaxOutputTokens()*tokenBytes, maxStartBytes)
-	return min(max(first, task.RunBytes), m.kept.Limit()/2)
+// startBytes returns the memory that a run of an item is given at its start.
+func startBytes(item *itemjob.Item) int64 {
+	return gateway.MinItemBuffer + min(item.MaxOutputTokens()*tokenBytes, maxStartBytes)
 }
 
 // chargeKept updates the memory that is counted for the outputs of a job that are not recorded. The caller holds s.mu.
@@ -170,17 +166,45 @@
 	return true
 }
 
-// Event implements gateway.ItemSink. Errors: errOutputTooLong, errMemoryFull.
+// reserveStart reserves the memory for the start of a run. If only outputs of items that wait take it up, those of the jobs that are due last are
+// dropped, since nothing else would ever free it. The caller holds s.mu.
+func (s *Service) reserveStart(task *itemjob.Task) (charged int64, ok bool) {
+	charged = startBytes(&task.Item)
+	for !s.memory.kept.Reserve(charged) {
+		j := s.lastWithPartialOutputs()
+		if len(s.runs) > 0 || j == nil {
+			return 0, false
+		}
+		klog.InfoS("Partial outputs of a job are dropped, they take up the memory for items", "job", j.ID, "bytes", j.charged)
+		j.DiscardPartialOutputs()
+		s.chargeKept(j)
+	}
+	return charged, true
+}
+
+// lastWithPartialOutputs returns the job with outputs of waiting items that is due last, or nil. The caller holds s.mu.
+func (s *Service) lastWithPartialOutputs() *ownedJob {
+	var last *ownedJob
+	for _, j := range s.jobs {
+		if j.HasPartialOutputs() && (last == nil || last.DueTime().Before(j.DueTime())) {
+			last = j
+		}
+	}
+	return last
+}
+
+// Event implements gateway.ItemSink. Errors: gateway.ErrOutputTooLong, errMemoryFull.
 func (r *run) Event(data []byte) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if size := r.keptSize + r.output.EncodedSize() + itemjob.EncodedSize(string(data)) + len(`\n`); size > itemjob.MaxOutputBytes {
-		return eris.Wrapf(errOutputTooLong, "%d bytes, at most %d can be listed", size, itemjob.MaxOutputBytes)
+		return eris.Wrapf(gateway.ErrOutputTooLong, "%d bytes, at most %d can be listed", size, itemjob.MaxOutputBytes)
 	}
-	if growth := r.output.Growth(len(data)); growth > 0 {
-		if !r.reserve(int64(growth)) {
-			return eris.Wrapf(errMemoryFull, "%d bytes, of which %d are in use", r.budget.Limit(), r.budget.Used())
-		}
+	growth := r.output.Growth(len(data))
+	if growth > 0 && !r.Reserve(int64(growth)) {
+		return eris.Wrapf(errMemoryFull, "%d bytes", r.service.memory.kept.Limit())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if growth > 0 {
 		r.output.Grow(growth)
 	}
 	r.output.Append(data)
@@ -189,21 +213,23 @@
 	return nil
 }
 
-// Reserve implements gateway.ItemSink.
+// Reserve implements gateway.ItemSink. It takes n bytes of the memory that the run was given, and asks for more if that is used up. If there is none, runs
+// that started later end, so that the oldest run always gets what it needs, and runs do not end each other again and again.
 func (r *run) Reserve(n int64) bool {
+	kept := r.service.memory.kept
+	r.mu.Lock()
+	need := max(r.used+n-r.charged, 0)
+	r.mu.Unlock()
+	if !kept.Reserve(need) && !r.service.takeFromLater(r, need) {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reserve(n)
-}
-
-// reserve takes n bytes of the memory that the run was given, and asks for more if that is used up. The caller holds r.mu.
-func (r *run) reserve(n int64) bool {
-	if need := r.used + n - r.charged; need > 0 {
-		if !r.budget.Reserve(need) {
-			return false
-		}
-		r.charged += need
+	if r.evicted {
+		kept.Release(need)
+		return false
 	}
+	r.charged += need
 	r.used += n
 	return true
 }
@@ -214,3 +240,41 @@
 	defer r.mu.Unlock()
 	r.used -= n
 }
+
+// takeFromLater ends the runs that started last until their memory has n bytes, which r gets, and returns the rest. It returns false if only earlier ones
+// are left.
+func (s *Service) takeFromLater(r *run, n int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := int64(0)
+	for taken < n && !r.evicted {
+		last := r
+		for _, list := range s.runs {
+			for _, other := range list {
+				if !other.evicted && other.number > last.number {
+					last = other
+				}
+			}
+		}
+		if last == r {
+			break
+		}
+		taken += last.evict()
+	}
+	if taken < n {
+		s.memory.kept.Release(taken)
+		return false
+	}
+	s.memory.kept.Release(taken - n)
+	return true
+}
+
+// evict ends a run because another one needs its memory, and returns the number of bytes. The caller holds s.mu.
+func (r *run) evict() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	freed := r.charged
+	r.evicted, r.charged = true, 0
+	r.cancel(fmt.Errorf("%w: %w", gateway.ErrNotKept, errMemoryFull))
+	return freed
+}
--- a/node/itemjobs/memory_test.go
+++ b/node/itemjobs/memory_test.go
@@ -11,6 +11,7 @@
 
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/itemjobs"
 )
 
@@ -71,9 +72,8 @@
 	for name, line := range map[string]int{"large events": 16 << 10, "events of one byte": 1, "one event": 1 << 20} {
 		t.Run(name, func(t *testing.T) {
 			withMemory(t, 1, func(t *testing.T, f *testFleet) {
-				const slots = 40
-				f.setSlots(slots)
-				sub, items := largeSubmission("j", 2*slots)
+				f.setSlots(40)
+				sub, items := largeSubmission("j", 80)
 				f.mu.Lock()
 				for _, item := range items {
 					f.endless[item] = 1 << 20
@@ -97,6 +97,8 @@
 				f.mu.Unlock()
 				time.Sleep(40 * time.Second)
 				requireCompleted(t, f.readAll(f.nodes[0], "j"), items...)
+				kept := f.nodes[0].metrics.Snapshot().Gauges()["item_jobs.memory_bytes+part=kept"]
+				require.Zero(t, kept.Value(), "all memory was returned")
 			})
 		})
 	}
@@ -168,6 +170,37 @@
 	})
 }
 
+// Guards against items that never start because parts of the outputs of other items that wait take up all of the memory.
+func TestItemsStartAlthoughPartialOutputsFillTheMemory(t *testing.T) {
+	withMemory(t, 1, func(t *testing.T, f *testFleet) {
+		f.text = strings.Repeat("z", 1<<10)
+		sub := submission("j", "a", "b", "c", "d")
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(3 * time.Second) // about 15 KB of each output
+		f.memory = 180 << 10        // 67 KB for these, so that a run with 38 KB does not fit beside them
+		next := f.start("i9", "10.0.0.9")
+		time.Sleep(time.Second)
+		f.nodes[0].service.Drain(t.Context())
+		f.kill(f.nodes[0])
+		time.Sleep(time.Minute)
+		require.Len(t, f.readPages(next, "j"), 4)
+	})
+}
+
+// Guards against targets that send more than can be kept to items which ask for long outputs, where the bound of a run does not tell, and against items
+// that go on there.
+func TestItemsLeaveTargetsThatSendMoreThanCanBeKept(t *testing.T) {
+	withMemory(t, 1, func(t *testing.T, f *testFleet) {
+		bad := f.addTarget("x0", "10.9.1.1", true)
+		good := f.addTarget("x1", "10.9.1.2", false)
+		f.nodes[0].board.SetTargets([]slots.Target{bad, good})
+		sub, items := largeSubmission("j", 8)
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(sub.Route.JobObjective)
+		requireCompleted(t, f.readAll(f.nodes[0], "j"), items...)
+	})
+}
+
 // Guards against readers that together take up any amount of memory: the pages that are being read have a limit, and the results come when it is free again.
 func TestPagesThatAreBeingReadShareTheMemory(t *testing.T) {
 	withMemory(t, 2, func(t *testing.T, f *testFleet) {
--- a/node/itemjobs/report.go
+++ b/node/itemjobs/report.go
@@ -65,7 +65,7 @@
 func (s *Service) reportMemory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stats.memory(&s.memory)
+	s.stats.memory.report(&s.memory)
 }
 
 // reportMemoryFull logs that items wait for memory. Only the scheduler calls it; the caller holds s.mu.
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -14,7 +14,6 @@
 
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
-	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/node/gateway"
 	"eelgrassproxy.example/node/internal/wait"
@@ -45,7 +44,8 @@
 	firm     bool         // keeps its slot when online requests need it; see gateway.Board.ReserveBatch
 	yielding bool         // was asked to yield its slot
 	events   atomic.Int64 // number of events received so far, over all runs of the item
-	budget   *limits.Budget
+	service  *Service
+	number   int64             // of the run, in the order in which they start
 	progress *gateway.Progress // only the goroutine of the run uses it
 	keptSize int               // size of the output of earlier runs as JSON, in bytes
 
@@ -53,7 +53,8 @@
 	lastEvent int64      // id of the last event of this run
 	output    itemjob.Output
 	used      int64 // bytes of memory that this run uses
-	charged   int64 // bytes of budget that this run holds, at least used
+	charged   int64 // bytes of Service.memory.kept that this run holds, at least used
+	evicted   bool  // ended because another run needs its memory; written with Service.mu held as well
 }
 
 // schedule starts items whenever slots may have become free, until ctx ends.
@@ -140,8 +141,8 @@
 		round.Done(choice)
 		return true
 	}
-	charged := s.memory.startBytes(choice.Task)
-	if !s.memory.kept.Reserve(charged) {
+	charged, ok := s.reserveStart(choice.Task)
+	if !ok {
 		s.reportMemoryFull(now)
 		return false
 	}
@@ -172,7 +173,11 @@
 	task := choice.Task
 	task.Phase = itemjob.Running
 	ctx, cancel := context.WithCancelCause(ctx)
-	r := &run{job: j, task: task, slot: slot, cancel: cancel, firm: slot.IsFirm(), budget: s.memory.kept, used: gateway.MinItemBuffer, charged: charged, keptSize: task.Output.EncodedSize()}
+	r := &run{
+		service: s, number: s.started, job: j, task: task, slot: slot, cancel: cancel, firm: slot.IsFirm(),
+		used: gateway.MinItemBuffer, charged: charged, keptSize: task.Output.EncodedSize(),
+	}
+	s.started++
 	r.progress = &gateway.Progress{Last: task.LastEventID, Events: task.Events, SilentTries: task.SilentRuns}
 	r.events.Store(int64(task.Events))
 	id := slot.Target.ID
@@ -218,7 +223,7 @@
 // runItem runs an item until the run ends, and updates its task.
 func (s *Service) runItem(ctx context.Context, r *run, request *gateway.Request) {
 	progress := r.progress
-	eventsBefore := progress.Events
+	before := *progress
 	outcome := s.Forwarder.RunItem(ctx, request, r.slot, progress, r)
 	r.slot.Release()
 	now := s.Now()
@@ -226,9 +231,12 @@
 	defer s.mu.Unlock()
 	s.removeRun(r)
 	task := r.task
+	if r.evicted { // also if it ended by itself meanwhile
+		outcome.Verdict, progress.Last, progress.Events = gateway.NotKept, before.Last, before.Events
+	}
 	task.LastEventID, task.Events, task.SilentRuns = progress.Last, progress.Events, progress.SilentTries
 	switch {
-	case errors.Is(outcome.Cause, errOutputTooLong):
+	case errors.Is(outcome.Cause, gateway.ErrOutputTooLong):
 		// Neither this output nor a longer one can be listed, so that the item starts from the beginning.
 		task.LastEventID, task.Events, task.Output = 0, 0, itemjob.Output{}
 		r.job.replaceProgress()
@@ -238,14 +246,14 @@
 		task.Output.AppendOutput(r.output)
 	}
 	s.chargeKept(r.job)
-	r.budget.Release(r.charged)
+	s.memory.kept.Release(r.charged)
 	if r.job.dropped {
 		return
 	}
 	defer s.chargeKept(r.job)
 	switch outcome.Verdict {
 	case gateway.Answered:
-		s.pace.Observe(task.Events, task.Events-eventsBefore, now.Sub(request.Arrived))
+		s.pace.Observe(task.Events, task.Events-before.Events, now.Sub(request.Arrived))
 		r.job.Finish(task, true, now)
 		wait.Wake(r.job.recordSignal)
 	case gateway.Yielded:
@@ -254,7 +262,6 @@
 		s.failed(r.job, task, outcome.Status, now)
 	case gateway.NotKept:
 		s.stats.notKept(outcome.Cause)
-		task.RunBytes = 2 * r.charged
 		r.job.RecordInterruption(task, notKeptDelay, now)
 	default:
 		r.job.RecordInterruption(task, interruptedDelay, now)
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -81,6 +81,7 @@
 	laterSince map[ownerProcess]time.Time
 	orphaned   map[string]int64          // tokens, by route, of open jobs whose owner is not alive, as of the last scan
 	runs       map[fleet.TargetID][]*run // items in flight, oldest first
+	started    int64                     // number of runs so far
 	pace       itemjob.Pace
 	draining   bool
 	// ownershipUncertain is set, and never cleared, when a record may name this instance as the owner of a job that is not in jobs: the outcome of
--- a/node/itemjobs/stats.go
+++ b/node/itemjobs/stats.go
@@ -8,13 +8,45 @@
 	"github.com/uber-go/tally/v4"
 
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/node/gateway"
 )
 
 // stats counts submissions and ends of jobs, and measures how late their owners find out, and how old the confirmations are with which items start.
 // It counts the items that are given up and measures how long services have no room for waiting ones.
-type stats struct{ scope tally.Scope }
+type stats struct {
+	scope  tally.Scope
+	memory memoryStats
+}
+
+func newStats(scope tally.Scope) stats {
+	scope = scope.SubScope("item_jobs")
+	return stats{scope: scope, memory: newMemoryStats(scope)}
+}
 
-func newStats(scope tally.Scope) stats { return stats{scope.SubScope("item_jobs")} }
+// memoryStats show the memory in bytes that parts of the memory for items take up, and their limits.
+type memoryStats struct{ kept, keptLimit, pages, pagesLimit, recorded, recordedLimit tally.Gauge }
+
+func newMemoryStats(scope tally.Scope) memoryStats {
+	part := func(name string) (used, limit tally.Gauge) {
+		scope := scope.Tagged(map[string]string{"part": name})
+		return scope.Gauge("memory_bytes"), scope.Gauge("memory_limit_bytes")
+	}
+	var m memoryStats
+	m.kept, m.keptLimit = part("kept")
+	m.pages, m.pagesLimit = part("pages")
+	m.recorded, m.recordedLimit = part("recorded")
+	return m
+}
+
+// report updates the metrics. The caller holds Service.mu.
+func (s *memoryStats) report(m *memory) {
+	s.kept.Update(float64(m.kept.Used()))
+	s.keptLimit.Update(float64(m.kept.Limit()))
+	s.pages.Update(float64(m.pages.Used()))
+	s.pagesLimit.Update(float64(m.pages.Limit()))
+	s.recorded.Update(float64(m.recorded.used))
+	s.recordedLimit.Update(float64(m.recorded.limit))
+}
 
 // ageBuckets are histogram buckets from 10 ms to about 20 s, each twice as large as the one before.
 var ageBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
@@ -42,23 +74,12 @@
 // notKept counts a run that ended because its output could not be kept.
 func (s stats) notKept(cause error) {
 	reason := "memory_full"
-	if errors.Is(cause, errOutputTooLong) {
+	if errors.Is(cause, gateway.ErrOutputTooLong) {
 		reason = "output_too_long"
 	}
 	s.scope.Tagged(map[string]string{"reason": reason}).Counter("runs_not_kept").Inc(1)
 }
 
-// memory reports the memory in bytes that parts of the memory for items take up, and their limits.
-func (s stats) memory(m *memory) {
-	for part, held := range map[string][2]int64{
-		"kept": {m.kept.Used(), m.kept.Limit()}, "pages": {m.pages.Used(), m.pages.Limit()}, "recorded": {m.recorded.used, m.recorded.limit},
-	} {
-		scope := s.scope.Tagged(map[string]string{"part": part})
-		scope.Gauge("memory_bytes").Update(float64(held[0]))
-		scope.Gauge("memory_limit_bytes").Update(float64(held[1]))
-	}
-}
-
 // givenUp counts an item that was given up.
 func (s stats) givenUp(reason itemjob.Reason) {
 	s.scope.Tagged(map[string]string{"reason": reasonTags[reason]}).Counter("given_up").Inc(1)
