itemjobs: partial outputs give way to the oldest run

Seen in a test: after a hand-over whose partial outputs took up nearly all of the memory, each run could start and none could grow, and no item was done until they were given up. A hand-over also counted the outputs twice while it was taken up, and dropped them for that.

Change: if no later run is left to take memory from, the oldest run gets that of partial outputs of waiting items, of the job that is due last. The reservation for a hand-over ends where the job reserves the memory for itself.

--- a/node/itemjobs/memory.go
+++ b/node/itemjobs/memory.go
@@ -166,22 +166,30 @@
 	return true
 }
 
-// reserveStart reserves the memory for the start of a run. If only outputs of items that wait take it up, those of the jobs that are due last are
-// dropped, since nothing else would ever free it. The caller holds s.mu.
+// reserveStart reserves the memory for the start of a run. If only outputs of items that wait take it up, some of them are dropped, since nothing else
+// would ever free it. The caller holds s.mu.
 func (s *Service) reserveStart(task *itemjob.Task) (charged int64, ok bool) {
 	charged = startBytes(&task.Item)
 	for !s.memory.kept.Reserve(charged) {
-		j := s.lastWithPartialOutputs()
-		if len(s.runs) > 0 || j == nil {
+		if len(s.runs) > 0 || !s.dropPartialOutputs() {
 			return 0, false
 		}
-		klog.InfoS("Partial outputs of a job are dropped, they take up the memory for items", "job", j.ID, "bytes", j.charged)
-		j.DiscardPartialOutputs()
-		s.chargeKept(j)
 	}
 	return charged, true
 }
 
+// dropPartialOutputs drops the outputs of the items that wait, of the job that is due last. It returns false if there are none. The caller holds s.mu.
+func (s *Service) dropPartialOutputs() bool {
+	j := s.lastWithPartialOutputs()
+	if j == nil {
+		return false
+	}
+	klog.InfoS("Partial outputs of a job are dropped, they take up the memory for items", "job", j.ID, "bytes", j.charged)
+	j.DiscardPartialOutputs()
+	s.chargeKept(j)
+	return true
+}
+
 // lastWithPartialOutputs returns the job with outputs of waiting items that is due last, or nil. The caller holds s.mu.
 func (s *Service) lastWithPartialOutputs() *ownedJob {
 	var last *ownedJob
@@ -220,7 +228,7 @@
 	r.mu.Lock()
 	need := max(r.used+n-r.charged, 0)
 	r.mu.Unlock()
-	if !kept.Reserve(need) && !r.service.takeFromLater(r, need) {
+	if !kept.Reserve(need) && !r.service.reserveAtCostOfOthers(r, need) {
 		return false
 	}
 	r.mu.Lock()
@@ -241,40 +249,50 @@
 	r.used -= n
 }
 
-// takeFromLater ends the runs that started last until their memory has n bytes, which r gets, and returns the rest. It returns false if only earlier ones
-// are left.
-func (s *Service) takeFromLater(r *run, n int64) bool {
+// reserveAtCostOfOthers reserves n bytes for a run. For that it ends the runs that started last and, for the oldest run, drops outputs of items that wait.
+// It returns false if that is not enough.
+func (s *Service) reserveAtCostOfOthers(r *run, n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	taken := int64(0)
-	for taken < n && !r.evicted {
-		last := r
-		for _, list := range s.runs {
-			for _, other := range list {
-				if !other.evicted && other.number > last.number {
-					last = other
-				}
-			}
+	for !s.memory.kept.Reserve(n) {
+		if r.evicted {
+			return false
 		}
-		if last == r {
-			break
+		oldest, last := s.oldestAndLastRun()
+		switch {
+		case last != r:
+			last.evict()
+		case oldest != r || !s.dropPartialOutputs():
+			return false
 		}
-		taken += last.evict()
-	}
-	if taken < n {
-		s.memory.kept.Release(taken)
-		return false
 	}
-	s.memory.kept.Release(taken - n)
 	return true
 }
 
-// evict ends a run because another one needs its memory, and returns the number of bytes. The caller holds s.mu.
-func (r *run) evict() int64 {
+// oldestAndLastRun returns the runs that started first and last, of those that were not evicted. The caller holds s.mu; a run that is not evicted must be
+// in flight.
+func (s *Service) oldestAndLastRun() (oldest, last *run) {
+	for _, list := range s.runs {
+		for _, r := range list {
+			if r.evicted {
+				continue
+			}
+			if oldest == nil || r.number < oldest.number {
+				oldest = r
+			}
+			if last == nil || r.number > last.number {
+				last = r
+			}
+		}
+	}
+	return oldest, last
+}
+
+// evict ends a run because another one needs its memory. The caller holds s.mu.
+func (r *run) evict() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	freed := r.charged
+	r.service.memory.kept.Release(r.charged)
 	r.evicted, r.charged = true, 0
 	r.cancel(fmt.Errorf("%w: %w", gateway.ErrNotKept, errMemoryFull))
-	return freed
 }
--- a/node/itemjobs/memory_test.go
+++ b/node/itemjobs/memory_test.go
@@ -182,8 +182,33 @@
 		time.Sleep(time.Second)
 		f.nodes[0].service.Drain(t.Context())
 		f.kill(f.nodes[0])
-		time.Sleep(time.Minute)
-		require.Len(t, f.readPages(next, "j"), 4)
+		time.Sleep(30 * time.Second) // before items are given up
+		results := f.readPages(next, "j")
+		require.Len(t, results, 4)
+		for _, r := range results {
+			require.True(t, r.Completed)
+		}
+	})
+}
+
+// Guards against runs that never get the memory for the rest of their outputs because parts of the outputs of items that wait take it up.
+func TestRunsEndAlthoughPartialOutputsFillTheMemory(t *testing.T) {
+	withMemory(t, 1, func(t *testing.T, f *testFleet) {
+		f.text = strings.Repeat("z", 4<<10)
+		sub := submission("j", "a", "b", "c", "d")
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
+		time.Sleep(2500 * time.Millisecond) // about 48 KB of each output
+		f.memory = 710 << 10                // 266 KB for these, which a run with 38 KB fits beside, but not with the rest of its output
+		next := f.start("i9", "10.0.0.9")
+		time.Sleep(100 * time.Millisecond)
+		f.nodes[0].service.Drain(t.Context())
+		f.kill(f.nodes[0])
+		time.Sleep(30 * time.Second) // before items are given up
+		results := f.readPages(next, "j")
+		require.Len(t, results, 4)
+		for _, r := range results {
+			require.True(t, r.Completed)
+		}
 	})
 }
 
--- a/node/itemjobs/owners.go
+++ b/node/itemjobs/owners.go
@@ -310,6 +310,7 @@
 	if job.AllStored() {
 		s.closeComplete(ctx, record.ID, revision)
 	}
+	handedOver.releaseMemory() // the job reserves it for itself
 	s.addOwned(job, by, revision, asOf)
 	return nil
 }
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -215,7 +215,8 @@
 		return
 	}
 	if size := handedOver.outputBytes(); s.memory.kept.Reserve(size) {
-		defer s.memory.kept.Release(size)
+		handedOver.release = func() { s.memory.kept.Release(size) }
+		defer handedOver.releaseMemory()
 	} else {
 		klog.InfoS("Outputs of a job that is handed over do not fit into the memory for items, its unfinished items run again", "job", r.PathValue("job"), "bytes", size)
 		handedOver.Partials, handedOver.Finished = nil, nil
--- a/node/itemjobs/records.go
+++ b/node/itemjobs/records.go
@@ -79,6 +79,15 @@
 	Partials []partial        `json:"partials,omitempty"`
 
 	submittedBy time.Time // see itemjob.NewJob; by the clock of the instance that received or read the progress
+	release     func()    // returns the memory that is reserved for the outputs; nil if there is none
+}
+
+// releaseMemory returns the memory that is reserved for the outputs. It may be called again.
+func (p *progress) releaseMemory() {
+	if p.release != nil {
+		p.release()
+		p.release = nil
+	}
 }
 
 // outputBytes returns the size of all outputs in bytes.
