--- a/core/itemjob/output.go
+++ b/core/itemjob/output.go
@@ -13,7 +13,7 @@
 	return Output{text: []byte(text), events: events, encoded: EncodedSize(text)}
 }
 
-// Append adds the data of an event, which is copied. The caller makes room with Reserve first if it has to know how much memory the output takes up.
+// Append adds the data of an event, which is copied. A caller that accounts for the memory calls Growth and Grow before.
 func (o *Output) Append(data []byte) { o.append(data, 1) }
 
 // AppendOutput adds the events of another output. An empty output takes over the memory of the other one.
@@ -48,7 +48,7 @@
 	return max(2*cap(o.text), need, minOutputBytes) - cap(o.text)
 }
 
-// Grow grows the memory of the output by n bytes, as Growth returns it.
+// Grow grows the memory of the output by n bytes.
 func (o *Output) Grow(n int) {
 	o.text = append(make([]byte, 0, cap(o.text)+n), o.text...)
 }
--- a/core/slots/health.go
+++ b/core/slots/health.go
@@ -76,9 +76,9 @@
 	maxOverlongPause = 4 * time.Second
 )
 
-// MarkOverlong records that a target sent more than a request asked for. Batch items avoid it for the returned time, and after that one item of this
-// instance at a time tries it, if it gets no slot elsewhere, until ClearOverlong. What the target sends costs memory and a slot that sound targets would use better. Unlike an ejection,
-// this has no bound on the share of the targets.
+// MarkOverlong records that a target sent more than a request asked for. Batch items avoid it for the returned time. After that, one item of this
+// instance at a time tries it, if it gets no slot elsewhere, until ClearOverlong. What the target sends costs memory and a slot that sound targets would
+// use better. Unlike an ejection, this has no bound on the share of the targets, since items can wait.
 func (v *View) MarkOverlong(id fleet.TargetID, now time.Time) time.Duration {
 	t, ok := v.targets[id]
 	if !ok {
