--- a/node/itemjobs/memory_test.go
+++ b/node/itemjobs/memory_test.go
@@ -46,6 +46,16 @@
 	return sub, ids
 }
 
+// handOver starts an instance with a memory for items, hands the jobs of the first one over to it after a while, and returns it.
+func (f *testFleet) handOver(memory int64, after time.Duration) *node {
+	f.memory = memory
+	next := f.start("i9", "10.0.0.9")
+	time.Sleep(after)
+	f.nodes[0].service.Drain(f.t.Context())
+	f.kill(f.nodes[0])
+	return next
+}
+
 // memoryOf returns the memory of an instance for items by its metrics, and the limit, in bytes.
 func memoryOf(n *node) (used, limit float64) {
 	for _, gauge := range n.metrics.Snapshot().Gauges() {
@@ -160,11 +170,7 @@
 		f.nodes[0].store.hangTxns() // the results are not recorded
 		time.Sleep(5500 * time.Millisecond)
 		f.nodes[0].store.resumeTxns()
-		f.memory = 512 << 10
-		next := f.start("i9", "10.0.0.9")
-		time.Sleep(2 * time.Second)
-		f.nodes[0].service.Drain(t.Context())
-		f.kill(f.nodes[0])
+		next := f.handOver(512<<10, 2*time.Second)
 		time.Sleep(time.Minute)
 		requireMarkup(t, f.readPages(next, "j"), items)
 	})
@@ -177,11 +183,8 @@
 		sub := submission("j", "a", "b", "c", "d")
 		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
 		time.Sleep(3 * time.Second) // about 15 KB of each output
-		f.memory = 180 << 10        // 67 KB for these, so that a run with 38 KB does not fit beside them
-		next := f.start("i9", "10.0.0.9")
-		time.Sleep(time.Second)
-		f.nodes[0].service.Drain(t.Context())
-		f.kill(f.nodes[0])
+		// 67 KB for these, so that a run with 38 KB does not fit beside them.
+		next := f.handOver(180<<10, time.Second)
 		time.Sleep(30 * time.Second) // before items are given up
 		results := f.readPages(next, "j")
 		require.Len(t, results, 4)
@@ -198,11 +201,8 @@
 		sub := submission("j", "a", "b", "c", "d")
 		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
 		time.Sleep(2500 * time.Millisecond) // about 48 KB of each output
-		f.memory = 710 << 10                // 266 KB for these, which a run with 38 KB fits beside, but not with the rest of its output
-		next := f.start("i9", "10.0.0.9")
-		time.Sleep(100 * time.Millisecond)
-		f.nodes[0].service.Drain(t.Context())
-		f.kill(f.nodes[0])
+		// 266 KB for these, which a run with 38 KB fits beside, but not with the rest of its output.
+		next := f.handOver(710<<10, 100*time.Millisecond)
 		time.Sleep(30 * time.Second) // before items are given up
 		results := f.readPages(next, "j")
 		require.Len(t, results, 4)
