itemjobs: a test of partial outputs meets what it names

TestItemsStartAlthoughPartialOutputsFillTheMemory handed the job over when its items had just ended, so that it passed without the rule that it guards. It hands over a second earlier now, and fails without that rule. Two tests share their steps; TestRunsEndAlthoughPartialOutputsFillTheMemory still fails without its fix.

--- a/node/itemjobs/memory_test.go
+++ b/node/itemjobs/memory_test.go
@@ -176,15 +176,14 @@
 	})
 }
 
-// Guards against items that never start because parts of the outputs of other items that wait take up all of the memory.
-func TestItemsStartAlthoughPartialOutputsFillTheMemory(t *testing.T) {
+// requireDoneAfterHandOver hands over a job while its items run, to an instance with a memory for items, and checks that all of them are done. text is
+// the size of an event's data in bytes.
+func requireDoneAfterHandOver(t *testing.T, text int, runFor time.Duration, memory int64, after time.Duration) {
 	withMemory(t, 1, func(t *testing.T, f *testFleet) {
-		f.text = strings.Repeat("z", 1<<10)
-		sub := submission("j", "a", "b", "c", "d")
-		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
-		time.Sleep(3 * time.Second) // about 15 KB of each output
-		// 67 KB for these, so that a run with 38 KB does not fit beside them.
-		next := f.handOver(180<<10, time.Second)
+		f.text = strings.Repeat("z", text)
+		require.NoError(t, f.nodes[0].service.Submit(t.Context(), submission("j", "a", "b", "c", "d")))
+		time.Sleep(runFor)
+		next := f.handOver(memory, after)
 		time.Sleep(30 * time.Second) // before items are given up
 		results := f.readPages(next, "j")
 		require.Len(t, results, 4)
@@ -194,22 +193,16 @@
 	})
 }
 
+// Guards against items that never start because parts of the outputs of other items that wait take up all of the memory.
+func TestItemsStartAlthoughPartialOutputsFillTheMemory(t *testing.T) {
+	// About 15 KB of each output; there are 67 KB for these, so that a run with 38 KB does not fit beside them.
+	requireDoneAfterHandOver(t, 1<<10, 2*time.Second, 180<<10, time.Second)
+}
+
 // Guards against runs that never get the memory for the rest of their outputs because parts of the outputs of items that wait take it up.
 func TestRunsEndAlthoughPartialOutputsFillTheMemory(t *testing.T) {
-	withMemory(t, 1, func(t *testing.T, f *testFleet) {
-		f.text = strings.Repeat("z", 4<<10)
-		sub := submission("j", "a", "b", "c", "d")
-		require.NoError(t, f.nodes[0].service.Submit(t.Context(), sub))
-		time.Sleep(2500 * time.Millisecond) // about 48 KB of each output
-		// 266 KB for these, which a run with 38 KB fits beside, but not with the rest of its output.
-		next := f.handOver(710<<10, 100*time.Millisecond)
-		time.Sleep(30 * time.Second) // before items are given up
-		results := f.readPages(next, "j")
-		require.Len(t, results, 4)
-		for _, r := range results {
-			require.True(t, r.Completed)
-		}
-	})
+	// About 48 KB of each output; there are 266 KB for these, which a run with 38 KB fits beside, but not with the rest of its output.
+	requireDoneAfterHandOver(t, 4<<10, 2500*time.Millisecond, 710<<10, 100*time.Millisecond)
 }
 
 // Guards against targets that send more than can be kept to items which ask for long outputs, where the bound of a run does not tell, and against items
