itemjobs: tests of handed-over outputs look at the memory

TestProgressBeyondTheMemoryOfTheNextOwnerRunsAgain looked at the results only, and recorded them at once, so that it passed without the bound. The store answers the next owner after 200 ms now, and the memory is checked every 50 ms; it fails without the bound.

--- a/node/itemjobs/memory_test.go
+++ b/node/itemjobs/memory_test.go
@@ -51,11 +51,15 @@
 	f.memory = memory
 	next := f.start("i9", "10.0.0.9")
 	time.Sleep(after)
+	next.store.setDelay(storeDelay) // so that results stay in memory for a while
 	f.nodes[0].service.Drain(f.t.Context())
 	f.kill(f.nodes[0])
 	return next
 }
 
+// storeDelay is how long the store takes for a call of the instance that jobs are handed over to.
+const storeDelay = 200 * time.Millisecond
+
 // memoryOf returns the memory of an instance for items by its metrics, and the limit, in bytes.
 func memoryOf(n *node) (used, limit float64) {
 	for _, gauge := range n.metrics.Snapshot().Gauges() {
@@ -171,7 +175,11 @@
 		time.Sleep(5500 * time.Millisecond)
 		f.nodes[0].store.resumeTxns()
 		next := f.handOver(512<<10, 2*time.Second)
-		time.Sleep(time.Minute)
+		for range 1200 {
+			time.Sleep(50 * time.Millisecond)
+			used, limit := memoryOf(next)
+			require.LessOrEqual(t, used, limit)
+		}
 		requireMarkup(t, f.readPages(next, "j"), items)
 	})
 }
