--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,7 +25,7 @@
 	"bodies":    bodies,
 	"jobs":      jobs,
 	"countless": countless,
-	"sockets":   sockets,
+	"poison":    poison,
 }
 
 func main() {
