--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -37,12 +37,12 @@
 
 // options describes the deployment of a case.
 type options struct {
-	instances    int
-	targets      int
-	events       int           // of each stream
-	pause        time.Duration // before each event
-	memoryMB     int           // of a front machine
-	slowFailures time.Duration // how long a replica works before it answers 500; 0 means not at all
+	instances int
+	targets   int
+	events    int           // of each stream
+	pause     time.Duration // before each event
+	memoryMB  int           // of a front machine
+	maxFiles  int           // descriptors of a process; 0 for those of this one
 }
 
 // fleet is a small deployment: the project's program in several processes, with stand-ins of the store and of the replicas.
@@ -57,10 +57,9 @@
 	servers   []*http.Server
 	started   time.Time
 
-	mu       sync.Mutex // guards the fields below
-	record   *os.File
-	failures map[string]int // answers of 500 by request
-	stopped  bool
+	mu      sync.Mutex // guards the fields below
+	record  *os.File
+	stopped bool
 }
 
 // instance is a front machine: one process at a time.
@@ -92,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{options: o, folder: folder, record: record, started: time.Now(), store: standin.NewStore(), ledger: &standin.Ledger{}, failures: make(map[string]int)}
+	f := &fleet{options: o, folder: folder, record: record, started: time.Now(), store: standin.NewStore(), ledger: &standin.Ledger{}}
 	if f.base, err = freeBase(); err != nil {
 		return f, err
 	}
@@ -111,7 +110,7 @@
 			ID: fmt.Sprintf("i-%08x", rand.Uint32()), Service: serviceName, Addr: net.JoinHostPort(f.base+strconv.Itoa(100+n), targetPort), Zone: zones[n%len(zones)],
 			Slots: 8, Events: o.events, Pause: o.pause, Ledger: f.ledger,
 		}
-		if err := f.serve(t.Addr, f.failSlowly(t, o.slowFailures)); err != nil {
+		if err := f.serve(t.Addr, t); err != nil {
 			return f, err
 		}
 		f.targets = append(f.targets, t)
@@ -160,43 +159,6 @@
 	return nil
 }
 
-// failSlowly lets a replica work for a while on a request before it answers with a failure, and counts the failures that were answered.
-func (f *fleet) failSlowly(t *standin.Target, after time.Duration) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		t.ServeHTTP(&slowStatus{ResponseWriter: w, fleet: f, after: after, request: r}, r)
-	})
-}
-
-// slowStatus delays the status of a failure. The run lasts until then.
-type slowStatus struct {
-	http.ResponseWriter
-	fleet   *fleet
-	after   time.Duration
-	request *http.Request
-}
-
-func (w *slowStatus) WriteHeader(status int) {
-	if status == http.StatusInternalServerError {
-		select {
-		case <-time.After(w.after):
-			w.fleet.mu.Lock()
-			w.fleet.failures[w.request.Header.Get("Request-Id")]++
-			w.fleet.mu.Unlock()
-		case <-w.request.Context().Done():
-		}
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-func (w *slowStatus) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// answered500 returns how often a request was answered with 500.
-func (f *fleet) answered500(request string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.failures[request]
-}
-
 // beats repeats the entries of the replicas.
 func (f *fleet) beats() {
 	for !f.isStopped() {
@@ -273,6 +235,9 @@
 		return err
 	}
 	command := exec.Command("target/eelgrassproxy", "platform", "-metrics-port", "9464")
+	if f.maxFiles > 0 {
+		command = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec target/eelgrassproxy platform -metrics-port 9464", f.maxFiles))
+	}
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "EELGRASSPROXY_BOOT=" + file}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/stand2/jobs.go
+++ b/review/stand2/jobs.go
@@ -28,7 +28,7 @@
 		size = largestItem
 	}
 	f.note("clients submit jobs of %d items of %d bytes", itemsOfJob, size)
-	ctx, cancel := f.untilBroken(95 * time.Second)
+	ctx, cancel := f.untilBroken(60 * time.Second)
 	defer cancel()
 	c := &jobClients{fleet: f, size: size, others: make(map[string]int)}
 	var group sync.WaitGroup
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,7 +25,7 @@
 	"bodies":    bodies,
 	"jobs":      jobs,
 	"countless": countless,
-	"poison":    poison,
+	"sockets":   sockets,
 }
 
 func main() {
