intake: the bodies that are being read have a bound on their sum, and on their time

Callers saw processes that ran out of memory while other clients sent large bodies, most of which stopped just short of their end: each body was read with io.ReadAll, without a bound over all requests and without an end in time.

core/intake decides who gives way: requests hold what they need of two parts of the memory, one for the first 32 KB of each and one for what is larger. If a part is full, the incomplete request gives way that made no progress for the longest time, and if all make progress, the next one is refused with 503, which is true since nothing was passed on. While there is room, a body has until the deadline of its request; after that, 408. A request that is alone is granted what it needs. node/intake counts at the listeners: what arrives on a connection, and the capacity of buffers, from the first byte to the end of the handler. Bodies that are announced as too large are answered 413 without reading. A client that does not read its response for 10 s is cut off.

The targets' client wrote a copy of each body; large ones are written as they are.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -306,7 +306,7 @@
 
 // exchange writes the request and reads the header of its response. It also tells whether that is the first response on the connection.
 func exchange(k *conn, r *Request) (*http.Response, bool, error) {
-	if _, err := k.Write(encode(r)); err != nil {
+	if err := write(k, r); err != nil {
 		return nil, false, fmt.Errorf("write request: %w", err)
 	}
 	asked := &http.Request{Method: r.Method}
@@ -353,9 +353,26 @@
 	return response.ContentLength >= 0 || chunked
 }
 
-// encode returns the whole request as it goes over the connection.
-func encode(r *Request) []byte {
-	buffer := make([]byte, 0, 512+len(r.Body))
+// maxJoinedBody is the size in bytes up to which a body is copied, so that it is written together with its header.
+const maxJoinedBody = 16 << 10
+
+// write writes the whole request.
+func write(w io.Writer, r *Request) error {
+	head := encodeHead(r)
+	if len(r.Body) <= maxJoinedBody {
+		_, err := w.Write(append(head, r.Body...))
+		return err
+	}
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	_, err := w.Write(r.Body)
+	return err
+}
+
+// encodeHead returns the request without its body as it goes over the connection.
+func encodeHead(r *Request) []byte {
+	buffer := make([]byte, 0, 512+min(len(r.Body), maxJoinedBody))
 	buffer = append(buffer, r.Method...)
 	buffer = append(buffer, ' ')
 	buffer = append(buffer, r.URI...)
@@ -375,8 +392,7 @@
 		buffer = strconv.AppendInt(buffer, int64(len(r.Body)), 10)
 		buffer = append(buffer, "\r\n"...)
 	}
-	buffer = append(buffer, "\r\n"...)
-	return append(buffer, r.Body...)
+	return append(buffer, "\r\n"...)
 }
 
 // responseBody returns its connection to the pool once it was read to the end.
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -18,9 +18,11 @@
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/accounts"
 	"eelgrassproxy.example/core/fleet"
+	coreintake "eelgrassproxy.example/core/intake"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/intake"
 	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/itemjobs"
 	"eelgrassproxy.example/node/kvmirror"
@@ -53,10 +55,12 @@
 	// ItemMemoryBytes bounds the memory for the outputs of batch items; see itemjobs.Config.MemoryBytes.
 	ItemMemoryBytes int64
 	Grace           func() time.Duration // maximum time from the stop signal to the end of the process
+	Guard           *intake.Guard        // of all servers of the process; nil for one without stated limits
 }
 
 // Listener is an address on which an instance serves HTTP, in addition to the address for its peers.
 type Listener struct {
+	Name    string // in metrics
 	Address string // if empty, the listener is not opened
 	Handler http.Handler
 }
@@ -94,6 +98,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	if c.Guard == nil {
+		c.Guard = intake.NewGuard(coreintake.NewPlan(0, 0), c.Metrics)
+	}
 	store := kv.NewReach(c.Store)
 	i := &Instance{
 		config:   c,
@@ -181,11 +188,11 @@
 func (i *Instance) Run(ctx context.Context, callers Listener, others ...Listener) error {
 	background, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){i.peers.Run, i.quotas.Run, i.jobs.Run, i.copies.Config.Run, i.copies.Targets.Run, i.catchUp.Run} {
+	for _, run := range []func(context.Context){i.peers.Run, i.quotas.Run, i.jobs.Run, i.copies.Config.Run, i.copies.Targets.Run, i.catchUp.Run, i.config.Guard.Run} {
 		group.Go(func() { run(background) })
 	}
 	var servers serving.ServerSet
-	callersServer, err := i.open(&servers, callers, append(others, Listener{i.config.Self.PeerAddress, i.peerHandler()}))
+	callersServer, err := i.open(&servers, callers, append(others, Listener{"peers", i.config.Self.PeerAddress, i.peerHandler()}))
 	if err == nil {
 		failed := servers.Serve(&group)
 		select {
@@ -223,7 +230,7 @@
 	if err != nil {
 		return nil, err
 	}
-	set.Add(server, listener)
+	set.Add(server, i.config.Guard.Protect(server, listener, l.Name))
 	return server, nil
 }
 
