intake: connections have a bound, and those that are silent for the longest time give way

Callers got no answers from a process whose descriptors were taken up by connections with a body of two bytes and no end: it could neither accept nor call the store and targets. Listeners for the directory, checks, peers and metrics had no bound either; handlers that answer without reading the body waited for its end before they could answer.

Each listener has a bound on its connections, from the descriptors and the memory of the settings; three sixteenths of the descriptors stay for the store, peers and targets. At the bound, the connection gives way that is idle, or makes no progress with a request, for the longest time. Running requests stay.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -105,14 +105,18 @@
 	return c, victim, true
 }
 
-// oldest returns the connection that gives way to a new one: an idle one or, if there is none, one whose request is not complete.
+// oldest returns the connection that gives way to a new one: the one that is idle, or makes no progress with a request, for the longest time. If idle
+// ones went first, a new connection would give way to the next one before its first request arrives.
 func (l *Listener) oldest() *Client {
+	var oldest *Client
 	for _, clients := range []*list.List{&l.idle, &l.receiving} {
 		if front := clients.Front(); front != nil {
-			return front.Value.(*Client)
+			if c := front.Value.(*Client); oldest == nil || c.since.Before(oldest.since) {
+				oldest = c
+			}
 		}
 	}
-	return nil
+	return oldest
 }
 
 // enter begins a phase.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -108,10 +108,10 @@
 // Guards against connections that are not accepted because idle or unfinished ones stay open, and against the wrong order in which these give way.
 func TestConnectionsGiveWay(t *testing.T) {
 	l := intake.NewTable(plan).NewListener(3)
-	unfinished := receiving(t, l, at(0))
-	idle, _, _ := l.Accept(at(1), time.Time{})
+	idle, _, _ := l.Accept(at(0), time.Time{})
+	unfinished := receiving(t, l, at(1))
 	later, _, _ := l.Accept(at(2), time.Time{})
-	for n, want := range []*intake.Client{idle, later} {
+	for n, want := range []*intake.Client{idle, unfinished} {
 		c, victim, ok := l.Accept(at(3+n), time.Time{})
 		require.True(t, ok)
 		require.Same(t, want, victim)
@@ -121,10 +121,10 @@
 	}
 	_, victim, ok := l.Accept(at(6), time.Time{})
 	require.True(t, ok)
-	require.Same(t, unfinished, victim)
+	require.Same(t, later, victim)
 	_, _, ok = l.Accept(at(7), time.Time{})
 	require.False(t, ok, "too many are being closed")
-	unfinished.Close()
+	later.Close()
 	_, _, ok = l.Accept(at(8), time.Time{})
 	require.True(t, ok)
 }
@@ -206,12 +206,12 @@
 	for _, memory := range []int64{64 << 20, 88 << 20, 134 << 20, 536 << 20} {
 		p := intake.NewPlan(memory, 4100)
 		const connection = 12 << 10
-		sum := p.SmallBytes + p.LargeBytes + p.JobBytes + p.ItemBytes + p.OutputBytes + p.ResponseBytes + connection*int64(p.Connections)
+		sum := p.SmallBytes + p.LargeBytes + p.JobBytes + p.ItemBytes + p.OutputBytes + p.ResponseBytes + connection*int64(p.Connections[intake.Callers])
 		require.Less(t, sum, memory*85/100)
 		require.Less(t, p.CollectorBytes, memory*3/4)
-		require.LessOrEqual(t, p.Connections+2*p.AuxiliaryConnections+2*p.MonitoringConnections, (4100-200)*7/8)
-		require.Greater(t, p.Connections, 300)
+		require.LessOrEqual(t, p.Connections[intake.Callers]+2*p.Connections[intake.Auxiliary]+2*p.Connections[intake.Monitoring], (4100-200)*7/8)
+		require.Greater(t, p.Connections[intake.Callers], 300)
 	}
-	require.Positive(t, intake.NewPlan(0, 0).Connections)
-	require.Positive(t, intake.NewPlan(1, 1).Connections)
+	require.Positive(t, intake.NewPlan(0, 0).Connections[intake.Monitoring])
+	require.Positive(t, intake.NewPlan(1, 1).Connections[intake.Monitoring])
 }
--- a/core/intake/plan.go
+++ b/core/intake/plan.go
@@ -5,9 +5,8 @@
 	// SmallBytes bounds what all requests hold of their first SmallRequest bytes, and LargeBytes what they hold beyond that, both in bytes. A request
 	// holds its header and its body from their first byte to the end of its handler.
 	SmallBytes, LargeBytes int64
-	// Connections bounds the open connections of a listener for clients that send requests, AuxiliaryConnections those of one for the directory or for
-	// peers, and MonitoringConnections those of one for checks and metrics.
-	Connections, AuxiliaryConnections, MonitoringConnections int
+	// Connections bounds the open connections of a listener, by its role.
+	Connections [roles]int
 	// CollectorBytes is the memory limit of the garbage collector.
 	CollectorBytes int64
 	// JobBytes bounds what jobs take up while they are decoded and written to the store, ItemBytes the items of accepted jobs that are not finished,
@@ -15,6 +14,17 @@
 	JobBytes, ItemBytes, OutputBytes, ResponseBytes int64
 }
 
+// Role says whom a listener serves.
+type Role int
+
+// Roles of listeners.
+const (
+	Callers    Role = iota // clients that send requests
+	Auxiliary              // clients that look up addresses, and peers
+	Monitoring             // checks, metrics and operators
+	roles
+)
+
 // SmallRequest is the size in bytes up to which a request counts as small. Online requests have a few kilobytes, with their header.
 const SmallRequest = 32 << 10
 
@@ -45,7 +55,7 @@
 // Shares of the descriptors for sockets. What is left is for connections to the store, peers and targets.
 const (
 	fileDescriptors       = 200 // not for sockets
-	connectionDescriptors = 1.0 / 2
+	callersDescriptors    = 1.0 / 2
 	auxiliaryDescriptors  = 1.0 / 8
 	monitoringDescriptors = 1.0 / 32
 	// minConnections keeps a listener usable with very low limits.
@@ -69,7 +79,6 @@
 	return Plan{
 		SmallBytes: bytes(smallShare), LargeBytes: bytes(largeShare), CollectorBytes: bytes(collectorShare),
 		JobBytes: bytes(jobShare), ItemBytes: bytes(itemShare), OutputBytes: bytes(outputShare), ResponseBytes: bytes(responseShare),
-		Connections: connections(connectionDescriptors), AuxiliaryConnections: connections(auxiliaryDescriptors),
-		MonitoringConnections: connections(monitoringDescriptors),
+		Connections: [roles]int{connections(callersDescriptors), connections(auxiliaryDescriptors), connections(monitoringDescriptors)},
 	}
 }
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -61,6 +61,7 @@
 // Listener is an address on which an instance serves HTTP, in addition to the address for its peers.
 type Listener struct {
 	Name    string // in metrics
+	Role    coreintake.Role
 	Address string // if empty, the listener is not opened
 	Handler http.Handler
 }
@@ -192,7 +193,7 @@
 		group.Go(func() { run(background) })
 	}
 	var servers serving.ServerSet
-	callersServer, err := i.open(&servers, callers, append(others, Listener{"peers", i.config.Self.PeerAddress, i.peerHandler()}))
+	callersServer, err := i.open(&servers, callers, append(others, Listener{"peers", coreintake.Auxiliary, i.config.Self.PeerAddress, i.peerHandler()}))
 	if err == nil {
 		failed := servers.Serve(&group)
 		select {
@@ -230,7 +231,7 @@
 	if err != nil {
 		return nil, err
 	}
-	set.Add(server, i.config.Guard.Protect(server, listener, l.Name))
+	set.Add(server, i.config.Guard.Protect(server, listener, l.Name, l.Role))
 	return server, nil
 }
 
--- a/node/intake/guard.go
+++ b/node/intake/guard.go
@@ -44,6 +44,7 @@
 type Guard struct {
 	scope tally.Scope
 	log   *logging.Limited
+	plan  intake.Plan
 
 	mu        sync.Mutex // guards the fields below, and the clients of all connections; a leaf
 	table     *intake.Table
@@ -56,7 +57,7 @@
 // NewGuard returns a guard that reports below the scope metrics.
 func NewGuard(p intake.Plan, metrics tally.Scope) *Guard {
 	return &Guard{
-		scope: metrics.SubScope("intake"), log: logging.NewLimited(), table: intake.NewTable(p), conns: make(map[*conn]struct{}),
+		scope: metrics.SubScope("intake"), log: logging.NewLimited(), plan: p, table: intake.NewTable(p), conns: make(map[*conn]struct{}),
 		listeners: make(map[string]*intake.Listener),
 	}
 }
@@ -103,9 +104,9 @@
 }
 
 // Protect makes the guard count the connections and requests of a server. It returns the listener that the server must serve, below TLS.
-func (g *Guard) Protect(server *http.Server, l net.Listener, name string) net.Listener {
+func (g *Guard) Protect(server *http.Server, l net.Listener, name string, role intake.Role) net.Listener {
 	g.mu.Lock()
-	clients := g.table.NewListener(unlimited)
+	clients := g.table.NewListener(g.plan.Connections[role])
 	g.listeners[name] = clients
 	g.mu.Unlock()
 	server.Handler = g.handler(server.Handler)
@@ -118,8 +119,6 @@
 	return &listener{Listener: l, guard: g, clients: clients}
 }
 
-const unlimited = 1 << 30
-
 // handler counts the requests that next handles.
 func (g *Guard) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/node/intake/guard_test.go
+++ b/node/intake/guard_test.go
@@ -29,7 +29,7 @@
 )
 
 // plan has room for one large body at a time, and for four connections.
-var plan = coreintake.Plan{SmallBytes: 256 << 10, LargeBytes: 1 << 20, Connections: 4}
+var plan = coreintake.Plan{SmallBytes: 256 << 10, LargeBytes: 1 << 20, Connections: [3]int{4, 4, 4}}
 
 // session is a guarded server on virtual time.
 type session struct {
@@ -66,7 +66,7 @@
 			}
 			fmt.Fprint(w, len(body))
 		})}
-		l := guard.Protect(server, raw, "test")
+		l := guard.Protect(server, raw, "test", coreintake.Callers)
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		group.Go(func() { guard.Run(ctx) })
@@ -182,3 +182,19 @@
 		require.NoError(t, err, "the server has closed the connection")
 	})
 }
+
+// Guards against connections that are not accepted because others stay open, and against a running request whose connection is closed for a new one.
+func TestUnfinishedConnectionsGiveWay(t *testing.T) {
+	inSession(t, readBody, func(s session) {
+		running := s.connect().send("/hold", 2, 2)
+		idle, unfinished := s.connect(), s.connect().send("/", 2, 1)
+		for range 20 {
+			time.Sleep(time.Millisecond)
+			s.connect().send("/", 2, 1) // and stays
+		}
+		require.Zero(t, idle.status())
+		require.Equal(t, http.StatusServiceUnavailable, unfinished.status())
+		require.Equal(t, http.StatusOK, s.connect().send("/", 2, 2).status())
+		require.Equal(t, http.StatusOK, running.status())
+	})
+}
