intake: a new connection waits for those that gave way to be closed

TestUnfinishedConnectionsGiveWay failed now and then: a connection that arrives at the moment at which another one gives way was refused, since that one was still open.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -23,6 +23,12 @@
 // receiveBuffer is the size in bytes of the receive buffer of a connection in the operating system, which would otherwise grow to megabytes.
 const receiveBuffer = 64 << 10
 
+// A new connection for which there is no room is tried again while those that gave way are being closed.
+const (
+	acceptTries = 10
+	acceptPause = 5 * time.Millisecond
+)
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -30,8 +36,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if c, ok := l.add(raw); ok {
-			return c, nil
+		for range acceptTries {
+			if c, ok := l.add(raw); ok {
+				return c, nil
+			}
+			time.Sleep(acceptPause)
 		}
 		raw.Close()
 		l.guard.count("refused", reasonConnections)
