--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -30,6 +30,24 @@
 	Body         []byte `json:"-"`
 }
 
+const (
+	// itemBytes is the memory of an item and its task in bytes, beside its texts, headers and body, and fieldBytes that of a header.
+	itemBytes  = 400
+	fieldBytes = 100
+)
+
+// FieldSize returns the memory that a header of an item takes up, in bytes.
+func FieldSize(name, value string) int64 { return int64(len(name) + len(value) + fieldBytes) }
+
+// Size returns the memory that the item takes up, in bytes.
+func (i *Item) Size() int64 {
+	size := int64(itemBytes + len(i.ID) + len(i.Path) + len(i.Body))
+	for name, value := range i.Headers {
+		size += FieldSize(name, value)
+	}
+	return size
+}
+
 // MaxOutputTokens returns the number of tokens that the output may have at most, or an upper bound of it; 0 if nothing is stated.
 func (i *Item) MaxOutputTokens() int64 {
 	if i.OutputTokens > 0 && (i.Tokens == 0 || i.OutputTokens < i.Tokens) {
