platform, rawhttp: what goes into the head of a request cannot end a line of it

Targets ran requests that no client sent: an item of a job whose path or a header of which has line breaks was written to the target as it is, and the target read two requests. Online requests are parsed by net/http, which refuses such texts; items were not checked.

The targets' client itself sends nothing that a target could read as another request, whoever the text is from: callers, the store or the configuration. Such a failure says nothing about the target, and the request is not tried at another one.

--- a/adapters/rawhttp/client.go
+++ b/adapters/rawhttp/client.go
@@ -148,8 +148,11 @@
 }
 
 // Do sends the request once and returns the response as soon as its header is there. When ctx ends, the connection is closed, also
-// while the body is read. Errors: httpcall.ErrNotSent if no byte was written, otherwise httpcall.ErrOutcomeUnknown.
+// while the body is read. Errors: httpcall.ErrNotSent if no byte was written, with ErrInvalidRequest if none can be; otherwise httpcall.ErrOutcomeUnknown.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	if err := r.validate(); err != nil {
+		return nil, httpcall.NotSent(err)
+	}
 	k, err := c.get(ctx, address, r)
 	if err != nil {
 		return nil, httpcall.NotSent(err)
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -222,6 +222,8 @@
 		return x.interrupted(ctx), true
 	case errors.Is(err, errOverlong) && x.sinkStarted:
 		return x.giveUp(err), true // some of the events that were passed on may not belong to the response
+	case errors.Is(err, rawhttp.ErrInvalidRequest):
+		return x.giveUp(err), true
 	}
 	left := time.Until(x.request.Deadline)
 	reason := x.tries.CheckRetry(mayHaveRun, x.request.Route.Repeatable(), x.request.Route.MaxAttempts, left)
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -170,6 +170,7 @@
 // handleSendError handles a try that got no response header and returns err: it avoids a target that could not be connected to.
 func (x *execution) handleSendError(ctx context.Context, reservation *Reservation, err error) error {
 	switch {
+	case errors.Is(err, rawhttp.ErrInvalidRequest): // says nothing about the target
 	case errors.Is(err, httpcall.ErrNotSent) && ctx.Err() == nil:
 		x.board.Avoid(reservation.Target.ID, x.options.UnreachableFor, "unreachable")
 		x.client.CloseIdle(reservation.Target.Address)
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/accounts"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
@@ -274,6 +275,12 @@
 		r.job.RecordInterruption(task, 0, now)
 	case gateway.FailedAtTarget:
 		s.failed(r.job, task, outcome.Status, now)
+	case gateway.NotRun:
+		pause := interruptedDelay
+		if errors.Is(outcome.Cause, rawhttp.ErrInvalidRequest) { // from a job that an earlier build accepted
+			pause = otherStatusDelay
+		}
+		r.job.RecordInterruption(task, pause, now)
 	case gateway.NotKept:
 		s.stats.notKept(outcome.Cause)
 		r.job.RecordInterruption(task, notKeptDelay, now)
