itemjob: items are forgotten when their results are stored

Processes ran out of memory while all jobs were complete and read: an owner kept the bodies of a job's items until status_s after its submission, although nobody runs them again once their results are stored. Headers and bodies go at that moment, item by item. A client that asks for such a body gets it from the store.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -151,7 +151,7 @@
 
 // Task is an item with the state of its execution.
 type Task struct {
-	Item        Item
+	Item        Item // without its headers and body once its result is stored: nobody runs it again
 	Index       int // index of the item in the submitted job, which isn't the position of its result
 	Phase       Phase
 	Failures    int       // runs for which the target returned a failure
@@ -190,12 +190,26 @@
 	}
 	for _, r := range results {
 		if task, ok := j.byItem[r.Item]; ok {
-			task.Phase = Stored
+			task.setStored()
 		}
 	}
 	return j
 }
 
+func (t *Task) setStored() {
+	t.Phase = Stored
+	t.Item.Headers, t.Item.Body = nil, nil
+}
+
+// ItemBytes returns the memory that the items take up, in bytes.
+func (j *Job) ItemBytes() int64 {
+	var sum int64
+	for _, t := range j.Tasks {
+		sum += t.Item.Size()
+	}
+	return sum
+}
+
 // SubmittedBy returns a time by this instance's clock that is no earlier than the submission of the job.
 func (j *Job) SubmittedBy() time.Time { return j.submittedBy }
 
@@ -358,7 +372,7 @@
 // MarkStored records that the first n pending results were stored.
 func (j *Job) MarkStored(n int, now time.Time) {
 	for _, r := range j.pending[:n] {
-		j.byItem[r.Item].Phase = Stored
+		j.byItem[r.Item].setStored()
 	}
 	j.Results = append(j.Results, j.pending[:n]...)
 	clear(j.pending[:n]) // the outputs would be kept as long as the slice
--- a/core/itemjob/itemjob_test.go
+++ b/core/itemjob/itemjob_test.go
@@ -147,3 +147,20 @@
 	require.False(t, itemjob.Fits(100, 61, 40))
 	require.True(t, itemjob.Fits(0, 1<<40, 1))
 }
+
+// Guards against items whose results are stored and that stay in memory as long as their job.
+func TestStoredItemsAreForgotten(t *testing.T) {
+	items := []itemjob.Item{
+		{ID: "a", Path: "/p", Headers: map[string]string{"Model": "m"}, Body: make([]byte, 100_000)}, {ID: "b", Path: "/p", Body: make([]byte, 100_000)},
+	}
+	j := itemjob.NewJob(itemjob.Record{ID: "j", Items: 2}, items, nil, now)
+	require.Greater(t, j.ItemBytes(), int64(200_000))
+	j.Finish(j.Task("a"), true, now)
+	require.NotEmpty(t, j.Task("a").Item.Body, "it runs again if the result is not stored")
+	results, _ := j.ResultsToStore(now.Add(time.Hour))
+	j.MarkStored(len(results), now)
+	require.Equal(t, itemjob.Item{ID: "a", Path: "/p"}, j.Task("a").Item)
+	require.Less(t, j.ItemBytes(), int64(102_000))
+	again := itemjob.NewJob(itemjob.Record{ID: "j", Items: 2}, items, []itemjob.Result{{Item: "b", Completed: true}}, now)
+	require.Empty(t, again.Task("b").Item.Body)
+}
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -219,7 +219,7 @@
 }
 
 // BodyOwned is Body for a job that this instance owns or keeps in memory. It returns false for any other job, for another
-// account's job and for an unknown item.
+// account's job, for an unknown item, and for one whose result is recorded.
 func (s *Service) BodyOwned(caller itemjob.Caller, id itemjob.ID, item string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,7 +228,7 @@
 		return nil, false
 	}
 	task := j.Task(item)
-	if task == nil {
+	if task == nil || task.Phase == itemjob.Stored {
 		return nil, false
 	}
 	return task.Item.Body, true
