itemjobs: accepted jobs that are not complete have a bound, and jobs take turns while they are recorded

Jobs of large items that no target runs were all accepted until the process went over its memory: only their tokens had a limit. An instance now counts the memory of the items of its jobs. A job that does not fit is forwarded to a peer that reaches the store, and refused with 503 if that one has no room either; complete jobs are evicted before, and a job that is alone is accepted. Jobs that are taken over count, and are taken over in any case.

While a job is decoded and recorded, it is in memory three times beside its body; jobs take turns within a part of the memory for that, and wait for it at most as long as a submission may take.

--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -52,10 +52,10 @@
 	Seed         bool          // other instances have this one among their seeds
 	FirstStart   bool          // all instances of the fleet start for the first time, at about the same time
 	ResultsKept  time.Duration // how long results stay readable after a job was submitted
-	// ItemMemoryBytes bounds the memory for the outputs of batch items; see itemjobs.Config.MemoryBytes.
-	ItemMemoryBytes int64
-	Grace           func() time.Duration // maximum time from the stop signal to the end of the process
-	Guard           *intake.Guard        // of all servers of the process; nil for one without stated limits
+	// OutputBytes, ItemBytes and SubmissionBytes bound the memory for jobs; see MemoryBytes and the others in itemjobs.Config.
+	OutputBytes, ItemBytes, SubmissionBytes int64
+	Grace                                   func() time.Duration // maximum time from the stop signal to the end of the process
+	Guard                                   *intake.Guard        // of all servers of the process; nil for one without stated limits
 }
 
 // Listener is an address on which an instance serves HTTP, in addition to the address for its peers.
@@ -140,7 +140,9 @@
 		Retention:        c.ResultsKept,
 		StoreUnreachable: i.catchUp.StoreLost,
 		Seed:             c.Self.Incarnation,
-		MemoryBytes:      c.ItemMemoryBytes,
+		MemoryBytes:      c.OutputBytes,
+		ItemBytes:        c.ItemBytes,
+		SubmissionBytes:  c.SubmissionBytes,
 		Metrics:          c.Metrics,
 	})
 	return i, nil
--- a/node/itemjobs/collect.go
+++ b/node/itemjobs/collect.go
@@ -90,8 +90,7 @@
 	defer s.mu.Unlock()
 	for id, j := range s.jobs {
 		if j.AllStored() && now.After(j.evictAt) {
-			delete(s.jobs, id)
-			s.memory.recorded.remove(j)
+			s.evictComplete(id, j)
 		}
 	}
 }
--- a/node/itemjobs/memory.go
+++ b/node/itemjobs/memory.go
@@ -43,9 +43,14 @@
 // errMemoryFull means that the memory for items is used up.
 var errMemoryFull = eris.New("memory for items is used up")
 
-// memory bounds what an instance keeps for items, whatever targets send and readers leave unread. Its parts add up to Config.MemoryBytes. The items
-// themselves, as submitted, are not included: the token limit of their route bounds them.
+// memory bounds what an instance keeps for items, whatever targets send and readers leave unread. Its parts for outputs add up to Config.MemoryBytes; the
+// items themselves, as submitted, have parts of their own.
 type memory struct {
+	items       *limits.Budget
+	submissions *semaphore.Weighted
+	// submissionBytes is the capacity of submissions.
+	submissionBytes int64
+
 	kept     *limits.Budget
 	pages    *limits.Budget
 	recorded recordedOutputs // guarded by Service.mu
@@ -54,9 +59,13 @@
 	encodingBytes int64
 }
 
-func newMemory(total int64) memory {
+func newMemory(total, items, submissions int64) memory {
 	share := func(s float64) int64 { return int64(s * float64(total)) }
 	return memory{
+		items:           limits.NewBudget(items),
+		submissions:     semaphore.NewWeighted(submissions),
+		submissionBytes: submissions,
+
 		kept:          limits.NewBudget(share(keptShare)),
 		pages:         limits.NewBudget(share(pagesShare)),
 		recorded:      recordedOutputs{limit: share(recordedShare)},
--- a/node/itemjobs/outcome.go
+++ b/node/itemjobs/outcome.go
@@ -19,7 +19,7 @@
 	MayBeAccepted Outcome = iota
 	// Accepted means that the job is recorded.
 	Accepted
-	// Unavailable means that no instance could record the job, and that no write is under way that would.
+	// Unavailable means that no instance could record the job, or had memory for it, and that no write is under way that would.
 	Unavailable
 	// OverTokenLimit means that the job exceeds the token limit of its route and was not recorded.
 	OverTokenLimit
--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -267,6 +267,12 @@
 
 func (s *Service) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	received := s.Now()
+	recorded, err := s.BeginSubmission(r.Context(), max(r.ContentLength, 0))
+	if err != nil {
+		http.Error(w, err.Error(), outcomeStatus(Unavailable))
+		return
+	}
+	defer recorded()
 	var sub submission
 	if !decodePeerRequest(w, r, &sub) {
 		return
--- a/node/itemjobs/results.go
+++ b/node/itemjobs/results.go
@@ -180,6 +180,7 @@
 	j.MarkStored(len(group), now)
 	s.memory.recorded.add(j, position+len(group), bytes)
 	s.chargeKept(j)
+	s.chargeItems(j)
 	complete := j.AllStored()
 	if complete {
 		j.evictAt = j.SubmittedBy().Add(s.Retention)
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -40,6 +40,9 @@
 	// MemoryBytes bounds the memory for the outputs of items: of runs, until they are recorded, while they are encoded, and for readers. The default is
 	// DefaultMemoryBytes.
 	MemoryBytes int64
+	// ItemBytes bounds the memory for the items of the jobs that this instance accepts, in bytes; jobs that it takes over count, and are taken over whether
+	// they fit or not. SubmissionBytes bounds the memory for jobs that are decoded and recorded. The defaults are DefaultMemoryBytes.
+	ItemBytes, SubmissionBytes int64
 	// Now returns the current time, with a reading of the monotonic clock. The default is time.Now. The time of day may differ from that of other
 	// instances and be set at any time.
 	Now func() time.Time
@@ -107,6 +110,7 @@
 	discarded          int       // number of calls of replaceProgress
 	dropped            bool      // another instance owns the job, or the client ended it
 	charged            int64     // bytes of memory.kept that the job holds
+	chargedItems       int64     // bytes of memory.items that the job holds
 	evictAt            time.Time // when the results are evicted from memory
 }
 
@@ -150,7 +154,13 @@
 	if config.MemoryBytes <= 0 {
 		s.MemoryBytes = DefaultMemoryBytes
 	}
-	s.memory = newMemory(s.MemoryBytes)
+	if config.ItemBytes <= 0 {
+		s.ItemBytes = DefaultMemoryBytes
+	}
+	if config.SubmissionBytes <= 0 {
+		s.SubmissionBytes = DefaultMemoryBytes
+	}
+	s.memory = newMemory(s.MemoryBytes, s.ItemBytes, s.SubmissionBytes)
 	s.calls = peerCalls{config.Client}
 	s.stats = newStats(config.Metrics)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -257,7 +267,11 @@
 		return
 	}
 	fits := s.chargeNew(j)
+	if existing, ok := s.jobs[job.ID]; ok {
+		s.releaseItems(existing)
+	}
 	s.jobs[job.ID] = j
+	s.chargeItems(j)
 	delete(s.owners, job.ID)
 	s.memory.recorded.add(j, len(j.Results), outputBytes(j.Results))
 	s.mu.Unlock()
@@ -285,6 +299,7 @@
 	}
 	j.dropped = true
 	s.chargeKept(j)
+	s.releaseItems(j)
 	s.memory.recorded.remove(j)
 	if s.jobs[j.ID] == j {
 		delete(s.jobs, j.ID)
--- a/node/itemjobs/submit.go
+++ b/node/itemjobs/submit.go
@@ -24,7 +24,7 @@
 	ErrNotFound = eris.New("job or item does not exist")
 	// ErrNoItem is an ErrNotFound about a job that the caller may read: it has no such item, or was ended.
 	ErrNoItem = fmt.Errorf("%w: the job has no such item", ErrNotFound)
-	// ErrUnavailable means that the store is unavailable. A submission had no effect; see End for the end of a job.
+	// ErrUnavailable means that the store is unavailable, or that other jobs take up the memory. A submission had no effect; see End for the end of a job.
 	ErrUnavailable = eris.New("job cannot be looked up or changed now")
 	// ErrOutcomeUnknown means that the job may have been accepted.
 	ErrOutcomeUnknown = eris.New("job may have been accepted")
@@ -169,6 +169,11 @@
 	if err != nil {
 		return Invalid, err
 	}
+	release, ok := s.reserveItems(items)
+	if !ok {
+		return Unavailable, eris.Wrapf(errItemsFull, "%d of %d bytes", s.memory.items.Used(), s.memory.items.Limit())
+	}
+	defer release()
 	defer s.beginAcquisition(record.ID)()
 	record.Parts = len(parts)
 	record.Owner, record.Process = s.Self.ID, s.Self.Incarnation
