daemon: the listeners of our own interface are guarded as well; a part of the memory for responses

Callers, peers and operators of the product's own interface could hold 4,096 bodies of a megabyte at once, and any number of connections. Its three listeners have the same guard as those on the platform, by two new settings (process.memory_bytes, process.max_descriptors). Bodies that generated handlers read count three times while they arrive; uploads, which go to the disk as they arrive, do not count. A body without memory is answered 503, not run.

Responses that are read whole had 24 MB on machines of any size; they have a part of the plan now, of 13 to 24 MB.

--- a/core/intake/plan.go
+++ b/core/intake/plan.go
@@ -46,7 +46,13 @@
 	jobShare        = 0.1
 	itemShare       = 0.1
 	outputShare     = 0.22
-	responseShare   = 0.1
+	responseShare   = 0.14
+)
+
+// Bounds of Plan.ResponseBytes in bytes. The least holds the largest response that is read whole, in a buffer that grows by doubling.
+const (
+	minResponseBytes = 13 << 20
+	maxResponseBytes = 24 << 20
 )
 
 // connectionBytes is the memory of an open connection whose request is not complete: goroutines, buffers, and the request without its fields and body.
@@ -78,7 +84,7 @@
 	}
 	return Plan{
 		SmallBytes: bytes(smallShare), LargeBytes: bytes(largeShare), CollectorBytes: bytes(collectorShare),
-		JobBytes: bytes(jobShare), ItemBytes: bytes(itemShare), OutputBytes: bytes(outputShare), ResponseBytes: bytes(responseShare),
+		JobBytes: bytes(jobShare), ItemBytes: bytes(itemShare), OutputBytes: bytes(outputShare), ResponseBytes: min(max(bytes(responseShare), minResponseBytes), maxResponseBytes),
 		Connections: [roles]int{connections(callersDescriptors), connections(auxiliaryDescriptors), connections(monitoringDescriptors)},
 	}
 }
--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -152,7 +152,7 @@
 // Task is an item with the state of its execution.
 type Task struct {
 	Item        Item // without its headers and body once its result is stored: nobody runs it again
-	Index       int // index of the item in the submitted job, which isn't the position of its result
+	Index       int  // index of the item in the submitted job, which isn't the position of its result
 	Phase       Phase
 	Failures    int       // runs for which the target returned a failure
 	NotBefore   time.Time // the item doesn't start before this time
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"math"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -17,12 +19,14 @@
 	"eelgrassproxy.example/adapters/peer"
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
+	coreintake "eelgrassproxy.example/core/intake"
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/node/blackboard"
 	"eelgrassproxy.example/node/claims"
 	"eelgrassproxy.example/node/control/bundlesync"
 	"eelgrassproxy.example/node/decisionlog"
 	"eelgrassproxy.example/node/dispatch"
+	"eelgrassproxy.example/node/intake"
 	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/metrics"
 	"eelgrassproxy.example/node/pools"
@@ -47,6 +51,7 @@
 	list         *instancelist.Client
 	peers        *peer.Client
 	meter        *peer.Meter
+	guard        *intake.Guard // of all listeners
 	peerToken    [sha256.Size]byte
 	engines      *engine.Client
 	pools        *pools.Pools
@@ -86,6 +91,7 @@
 			HasDisk:       s.Instance.DataFolder != "",
 		},
 	}
+	d.guard = intake.NewGuard(coreintake.NewPlan(s.Process.MemoryBytes, descriptors(s)), d.scope())
 	var err error
 	if d.verifier, err = newVerifier(s.Bundle); err != nil {
 		return nil, err
@@ -106,6 +112,18 @@
 	return d, nil
 }
 
+// descriptors returns the number of descriptors that the process may open, or 0 if it is not known.
+func descriptors(s *settings.Settings) int {
+	var limit syscall.Rlimit
+	if s.Process.MaxDescriptors > 0 {
+		return s.Process.MaxDescriptors
+	}
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 // scope returns the root scope of the instance's metrics.
 func (d *Daemon) scope() tally.Scope { return d.metrics.Scope() }
 
@@ -138,6 +156,7 @@
 	group.Go(func() { d.workers.Run(background) })
 	group.Go(func() { d.bundles.Run(background) })
 	group.Go(func() { d.batch.run(background) })
+	group.Go(func() { d.guard.Run(background) })
 	failed := servers.Serve(&group)
 	klog.InfoS("Instance serves", "instance", d.self.ID, "callers", d.self.CallerAddress, "peers", d.self.PeerAddress)
 	select {
--- a/node/daemon/listeners.go
+++ b/node/daemon/listeners.go
@@ -15,6 +15,7 @@
 	"eelgrassproxy.example/adapters/peer"
 	"eelgrassproxy.example/core/bundle"
 	"eelgrassproxy.example/core/fleet"
+	coreintake "eelgrassproxy.example/core/intake"
 	"eelgrassproxy.example/node/entry"
 	"eelgrassproxy.example/node/internal/serving"
 	"eelgrassproxy.example/node/internal/wait"
@@ -44,16 +45,24 @@
 		return nil, err
 	}
 	for _, l := range []struct {
+		name    string
+		role    coreintake.Role
 		server  *http.Server
 		address string
 		tls     *tls.Config
 		wrap    func(net.Listener) net.Listener
 	}{
-		{set.callers, listen.Callers, callersTLS, nil},
-		{set.peers, listen.Peers, peersTLS, d.meter.Listen},
-		{set.operators, listen.Operators, nil, nil},
+		{"callers", coreintake.Callers, set.callers, listen.Callers, callersTLS, nil},
+		{"peers", coreintake.Auxiliary, set.peers, listen.Peers, peersTLS, d.meter.Listen},
+		{"operators", coreintake.Monitoring, set.operators, listen.Operators, nil, nil},
 	} {
-		if err := set.open(d.env, l.server, l.address, l.tls, l.wrap); err != nil {
+		wrap := func(listener net.Listener) net.Listener {
+			if l.wrap != nil {
+				listener = l.wrap(listener)
+			}
+			return d.guard.Protect(l.server, listener, l.name, l.role)
+		}
+		if err := set.open(d.env, l.server, l.address, l.tls, wrap); err != nil {
 			set.Close()
 			return nil, err
 		}
@@ -66,9 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if wrap != nil {
-		l = wrap(l)
-	}
+	l = wrap(l)
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -13,6 +13,7 @@
 	"eelgrassproxy.example/api/caller"
 	"eelgrassproxy.example/core/limits"
 	"eelgrassproxy.example/node/blackboard"
+	"eelgrassproxy.example/node/intake"
 	"eelgrassproxy.example/node/problem"
 )
 
@@ -62,6 +63,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if files != nil && isUpload(r) {
+			intake.Uncounted(r)
 			r = limitUpload(w, r, files.MaxBytes())
 		} else {
 			r.Body = limitBody(w, r, o.MaxBodyBytes)
@@ -131,6 +133,9 @@
 	if errors.As(err, &p) {
 		return p
 	}
+	if errors.Is(err, intake.ErrNoMemory) {
+		return problem.NotRun(problem.CodeOverloaded, "instance has no memory for the request body").WithRetryAfter(time.Second)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return problem.NotRun(problem.CodeBodyTooLarge, "body exceeds %d bytes", tooLarge.Limit)
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -54,6 +54,7 @@
 	ResultsKept  time.Duration // how long results stay readable after a job was submitted
 	// OutputBytes, ItemBytes and SubmissionBytes bound the memory for jobs; see MemoryBytes and the others in itemjobs.Config.
 	OutputBytes, ItemBytes, SubmissionBytes int64
+	ResponseBytes                           int64                // see gateway.Options.MaxBufferedBytes; 0 for the default
 	Grace                                   func() time.Duration // maximum time from the stop signal to the end of the process
 	Guard                                   *intake.Guard        // of all servers of the process; nil for one without stated limits
 }
@@ -126,7 +127,11 @@
 	if c.Seed {
 		i.catchUp.SetSeed()
 	}
-	i.forwarder = gateway.NewForwarder(i.board, i.upstream, c.Protocol, gateway.DefaultOptions(), c.Metrics)
+	options := gateway.DefaultOptions()
+	if c.ResponseBytes > 0 {
+		options.MaxBufferedBytes = c.ResponseBytes
+	}
+	i.forwarder = gateway.NewForwarder(i.board, i.upstream, c.Protocol, options, c.Metrics)
 	i.quotas = gateway.NewQuotas(i.peers, i.limitOf, i.catchUp.StoreLost, c.Metrics)
 	i.forwarder.ExchangeUsage(i.quotas)
 	i.jobs = itemjobs.New(itemjobs.Config{
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -115,6 +115,14 @@
 	}
 }
 
+// Uncounted makes the body of a request not count, for handlers that pass it on as it arrives, and bound its time themselves.
+func Uncounted(r *http.Request) {
+	if b, ok := r.Body.(*body); ok {
+		b.uncounted = true
+		b.conn.expectBody(time.Time{})
+	}
+}
+
 // expectBody sets the time by which a body must be complete. It returns functions that reserve and return memory for it.
 func (c *conn) expectBody(deadline time.Time) (reserve func(int64) bool, giveBack func(int64)) {
 	g := c.guard
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -112,6 +112,8 @@
 func (c *checker) numbers(s *Settings) {
 	c.atLeast("requests.max_body_bytes", s.Requests.MaxBodyBytes, 1)
 	c.atLeast("requests.max_answer_bytes", s.Requests.MaxAnswerBytes, 1)
+	c.atLeast("process.memory_bytes", s.Process.MemoryBytes, 1)
+	c.atLeast("process.max_descriptors", int64(s.Process.MaxDescriptors), 0)
 	c.atLeast("requests.max_in_flight", int64(s.Requests.MaxInFlight), 1)
 	c.atLeast("requests.subset_size", int64(s.Requests.SubsetSize), 2)
 	c.atLeast("instance.data_quota_bytes", s.Instance.DataQuotaBytes, 1)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -17,6 +17,7 @@
 	Batch        Batch        `yaml:"batch"`
 	Drain        Drain        `yaml:"drain"`
 	Log          Log          `yaml:"log"`
+	Process      Process      `yaml:"process"`
 	Workers      int          `yaml:"workers"` // number of workers that run the controllers; default 4
 }
 
@@ -111,6 +112,12 @@
 	Verbosity int `yaml:"verbosity"`
 }
 
+// Process states the limits of the process, of which requests and connections of callers get a part each.
+type Process struct {
+	MemoryBytes    int64 `yaml:"memory_bytes"`    // memory that the process may use; default 1 GiB
+	MaxDescriptors int   `yaml:"max_descriptors"` // descriptors that it may open; default the operating system's limit
+}
+
 // Defaults and minimum values of the settings.
 const (
 	DefaultCallTimeout    = 2 * time.Second
@@ -118,6 +125,7 @@
 	DefaultMaxBodyBytes   = 1 << 20
 	DefaultMaxAnswerBytes = 8 << 20
 	DefaultMaxInFlight    = 4096
+	DefaultMemoryBytes    = 1 << 30
 	DefaultSubsetSize     = 24
 	DefaultEntrypointTTL  = 10 * time.Second
 	DefaultGrace          = 15 * time.Minute
@@ -131,6 +139,7 @@
 	setDefault(&s.Store.CallTimeout, DefaultCallTimeout)
 	setDefault(&s.InstanceList.Poll, DefaultListPoll)
 	setDefault(&s.Bundle.RequiredSignatures, 1)
+	setDefault(&s.Process.MemoryBytes, DefaultMemoryBytes)
 	setDefault(&s.Requests.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&s.Requests.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&s.Requests.MaxInFlight, DefaultMaxInFlight)
