intake, itemjobs: a bound for a request that is alone, and for bodies of items that are read back

A request that is alone was granted any amount, so that one body had no bound under a configuration without max_body_bytes; it is granted three times the part for large requests. Bodies of items that are read from the store are loaded in turns now, and count as pages do until they are written: since items are forgotten when their results are stored, more of these reads go to the store.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -27,6 +27,8 @@
 	// stalledAfter is the time without progress after which a request gives way to others that need memory for large bodies. Requests of legal clients
 	// are rarely silent for so long.
 	stalledAfter = 250 * time.Millisecond
+	// loneFactor is how many times the memory for large requests one may take that is alone.
+	loneFactor = 3
 	// leavingShare is the part of a listener's connections that may be open in addition while connections that gave way are being closed.
 	leavingShare = 1.0 / 8
 )
@@ -233,7 +235,7 @@
 	Refused
 )
 
-// Reserve reserves n bytes for the request of a connection. A request that alone holds more than SmallRequest is granted what it needs.
+// Reserve reserves n bytes for the request of a connection. A request that alone holds more than SmallRequest is granted loneFactor times the limit.
 func (c *Client) Reserve(n int64, now time.Time) (v Verdict, victim *Client) {
 	t := c.listener.table
 	small := min(n, max(SmallRequest-c.small, 0))
@@ -242,10 +244,16 @@
 		return Refused, nil
 	}
 	lacksSmall := t.small+small > t.smallLimit
-	lacksLarge := large > 0 && t.large+large > t.largeLimit && t.large > c.large
+	limit := t.largeLimit
+	if t.large == c.large {
+		limit *= loneFactor
+	}
+	lacksLarge := large > 0 && t.large+large > limit
 	switch {
 	case lacksSmall:
 		v, victim = t.makeRoom(t.small-t.leavingSmall+small > t.smallLimit, func(o *Client) bool { return o != c && o.small > 0 })
+	case lacksLarge && t.large == c.large:
+		v = Refused
 	case lacksLarge:
 		v, victim = t.makeRoom(t.large-t.leavingLarge+large > t.largeLimit, func(o *Client) bool {
 			return o != c && o.large > 0 && now.Sub(o.since) >= stalledAfter
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -100,6 +100,7 @@
 	c := receiving(t, l, at(0))
 	require.Equal(t, intake.Granted, reserve(c, 3<<20, at(0)))
 	require.Equal(t, intake.Granted, reserve(c, 3<<20, at(0)))
+	require.Equal(t, intake.Refused, reserve(c, 1<<20, at(0)), "it has no bound of its own")
 	require.Equal(t, intake.Refused, reserve(receiving(t, l, at(0)), 1<<20, at(0)))
 	c.Release()
 	require.Zero(t, c.Held())
--- a/node/itemjobs/accounts_test.go
+++ b/node/itemjobs/accounts_test.go
@@ -30,8 +30,8 @@
 	answers := func(id itemjob.ID) []string {
 		started := time.Now()
 		_, read := n.service.Read(t.Context(), caller, id, 0, 5*time.Second)
-		_, body := n.service.Body(t.Context(), caller, id, "a")
-		_, noItem := n.service.Body(t.Context(), caller, id, "none")
+		_, _, body := n.service.Body(t.Context(), caller, id, "a")
+		_, _, noItem := n.service.Body(t.Context(), caller, id, "none")
 		end := n.service.End(t.Context(), caller, id)
 		texts := []string{time.Since(started).Truncate(100 * time.Millisecond).String()} // a call to a peer takes up no virtual time
 		for _, err := range []error{read, body, noItem, end} {
--- a/node/itemjobs/itemjobs_test.go
+++ b/node/itemjobs/itemjobs_test.go
@@ -44,7 +44,7 @@
 			page, err := n.service.Read(t.Context(), itemjob.Caller{}, "j", 0, 0)
 			require.NoError(t, err)
 			require.Equal(t, 3, page.Total)
-			body, err := n.service.Body(t.Context(), itemjob.Caller{}, "j", "b")
+			body, _, err := n.service.Body(t.Context(), itemjob.Caller{}, "j", "b")
 			require.NoError(t, err)
 			require.Equal(t, "body of b", string(body))
 		}
@@ -300,7 +300,7 @@
 		require.Len(t, f.runs, started)
 		require.Empty(t, f.readAll(f.nodes[0], "j"))
 		require.NoError(t, f.nodes[2].service.End(t.Context(), itemjob.Caller{}, "j"), "ending an ended job")
-		_, err := f.nodes[0].service.Body(t.Context(), itemjob.Caller{}, "j", "a0")
+		_, _, err := f.nodes[0].service.Body(t.Context(), itemjob.Caller{}, "j", "a0")
 		require.ErrorIs(t, err, itemjobs.ErrNotFound)
 		require.ErrorIs(t, f.nodes[0].service.End(t.Context(), itemjob.Caller{}, "none"), itemjobs.ErrNotFound)
 		require.NoError(t, f.nodes[2].service.Submit(t.Context(), sub), "a repeated submission of an accepted job")
--- a/node/itemjobs/read.go
+++ b/node/itemjobs/read.go
@@ -186,12 +186,24 @@
 	return s.aliveAddress(record.Owner)
 }
 
-// Body returns the body of an item. Errors: ErrNotFound, also for another account's job; ErrNoItem, also for a job that was ended; ErrUnavailable;
-// ErrBadRecord.
-func (s *Service) Body(ctx context.Context, caller itemjob.Caller, id itemjob.ID, item string) ([]byte, error) {
+// Body returns the body of an item. The caller must call release when the body was passed on, or no longer is. Errors: ErrNotFound, also for another
+// account's job; ErrNoItem, also for a job that was ended; ErrUnavailable, also if what is being sent to other readers takes up the memory; ErrBadRecord.
+func (s *Service) Body(ctx context.Context, caller itemjob.Caller, id itemjob.ID, item string) (body []byte, release func(), err error) {
 	if body, ok := s.BodyOwned(caller, id, item); ok {
-		return body, nil
+		return body, func() {}, nil
 	}
+	if body, err = s.readBody(ctx, caller, id, item); err != nil {
+		return nil, nil, err
+	}
+	var held Page
+	if !s.memory.reservePageBytes(&held, int64(len(body))) {
+		return nil, nil, errPagesFull
+	}
+	return body, held.Release, nil
+}
+
+// readBody reads the body of an item from the owner of its job, or from the store.
+func (s *Service) readBody(ctx context.Context, caller itemjob.Caller, id itemjob.ID, item string) ([]byte, error) {
 	if owner, ok := s.ownerOf(id); ok {
 		if body, err := s.calls.body(ctx, owner, caller, id, item); err == nil {
 			return body, nil
@@ -206,6 +218,11 @@
 	if record.Ended {
 		return nil, ErrNoItem
 	}
+	loaded, err := s.memory.encode(ctx, maxPageBytes)
+	if err != nil {
+		return nil, errors.Join(ErrUnavailable, err)
+	}
+	defer loaded()
 	items, err := s.loadItems(ctx, &record)
 	if err != nil {
 		return nil, errors.Join(ErrUnavailable, err)
