--- a/node/itemjobs/peercalls.go
+++ b/node/itemjobs/peercalls.go
@@ -19,6 +19,7 @@
 	"eelgrassproxy.example/core/itemjob"
 	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
+	"eelgrassproxy.example/node/intake"
 )
 
 // maxPeerWait bounds how long a read by a peer waits for a result.
@@ -298,16 +299,21 @@
 // maxPeerRequestBytes bounds the body of a peer's call. The largest job that clients may submit fits.
 const maxPeerRequestBytes = 16 << 20
 
-// decodePeerRequest decodes the body of a peer's call. If that fails, it responds with 400 and returns false.
+// decodePeerRequest decodes the body of a peer's call. If that fails, it responds with 400, or with 503 if there is no memory for the body, and returns
+// false.
 func decodePeerRequest(w http.ResponseWriter, r *http.Request, into any) bool {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerRequestBytes))
 	if err == nil {
 		err = json.Unmarshal(body, into)
 	}
-	if err != nil {
-		klog.ErrorS(err, "Request of a peer cannot be decoded", "path", r.URL.Path)
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
+	if err == nil {
+		return true
+	}
+	status := http.StatusBadRequest
+	if intake.IsRefusal(err) {
+		status = http.StatusServiceUnavailable
 	}
-	return true
+	klog.ErrorS(err, "Request of a peer cannot be decoded", "path", r.URL.Path, "status", status)
+	http.Error(w, err.Error(), status)
+	return false
 }
