--- a/adapters/rawhttp/request.go
+++ b/adapters/rawhttp/request.go
@@ -41,7 +41,7 @@
 	}
 	for _, name := range framingHeaders {
 		if r.names(name) {
-			return eris.Wrapf(ErrInvalidRequest, "header %s", name)
+			return eris.Wrapf(ErrInvalidRequest, "%s is set by the client itself", name)
 		}
 	}
 	return nil
