--- a/adapters/rawhttp/request.go
+++ b/adapters/rawhttp/request.go
@@ -21,10 +21,10 @@
 // validate checks that a target reads the request as the one that it is. Its texts come from callers, the store and the configuration, and the client
 // writes them as they are. Errors: ErrInvalidRequest.
 func (r *Request) validate() error {
-	switch _, err := url.ParseRequestURI(r.URI); {
+	switch {
 	case !httpguts.ValidHeaderFieldName(r.Method): // a token as well
 		return eris.Wrapf(ErrInvalidRequest, "method %.*q", maxQuoted, r.Method)
-	case err != nil || !strings.HasPrefix(r.URI, "/") || strings.ContainsFunc(r.URI, func(c rune) bool { return c <= ' ' || c == 0x7f }):
+	case !IsTarget(r.URI):
 		return eris.Wrapf(ErrInvalidRequest, "target %.*q", maxQuoted, r.URI)
 	case strings.ContainsAny(r.Host, " \t") || !httpguts.ValidHostHeader(r.Host):
 		return eris.Wrapf(ErrInvalidRequest, "host %.*q", maxQuoted, r.Host)
@@ -47,6 +47,12 @@
 	return nil
 }
 
+// IsTarget reports whether a text is a path, with or without a query, that a target reads as the whole of it from the first line of a request.
+func IsTarget(text string) bool {
+	_, err := url.ParseRequestURI(text)
+	return err == nil && strings.HasPrefix(text, "/") && !strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c == 0x7f })
+}
+
 // names reports whether the header has a field, in any case.
 func (r *Request) names(field string) bool {
 	if _, ok := r.Header[field]; ok {
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -39,7 +39,6 @@
 		err = b.conn.readError(err)
 	}
 	if !b.uncounted && !b.conn.guard.reserve(b.conn, bodyCopies*int64(n)) {
-		b.conn.guard.count("refused", reasonMemory)
 		return 0, ErrNoMemory
 	}
 	return n, err
@@ -67,10 +66,10 @@
 	if limit > 0 && r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	reserve, giveBack := func(int64) bool { return true }, func(int64) {}
-	if b, ok := r.Body.(*body); ok {
-		b.uncounted = true
-		reserve, giveBack = b.conn.expectBody(deadline)
+	counted, isCounted := r.Body.(*body)
+	if isCounted {
+		counted.uncounted = true // this function counts the buffer
+		counted.conn.setDeadline(deadline)
 	}
 	source := r.Body
 	if limit > 0 {
@@ -82,12 +81,14 @@
 		if r.ContentLength >= 0 {
 			size = max(min(size, r.ContentLength), int64(cap(buffer))+1)
 		}
-		if !reserve(size) {
+		if isCounted && !counted.conn.guard.reserve(counted.conn, size) {
 			return ErrNoMemory
 		}
 		old := int64(cap(buffer))
 		buffer = append(make([]byte, 0, size), buffer...)
-		giveBack(old)
+		if isCounted {
+			counted.conn.giveBack(old)
+		}
 		return nil
 	}
 	var next [1]byte // tells whether more follows when the buffer is full
@@ -119,30 +120,8 @@
 func Uncounted(r *http.Request) {
 	if b, ok := r.Body.(*body); ok {
 		b.uncounted = true
-		b.conn.expectBody(time.Time{})
-	}
-}
-
-// expectBody sets the time by which a body must be complete. It returns functions that reserve and return memory for it.
-func (c *conn) expectBody(deadline time.Time) (reserve func(int64) bool, giveBack func(int64)) {
-	g := c.guard
-	g.mu.Lock()
-	c.client.SetDeadline(deadline)
-	g.mu.Unlock()
-	reserve = func(n int64) bool {
-		ok := g.reserve(c, n)
-		if !ok {
-			g.count("refused", reasonMemory)
-		}
-		return ok
-	}
-	giveBack = func(n int64) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		c.client.Return(n)
-		g.memoryReturned()
+		b.conn.setDeadline(time.Time{})
 	}
-	return reserve, giveBack
 }
 
 // IsRefusal reports whether an error of a body means that its request is refused and has not run.
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -106,7 +106,6 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.guard.reserve(c, c.arrived(n)) {
-		c.guard.count("refused", reasonMemory)
 		return 0, os.ErrDeadlineExceeded // net/http closes the connection
 	}
 	return n, err
@@ -255,6 +254,21 @@
 	return c.guard.reserve(c, headerSize(r))
 }
 
+// setDeadline sets the time by which the request must be complete; zero means none.
+func (c *conn) setDeadline(deadline time.Time) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.client.SetDeadline(deadline)
+}
+
+// giveBack returns n bytes that were reserved.
+func (c *conn) giveBack(n int64) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.client.Return(n)
+	c.guard.memoryReturned()
+}
+
 // complete is called at the end of the request's body.
 func (c *conn) complete() {
 	c.guard.mu.Lock()
--- a/node/intake/guard.go
+++ b/node/intake/guard.go
@@ -132,7 +132,6 @@
 		counted := r.WithContext(r.Context()) // net/http keeps r and its body
 		defer c.end()
 		if !c.begin(counted) {
-			g.count("refused", reasonMemory)
 			g.log.Info("Request refused, there is no memory for it", "client", r.RemoteAddr)
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", retryAfter)
@@ -143,11 +142,17 @@
 	})
 }
 
-// reserve reserves n bytes for a connection. It returns false if there is no memory for them.
+// reserve reserves n bytes for a connection. It counts a refusal and returns false if there is no memory for them.
 func (g *Guard) reserve(c *conn, n int64) bool {
-	if n <= 0 {
+	if n <= 0 || g.awaitRoom(c, n) {
 		return true
 	}
+	g.count("refused", reasonMemory)
+	return false
+}
+
+// awaitRoom reserves n bytes for a connection, after others gave way to it if need be. It returns false if there is no memory for them.
+func (g *Guard) awaitRoom(c *conn, n int64) bool {
 	var timeout <-chan time.Time
 	for {
 		g.mu.Lock()
