gateway: a silent target is hedged instead of left

A target may be silent for about a second and then go on. The silence watch cancelled the try at it as soon as another target had room, or after 0.8 s without any other target. If the next target then refused, failed, broke off, could not be connected to or was silent too, the answer was lost, although the first target would have given it.

Silence now starts a hedge: the request is sent to another target with a free slot, behind the last event that was passed on, and goes on at the one that makes progress first. Both are open for 250 ms at most; limits.HedgeState.KeepHedge then chooses one. Batch items are unchanged.

A client that did not read made its own target look silent, since what the target had sent was not read meanwhile. Passing events on now pauses the watch.

--- /dev/null
+++ b/core/limits/hedge_test.go
@@ -0,0 +1,34 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"eelgrassproxy.example/core/limits"
+)
+
+// Guards against leaving a sound target for one that gives no reason to expect more, and against staying at a dark one.
+func TestKeepHedge(t *testing.T) {
+	const early, late, patience = 400 * time.Millisecond, 900 * time.Millisecond, 800 * time.Millisecond
+	for name, c := range map[string]struct {
+		state limits.HedgeState
+		keep  bool
+	}{
+		"both have been silent for a short time":        {limits.HedgeState{Silent: early}, false},
+		"the first has been silent for long":            {limits.HedgeState{Silent: late}, true},
+		"only the hedge's target is alive":              {limits.HedgeState{Silent: early, HedgeAlive: true}, true},
+		"both targets are alive":                        {limits.HedgeState{Silent: early, HedgeAlive: true, FirstAlive: true}, false},
+		"only this request is stuck at the first":       {limits.HedgeState{Silent: late, FirstAlive: true}, true},
+		"the hedge's target was left and shows nothing": {limits.HedgeState{Silent: late, HedgeWasLeft: true}, false},
+		"the hedge's target was left lately":            {limits.HedgeState{Silent: early, HedgeWasLeft: true, HedgeAlive: true}, false},
+		"the target that was left is alive again":       {limits.HedgeState{Silent: late, HedgeWasLeft: true, HedgeAlive: true}, true},
+		"what arrived during a pause is not read yet":   {limits.HedgeState{Silent: late, HedgeAlive: true, Paused: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.state.Patience = patience
+			require.Equal(t, c.keep, c.state.KeepHedge())
+		})
+	}
+}
--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -93,6 +93,33 @@
 	return !slices.ContainsFunc(v.byService[service], func(t *target) bool { return !t.outside && !exclude[t.ID] && v.usable(t, now) })
 }
 
+// PlaceUsable is like Place, but uses no avoided or ejected targets.
+func (v *View) PlaceUsable(service, salt string, exclude map[fleet.TargetID]bool, now time.Time) (Target, PlaceResult) {
+	return v.place(service, salt, exclude, now, false)
+}
+
+// PlaceAmong returns the best of the given targets of a service for an online request, like Place. Avoided and ejected ones, and those of other groups,
+// are used as well: the request was there before.
+func (v *View) PlaceAmong(service, salt string, among map[fleet.TargetID]bool, now time.Time) (Target, PlaceResult) {
+	found := bestTarget{salt: salt}
+	result := NoTarget
+	for _, t := range v.byService[service] {
+		if !among[t.ID] || !v.accepts(t) {
+			continue
+		}
+		load := v.Load(t.ID, now)
+		if load.Online+load.Firm >= t.Slots+v.policy.MaxQueue {
+			result = Full
+			continue
+		}
+		found.consider(t, onlineScore(load, t.Slots)+v.distancePenalty(t))
+	}
+	if found.target == nil {
+		return Target{}, result
+	}
+	return found.target.Target, Placed
+}
+
 // HasRoom reports whether Place would find a target at now without using avoided or ejected ones.
 func (v *View) HasRoom(service string, exclude map[fleet.TargetID]bool, now time.Time) bool {
 	_, result := v.place(service, "", exclude, now, false)
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -53,9 +53,26 @@
 // ReserveOnline reserves a slot at a target for an online request. If no target has room, it returns nil and the reason. If batch items have to
 // yield to the request, it calls the OnYield callback. salt breaks ties between targets; exclude holds the targets that must not be chosen.
 func (b *Board) ReserveOnline(service, salt string, exclude map[fleet.TargetID]bool) (*Reservation, slots.PlaceResult) {
+	return b.reserveOnline((*slots.View).Place, service, salt, exclude)
+}
+
+// reserveUsable is like ReserveOnline, but uses no avoided or ejected targets.
+func (b *Board) reserveUsable(service, salt string, exclude map[fleet.TargetID]bool) *Reservation {
+	reservation, _ := b.reserveOnline((*slots.View).PlaceUsable, service, salt, exclude)
+	return reservation
+}
+
+// reserveAmong is like ReserveOnline, but uses only the given targets, also if they are avoided or ejected.
+func (b *Board) reserveAmong(service, salt string, among map[fleet.TargetID]bool) (*Reservation, slots.PlaceResult) {
+	return b.reserveOnline((*slots.View).PlaceAmong, service, salt, among)
+}
+
+// reserveOnline reserves a slot at the target that place returns for the service, the salt and the targets.
+func (b *Board) reserveOnline(place func(*slots.View, string, string, map[fleet.TargetID]bool, time.Time) (slots.Target, slots.PlaceResult),
+	service, salt string, targets map[fleet.TargetID]bool) (*Reservation, slots.PlaceResult) {
 	now := time.Now()
 	b.mu.Lock()
-	target, result := b.view.Place(service, salt, exclude, now)
+	target, result := place(b.view, service, salt, targets, now)
 	if result != slots.Placed {
 		b.mu.Unlock()
 		return nil, result
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,7 +28,9 @@
 	// ErrSinkFailed means that writing to the client failed.
 	ErrSinkFailed = eris.New("client connection failed")
 
-	errSilent     = eris.New("target sent nothing for too long")
+	errSilent = eris.New("target sent nothing for too long")
+	// errGivenUp means that a try received something after another one had taken over the request.
+	errGivenUp    = fmt.Errorf("%w: another target was faster", errSilent)
 	errTruncated  = eris.New("target's response ended early")
 	errEventOrder = eris.New("event ids are not consecutive")
 	// errUnidentified means that a response may be a repeated one to an earlier request on its connection.
@@ -145,19 +150,25 @@
 // execution is the state of one request over all of its tries.
 type execution struct {
 	*Forwarder
-	request         *Request
-	sink            Sink     // nil for a batch item
-	items           ItemSink // of a batch item, otherwise nil
-	progress        *Progress
-	buffers         heldBuffers // of what is being read; for a whole response until the request ends
+	request     *Request
+	sink        Sink     // nil for a batch item
+	items       ItemSink // of a batch item, otherwise nil
+	progress    *Progress
+	buffers     heldBuffers   // of what is being read; for a whole response until the request ends
+	sinkStarted bool          // the sink was started
+	firstEvent  time.Duration // from the arrival of the request to the first event of this try; 0 before
+	status      int           // of the response that is passed on
+	waited      time.Duration // time spent waiting for a slot, over all tries
+
+	// mu guards the fields below, which the goroutines of hedges use too, and those of silenceWatch; taken before the board's mutex.
+	mu              sync.Mutex
 	tries           limits.Tries
+	ran             map[fleet.TargetID]bool // targets at which the request may have run
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
-	sinkStarted     bool                    // the sink was started
+	left            map[fleet.TargetID]bool // targets that the request left because they were silent
 	failureResponse *wholeResponse          // the latest failure response that was retried instead of written
-	firstEvent      time.Duration           // from the arrival of the request to the first event of this try; 0 before
-	status          int                     // of the response that is passed on
+	hedgeBuffers    []heldBuffers           // of responses to hedges that are kept
 	tryLog          []string                // one entry for each try, for the log
-	waited          time.Duration           // time spent waiting for a slot, over all tries
 }
 
 // retryAfterNoTarget is the retry advice if no target could run the request. It is about the time in which a change reaches the list of targets.
@@ -167,36 +178,109 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) Outcome {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, ErrDeadline)
 	defer cancel()
-	x := &execution{
-		Forwarder: f, request: r, sink: sink, progress: &Progress{Last: r.After}, excluded: make(map[fleet.TargetID]bool), buffers: heldBuffers{budget: f.buffers, free: smallResponseBytes},
-	}
-	defer x.buffers.releaseAll()
+	x := f.newExecution(r, &Progress{Last: r.After}, heldBuffers{budget: f.buffers, free: smallResponseBytes})
+	x.sink = sink
+	defer x.releaseBuffers()
 	outcome := x.run(ctx)
 	x.recordOutcome(outcome)
 	return outcome
 }
 
+// newExecution returns the state of a request before its first try.
+func (f *Forwarder) newExecution(r *Request, progress *Progress, buffers heldBuffers) *execution {
+	return &execution{
+		Forwarder: f, request: r, progress: progress, buffers: buffers,
+		ran: make(map[fleet.TargetID]bool), excluded: make(map[fleet.TargetID]bool), left: make(map[fleet.TargetID]bool),
+	}
+}
+
+// releaseBuffers returns all memory that the request holds.
+func (x *execution) releaseBuffers() {
+	x.buffers.releaseAll()
+	for i := range x.hedgeBuffers {
+		x.hedgeBuffers[i].releaseAll()
+	}
+}
+
 // run makes tries until one succeeds or no further one is allowed.
 func (x *execution) run(ctx context.Context) Outcome {
 	for {
 		asked := time.Now()
-		reservation, err := x.queues.enter(ctx, x.request, x.excluded)
-		started := time.Now()
-		x.waited += started.Sub(asked)
+		reservation, err := x.place(ctx)
+		x.waited += time.Since(asked)
 		if err != nil {
 			return x.notPlaced(ctx, err)
 		}
-		err = x.try(ctx, reservation)
-		reservation.Release()
-		x.queues.requestEnded(x.request.Service, time.Since(started))
+		if end, ended := x.runTries(ctx, newTry(ctx, reservation)); ended {
+			return end
+		}
+	}
+}
+
+// runTries makes a try, and goes on with the hedges that continue it. It returns the outcome and true unless the request is to be placed again.
+func (x *execution) runTries(ctx context.Context, t *targetTry) (Outcome, bool) {
+	watch := x.watchSilence(ctx, t)
+	defer watch.stop()
+	for {
+		err := x.try(ctx, t, watch)
+		next := watch.next(t, err)
+		if err == nil || next == nil {
+			watch.stop()
+		}
+		x.endTry(t)
 		if err == nil {
-			x.tryLog = append(x.tryLog, describeTry(reservation))
-			return Outcome{Verdict: Answered, Status: x.status}
+			x.logTry(t, "")
+			return Outcome{Verdict: Answered, Status: x.status}, true
 		}
-		if end, ended := x.afterFailure(ctx, reservation, err); ended {
-			return end
+		end, ended := x.afterFailure(ctx, t, err, next != nil)
+		if ended && next != nil {
+			x.abandon(watch, next)
+		}
+		if ended || next == nil {
+			return end, ended
+		}
+		t = next
+	}
+}
+
+// abandon ends the hedge that would continue the request, and those after it.
+func (x *execution) abandon(watch *silenceWatch, next *targetTry) {
+	for _, t := range watch.cancelFrom(next) {
+		<-t.opened
+		if t.err == nil {
+			t.response.Abort()
+		}
+		x.board.EndUnobserved(t.target())
+		x.endTry(t)
+	}
+}
+
+// endTry releases what a try holds.
+func (x *execution) endTry(t *targetTry) {
+	t.reservation.Release()
+	x.queues.requestEnded(x.request.Service, time.Since(t.started))
+	if t.opened != nil {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.endHedge(t)
+	}
+}
+
+// place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise at one that did
+// not fail.
+func (x *execution) place(ctx context.Context) (*Reservation, error) {
+	x.mu.Lock()
+	tried, again := maps.Clone(x.excluded), x.sound()
+	maps.Copy(tried, x.ran)
+	mayRunElsewhere := len(x.ran) == 0 || len(x.ran) < x.request.Route.MaxAttempts
+	x.mu.Unlock()
+	if mayRunElsewhere {
+		reservation, err := x.queues.enter(ctx, x.request, tried)
+		if !errors.Is(err, errNoTarget) || len(again) == 0 {
+			return reservation, err
 		}
 	}
+	return x.queues.enterAgain(ctx, x.request, again)
 }
 
 // describeTry returns a log entry with a target and its state when it was chosen: the numbers of its online, firm and yieldable requests, its
@@ -206,15 +290,44 @@
 	return fmt.Sprintf("%s at %d+%d+%d of %d, peer counts %d ms old", reservation.Target.ID, l.Online, l.Firm, l.Yieldable, reservation.Target.Slots, reservation.PeerAge.Milliseconds())
 }
 
-// afterFailure decides whether another try follows a failed one. If none does, it returns the outcome and true.
-func (x *execution) afterFailure(ctx context.Context, reservation *Reservation, err error) (Outcome, bool) {
-	mayHaveRun := !isNotRun(err)
-	x.tries.Started++
-	if mayHaveRun {
-		x.tries.MayHaveRun++
+// maxLoggedTries is the maximum number of tries of a request that are described in its log line.
+const maxLoggedTries = 12
+
+// logTry adds a try to the log line of the request.
+func (x *execution) logTry(t *targetTry, end string) {
+	if len(x.tryLog) == maxLoggedTries {
+		return
 	}
-	x.excluded[reservation.Target.ID] = true
-	x.tryLog = append(x.tryLog, describeTry(reservation)+": "+err.Error())
+	entry := describeTry(t.reservation)
+	if t.opened != nil {
+		entry = "hedge: " + entry
+	}
+	x.tryLog = append(x.tryLog, entry+end)
+}
+
+// record counts a try that ended with err. The target of one that was given up may be used again; x.mu is held.
+func (x *execution) record(t *targetTry, err error) {
+	id := t.target()
+	if !isNotRun(err) {
+		x.ran[id] = true
+		x.tries.MayHaveRun = len(x.ran)
+	}
+	if !t.wasOvertaken() && !errors.Is(context.Cause(t.ctx), errSilent) {
+		x.tries.Started++
+		x.excluded[id] = true
+	}
+	x.logTry(t, ": "+err.Error())
+}
+
+// afterFailure decides whether another try follows a failed one. If none does, it returns the outcome and true. goesOn tells that a hedge continues the
+// request.
+func (x *execution) afterFailure(ctx context.Context, t *targetTry, err error, goesOn bool) (Outcome, bool) {
+	x.mu.Lock()
+	tries, maxAttempts := x.tries, x.request.Route.MaxAttempts
+	if len(x.sound()) > 0 {
+		maxAttempts = math.MaxInt // the next try needs no other target
+	}
+	x.mu.Unlock()
 	switch {
 	case errors.Is(err, ErrSinkFailed):
 		return Outcome{Verdict: ClientGone, Cause: err}, true
@@ -224,11 +337,13 @@
 		return x.giveUp(err), true // some of the events that were passed on may not belong to the response
 	case errors.Is(err, rawhttp.ErrInvalidRequest):
 		return x.giveUp(err), true
+	case goesOn:
+		return Outcome{}, false
 	}
 	left := time.Until(x.request.Deadline)
-	reason := x.tries.CheckRetry(mayHaveRun, x.request.Route.Repeatable(), x.request.Route.MaxAttempts, left)
+	reason := tries.CheckRetry(!isNotRun(err), x.request.Route.Repeatable(), maxAttempts, left)
 	if reason == limits.TryAgain {
-		klog.V(1).InfoS("Retrying request", "request", x.request.ID, "target", reservation.Target.ID, "cause", err.Error(), "resume_after", x.progress.Last, "left_ms", left.Milliseconds())
+		klog.V(1).InfoS("Retrying request", "request", x.request.ID, "target", t.target(), "cause", err.Error(), "resume_after", x.progress.Last, "left_ms", left.Milliseconds())
 		return Outcome{}, false
 	}
 	return x.giveUp(fmt.Errorf("%s: %w", reason, err)), true
@@ -266,14 +381,17 @@
 // giveUp returns the outcome of a request after its last try. A failure response of a target is written to the client rather than replaced by
 // an error of the gateway.
 func (x *execution) giveUp(cause error) Outcome {
+	x.mu.Lock()
+	failure := x.failureResponse
+	x.mu.Unlock()
 	switch {
 	case x.sinkStarted:
 		return Outcome{Verdict: Incomplete, Cause: cause}
-	case x.failureResponse != nil:
-		if err := x.failureResponse.write(x); err != nil {
+	case failure != nil:
+		if err := failure.write(x); err != nil {
 			return Outcome{Verdict: ClientGone, Cause: err}
 		}
-		return Outcome{Verdict: Answered, Status: x.failureResponse.status, Cause: cause}
+		return Outcome{Verdict: Answered, Status: failure.status, Cause: cause}
 	case x.tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause, RetryAfter: retryAfterNoTarget}
 	}
--- /dev/null
+++ b/node/gateway/hedge.go
@@ -0,0 +1,352 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"eelgrassproxy.example/adapters/rawhttp"
+	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/limits"
+	"eelgrassproxy.example/core/routetable"
+	"eelgrassproxy.example/core/stream"
+)
+
+const (
+	// maxOverlap is the maximum time for which a request is at two targets, counted from the start of the hedge. A platform may forbid that a target works
+	// on a request 400 ms after it went on at another one, and it takes up to 25 ms until the target learns that it was given up.
+	maxOverlap = 250 * time.Millisecond
+	// minHedgePause is the pause after a first hedge that showed nothing, and doubles with each: the target of a hedge reads the prompt in vain.
+	minHedgePause = 100 * time.Millisecond
+	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
+	minHedgeTime = 50 * time.Millisecond
+)
+
+var (
+	errOvertaken = errors.New("target was slower than another one")
+	errNoSign    = errors.New("target of the hedge showed no progress in time")
+)
+
+// targetTry is one try of a request at one target. A hedge is a try that begins while another one is silent: the first of the two that makes progress
+// goes on, and the other one is given up. See docs/design/silent-targets.md.
+type targetTry struct {
+	reservation *Reservation
+	ctx         context.Context // ends when the try is to end
+	cancel      context.CancelCauseFunc
+	started     time.Time
+	lastSign    time.Time  // when it was sent, or when the header of the response arrived; guarded by execution.mu
+	successor   *targetTry // the hedge that the request goes on with; guarded by execution.mu
+	promoted    bool       // it is or was the current try; guarded by execution.mu
+
+	// The fields below are those of a hedge. Its goroutine sets them before it closes opened.
+	opened    chan struct{} // nil for other tries
+	resumed   bool          // the request asks for the events after a position
+	response  *rawhttp.Response
+	info      ResponseInfo
+	prefix    []byte         // what was read of a stream, with at least one event
+	prefixErr error          // the error of the last read
+	whole     *wholeResponse // a response that is not a stream
+	err       error          // why the hedge failed
+	buffers   heldBuffers    // of prefix or whole
+}
+
+// newTry returns a try at a reserved target.
+func newTry(ctx context.Context, reservation *Reservation) *targetTry {
+	now := time.Now()
+	t := &targetTry{reservation: reservation, started: now, lastSign: now}
+	t.ctx, t.cancel = context.WithCancelCause(ctx)
+	return t
+}
+
+// target returns the id of the target.
+func (t *targetTry) target() fleet.TargetID { return t.reservation.Target.ID }
+
+// wasOvertaken reports whether the try was given up because another one made progress or had better prospects, though its target was not silent for long.
+func (t *targetTry) wasOvertaken() bool {
+	cause := context.Cause(t.ctx)
+	return errors.Is(cause, errOvertaken) || errors.Is(cause, errNoSign)
+}
+
+// startHedge begins a hedge if the current target may be left, another one has room and the pause after earlier hedges is over; x.mu is held.
+func (w *silenceWatch) startHedge(now time.Time, silent time.Duration) bool {
+	x := w.x
+	left := x.request.Deadline.Sub(now)
+	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
+		return false
+	}
+	reservation := x.reserveHedge(w.current.target(), silent)
+	if reservation == nil {
+		return false
+	}
+	t := newTry(w.ctx, reservation)
+	t.opened, t.buffers = make(chan struct{}), heldBuffers{budget: x.buffers.budget}
+	attempt := Attempt{Target: reservation.Target, Remaining: left, Resume: w.resume, After: w.passedOn}
+	t.resumed = w.resume || x.request.Resume
+	request := x.newRequest(attempt, x.tries.Started)
+	w.hedge, w.hedgeEnds = t, now.Add(maxOverlap)
+	w.hedges++
+	x.countHedge("started")
+	w.hedging.Go(func() { w.runHedge(t, request, attempt.After) })
+	w.setTimer(maxOverlap)
+	return true
+}
+
+// reserveHedge reserves a slot for a hedge while the request is at another target: one at which it has not run, and otherwise one at which it has and
+// that did not fail. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
+func (x *execution) reserveHedge(current fleet.TargetID, silent time.Duration) *Reservation {
+	service, salt := x.request.Service, string(x.request.ID)
+	tried := maps.Clone(x.excluded)
+	maps.Copy(tried, x.ran)
+	tried[current] = true
+	ran := len(x.ran)
+	if !x.ran[current] {
+		ran++
+	}
+	if ran < x.request.Route.MaxAttempts {
+		if reservation := x.board.reserveUsable(service, salt, tried); reservation != nil {
+			return reservation
+		}
+		if silent >= x.options.ProgressTimeout {
+			if reservation, _ := x.board.ReserveOnline(service, salt, tried); reservation != nil {
+				return reservation
+			}
+		}
+	}
+	again := x.sound()
+	delete(again, current)
+	if len(again) == 0 {
+		return nil
+	}
+	reservation, _ := x.board.reserveAmong(service, salt, again)
+	return reservation
+}
+
+// sound returns the targets at which the request may have run and that did not fail: it left them, or gave up a hedge there. x.mu is held.
+func (x *execution) sound() map[fleet.TargetID]bool {
+	again := make(map[fleet.TargetID]bool)
+	for id := range x.ran {
+		if !x.excluded[id] {
+			again[id] = true
+		}
+	}
+	return again
+}
+
+// countHedge counts hedges by what became of them.
+func (x *execution) countHedge(result string) {
+	x.metrics.Tagged(map[string]string{"route": x.request.Route.Name, "result": result}).Counter("hedges").Inc(1)
+}
+
+// dropHedge gives up the hedge; x.mu is held.
+func (w *silenceWatch) dropHedge(result string, cause error) {
+	w.hedge.cancel(cause)
+	w.hedge = nil
+	w.unrecorded++
+	w.x.countHedge(result)
+}
+
+// keepHedge gives up the current try and goes on with the hedge; x.mu is held.
+func (w *silenceWatch) keepHedge(result string) {
+	w.current.cancel(errSilent)
+	w.x.left[w.current.target()] = true
+	w.unrecorded++
+	if w.patience < 1<<maxPatienceDoublings {
+		w.patience *= 2
+	}
+	w.promoteHedge(result)
+}
+
+// promoteHedge makes the hedge the current try; x.mu is held.
+func (w *silenceWatch) promoteHedge(result string) {
+	w.current.successor, w.hedge.promoted = w.hedge, true
+	w.current, w.hedge = w.hedge, nil
+	w.lastProgress, w.suspected, w.relaying = w.current.lastSign, false, false
+	w.x.countHedge(result)
+}
+
+// endOverlap gives up the current try or the hedge; x.mu is held.
+func (w *silenceWatch) endOverlap(now time.Time, paused bool) {
+	silent := now.Sub(w.lastProgress)
+	state := limits.HedgeState{
+		Silent: silent, Patience: w.progressTimeout(), Paused: paused, HedgeWasLeft: w.x.left[w.hedge.target()],
+		FirstAlive: w.current.reservation.activeSince(w.hedge.started), HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started),
+	}
+	if state.KeepHedge() {
+		w.keepHedge("kept")
+		return
+	}
+	// The next hedge may have the same target: it begins so late that the target can be kept at its end.
+	pause := max(minHedgePause<<min(w.hedges-1, maxPatienceDoublings), w.progressTimeout()-maxOverlap-silent)
+	w.hedgeFrom = now.Add(pause)
+	w.dropHedge("dropped", errNoSign)
+}
+
+// next records that t ended with err, and returns the try that continues the request, or nil.
+func (w *silenceWatch) next(t *targetTry, err error) *targetTry {
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
+	if err == nil {
+		return nil
+	}
+	w.x.record(t, err)
+	switch {
+	case t.successor != nil:
+		w.unrecorded--
+	case w.hedge != nil:
+		w.promoteHedge("continued")
+	}
+	return t.successor
+}
+
+// runHedge sends a hedge and reads its response up to the first event, or as a whole if it is not a stream. The outcome of a hedge that does not
+// continue the request is recorded here, and that of another one by the request's goroutine.
+func (w *silenceWatch) runHedge(t *targetTry, request *rawhttp.Request, after int64) {
+	defer close(t.opened)
+	t.err = w.openHedge(t, request, after)
+	if t.err == nil && !w.claim(t) {
+		t.err = fmt.Errorf("%w: %w", errTruncated, context.Cause(t.ctx))
+	}
+	if t.err != nil && t.response != nil {
+		t.response.Abort()
+	}
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
+	switch {
+	case t.promoted:
+		return
+	case t == w.hedge:
+		w.hedge = nil
+		w.x.countHedge("failed")
+		if !w.stopped {
+			w.setTimer(0)
+		}
+	default:
+		w.unrecorded--
+	}
+	w.x.observe(w.ctx, t, t.err, limits.Outcome{Failed: true})
+	w.x.record(t, t.err)
+	w.x.endHedge(t)
+}
+
+// endHedge releases what a hedge holds. A response that may still be passed on if nothing better follows is kept; x.mu is held.
+func (x *execution) endHedge(t *targetTry) {
+	if t.whole != nil && t.err != nil && x.failureResponse == nil {
+		x.failureResponse = t.whole
+	}
+	if t.whole != nil && x.failureResponse == t.whole {
+		x.hedgeBuffers = append(x.hedgeBuffers, t.buffers)
+	} else {
+		t.buffers.releaseAll()
+	}
+	t.cancel(nil)
+	t.reservation.Release()
+}
+
+// openHedge sends a hedge and reads its response up to the first event or, if it is not a stream, to its end.
+func (w *silenceWatch) openHedge(t *targetTry, request *rawhttp.Request, after int64) error {
+	x := w.x
+	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, request)
+	if err != nil {
+		return x.handleSendError(t.ctx, t.reservation, err)
+	}
+	t.response = response
+	if t.info, err = x.checkHeader(t, response, w); err != nil {
+		return err
+	}
+	if x.isStream(response, t.info) {
+		return t.readFirstEvent(after)
+	}
+	whole, err := x.readWholeResponse(t, response, &t.buffers, w)
+	switch {
+	case err != nil:
+		return err
+	case whole.status < http.StatusMultipleChoices && !t.info.Complete:
+		return errUnmarked
+	}
+	t.whole = whole
+	if x.request.Route.Kind == routetable.Stream || whole.status >= http.StatusInternalServerError {
+		return fmt.Errorf("target returned status %d", whole.status) // the silent target may have something better
+	}
+	return nil
+}
+
+// readFirstEvent reads the response to a hedge up to the end of its first event. A stream that is complete without further events is valid if it
+// continues one and its end is marked.
+func (t *targetTry) readFirstEvent(after int64) error {
+	if !t.info.Complete {
+		return errUnmarked
+	}
+	splitter := stream.NewSplitter(maxEventBytes)
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, readErr := t.response.Body.Read(buffer)
+		if len(t.prefix)+n > streamOverheadBytes+maxEventBytes {
+			return fmt.Errorf("%w: %d bytes before the first event", errOverlong, len(t.prefix)+n)
+		}
+		if !t.buffers.grow(eventCopies * (len(t.prefix) + n)) {
+			return fmt.Errorf("%w: %d bytes of an event", errBuffersFull, len(t.prefix)+n)
+		}
+		if n > 0 {
+			t.reservation.markActive()
+		}
+		t.prefix, t.prefixErr = append(t.prefix, buffer[:n]...), readErr
+		splitter.Add(buffer[:n])
+		if found, err := hasNextEvent(splitter, t.resumed, after); found || err != nil {
+			return err
+		}
+		switch {
+		case readErr == io.EOF && t.resumed && t.response.Framed && splitter.Pending() == 0:
+			return nil
+		case readErr != nil && t.ctx.Err() != nil:
+			return fmt.Errorf("%w: %w", errTruncated, context.Cause(t.ctx))
+		case readErr != nil:
+			return fmt.Errorf("%w before its first event: %w", errTruncated, readErr)
+		}
+	}
+}
+
+// hasNextEvent reports whether the splitter has a whole event, and checks that it is the one to begin or continue with.
+func hasNextEvent(splitter *stream.Splitter, resumed bool, after int64) (bool, error) {
+	for {
+		event, ok, err := splitter.Next()
+		if err != nil || !ok {
+			return false, err
+		}
+		if !event.Comment {
+			return true, checkOrder(event, resumed, after)
+		}
+	}
+}
+
+// checkOrder returns an error if an event is not the next one after a position, or has no id.
+func checkOrder(event stream.RawEvent, resumed bool, after int64) error {
+	switch {
+	case !event.HasID:
+		return fmt.Errorf("%w: an event without one follows %d", errEventOrder, after)
+	case resumed && event.ID != after+1:
+		return fmt.Errorf("%w: id %d follows %d", errEventOrder, event.ID, after)
+	}
+	return nil
+}
+
+// isStream reports whether a response is relayed as a stream of events.
+func (x *execution) isStream(response *rawhttp.Response, info ResponseInfo) bool {
+	return info.Events && response.Status < http.StatusMultipleChoices && x.request.Route.Kind == routetable.Stream
+}
+
+// Read implements io.Reader: it returns what the hedge has read of its stream.
+func (t *targetTry) Read(p []byte) (int, error) {
+	n := copy(p, t.prefix)
+	t.prefix = t.prefix[n:]
+	switch {
+	case n > 0:
+		return n, nil
+	case t.prefixErr != nil:
+		return 0, t.prefixErr
+	}
+	return t.response.Body.Read(p)
+}
--- a/node/gateway/item.go
+++ b/node/gateway/item.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-
-	"eelgrassproxy.example/core/fleet"
 )
 
 // ItemSink receives the output of a batch item.
@@ -26,10 +24,13 @@
 // asks for, NotKept if the sink did not take an event or has no memory for it, or ctx was cancelled with ErrNotKept, and otherwise Unknown. After Overlong and NotKept, progress is as before
 // the try, and the caller must drop the events that it got from it: where the sound ones end is not known. The caller releases the reservation.
 func (f *Forwarder) RunItem(ctx context.Context, r *Request, reservation *Reservation, progress *Progress, sink ItemSink) Outcome {
-	x := &execution{Forwarder: f, request: r, items: sink, progress: progress, excluded: make(map[fleet.TargetID]bool),
-		buffers: heldBuffers{budget: sink, free: relayBufferBytes * eventCopies}}
+	x := f.newExecution(r, progress, heldBuffers{budget: sink, free: relayBufferBytes * eventCopies})
+	x.items = sink
 	before := *progress
-	err := x.try(ctx, reservation)
+	t := newTry(ctx, reservation)
+	watch := x.watchSilence(ctx, t)
+	err := x.try(ctx, t, watch)
+	watch.stop()
 	var status *statusError
 	outcome := Outcome{Verdict: Unknown, Cause: err}
 	switch {
@@ -49,7 +50,7 @@
 	if outcome.Verdict == Overlong || outcome.Verdict == NotKept {
 		progress.Last, progress.Events = before.Last, before.Events
 	}
-	x.tryLog = []string{describeTry(reservation)}
+	x.logTry(t, "")
 	x.recordOutcome(outcome)
 	return outcome
 }
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -28,148 +28,223 @@
 // passed.
 const minSilentRequests = 2
 
-// silenceWatch ends one try if its target sends nothing for too long. A target that sends nothing on any connection for the quiet time is
-// suspected, and the try is cancelled if the request may continue at another target and one has room. If the target sends something to other
-// requests, this one is assumed to be queued there and is left until the progress timeout.
+// silenceWatch acts when the target of a request sends nothing for too long. A target that sends nothing on any connection for the quiet time is
+// suspected, and a hedge begins if the request may run at another target and one has room. If the target sends something to other requests, this one is
+// assumed to be queued there, and a hedge begins only after the progress timeout. Batch items have no hedge: their try is cancelled instead, which
+// costs no more than the part that was not received, since an item is always run again.
 //
 // Silence alone does not tell a dark target from a sound one that reads a long prompt, or several prompts one after the other, also when a stream is
-// resumed. Each try that ended for silence therefore doubles the time for which the next one may be silent, so that a dark target is left early and a
-// request that takes long ends after a few tries.
+// resumed. Each target that the request leaves for silence therefore doubles the time for which the next one may be silent, so that a dark target is left
+// early and a request that takes long ends after a few tries.
 type silenceWatch struct {
-	x           *execution
-	reservation *Reservation
-	cancel      context.CancelCauseFunc
-	movable     bool          // the request may continue at another target
-	patience    time.Duration // factor of SuspectAfter and ProgressTimeout
-
-	mu           sync.Mutex // guards the fields below; taken before the board's mutex
-	timer        *time.Timer
-	due          time.Time // when timer fires
-	lastProgress time.Time // when this try was sent or last made progress
-	sawEvent     bool      // an event arrived, in this try or an earlier one
-	suspected    bool      // this watch made the board avoid the target
+	x       *execution
+	ctx     context.Context // of the request
+	timer   *time.Timer
+	hedging sync.WaitGroup // the goroutines of hedges
+
+	// The fields below are guarded by x.mu.
+	current      *targetTry    // the try that the request goes on with unless a hedge wins
+	hedge        *targetTry    // another try while current is silent, or nil
+	hedgeEnds    time.Time     // when either current or hedge is given up at the latest
+	hedgeFrom    time.Time     // earliest start of the next hedge
+	hedges       int           // number of hedges so far
+	unrecorded   int           // tries that were given up and have not ended yet; no hedge begins meanwhile
+	patience     time.Duration // factor of SuspectAfter and ProgressTimeout
+	due          time.Time     // when timer fires
+	lastProgress time.Time     // when current was sent or last made progress
+	sawEvent     bool          // an event arrived, in this try or an earlier one
+	passedOn     int64         // id of the last event that was passed on
+	resume       bool          // events were passed on, so that a hedge continues after passedOn
+	relaying     bool          // what current sent is being passed on
+	suspected    bool          // this watch made the board avoid the target of current
 	stopped      bool
 }
 
-// watchSilence starts the watch of a try that is about to be sent. cancel ends the try. The caller must call stop.
-func (x *execution) watchSilence(reservation *Reservation, cancel context.CancelCauseFunc) *silenceWatch {
-	movable := x.request.Route.Repeatable() && x.tries.MayHaveRun+1 < x.request.Route.MaxAttempts
+// watchSilence starts the watch of a try that is about to be sent, and of those that continue the request if it is silent. The caller must call stop.
+func (x *execution) watchSilence(ctx context.Context, t *targetTry) *silenceWatch {
 	w := &silenceWatch{
-		x: x, reservation: reservation, cancel: cancel, movable: movable, lastProgress: time.Now(), sawEvent: x.progress.Events > 0,
+		x: x, ctx: ctx, current: t, lastProgress: time.Now(), sawEvent: x.progress.Events > 0, passedOn: x.progress.Last, resume: x.progress.Events > 0,
 		patience: 1 << min(x.progress.SilentTries, maxPatienceDoublings),
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	w.timer = time.AfterFunc(time.Hour, w.check)
 	w.setTimer(w.quietTime())
 	return w
 }
 
 // quietTime returns the silence after which the target is suspected: half of the time that the route allows to the next event, so that the other
-// half is left for another target. It is Options.SuspectAfter, times the patience, for batch items, for routes without such a time, and for
-// responses that are not streams, whose targets send nothing until they are done. w.mu is held.
+// half is left for another target. It is Options.SuspectAfter for routes without such a time and for responses that are not streams, whose targets
+// send nothing until they are done, and that times the patience for batch items. x.mu is held.
 func (w *silenceWatch) quietTime() time.Duration {
 	route := w.x.request.Route
+	if w.x.sink == nil {
+		return w.patience * w.x.options.SuspectAfter
+	}
 	allowed := route.Objective
 	if w.sawEvent {
 		allowed = route.MaxEventGap
 	}
-	if route.Kind != routetable.Stream || w.x.request.Job != "" || allowed <= 0 {
-		return w.patience * w.x.options.SuspectAfter
+	if route.Kind != routetable.Stream || allowed <= 0 {
+		return w.x.options.SuspectAfter
 	}
 	return min(max(allowed/2, minQuietTime), w.x.options.SuspectAfter)
 }
 
-// progressTimeout returns the time without progress after which a movable request leaves its target.
+// progressTimeout returns the time without progress after which a request may leave its target, even if that sends to others; x.mu is held.
 func (w *silenceWatch) progressTimeout() time.Duration {
 	return w.patience * w.x.options.ProgressTimeout
 }
 
-// setTimer sets the timer to fire after d; w.mu is held.
+// setTimer sets the timer to fire after d; x.mu is held.
 func (w *silenceWatch) setTimer(d time.Duration) {
 	w.due = time.Now().Add(d)
 	w.timer.Reset(d)
 }
 
-// headerReceived records that the header of the response arrived.
-func (w *silenceWatch) headerReceived() {
-	w.reservation.markActive()
-	w.mu.Lock()
-	w.lastProgress = time.Now()
-	w.mu.Unlock()
+// received records that the header of the response to a try arrived, or a part of a response that is not a stream.
+func (w *silenceWatch) received(t *targetTry) {
+	t.reservation.markActive()
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
+	t.lastSign = time.Now()
+	if t == w.current {
+		w.lastProgress = t.lastSign
+	}
+}
+
+// claim makes t the only try because it made progress, and gives up the other one if there are two. It returns false if t has been given up; nothing of
+// it may be passed on then. Until relayed, the target is not taken for silent: the client may be slow.
+func (w *silenceWatch) claim(t *targetTry) bool {
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
+	switch {
+	case w.stopped:
+		return false
+	case t == w.current && w.hedge != nil:
+		w.dropHedge("lost", errOvertaken)
+	case t == w.current:
+	case t == w.hedge:
+		w.keepHedge("won")
+	default:
+		return false
+	}
+	w.lastProgress, w.relaying = time.Now(), true
+	return true
 }
 
-// eventsReceived records that whole events arrived, and ends a suspicion that this watch raised.
-func (w *silenceWatch) eventsReceived() {
-	w.reservation.markActive()
-	w.mu.Lock()
-	w.lastProgress, w.sawEvent = time.Now(), true
-	endSuspicion := w.suspected
+// relayed records what was passed on after claim, and ends a suspicion that this watch raised.
+func (w *silenceWatch) relayed() {
+	w.x.mu.Lock()
+	w.lastProgress, w.relaying = time.Now(), false
+	w.passedOn, w.sawEvent, w.resume = w.x.progress.Last, true, true
+	endSuspicion, id := w.suspected, w.current.reservation.Target.ID
 	w.suspected = false
-	w.mu.Unlock()
+	w.x.mu.Unlock()
 	if endSuspicion {
-		w.x.board.ClearSuspicion(w.reservation.Target.ID)
+		w.x.board.ClearSuspicion(id)
 	}
 }
 
-// stop ends the watch. It does not cancel the try.
+// stop ends the watch and its hedge, and waits until all hedges have ended. It does not cancel the current try, which must have ended.
 func (w *silenceWatch) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.x.mu.Lock()
+	w.end()
+	w.x.mu.Unlock()
+	w.hedging.Wait()
+}
+
+// end ends the watch and its hedge; x.mu is held.
+func (w *silenceWatch) end() {
 	w.stopped = true
 	w.timer.Stop()
+	if w.hedge != nil {
+		w.dropHedge("lost", errOvertaken)
+	}
+}
+
+// cancelFrom ends the watch and cancels a try that was to continue the request, and all that succeeded it. It returns these tries.
+func (w *silenceWatch) cancelFrom(t *targetTry) []*targetTry {
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
+	w.end()
+	var list []*targetTry
+	for ; t != nil; t = t.successor {
+		t.cancel(errOvertaken)
+		list = append(list, t)
+	}
+	return list
 }
 
-// check runs when the timer fires. It rearms the timer, or cancels the try.
+// check runs when the timer fires. It rearms the timer, begins or ends a hedge, or cancels the try of an item.
 func (w *silenceWatch) check() {
 	now := time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.x.mu.Lock()
+	defer w.x.mu.Unlock()
 	if w.stopped {
 		return
 	}
+	paused := now.Sub(w.due) > maxTimerDelay
+	if w.hedge != nil {
+		if left := w.hedgeEnds.Sub(now); left > 0 {
+			w.setTimer(left)
+			return
+		}
+		w.endOverlap(now, paused)
+	}
 	quiet := w.quietTime()
-	if now.Sub(w.due) > maxTimerDelay {
+	if paused || w.relaying {
 		w.lastProgress = now
 	}
 	silent := now.Sub(w.lastProgress)
-	switch {
-	case silent < quiet:
+	if silent < quiet {
 		w.setTimer(quiet - silent)
-	case w.movable && silent >= w.progressTimeout():
-		w.cancelTry()
-	case w.reservation.activeSince(w.lastProgress):
-		w.recheck(quiet, silent)
-	default:
+		return
+	}
+	active := w.current.reservation.activeSince(w.lastProgress)
+	if !active {
 		w.suspect(silent)
-		if w.movable && w.x.board.hasRoom(w.x.request.Service, w.reservation.Target.ID, w.x.excluded) {
-			w.cancelTry()
+	}
+	if !active || silent >= w.progressTimeout() {
+		if w.leave(now, silent) {
 			return
 		}
-		w.recheck(quiet, silent)
 	}
+	w.recheck(now, quiet, silent)
 }
 
-// recheck sets the timer to the quiet time, or to the progress timeout if that comes first; w.mu is held.
-func (w *silenceWatch) recheck(quiet, silent time.Duration) {
-	if left := w.progressTimeout() - silent; left > 0 {
-		quiet = min(quiet, left)
+// leave begins a hedge, or cancels the try of an item, if there is another target. It reports whether it has set or stopped the timer; x.mu is held.
+func (w *silenceWatch) leave(now time.Time, silent time.Duration) bool {
+	x := w.x
+	if x.sink != nil {
+		return w.startHedge(now, silent)
 	}
-	w.setTimer(quiet)
+	movable := x.request.Route.Repeatable() && x.tries.MayHaveRun+1 < x.request.Route.MaxAttempts
+	if !movable || silent < w.progressTimeout() && !x.board.hasRoom(x.request.Service, w.current.reservation.Target.ID, x.excluded) {
+		return false
+	}
+	w.stopped = true
+	w.current.cancel(errSilent)
+	return true
 }
 
-// cancelTry cancels the try with errSilent; w.mu is held.
-func (w *silenceWatch) cancelTry() {
-	w.stopped = true
-	w.cancel(errSilent)
+// recheck sets the timer to the quiet time, or to the progress timeout or the next hedge if that comes first; x.mu is held.
+func (w *silenceWatch) recheck(now time.Time, quiet, silent time.Duration) {
+	for _, left := range []time.Duration{w.progressTimeout() - silent, w.hedgeFrom.Sub(now)} {
+		if left > 0 {
+			quiet = min(quiet, left)
+		}
+	}
+	w.setTimer(quiet)
 }
 
 // suspect makes the board avoid the target. A single waiting request may be queued behind requests of other instances, so that for it the
-// target is suspected only after Options.SuspectAfter; w.mu is held.
+// target is suspected only after Options.SuspectAfter; x.mu is held.
 func (w *silenceWatch) suspect(silent time.Duration) {
-	if silent < w.x.options.SuspectAfter && w.x.board.ownRequests(w.reservation.Target.ID) < minSilentRequests {
+	id := w.current.reservation.Target.ID
+	if silent < w.x.options.SuspectAfter && w.x.board.ownRequests(id) < minSilentRequests {
 		return
 	}
 	w.suspected = true
-	w.x.board.Avoid(w.reservation.Target.ID, w.x.options.SuspectFor, "silent")
+	w.x.board.Avoid(id, w.x.options.SuspectFor, "silent")
 }
--- a/node/gateway/waitqueue.go
+++ b/node/gateway/waitqueue.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// enterAgain reserves a slot for a request at one of the targets at which it may have run. It waits, outside of the queue, if these are full: the request
+// was served before those that wait there. Errors are as of enter.
+func (w *waitQueues) enterAgain(ctx context.Context, r *Request, targets map[fleet.TargetID]bool) (*Reservation, error) {
+	ticker := time.NewTicker(queueCheckInterval)
+	defer ticker.Stop()
+	for {
+		room := w.board.RoomChanged()
+		reservation, result := w.board.reserveAmong(r.Service, string(r.ID), targets)
+		switch {
+		case reservation != nil:
+			return reservation, nil
+		case result == slots.NoTarget:
+			return nil, errNoTarget
+		}
+		select {
+		case <-room:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for a free slot: %w", context.Cause(ctx))
+		}
+	}
+}
+
 // leaveWithoutTarget removes a request from the queue that no target may get any more. It returns the slot that the request may have got before
 // that, otherwise errNoTarget.
 func (w *waitQueues) leaveWithoutTarget(service string, entry *slots.Waiting, own *waiter) (*Reservation, error) {
