intake: a test of whole requests that find no memory for their header

The header of a request counts while it is read. If running requests take up the memory and none gives way, the read fails, and net/http closes the connection without an answer, although a small request has then been read whole. The test fails: closed instead of a 503.

--- a/node/intake/complete_test.go
+++ b/node/intake/complete_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -79,3 +80,14 @@
 		})
 	}
 }
+
+// Guards against a whole request whose connection is closed without an answer because running requests take up the memory.
+func TestWholeRequestIsRefusedWhileRunningOnesTakeUpTheMemory(t *testing.T) {
+	inSession(t, readBody, func(s session) {
+		for range plan.SmallBytes / coreintake.SmallRequest {
+			s.connect().send("/hold", coreintake.SmallRequest, coreintake.SmallRequest)
+		}
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, http.StatusServiceUnavailable, s.connect().send("/", 2, 2).status())
+	})
+}
