gateway, platform: requests with a part that crashes targets reach none

A request whose prompt has a certain part ends the target that begins to answer it, and nothing related the crashes to the part.

Requests carry the parts of their prompt, except for the last one. A try that breaks off is confirmed as a crash by a connection to the target, which is refused, or by another process at its address. Complete answers clear parts; one whose end is that of its connection counts only once its target is seen alive. core/poison decides. A request with a blocked part is refused on arrival, while it waits, and right before each try: 503 without Retry-After if it did not run. Items with such a part wait and take no slot.

Instances tell each other by datagrams on the socket of Peers: news at once to all, twice; records to two random peers a second; a peer that is new or was out of touch is asked. The store keeps blocked parts in one key each, for a start of all processes at once. Operators see log lines, metrics, and the pages /parts and /parts/lift on the port for metrics.

--- a/core/itemjob/ownership.go
+++ b/core/itemjob/ownership.go
@@ -32,13 +32,13 @@
 	return max(now.Sub(j.confirmed), now.Round(0).Sub(j.confirmed.Round(0)))
 }
 
-// NeedsConfirmation reports whether items are waiting and the last confirmation has expired or will expire soon.
+// NeedsConfirmation reports whether items are waiting that may start soon, and the last confirmation has expired or will expire soon.
 func (j *Job) NeedsConfirmation(now time.Time) bool {
 	if j.confirmationAge(now) < renewalAge {
 		return false
 	}
 	for _, t := range j.Tasks {
-		if t.Phase == Waiting {
+		if t.Phase == Waiting && t.NotBefore.Sub(now) < confirmationTTL {
 			return true
 		}
 	}
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -250,7 +251,7 @@
 			}
 			continue
 		}
-		if p.onQuota(buffer[:n]) {
+		if slices.ContainsFunc(p.handlers, func(handles func([]byte) bool) bool { return handles(buffer[:n]) }) {
 			continue
 		}
 		var message datagram
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -103,6 +103,7 @@
 	options  Options
 	buffers  *limits.Budget
 	metrics  tally.Scope
+	parts    *PartGuard // nil if no parts are guarded against
 }
 
 // NewForwarder returns a Forwarder that reserves slots on board, sends with client and reports below the scope metrics.
@@ -117,6 +118,9 @@
 	q.OnSpent(f.queues.chargeOthers)
 }
 
+// GuardParts keeps requests with parts that crash targets from all targets. Call it before the first request.
+func (f *Forwarder) GuardParts(g *PartGuard) { f.parts, f.queues.parts = g, g }
+
 // Verdict says how a request ended.
 type Verdict string
 
@@ -124,6 +128,7 @@
 const (
 	Answered       Verdict = "answered"         // the whole response was written
 	NotRun         Verdict = "not_run"          // no target ran any part of the request, and nothing was written
+	Blocked        Verdict = "blocked"          // like NotRun, because a part of the prompt crashes targets; a repeat would end in the same way
 	Unknown        Verdict = "unknown"          // a target may have run the request, and nothing was written
 	TimedOut       Verdict = "timed_out"        // like Unknown, because the deadline passed
 	Incomplete     Verdict = "incomplete"       // the response was written in part and could not be completed
@@ -274,6 +279,8 @@
 			return Outcome{Verdict: ClientGone, Cause: err}
 		}
 		return Outcome{Verdict: Answered, Status: x.failureResponse.status, Cause: cause}
+	case x.tries.MayHaveRun == 0 && errors.Is(cause, errPartBlocked):
+		return Outcome{Verdict: Blocked, Cause: cause}
 	case x.tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause, RetryAfter: retryAfterNoTarget}
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"eelgrassproxy.example/core/accounts"
 	"eelgrassproxy.example/core/fleet"
+	"eelgrassproxy.example/core/poison"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/slots"
 )
@@ -41,6 +42,8 @@
 	// MaxTokens is the number of tokens that the response may have at most, or an upper bound of it; 0 if the request states none. It bounds the size of
 	// a stream.
 	MaxTokens int64
+	// Parts are the parts of the prompt that other requests may share, in their order.
+	Parts []poison.Part
 }
 
 // Attempt holds the properties of one try that a Protocol puts into its header.
--- a/node/gateway/peers.go
+++ b/node/gateway/peers.go
@@ -32,7 +32,7 @@
 	onAnnounced       func()
 	traffic           traffic
 	syncState         func() SyncState
-	onQuota           func(raw []byte) bool // handles a datagram about quotas, and reports whether it is one
+	handlers          []func(raw []byte) bool // of datagrams with other contents than the load; each reports whether it took the datagram
 	registry          *membership.Registrar
 	records           *kvmirror.Mirror
 
@@ -127,7 +127,6 @@
 		onJobs:            func(fleet.InstanceID, []string) {},
 		onMembers:         func() {},
 		syncState:         func() SyncState { return SyncState{} },
-		onQuota:           func([]byte) bool { return false },
 		peers:             make(map[fleet.InstanceID]*peerState),
 		removedRecords:    make(map[fleet.InstanceID]time.Time),
 		formerDomains:     make(map[fleet.InstanceID]fleet.FailureDomain),
@@ -170,6 +169,11 @@
 // SetStateSource sets the function that returns the SyncState for this instance's datagrams. Call it before Run.
 func (p *Peers) SetStateSource(state func() SyncState) { p.syncState = state }
 
+// handleDatagrams adds a handler of datagrams, which reports whether a datagram is its own. Call it before Run.
+func (p *Peers) handleDatagrams(handler func(raw []byte) bool) {
+	p.handlers = append(p.handlers, handler)
+}
+
 // Records returns the mirror of the membership records.
 func (p *Peers) Records() *kvmirror.Mirror { return p.records }
 
--- a/node/gateway/quotas.go
+++ b/node/gateway/quotas.go
@@ -80,7 +80,7 @@
 		unsent:         scope.Counter("datagrams_unsent"),
 		activeAccounts: scope.Gauge("accounts"), buckets: scope.Gauge("buckets"), reachable: scope.Gauge("reachable_share"),
 	}
-	peers.onQuota = q.receive
+	peers.handleDatagrams(q.receive)
 	return q
 }
 
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -68,18 +68,23 @@
 // item and an output that cannot be kept count as such reasons, since the item itself may be the cause and fail at every target.
 func (x *execution) isUnrelatedToHealth(ctx context.Context, err error) bool {
 	var itemFailure *statusError
-	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
+	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, errPartBlocked) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
 		errors.As(err, &itemFailure) || ctx.Err() != nil
 }
 
 // sendAndRelay sends the request to the reserved target and relays the response.
-func (x *execution) sendAndRelay(ctx context.Context, reservation *Reservation) error {
+func (x *execution) sendAndRelay(ctx context.Context, reservation *Reservation) (err error) {
+	if err := x.parts.check(x.request); err != nil {
+		return httpcall.NotSent(err)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	var response *rawhttp.Response
+	defer func() { x.parts.tryEnded(ctx, x.request, reservation, response, err) }()
 	watch := x.watchSilence(reservation, cancel)
 	defer watch.stop()
 
-	response, err := x.client.Do(ctx, reservation.Target.Address, x.newRequest(reservation))
+	response, err = x.client.Do(ctx, reservation.Target.Address, x.newRequest(reservation))
 	if err != nil {
 		x.countSilence(ctx)
 		return x.handleSendError(ctx, reservation, err)
--- a/node/gateway/waitqueue.go
+++ b/node/gateway/waitqueue.go
@@ -46,6 +46,7 @@
 	queues map[string]*waitQueue
 	shares *slots.Shares                      // of the client accounts, by quotaName, over all services
 	spend  func(account string, tokens int64) // passes on what this instance spends on an account; called with mu held
+	parts  *PartGuard                         // may be nil
 }
 
 // waitQueue holds the requests that wait for one service.
@@ -79,10 +80,13 @@
 	return found
 }
 
-// enter reserves a slot for the request. It waits if all targets are full. The error is errNoTarget, a *refusedError, or wraps the cause of
-// ctx. exclude holds the targets that must not be chosen.
+// enter reserves a slot for the request. It waits if all targets are full. The error is errNoTarget, a *refusedError, or wraps errPartBlocked or the
+// cause of ctx. exclude holds the targets that must not be chosen.
 func (w *waitQueues) enter(ctx context.Context, r *Request, exclude map[fleet.TargetID]bool) (*Reservation, error) {
-	room := w.board.RoomChanged()
+	room, blocked := w.board.RoomChanged(), w.parts.blockedChanged()
+	if err := w.parts.check(r); err != nil {
+		return nil, err
+	}
 	entry, own, reservation, err := w.join(r, exclude)
 	if reservation != nil || err != nil {
 		return reservation, err
@@ -95,6 +99,12 @@
 			return reservation, nil
 		case refused := <-own.refused:
 			return nil, refused
+		case <-blocked:
+			blocked = w.parts.blockedChanged()
+			if err := w.parts.check(r); err != nil {
+				w.abandon(r.Service, entry, own)
+				return nil, err
+			}
 		case <-room:
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -264,15 +274,20 @@
 	delete(queue.waiters, entry)
 }
 
-// leave removes a request whose ctx has ended from the queue, and releases the slot that it may have got at the same moment.
+// leave abandons a request whose ctx has ended.
 func (w *waitQueues) leave(ctx context.Context, service string, entry *slots.Waiting, own *waiter) error {
+	w.abandon(service, entry, own)
+	return fmt.Errorf("wait for a free slot: %w", context.Cause(ctx))
+}
+
+// abandon removes a request from the queue, and releases the slot that it may have got at the same moment.
+func (w *waitQueues) abandon(service string, entry *slots.Waiting, own *waiter) {
 	w.remove(service, entry)
 	select {
 	case reservation := <-own.reserved:
 		reservation.Release()
 	default:
 	}
-	return fmt.Errorf("wait for a free slot: %w", context.Cause(ctx))
 }
 
 // requestEnded records how long a request held its slot, and serves the next waiting one.
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -19,6 +19,7 @@
 	"eelgrassproxy.example/core/accounts"
 	"eelgrassproxy.example/core/fleet"
 	coreintake "eelgrassproxy.example/core/intake"
+	"eelgrassproxy.example/core/poison"
 	"eelgrassproxy.example/core/routetable"
 	"eelgrassproxy.example/core/slots"
 	"eelgrassproxy.example/node/gateway"
@@ -48,10 +49,12 @@
 	DecodeConfig func([]byte) (*routetable.Table, error)
 	TargetPrefix string
 	DecodeTarget func(key string, value []byte) (slots.Target, error)
-	Seeds        []string      // peer addresses of some instances
-	Seed         bool          // other instances have this one among their seeds
-	FirstStart   bool          // all instances of the fleet start for the first time, at about the same time
-	ResultsKept  time.Duration // how long results stay readable after a job was submitted
+	// DecodeParts returns the parts of a prompt that other requests may share, from the header of a request.
+	DecodeParts func(http.Header) []poison.Part
+	Seeds       []string      // peer addresses of some instances
+	Seed        bool          // other instances have this one among their seeds
+	FirstStart  bool          // all instances of the fleet start for the first time, at about the same time
+	ResultsKept time.Duration // how long results stay readable after a job was submitted
 	// OutputBytes, ItemBytes and SubmissionBytes bound the memory for jobs; see MemoryBytes and the others in itemjobs.Config.
 	OutputBytes, ItemBytes, SubmissionBytes int64
 	ResponseBytes                           int64                // see gateway.Options.MaxBufferedBytes; 0 for the default
@@ -89,6 +92,7 @@
 	forwarder *gateway.Forwarder
 	jobs      *itemjobs.Service
 	quotas    *gateway.Quotas
+	parts     *gateway.PartGuard
 	client    *gateway.PeerClient
 	upstream  *rawhttp.Client
 	drained   atomic.Pointer[drainSchedule] // nil until the instance drains
@@ -134,6 +138,8 @@
 	i.forwarder = gateway.NewForwarder(i.board, i.upstream, c.Protocol, options, c.Metrics)
 	i.quotas = gateway.NewQuotas(i.peers, i.limitOf, i.catchUp.StoreLost, c.Metrics)
 	i.forwarder.ExchangeUsage(i.quotas)
+	i.parts = gateway.NewPartGuard(i.peers, i.board, store, i.catchUp.StoreLost, c.Environment.Dial, c.Metrics)
+	i.forwarder.GuardParts(i.parts)
 	i.jobs = itemjobs.New(itemjobs.Config{
 		Self:             c.Self,
 		Store:            store,
@@ -141,6 +147,8 @@
 		Forwarder:        i.forwarder,
 		Routes:           i.routes,
 		Peers:            i.peers,
+		Parts:            i.parts,
+		DecodeParts:      c.DecodeParts,
 		Client:           i.client,
 		Retention:        c.ResultsKept,
 		StoreUnreachable: i.catchUp.StoreLost,
@@ -170,6 +178,9 @@
 // Quotas returns the rate limits of accounts over the whole fleet.
 func (i *Instance) Quotas() *gateway.Quotas { return i.quotas }
 
+// Parts returns the guard against parts of prompts that crash targets.
+func (i *Instance) Parts() *gateway.PartGuard { return i.parts }
+
 // limitOf returns the limit of an account in the configuration in force.
 func (i *Instance) limitOf(account string) (accounts.Quota, bool) {
 	table := i.routes.Current()
@@ -196,7 +207,7 @@
 func (i *Instance) Run(ctx context.Context, callers Listener, others ...Listener) error {
 	background, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){i.peers.Run, i.quotas.Run, i.jobs.Run, i.copies.Config.Run, i.copies.Targets.Run, i.catchUp.Run, i.config.Guard.Run} {
+	for _, run := range []func(context.Context){i.peers.Run, i.quotas.Run, i.parts.Run, i.jobs.Run, i.copies.Config.Run, i.copies.Targets.Run, i.catchUp.Run, i.config.Guard.Run} {
 		group.Go(func() { run(background) })
 	}
 	var servers serving.ServerSet
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -35,6 +35,9 @@
 	notKeptDelay = time.Second
 	// unknownRouteDelay is the delay before an item is tried again whose route is not known here and may exist.
 	unknownRouteDelay = time.Second
+	// blockedPartDelay is the delay before an item is looked at again that has a part which crashes targets. Only an operator, or an answer that shows that
+	// it is not that part, ends the block.
+	blockedPartDelay = 5 * time.Second
 )
 
 // run is an item in flight.
@@ -143,6 +146,11 @@
 		round.Done(choice)
 		return true
 	}
+	if s.Parts.BlocksAny() && s.Parts.Blocks(s.DecodeParts(headerOf(choice.Task))) {
+		j.RecordInterruption(choice.Task, blockedPartDelay, now)
+		round.Done(choice)
+		return true
+	}
 	charged, ok := s.reserveStart(choice.Task)
 	if !ok {
 		s.reportMemoryFull(now)
@@ -184,10 +192,7 @@
 	r.events.Store(int64(task.Events))
 	id := slot.Target.ID
 	s.runs[id] = append(s.runs[id], r)
-	header := make(http.Header, len(task.Item.Headers))
-	for name, value := range task.Item.Headers {
-		header.Set(name, value)
-	}
+	header := headerOf(task)
 	request := &gateway.Request{
 		ID:                 fleet.RequestID(task.Item.ID),
 		Job:                string(j.ID),
@@ -204,6 +209,7 @@
 		Arrived:            s.Now(),
 		OwnershipConfirmed: j.ConfirmedAt(),
 		MaxTokens:          task.Item.MaxOutputTokens(),
+		Parts:              s.DecodeParts(header),
 	}
 	s.stats.started(request.Arrived.Sub(request.OwnershipConfirmed))
 	klog.V(1).InfoS("Item starts", "job", j.ID, "item", task.Item.ID, "target", id, "urgent", choice.Urgent, "resume_after", task.LastEventID, "events", task.Events, "silent_runs", task.SilentRuns)
@@ -213,6 +219,15 @@
 	})
 }
 
+// headerOf returns the headers of an item.
+func headerOf(task *itemjob.Task) http.Header {
+	header := make(http.Header, len(task.Item.Headers))
+	for name, value := range task.Item.Headers {
+		header.Set(name, value)
+	}
+	return header
+}
+
 // accountOf returns the account that submitted a job, or nil if it was submitted without one. An account that was removed keeps its jobs.
 func accountOf(j *ownedJob, table *routetable.Table) *accounts.Account {
 	if j.Account == "" {
@@ -281,6 +296,8 @@
 			pause = otherStatusDelay
 		}
 		r.job.RecordInterruption(task, pause, now)
+	case gateway.Blocked:
+		r.job.RecordInterruption(task, blockedPartDelay, now)
 	case gateway.NotKept:
 		s.stats.notKept(outcome.Cause)
 		r.job.RecordInterruption(task, notKeptDelay, now)
--- a/node/itemjobs/service.go
+++ b/node/itemjobs/service.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"eelgrassproxy.example/adapters/kv"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/itemjob"
+	"eelgrassproxy.example/core/poison"
 	"eelgrassproxy.example/node/gateway"
 	"eelgrassproxy.example/node/internal/wait"
 )
@@ -31,7 +33,11 @@
 	Forwarder *gateway.Forwarder
 	Routes    *gateway.Routes
 	Peers     *gateway.Peers
-	Client    *gateway.PeerClient
+	// Parts keeps items from targets that have a part of a prompt which crashes them; nil blocks nothing. DecodeParts returns the parts of an item from
+	// its headers; nil means that items have none.
+	Parts       *gateway.PartGuard
+	DecodeParts func(http.Header) []poison.Part
+	Client      *gateway.PeerClient
 	// Retention is how long results stay readable after the job was submitted.
 	Retention time.Duration
 	// StoreUnreachable reports whether the store is unreachable from this instance.
@@ -136,6 +142,9 @@
 
 // New returns a service and registers its callbacks with the board and the peers.
 func New(config Config) *Service {
+	if config.DecodeParts == nil {
+		config.DecodeParts = func(http.Header) []poison.Part { return nil }
+	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
