itemjobs: an item whose runs break off before an event waits longer each time

An item that crashes each target which begins to answer it ran again after 50 ms, without an end: interrupted runs count as no failure. If it is the only request with the part that does it, no part is blamed, since a single request may crash targets by itself.

From the second run in a row that broke off before an event on, the item waits 1 s and then twice as long each time, up to 5 min. A run that gets an event ends the count.

--- a/core/itemjob/itemjob.go
+++ b/core/itemjob/itemjob.go
@@ -159,6 +159,7 @@
 	LastEventID int64     // id of the last event received
 	Events      int       // number of events received in all runs
 	SilentRuns  int       // runs that were ended because their target sent nothing for too long
+	EmptyRuns   int       // runs in a row that broke off before an event
 	Output      Output    // of the received events
 }
 
@@ -284,6 +285,31 @@
 	t.NotBefore = now.Add(pause)
 }
 
+const (
+	// brokenRunDelay is the delay before an item may start again whose run broke off, so that it does not take the next free slot.
+	brokenRunDelay = 50 * time.Millisecond
+	// emptyRunDelay is the delay after the second run in a row that broke off before an event; it doubles with each further one up to maxEmptyRunDelay.
+	// An item that crashes each target which begins to answer it ends a few of them within its retention, and not one every 50 ms.
+	emptyRunDelay    = time.Second
+	maxEmptyRunDelay = 5 * time.Minute
+)
+
+// RecordBreak records that a run broke off after it received a number of events. The item waits again and keeps the events, and no failure is counted.
+func (j *Job) RecordBreak(t *Task, events int, now time.Time) {
+	t.EmptyRuns++
+	if events > 0 {
+		t.EmptyRuns = 0
+	}
+	pause := brokenRunDelay
+	if t.EmptyRuns > 1 {
+		pause = min(emptyRunDelay<<min(t.EmptyRuns-2, maxEmptyRunDoublings), maxEmptyRunDelay)
+	}
+	j.RecordInterruption(t, pause, now)
+}
+
+// maxEmptyRunDoublings is enough doublings of emptyRunDelay to reach maxEmptyRunDelay.
+const maxEmptyRunDoublings = 10
+
 const (
 	// groupDelay is how long a result waits for others, so that one write stores several. The items of a job usually finish within a few
 	// seconds of each other and long before they are due. Items whose results aren't stored run again if the owner fails.
--- a/node/itemjobs/run.go
+++ b/node/itemjobs/run.go
@@ -302,7 +302,11 @@
 		s.stats.notKept(outcome.Cause)
 		r.job.RecordInterruption(task, notKeptDelay, now)
 	default:
-		r.job.RecordInterruption(task, interruptedDelay, now)
+		if progress.SilentTries > before.SilentTries {
+			r.job.RecordInterruption(task, interruptedDelay, now)
+			break
+		}
+		r.job.RecordBreak(task, progress.Events-before.Events, now)
 	}
 	wait.Wake(s.scheduleSignal)
 }
