--- a/node/gateway/peers_test.go
+++ b/node/gateway/peers_test.go
@@ -35,6 +35,7 @@
 	list    *gateway.TargetList
 	catchUp *gateway.CatchUp
 	quotas  *gateway.Quotas
+	parts   *gateway.PartGuard // nil without testFleet.guardsParts
 	store   *interruptibleStore
 	reach   *kv.Reach
 	stop    func()
@@ -154,6 +155,8 @@
 	capacity float64
 	ahead    time.Duration
 	seed     bool // the instances that are started from now on are seeds of others
+	// guardsParts gives the instances that are started from now on a guard of parts.
+	guardsParts bool
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -204,12 +207,17 @@
 	if p.seed {
 		m.catchUp.SetSeed()
 	}
+	runs := []func(context.Context){m.peers.Run, m.quotas.Run, m.catchUp.Run, config.Run, m.targets.Run}
+	if p.guardsParts {
+		m.parts = gateway.NewPartGuard(m.peers, m.board, m.reach, m.catchUp.StoreLost, p.network.DialContext(m.address), tally.NoopScope)
+		runs = append(runs, m.parts.Run)
+	}
 	mux := http.NewServeMux()
 	m.catchUp.Handle(mux)
 	server := &http.Server{Handler: mux}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){m.peers.Run, m.quotas.Run, m.catchUp.Run, config.Run, m.targets.Run} {
+	for _, run := range runs {
 		group.Go(func() { run(ctx) })
 	}
 	group.Go(func() { _ = server.Serve(listener) })
