poison: the start of a block does not move back from peer to peer

A record of a block that has just begun stated an age of 1 ms where it was less, so that the start that operators see moved back by 1 ms with each exchange at that moment. The age is rounded down now like those of crashes.

TestPeersAreToldWhatTheyLack failed before (go test ./poison -run TestPeersAreToldWhatTheyLack) and passes.

--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -123,11 +123,14 @@
 	require.Len(t, answers, 1)
 	require.Empty(t, blocked(tracker, "bad,rare")+blocked(peer, "bad,rare"))
 	seconds := int(later.Sub(epoch).Seconds())
-	for i, e := range crashes("bad", seconds, seconds+1, seconds+2) {
+	for i, e := range crashes("bad", seconds, seconds+1, seconds+2, seconds+3) {
+		if i < 3 {
+			e.request = "one that is sent again"
+		}
 		e.apply(peer)
-		require.Equal(t, i == 2, blocked(peer, "bad") == "bad")
+		require.Equal(t, i == 3, blocked(peer, "bad") == "bad")
 	}
-	require.Equal(t, 3, peer.Entries(later.Add(3 * time.Second))[0].Unexplained)
+	require.Equal(t, 4, peer.Entries(later.Add(4 * time.Second))[0].Unexplained)
 }
 
 // Guards against tables without bound, and against a block that is lost to parts that a client made up.
@@ -188,6 +191,46 @@
 	require.Empty(t, blocked(tracker, "a"))
 }
 
+// Guards against evidence that one side lacks after an exchange.
+func TestPeersAreToldWhatTheyLack(t *testing.T) {
+	tracker, peer := poison.New(poison.DefaultPolicy()), poison.New(poison.DefaultPolicy())
+	for _, e := range crashes("bad", 1, 2) {
+		e.apply(tracker)
+	}
+	event{1.8, "t1", "r", "bad"}.apply(peer) // the same crash, seen later
+	event{3, "t3", "r", "bad"}.apply(peer)
+	changed, answers := tracker.Merge(peer.Records(1, at(4)), at(4))
+	require.Equal(t, answers, changed)
+	changed, answers = peer.Merge(answers, at(4))
+	require.Len(t, changed, 1)
+	require.Empty(t, answers)
+	require.Equal(t, "badbad", blocked(tracker, "bad")+blocked(peer, "bad"))
+	require.Equal(t, tracker.Entries(at(5)), peer.Entries(at(5)))
+	require.EqualValues(t, 4000, peer.Entries(at(5))[0].Crashes[0].AgeMillis)
+}
+
+// Guards against old crashes of one target that are counted again, or taken for each other, because the clocks of instances run at different rates.
+func TestOldCrashesAreRecognized(t *testing.T) {
+	const day = 24 * 3600
+	tracker, peer := poison.New(poison.DefaultPolicy()), poison.New(poison.DefaultPolicy())
+	for _, second := range []float64{20, 10, 0} {
+		event{second, "t", fmt.Sprint(second), "bad"}.apply(tracker)
+	}
+	event{10, "t", "10", "bad"}.apply(peer)
+	records := tracker.Records(1, at(day*1.0005))
+	for range 2 {
+		peer.Merge(records, at(day))
+	}
+	require.Equal(t, "bad", blocked(peer, "bad"))
+	before := tracker.Entries(at(day))
+	records[0].Crashes = records[0].Crashes[2:]
+	changed, answers := tracker.Merge(records, at(day*1.0005))
+	require.Empty(t, changed)
+	require.Len(t, answers, 1)
+	require.Equal(t, before, tracker.Entries(at(day)))
+	require.Len(t, peer.Entries(at(day))[0].Crashes, 3)
+}
+
 // Guards against peers that don't hear of each blocked part soon because there are many suspects.
 func TestBlockedPartsAreToldFirst(t *testing.T) {
 	tracker := poison.New(poison.DefaultPolicy())
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -19,7 +19,7 @@
 	Callers  []string      `json:"u,omitempty"`
 	Requests []uint32      `json:"q,omitempty"` // hashes that tell up to two requests apart
 	Crashes  []CrashRecord `json:"x,omitempty"`
-	// BlockedMillis is the time since the part is blocked, in milliseconds; 0 if it is not blocked at the sender.
+	// BlockedMillis is the time for which the part has been blocked, in milliseconds; 0 if it isn't blocked, or only just was. For operators.
 	BlockedMillis int64 `json:"b,omitempty"`
 }
 
@@ -55,7 +55,7 @@
 		r.Crashes = append(r.Crashes, CrashRecord{Target: c.target, AgeMillis: age(c.at, now), Epoch: c.epoch})
 	}
 	if e.blocked {
-		r.BlockedMillis = max(age(e.since, now), 1)
+		r.BlockedMillis = age(e.since, now)
 	}
 	return r
 }
