--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -78,6 +78,9 @@
 	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
 		return false
 	}
+	if x.parts.blocks(x.request) {
+		return false
+	}
 	reservation := x.reserveHedge(w.current.target(), silent)
 	if reservation == nil {
 		return false
@@ -227,6 +230,7 @@
 	default:
 		w.unrecorded--
 	}
+	w.x.parts.tryEnded(t.ctx, w.x.request, t.reservation, t.response, t.err)
 	w.x.observe(w.ctx, t, t.err, limits.Outcome{Failed: true})
 	w.x.record(t, t.err)
 	w.x.endHedge(t)
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -72,18 +72,23 @@
 // item and an output that cannot be kept count as such reasons, since the item itself may be the cause and fail at every target.
 func (x *execution) isUnrelatedToHealth(ctx context.Context, err error) bool {
 	var itemFailure *statusError
-	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
+	return errors.Is(err, httpcall.ErrNotRun) || errors.Is(err, errPartBlocked) || errors.Is(err, ErrSinkFailed) || errors.Is(err, errBuffersFull) || errors.Is(err, ErrNotKept) ||
 		errors.As(err, &itemFailure) || ctx.Err() != nil
 }
 
 // sendAndRelay sends the request to the target of a try, or takes over what a hedge has received, and relays the response.
-func (x *execution) sendAndRelay(t *targetTry, watch *silenceWatch) error {
+func (x *execution) sendAndRelay(t *targetTry, watch *silenceWatch) (err error) {
 	defer t.cancel(nil)
 	if t.opened != nil {
 		return x.relayHedge(t, watch)
 	}
+	if err := x.parts.check(x.request); err != nil {
+		return httpcall.NotSent(err)
+	}
+	var response *rawhttp.Response
+	defer func() { x.parts.tryEnded(t.ctx, x.request, t.reservation, response, err) }()
 	attempt := Attempt{Target: t.reservation.Target, Remaining: time.Until(x.request.Deadline), Resume: x.progress.Events > 0, After: x.progress.Last}
-	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, x.newRequest(attempt, x.tries.Started))
+	response, err = x.client.Do(t.ctx, t.reservation.Target.Address, x.newRequest(attempt, x.tries.Started))
 	if err != nil {
 		x.countSilence(t.ctx)
 		return x.handleSendError(t.ctx, t.reservation, err)
@@ -99,9 +104,9 @@
 }
 
 // relayHedge waits until a hedge that the request goes on with has made progress, and relays its response.
-func (x *execution) relayHedge(t *targetTry, watch *silenceWatch) error {
+func (x *execution) relayHedge(t *targetTry, watch *silenceWatch) (err error) {
 	<-t.opened
-	var err error
+	defer func() { x.parts.tryEnded(t.ctx, x.request, t.reservation, t.response, err) }()
 	switch {
 	case t.whole != nil:
 		err = x.finishWhole(t, t.whole, t.info, watch)
