gateway: silences of several targets cost no answer

A property test with silences in series and overlapping at three targets found requests that waited at a dark target until their deadline: the patience doubled with each target that was left, a request never went back to a target that gave no sign within the 250 ms of a hedge, and of the targets that it had been at, hedges always chose the same one.

The patience now doubles only if the target has been seen, a return takes a longer silence instead of none being long enough, and hedges go to the targets that were given up in turn. Hedges in vain put off the next one, up to ProgressTimeout.

--- a/core/limits/hedge.go
+++ b/core/limits/hedge.go
@@ -6,28 +6,37 @@
 // which has made no progress yet.
 type HedgeState struct {
 	Silent time.Duration // time since the request last made progress at the first target
-	// Patience is the silence after which a first target is left for one that may turn out to be no better.
-	Patience time.Duration
+	// FirstSeen tells that the first target has sent something to any request since it got this one.
+	FirstSeen bool
 	// FirstAlive tells that the first target has sent something to other requests since the hedge began.
 	FirstAlive bool
 	// HedgeAlive tells that the target of the hedge has sent something to any request since then, such as the header of its response.
 	HedgeAlive bool
-	// HedgeWasLeft tells that the request left the target of the hedge before because it was silent.
-	HedgeWasLeft bool
+	// HedgeLeft is the number of times that the request left the target of the hedge because it was silent, and Left that number for all targets.
+	HedgeLeft, Left int
 	// Paused tells that this process or its machine was paused, so that what the targets sent may be unread.
 	Paused bool
 }
 
+// maxHedgeDoublings bounds the doublings of the patience, far above what any deadline allows.
+const maxHedgeDoublings = 10
+
 // KeepHedge reports whether the request leaves the first target and goes on with the hedge. Otherwise the hedge is dropped. A sound target may be
-// silent for about a second, so that silence alone is a reason to leave it only after Patience. A target that was left must in addition have shown more
-// than the first one: a request that reads its prompt for long would otherwise go back and forth between two sound targets.
-func (s HedgeState) KeepHedge() bool {
-	better, late := s.HedgeAlive && !s.FirstAlive, s.Silent >= s.Patience
+// silent for about a second, so that silence alone is a reason to leave it only after the time patience. That doubles with each target that was left if the
+// first target has been seen, since it is then more likely busy than dark, and is longer still for a return to a target that was left: a request that
+// takes long would otherwise go back and forth between sound targets.
+func (s HedgeState) KeepHedge(patience time.Duration) bool {
+	switch {
+	case s.HedgeLeft > 0:
+		patience <<= min(s.HedgeLeft+1, maxHedgeDoublings)
+	case s.FirstSeen:
+		patience <<= min(s.Left, maxHedgeDoublings)
+	}
 	switch {
 	case s.Paused:
 		return false
-	case s.HedgeWasLeft:
-		return better && late
+	case s.HedgeAlive && !s.FirstAlive && (s.HedgeLeft == 0 || !s.FirstSeen):
+		return true
 	}
-	return better || late
+	return s.Silent >= patience
 }
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -163,9 +163,9 @@
 	// mu guards the fields below, which the goroutines of hedges use too, and those of silenceWatch; taken before the board's mutex.
 	mu              sync.Mutex
 	tries           limits.Tries
-	ran             map[fleet.TargetID]bool // targets at which the request may have run
+	ran             map[fleet.TargetID]int  // number of tries that may have run, by target
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
-	left            map[fleet.TargetID]bool // targets that the request left because they were silent
+	left            map[fleet.TargetID]int  // number of times that the request left a target because it was silent
 	failureResponse *wholeResponse          // the latest failure response that was retried instead of written
 	hedgeBuffers    []heldBuffers           // of responses to hedges that are kept
 	tryLog          []string                // one entry for each try, for the log
@@ -190,7 +190,7 @@
 func (f *Forwarder) newExecution(r *Request, progress *Progress, buffers heldBuffers) *execution {
 	return &execution{
 		Forwarder: f, request: r, progress: progress, buffers: buffers,
-		ran: make(map[fleet.TargetID]bool), excluded: make(map[fleet.TargetID]bool), left: make(map[fleet.TargetID]bool),
+		ran: make(map[fleet.TargetID]int), excluded: make(map[fleet.TargetID]bool), left: make(map[fleet.TargetID]int),
 	}
 }
 
@@ -270,8 +270,8 @@
 // not fail.
 func (x *execution) place(ctx context.Context) (*Reservation, error) {
 	x.mu.Lock()
-	tried, again := maps.Clone(x.excluded), x.sound()
-	maps.Copy(tried, x.ran)
+	tried, again := keys(x.ran), keys(x.sound())
+	maps.Copy(tried, x.excluded)
 	mayRunElsewhere := len(x.ran) == 0 || len(x.ran) < x.request.Route.MaxAttempts
 	x.mu.Unlock()
 	if mayRunElsewhere {
@@ -309,7 +309,7 @@
 func (x *execution) record(t *targetTry, err error) {
 	id := t.target()
 	if !isNotRun(err) {
-		x.ran[id] = true
+		x.ran[id]++
 		x.tries.MayHaveRun = len(x.ran)
 	}
 	if !t.wasOvertaken() && !errors.Is(context.Cause(t.ctx), errSilent) {
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"eelgrassproxy.example/adapters/rawhttp"
@@ -20,8 +21,11 @@
 	// maxOverlap is the maximum time for which a request is at two targets, counted from the start of the hedge. A platform may forbid that a target works
 	// on a request 400 ms after it went on at another one, and it takes up to 25 ms until the target learns that it was given up.
 	maxOverlap = 250 * time.Millisecond
-	// minHedgePause is the pause after a first hedge that showed nothing, and doubles with each: the target of a hedge reads the prompt in vain.
+	// minHedgePause is the pause after a hedge that showed nothing, and doubles with each in the same silence: the target of a hedge reads the prompt in
+	// vain.
 	minHedgePause = 100 * time.Millisecond
+	// maxPauseDoublings bounds the pause at 1.6 s, so that a target that goes on gets a hedge before most clients give up.
+	maxPauseDoublings = 4
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
 )
@@ -75,7 +79,7 @@
 func (w *silenceWatch) startHedge(now time.Time, silent time.Duration) bool {
 	x := w.x
 	left := x.request.Deadline.Sub(now)
-	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
+	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
 		return false
 	}
 	reservation := x.reserveHedge(w.current.target(), silent)
@@ -88,7 +92,6 @@
 	t.resumed = w.resume || x.request.Resume
 	request := x.newRequest(attempt, x.tries.Started)
 	w.hedge, w.hedgeEnds = t, now.Add(maxOverlap)
-	w.hedges++
 	x.countHedge("started")
 	w.hedging.Go(func() { w.runHedge(t, request, attempt.After) })
 	w.setTimer(maxOverlap)
@@ -96,16 +99,13 @@
 }
 
 // reserveHedge reserves a slot for a hedge while the request is at another target: one at which it has not run, and otherwise one at which it has and
-// that did not fail. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
+// that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
 func (x *execution) reserveHedge(current fleet.TargetID, silent time.Duration) *Reservation {
 	service, salt := x.request.Service, string(x.request.ID)
-	tried := maps.Clone(x.excluded)
-	maps.Copy(tried, x.ran)
+	tried := keys(x.ran)
 	tried[current] = true
-	ran := len(x.ran)
-	if !x.ran[current] {
-		ran++
-	}
+	ran := len(tried)
+	maps.Copy(tried, x.excluded)
 	if ran < x.request.Route.MaxAttempts {
 		if reservation := x.board.reserveUsable(service, salt, tried); reservation != nil {
 			return reservation
@@ -118,24 +118,43 @@
 	}
 	again := x.sound()
 	delete(again, current)
-	if len(again) == 0 {
-		return nil
+	for len(again) > 0 {
+		fewest := make(map[fleet.TargetID]bool)
+		least := slices.Min(slices.Collect(maps.Values(again)))
+		for id, sent := range again {
+			if sent == least {
+				fewest[id] = true
+				delete(again, id)
+			}
+		}
+		if reservation, _ := x.board.reserveAmong(service, salt, fewest); reservation != nil {
+			return reservation
+		}
 	}
-	reservation, _ := x.board.reserveAmong(service, salt, again)
-	return reservation
+	return nil
 }
 
-// sound returns the targets at which the request may have run and that did not fail: it left them, or gave up a hedge there. x.mu is held.
-func (x *execution) sound() map[fleet.TargetID]bool {
-	again := make(map[fleet.TargetID]bool)
-	for id := range x.ran {
+// sound returns the targets at which the request may have run and that did not fail, with the number of tries there: it left them, or gave up a hedge.
+// x.mu is held.
+func (x *execution) sound() map[fleet.TargetID]int {
+	again := make(map[fleet.TargetID]int)
+	for id, sent := range x.ran {
 		if !x.excluded[id] {
-			again[id] = true
+			again[id] = sent
 		}
 	}
 	return again
 }
 
+// keys returns the targets of a map.
+func keys[V any](m map[fleet.TargetID]V) map[fleet.TargetID]bool {
+	set := make(map[fleet.TargetID]bool, len(m))
+	for id := range m {
+		set[id] = true
+	}
+	return set
+}
+
 // countHedge counts hedges by what became of them.
 func (x *execution) countHedge(result string) {
 	x.metrics.Tagged(map[string]string{"route": x.request.Route.Name, "result": result}).Counter("hedges").Inc(1)
@@ -146,13 +165,14 @@
 	w.hedge.cancel(cause)
 	w.hedge = nil
 	w.unrecorded++
+	w.inVain++
 	w.x.countHedge(result)
 }
 
 // keepHedge gives up the current try and goes on with the hedge; x.mu is held.
 func (w *silenceWatch) keepHedge(result string) {
 	w.current.cancel(errSilent)
-	w.x.left[w.current.target()] = true
+	w.x.left[w.current.target()]++
 	w.unrecorded++
 	if w.patience < 1<<maxPatienceDoublings {
 		w.patience *= 2
@@ -172,16 +192,18 @@
 func (w *silenceWatch) endOverlap(now time.Time, paused bool) {
 	silent := now.Sub(w.lastProgress)
 	state := limits.HedgeState{
-		Silent: silent, Patience: w.progressTimeout(), Paused: paused, HedgeWasLeft: w.x.left[w.hedge.target()],
-		FirstAlive: w.current.reservation.activeSince(w.hedge.started), HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started),
+		Silent: silent, Paused: paused, HedgeLeft: w.x.left[w.hedge.target()], Left: len(w.x.left),
+		FirstSeen: w.current.reservation.activeSince(w.current.started), FirstAlive: w.current.reservation.activeSince(w.hedge.started),
+		HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started),
 	}
-	if state.KeepHedge() {
+	if state.KeepHedge(w.x.options.ProgressTimeout) {
 		w.keepHedge("kept")
 		return
 	}
 	// The next hedge may have the same target: it begins so late that the target can be kept at its end.
-	pause := max(minHedgePause<<min(w.hedges-1, maxPatienceDoublings), w.progressTimeout()-maxOverlap-silent)
+	pause := max(minHedgePause<<min(w.dropped, maxPauseDoublings), w.x.options.ProgressTimeout-maxOverlap-silent)
 	w.hedgeFrom = now.Add(pause)
+	w.dropped++
 	w.dropHedge("dropped", errNoSign)
 }
 
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -47,7 +47,8 @@
 	hedge        *targetTry    // another try while current is silent, or nil
 	hedgeEnds    time.Time     // when either current or hedge is given up at the latest
 	hedgeFrom    time.Time     // earliest start of the next hedge
-	hedges       int           // number of hedges so far
+	inVain       int           // hedges that were given up
+	dropped      int           // those of the current silence that showed nothing
 	unrecorded   int           // tries that were given up and have not ended yet; no hedge begins meanwhile
 	patience     time.Duration // factor of SuspectAfter and ProgressTimeout
 	due          time.Time     // when timer fires
@@ -96,6 +97,13 @@
 	return w.patience * w.x.options.ProgressTimeout
 }
 
+// hedgeDelay returns the silence after which a hedge begins. It doubles with each hedge of the request that was given up, since its targets are then more
+// likely silent for short times than dark; x.mu is held.
+func (w *silenceWatch) hedgeDelay() time.Duration {
+	quiet := w.quietTime()
+	return max(quiet, min(quiet<<min(w.inVain, maxPatienceDoublings), w.x.options.ProgressTimeout))
+}
+
 // setTimer sets the timer to fire after d; x.mu is held.
 func (w *silenceWatch) setTimer(d time.Duration) {
 	w.due = time.Now().Add(d)
@@ -129,7 +137,7 @@
 	default:
 		return false
 	}
-	w.lastProgress, w.relaying = time.Now(), true
+	w.lastProgress, w.relaying, w.dropped, w.hedgeFrom = time.Now(), true, 0, time.Time{}
 	return true
 }
 
@@ -228,9 +236,9 @@
 	return true
 }
 
-// recheck sets the timer to the quiet time, or to the progress timeout or the next hedge if that comes first; x.mu is held.
+// recheck sets the timer to the quiet time, or to the progress timeout or the earliest next hedge if that comes first; x.mu is held.
 func (w *silenceWatch) recheck(now time.Time, quiet, silent time.Duration) {
-	for _, left := range []time.Duration{w.progressTimeout() - silent, w.hedgeFrom.Sub(now)} {
+	for _, left := range []time.Duration{w.progressTimeout() - silent, w.hedgeFrom.Sub(now), w.hedgeDelay() - silent} {
 		if left > 0 {
 			quiet = min(quiet, left)
 		}
