gateway: a started request goes back to targets that refused it

A target that did not run a request was excluded for the rest of that request. If its first target then broke off or was dark, and no other target was left, the stream was cut, although the next one had refused only because it was full for a moment.

A request that may have run now gets such a target again after 100 ms, doubled up to three times. A request that ran nowhere is still refused at once, with the advice to retry.

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -165,10 +165,11 @@
 	tries           limits.Tries
 	ran             map[fleet.TargetID]int  // number of tries that may have run, by target
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
-	left            map[fleet.TargetID]int  // number of times that the request left a target because it was silent
-	failureResponse *wholeResponse          // the latest failure response that was retried instead of written
-	hedgeBuffers    []heldBuffers           // of responses to hedges that are kept
-	tryLog          []string                // one entry for each try, for the log
+	refused         map[fleet.TargetID]*refusals
+	left            map[fleet.TargetID]int // number of times that the request left a target because it was silent
+	failureResponse *wholeResponse         // the latest failure response that was retried instead of written
+	hedgeBuffers    []heldBuffers          // of responses to hedges that are kept
+	tryLog          []string               // one entry for each try, for the log
 }
 
 // retryAfterNoTarget is the retry advice if no target could run the request. It is about the time in which a change reaches the list of targets.
@@ -190,7 +191,7 @@
 func (f *Forwarder) newExecution(r *Request, progress *Progress, buffers heldBuffers) *execution {
 	return &execution{
 		Forwarder: f, request: r, progress: progress, buffers: buffers,
-		ran: make(map[fleet.TargetID]int), excluded: make(map[fleet.TargetID]bool), left: make(map[fleet.TargetID]int),
+		ran: make(map[fleet.TargetID]int), excluded: make(map[fleet.TargetID]bool), refused: make(map[fleet.TargetID]*refusals), left: make(map[fleet.TargetID]int),
 	}
 }
 
@@ -267,20 +268,84 @@
 }
 
 // place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise at one that did
-// not fail.
+// not fail. If there is none and the request may have run, so that its client could not be told to repeat it, it waits for targets that refused it.
 func (x *execution) place(ctx context.Context) (*Reservation, error) {
-	x.mu.Lock()
-	tried, again := keys(x.ran), keys(x.sound())
-	maps.Copy(tried, x.excluded)
-	mayRunElsewhere := len(x.ran) == 0 || len(x.ran) < x.request.Route.MaxAttempts
-	x.mu.Unlock()
-	if mayRunElsewhere {
-		reservation, err := x.queues.enter(ctx, x.request, tried)
-		if !errors.Is(err, errNoTarget) || len(again) == 0 {
+	for {
+		x.mu.Lock()
+		tried, again := keys(x.ran), keys(x.sound())
+		maps.Copy(tried, x.excluded)
+		mayRunElsewhere := len(x.ran) == 0 || len(x.ran) < x.request.Route.MaxAttempts
+		readmit, waits := x.nextReadmission()
+		x.mu.Unlock()
+		var reservation *Reservation
+		err := errNoTarget
+		if mayRunElsewhere {
+			reservation, err = x.queues.enter(ctx, x.request, tried)
+		}
+		if errors.Is(err, errNoTarget) && len(again) > 0 {
+			reservation, err = x.queues.enterAgain(ctx, x.request, again)
+		}
+		if !errors.Is(err, errNoTarget) || !waits {
 			return reservation, err
 		}
+		select {
+		case <-time.After(time.Until(readmit)):
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for a target that refused: %w", context.Cause(ctx))
+		}
+		x.mu.Lock()
+		x.readmit(time.Now())
+		x.mu.Unlock()
+	}
+}
+
+const (
+	// refusalPause is the time after which a target that did not run a request may get it again, and doubles with each refusal. A target that is full is
+	// known to be so a few milliseconds later, and a slot becomes free in a few hundred.
+	refusalPause = 100 * time.Millisecond
+	// maxReadmissions is the maximum number of times that a target may get a request again that it refused.
+	maxReadmissions = 3
+)
+
+// refusals is what is known of a target that did not run a request.
+type refusals struct {
+	count int
+	until time.Time // when the target may get the request again
+}
+
+// countRefusal records that a target did not run the request; x.mu is held.
+func (x *execution) countRefusal(id fleet.TargetID) {
+	r := x.refused[id]
+	if r == nil {
+		r = &refusals{}
+		x.refused[id] = r
+	}
+	r.until = time.Now().Add(refusalPause << r.count)
+	r.count++
+}
+
+// nextReadmission returns when a target that refused the request may get it again, and false if there is none or the client may be told that the request
+// did not run; x.mu is held.
+func (x *execution) nextReadmission() (time.Time, bool) {
+	var next time.Time
+	if len(x.ran) == 0 {
+		return next, false
+	}
+	for id, r := range x.refused {
+		if x.excluded[id] && r.count <= maxReadmissions && (next.IsZero() || r.until.Before(next)) {
+			next = r.until
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// readmit lets targets get the request again whose refusal is some time ago; x.mu is held.
+func (x *execution) readmit(now time.Time) {
+	for id, r := range x.refused {
+		if x.excluded[id] && r.count <= maxReadmissions && !now.Before(r.until) {
+			delete(x.excluded, id)
+		}
 	}
-	return x.queues.enterAgain(ctx, x.request, again)
 }
 
 // describeTry returns a log entry with a target and its state when it was chosen: the numbers of its online, firm and yieldable requests, its
@@ -315,6 +380,11 @@
 	if !t.wasOvertaken() && !errors.Is(context.Cause(t.ctx), errSilent) {
 		x.tries.Started++
 		x.excluded[id] = true
+		if isNotRun(err) {
+			x.countRefusal(id)
+		} else {
+			delete(x.refused, id)
+		}
 	}
 	x.logTry(t, ": "+err.Error())
 }
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -102,6 +102,7 @@
 // that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
 func (x *execution) reserveHedge(current fleet.TargetID, silent time.Duration) *Reservation {
 	service, salt := x.request.Service, string(x.request.ID)
+	x.readmit(time.Now())
 	tried := keys(x.ran)
 	tried[current] = true
 	ran := len(tried)
--- a/node/gateway/silent_target_test.go
+++ b/node/gateway/silent_target_test.go
@@ -154,3 +154,24 @@
 		require.Equal(t, 2, w.board.Pool("s").Usable, "no target is avoided")
 	})
 }
+
+// Guards against a stream that is cut because the only target that could continue it refuses it once, for example since it is full for a moment.
+func TestStreamGoesOnAtATargetThatRefusedItOnce(t *testing.T) {
+	for name, first := range map[string]script{"broken off": truncated(0, 2), "silent": func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead+chunk(event(0))+chunk(event(1))+chunk(event(2)))
+		return neverResponds(w, r)
+	}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": first, "t2": perRequest(refusing, refusing, events(3, 5))})
+				defer w.close()
+				w.prefer("t1")
+				var out sink
+				started := time.Now()
+				require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+				require.Equal(t, allEvents(0, 5), out.body.String())
+				require.Less(t, time.Since(started), clientPatience)
+			})
+		})
+	}
+}
