dispatch: the silence of an engine ends a started stream after 3 s at the earliest

Cause: a stream whose engine sends nothing is resumed four times, each for the progress timeout of the bundle, and then broken off. With a short timeout that is sooner than a sound engine may be silent, and after the first event no other engine can take the stream over.

Change: while the engine is only silent, the stream is resumed further until 3 s have passed since the last event. Connections that are refused or end, and streams that the engine does not know, count as before, and so does silence before the first event, after which another engine is tried.

--- a/node/dispatch/events.go
+++ b/node/dispatch/events.go
@@ -23,6 +23,9 @@
 	// maxResumes bounds the consecutive resumes without a new event. Each resume opens a new connection, so a stream survives several
 	// broken network paths in a row, while an engine that hangs is given up.
 	maxResumes = 4
+	// minPatience is the least time without an event after which the silence of an engine ends a stream that the caller has begun to receive. A sound
+	// engine may be silent for a second or so, and no other one can go on with the stream, however short the bundle's progress timeout is.
+	minPatience = 3 * time.Second
 	// resumeBackoff is the delay after a failed resume, which gives a target that refuses connections time to recover.
 	resumeBackoff = 50 * time.Millisecond
 )
@@ -45,6 +48,7 @@
 	buffer        []byte        // encoded events not yet written
 	stallTimeout  time.Duration // longest time without a new event
 	resumes       int           // consecutive resumes without a new event
+	progressed    time.Time     // when the last new event arrived, or the attempt began
 	headerWritten bool          // the response header was written
 	requestID     string        // the request id, which replaces the upstream id in events
 }
@@ -59,6 +63,7 @@
 		decoder:      stream.NewDecoder(maxEventBytes),
 		controller:   http.NewResponseController(a.writer),
 		stallTimeout: a.progressTimeout(),
+		progressed:   a.started,
 		requestID:    string(a.request.ID),
 	}
 	for {
@@ -100,7 +105,7 @@
 		if r.tracker.Next() > before {
 			firstDeadline.Stop()
 			watchdog.Reset(r.stallTimeout)
-			r.resumes = 0
+			r.resumes, r.progressed = 0, time.Now()
 		}
 		if err != nil {
 			return err
@@ -189,10 +194,10 @@
 	return nil
 }
 
-// resume requests the rest of the stream from the same engine on a new connection, up to maxResumes times in a row. It returns the last
-// error if all tries fail or the engine has no such stream.
+// resume requests the rest of the stream from the same engine on a new connection, up to maxResumes times in a row, and further while the engine is only
+// silent and minPatience has not passed. It returns the last error if all tries fail or the engine has no such stream.
 func (r *relay) resume(ctx context.Context, cause error) (*upstreamResponse, error) {
-	for r.resumes < maxResumes && ctx.Err() == nil {
+	for (r.resumes < maxResumes || r.isOnlySilent(cause)) && ctx.Err() == nil {
 		r.resumes++
 		r.dispatcher.log(r.request, decisionlog.Entry{
 			Kind:    decisionlog.KindResume,
@@ -213,14 +218,22 @@
 	return nil, cause
 }
 
+// isOnlySilent reports whether a stream that the caller has begun to receive lacks events because its engine has been silent for less than minPatience.
+func (r *relay) isOnlySilent(cause error) bool {
+	return r.headerWritten && errors.Is(cause, errStalled) && time.Since(r.progressed) < minPatience
+}
+
 // resumeOnce makes one try to resume the stream. It waits for the response header for at most stallTimeout; relayConnection applies the
-// same timeout to the body.
+// same timeout to the body. The error wraps errStalled if the engine was silent.
 func (r *relay) resumeOnce(ctx context.Context) (*engine.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(r.stallTimeout, func() { cancel(errStalled) })
 	defer timer.Stop()
 	response, err := r.dispatcher.UnpooledEngines.Resume(ctx, r.target.Address, r.upstreamID, r.tracker.Next())
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errStalled) {
+			err = fmt.Errorf("%w: %w", errStalled, err)
+		}
 		cancel(nil)
 		return nil, err
 	}
