gateway: resets and stale connections count for no crash that follows

A try that broke off without a crash was added to the next confirmed crash of the same target, and one that was sent on a pooled connection after the crash counted as another crash once two seconds had passed. Both put sound parts under suspicion. Tries without a confirmed crash now wait apart, only for the case that another process is listed at the address, and tries that were sent after the crash count for nothing.

Seen in the log of TestPartThatCrashesTargetsIsFoundByTheFleet (in-memory connections, which cannot be checked for their end before use).

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -29,9 +29,11 @@
 	maxBrokenTries = 64
 	// crashMemory is how long a confirmed crash explains further tries that break at the same process: their connections end at about the same time.
 	crashMemory = time.Second
-	// resetMemory is how long a reset without a confirmed crash is kept, since the next process of a target that starts again at once accepts
+	// brokenMemory is how long a target that crashed is remembered, about until it is back. Requests that are sent to it before are under no crash.
+	brokenMemory = 5 * time.Second
+	// resetMemory is how long tries are kept that broke off without a confirmed crash, since the next process of a target that starts again at once accepts
 	// connections. Its entry follows within this time.
-	resetMemory = 8 * time.Second
+	resetMemory = 3 * time.Second
 	// aliveDelay is the time after the end of an answer from which on a target that sends something has outlived it. What it sent before may still be read
 	// for a while after that.
 	aliveDelay = 150 * time.Millisecond
@@ -50,7 +52,8 @@
 // brokenTarget is a target at which tries broke.
 type brokenTarget struct {
 	slots.Target
-	tries     []brokenTry // whose cause is not known
+	tries     []brokenTry // that wait for a probe
+	resets    []brokenTry // for which a probe found no crash; see findRestarts
 	probing   bool
 	crashedAt time.Time // when the last confirmed crash was seen; zero if there was none
 }
@@ -75,7 +78,7 @@
 	case err == nil:
 		g.endedUnframed(reservation, brokenTry{r, now})
 	case ctx.Err() == nil && brokeOff(response, err):
-		g.brokeOff(reservation.Target, brokenTry{r, now})
+		g.brokeOff(reservation, brokenTry{r, now})
 	}
 }
 
@@ -98,13 +101,17 @@
 }
 
 // brokeOff records a try that broke off and starts to look for the cause. The end of a target that is leaving is no crash.
-func (g *PartGuard) brokeOff(target slots.Target, try brokenTry) {
+func (g *PartGuard) brokeOff(reservation *Reservation, try brokenTry) {
+	target := reservation.Target
 	if g.board.isLeaving(target.ID) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.brokenTarget(target)
+	if !b.crashedAt.IsZero() && reservation.placed.After(b.crashedAt) && !reservation.activeSince(b.crashedAt) {
+		return // sent on a connection that had ended with the crash
+	}
 	if len(b.tries) >= maxBrokenTries {
 		g.unhandled.Inc(1)
 		return
@@ -114,7 +121,9 @@
 	case !b.crashedAt.IsZero() && try.at.Sub(b.crashedAt) < crashMemory:
 		g.crashed(b)
 	case !b.probing:
-		b.probing = g.startProbe(target, func(gone bool) { g.probed(b, gone) })
+		if b.probing = g.startProbe(target, func(gone bool) { g.probed(b, gone) }); !b.probing {
+			g.setAside(b)
+		}
 	}
 }
 
@@ -179,9 +188,13 @@
 		return
 	}
 	g.unconfirmed.Inc(int64(len(b.tries)))
+	g.setAside(b)
 	wait.Wake(g.changed)
 }
 
+// setAside keeps tries that are not under a confirmed crash for findRestarts. Only those that broke off last can be under the same restart; g.mu is held.
+func (g *PartGuard) setAside(b *brokenTarget) { b.resets, b.tries = b.tries, nil }
+
 // crashed records a confirmed crash for the tries that waited for it; g.mu is held.
 func (g *PartGuard) crashed(b *brokenTarget) {
 	now := time.Now()
@@ -206,14 +219,13 @@
 	g.mu.Lock()
 	var waiting []*brokenTarget
 	for id, b := range g.broken {
-		for len(b.tries) > 0 && !b.probing && now.Sub(b.tries[0].at) > resetMemory {
-			b.tries = b.tries[1:]
+		if len(b.resets) > 0 && now.Sub(b.resets[0].at) > resetMemory {
+			b.resets = nil
 		}
 		switch {
-		case b.probing:
-		case len(b.tries) > 0:
+		case len(b.resets) > 0:
 			waiting = append(waiting, b)
-		case now.Sub(b.crashedAt) > crashMemory:
+		case !b.probing && now.Sub(b.crashedAt) > brokenMemory:
 			delete(g.broken, id)
 		}
 	}
@@ -223,6 +235,7 @@
 			continue
 		}
 		g.mu.Lock()
+		b.tries, b.resets = append(b.tries, b.resets...), nil
 		g.crashed(b)
 		g.mu.Unlock()
 	}
--- a/node/gateway/partexchange.go
+++ b/node/gateway/partexchange.go
@@ -157,11 +157,11 @@
 			ask = append(ask, id)
 		}
 	}
-	var records []poison.Record
-	if len(ask) > 0 {
-		records = g.tracker.Records(antiEntropyRecords, now)
-	}
+	records := g.tracker.Records(antiEntropyRecords, now)
 	g.mu.Unlock()
+	if len(ask) == 0 {
+		return
+	}
 	datagrams := g.encode(partMessage{Asks: true, Records: records})
 	for _, id := range ask {
 		if address, known := g.peers.peerAddress(id); known {
--- a/node/gateway/partguard.go
+++ b/node/gateway/partguard.go
@@ -91,7 +91,9 @@
 	group.Go(func() { g.runExchange(ctx) })
 	group.Go(func() { g.runStore(ctx) })
 	group.Wait()
+	g.mu.Lock() // startProbe starts none after it
 	g.cancel()
+	g.mu.Unlock()
 	g.probes.Wait()
 }
 
