--- a/cmd/eelgrassctl/soakcmd/soakcmd.go
+++ b/cmd/eelgrassctl/soakcmd/soakcmd.go
@@ -25,6 +25,7 @@
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("eelgrassctl soak", flag.ContinueOnError)
 	quotas := flags.Bool("quotas", false, "configure an account with a quota, whose clients send more than that")
+	unframed := flags.Bool("unframed", false, "a part of the responses of targets have neither a length nor chunks and end with their connection")
 	silences := flags.Duration("silences", 0, "how long sound targets fall silent now and then, beside planned work and changes of the configuration")
 	flags.SetOutput(stderr)
 	seed := flags.Uint64("seed", 1, "seed of the first run; further runs count on")
@@ -56,7 +57,7 @@
 		group.Go(func() {
 			defer func() { <-places }()
 			o := soak.Options{
-				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Domains: *domains, Regions: *regions, Targets: *targets, Faults: *faults, Quotas: *quotas, Silences: *silences,
+				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Domains: *domains, Regions: *regions, Targets: *targets, Faults: *faults, Quotas: *quotas, Silences: *silences, Unframed: *unframed,
 				Folder: filepath.Join(*folder, fmt.Sprint(*seed+uint64(n))),
 			}
 			report, err := soak.Run(ctx, o)
