soak: parts of prompts that crash targets

A request with such a part in its Prompt-Prefix, in any place but the last, crashes the stand-in that begins to respond to it: it sends the header, its connections are reset and its listener closes, and it is back after 2 to 4 s, mostly under a new id at the same address. With -crashes the soak sends such requests after the planned work, in several series with pauses of up to 10 s, to any instance; no two are alike, and sound requests share their account and their other parts. Kills, stops and pauses of instances, cuts from the store, resets and other crashes come beside them.

Two checks, from what targets and clients see. Not more than three requests with a part that were sent by instances undisturbed for 4 s reach targets later than 4 s after its fifth crash. From 8 s after it on, while more of them come, sound requests with the same first part begin at least half as often as before the first crash. A request whose target crashed, or whose instance or way was disturbed by a noted fault, may be cut.

The soak itself was not run with -crashes on this commit.

--- a/cmd/eelgrassctl/soakcmd/soakcmd.go
+++ b/cmd/eelgrassctl/soakcmd/soakcmd.go
@@ -27,6 +27,7 @@
 	quotas := flags.Bool("quotas", false, "configure an account with a quota, whose clients send more than that")
 	unframed := flags.Bool("unframed", false, "a part of the responses of targets have neither a length nor chunks and end with their connection")
 	silences := flags.Duration("silences", 0, "how long sound targets fall silent now and then, beside planned work and changes of the configuration")
+	crashes := flags.Duration("crashes", 0, "how long, after the planned work, some prompts have a part that crashes each target that begins to respond")
 	flags.SetOutput(stderr)
 	seed := flags.Uint64("seed", 1, "seed of the first run; further runs count on")
 	runs := flags.Int("runs", 1, "number of runs")
@@ -57,7 +58,7 @@
 		group.Go(func() {
 			defer func() { <-places }()
 			o := soak.Options{
-				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Domains: *domains, Regions: *regions, Targets: *targets, Faults: *faults, Quotas: *quotas, Silences: *silences, Unframed: *unframed,
+				Seed: *seed + uint64(n), Binary: *binary, Instances: *instances, Domains: *domains, Regions: *regions, Targets: *targets, Faults: *faults, Quotas: *quotas, Silences: *silences, Unframed: *unframed, Crashes: *crashes,
 				Folder: filepath.Join(*folder, fmt.Sprint(*seed+uint64(n))),
 			}
 			report, err := soak.Run(ctx, o)
