poison: an answer can clear the sound ones of equally blamed parts

If all targets of a service crash before any answer is complete, the first part of the prompts is under the same crashes as the guilty one. Both were blocked, each request with the first part was refused, and no answer could clear it any more.

Of blocked parts with the same unexplained crashes only requests with all of them are refused. The next crash or complete answer tells them apart. Entry.Tied states them; the signature of Blocked is unchanged.

--- a/core/poison/entry.go
+++ b/core/poison/entry.go
@@ -25,6 +25,7 @@
 	requests []uint32 // the lowest hashes of the requests of this epoch, sorted
 
 	blocked bool
+	tied    []*entry  // itself and the blocked parts with the same unexplained crashes; only requests with all of them are refused
 	since   time.Time // start of the block at the first instance, if the part is blocked
 	refused uint64    // requests, by this instance
 	lastUse uint64
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash/fnv"
+	"slices"
 	"strings"
 	"time"
 
@@ -195,10 +196,12 @@
 	return t.recordsOf(news, now)
 }
 
-// Blocked returns the first blocked part of a request. It looks at all parts, and counts the request as refused; see Entry.Refused.
+// Blocked returns the first part for which a request is refused: one that is blocked, unless the request lacks a part that the evidence
+// doesn't tell apart from it; see Entry.Tied. It looks at all parts, and counts the request as refused; see Entry.Refused.
 func (t *Tracker) Blocked(parts []Part) (Part, bool) {
 	for _, p := range parts {
-		if e := t.entries[p]; e != nil && e.blocked {
+		lacking := func(o *entry) bool { return !slices.Contains(parts, o.part) }
+		if e := t.entries[p]; e != nil && e.blocked && !slices.ContainsFunc(e.tied, lacking) {
 			t.uses++
 			e.lastUse = t.uses
 			e.refused++
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -199,6 +199,7 @@
 	Epoch       uint32   // number of times that the part was lifted
 	Callers     []string // callers of requests that were under the crashes, at most Policy.MaxCallers
 	Crashes     []CrashRecord
+	Tied        []Part    // other blocked parts with the same unexplained crashes; only requests with all of them are refused
 	Unexplained int       // crashes since the part was last lifted that no part with more crashes explains
 	Since       time.Time // when the first instance blocked the part; zero if it is not blocked
 	Refused     uint64    // requests that Blocked found with the part at this instance
@@ -215,6 +216,12 @@
 		switch {
 		case e.blocked:
 			x.State, x.Since = Blocked, e.since
+			for _, o := range e.tied {
+				if o != e {
+					x.Tied = append(x.Tied, o.part)
+				}
+			}
+			slices.Sort(x.Tied)
 		case e.epoch > 0:
 			x.State = Lifted
 		}
