gateway: an item that leaves a silent target does not suspect it again

The rework of the silence watch suspected the target of an item once more when the item was cancelled, and kept other items from it 100 ms longer than before.

--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -209,31 +209,34 @@
 		w.setTimer(quiet - silent)
 		return
 	}
-	active := w.current.reservation.activeSince(w.lastProgress)
-	if !active {
+	active, late := w.current.reservation.activeSince(w.lastProgress), silent >= w.progressTimeout()
+	switch {
+	case late && w.mayCancelItem():
+		w.cancelItem()
+		return
+	case !active:
 		w.suspect(silent)
-	}
-	if !active || silent >= w.progressTimeout() {
-		if w.leave(now, silent) {
+		if w.mayCancelItem() && w.x.board.hasRoom(w.x.request.Service, w.current.target(), w.x.excluded) {
+			w.cancelItem()
 			return
 		}
 	}
+	if (!active || late) && w.x.sink != nil && w.startHedge(now, silent) {
+		return
+	}
 	w.recheck(now, quiet, silent)
 }
 
-// leave begins a hedge, or cancels the try of an item, if there is another target. It reports whether it has set or stopped the timer; x.mu is held.
-func (w *silenceWatch) leave(now time.Time, silent time.Duration) bool {
-	x := w.x
-	if x.sink != nil {
-		return w.startHedge(now, silent)
-	}
-	movable := x.request.Route.Repeatable() && x.tries.MayHaveRun+1 < x.request.Route.MaxAttempts
-	if !movable || silent < w.progressTimeout() && !x.board.hasRoom(x.request.Service, w.current.reservation.Target.ID, x.excluded) {
-		return false
-	}
+// mayCancelItem reports whether the request is a batch item that may run at another target; x.mu is held.
+func (w *silenceWatch) mayCancelItem() bool {
+	route := w.x.request.Route
+	return w.x.sink == nil && route.Repeatable() && w.x.tries.MayHaveRun+1 < route.MaxAttempts
+}
+
+// cancelItem cancels the try of an item with errSilent; x.mu is held.
+func (w *silenceWatch) cancelItem() {
 	w.stopped = true
 	w.current.cancel(errSilent)
-	return true
 }
 
 // recheck sets the timer to the quiet time, or to the progress timeout or the earliest next hedge if that comes first; x.mu is held.
