itemjobs: a test of jobs while stores and peers are silent for over a second

A job is submitted, runs and is handed over by its draining owner while the store, the other instances or both are silent for 1.2 s each time. All items complete and are listed by the other instances.

--- a/node/itemjobs/silent_targets_test.go
+++ b/node/itemjobs/silent_targets_test.go
@@ -63,3 +63,42 @@
 		}
 	}
 }
+
+// Guards against jobs that are lost, refused or listed incomplete while the store or the other instances take over a second for each answer: at their
+// submission, while they run, and when their owner drains.
+func TestJobsOutlastSilentStoresAndPeers(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	for name, silent := range map[string]struct{ store, peers bool }{"store": {store: true}, "peers": {peers: true}, "both": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			withFleetDetecting(t, 3, true, func(t *testing.T, f *testFleet) {
+				fallSilent := func() {
+					for _, n := range f.nodes {
+						if silent.store {
+							n.store.setDelay(silence)
+							time.AfterFunc(silence, func() { n.store.setDelay(0) })
+						}
+						for _, other := range f.nodes {
+							if silent.peers && other != n {
+								f.network.Partition([]string{n.address}, []string{other.address})
+							}
+						}
+					}
+					time.AfterFunc(silence, f.network.Heal)
+				}
+				fallSilent()
+				time.Sleep(100 * time.Millisecond)
+				require.NoError(t, f.nodes[0].service.Submit(t.Context(), submission("j", "a", "b", "c")))
+				for range 2 {
+					time.Sleep(1500 * time.Millisecond)
+					fallSilent()
+				}
+				time.Sleep(100 * time.Millisecond)
+				f.nodes[0].service.Drain(t.Context())
+				time.Sleep(18 * time.Second)
+				for _, n := range f.nodes[1:] {
+					requireCompleted(t, f.readAll(n, "j"), "a", "b", "c")
+				}
+			})
+		})
+	}
+}
