--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"eelgrassproxy.example/adapters/httpcall"
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
@@ -82,9 +83,6 @@
 	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
 		return false
 	}
-	if x.parts.blocks(x.request) {
-		return false
-	}
 	reservation := x.reserveHedge(w.current.target(), silent)
 	if reservation == nil {
 		return false
@@ -253,7 +251,6 @@
 	default:
 		w.unrecorded--
 	}
-	w.x.parts.tryEnded(t.ctx, w.x.request, t.reservation, t.response, t.err)
 	w.x.observe(w.ctx, t, t.err, limits.Outcome{Failed: true})
 	w.x.record(t, t.err)
 	w.x.endHedge(t)
@@ -274,8 +271,16 @@
 }
 
 // openHedge sends a hedge and reads its response up to the first event or, if it is not a stream, to its end.
-func (w *silenceWatch) openHedge(t *targetTry, request *rawhttp.Request, after int64) error {
+func (w *silenceWatch) openHedge(t *targetTry, request *rawhttp.Request, after int64) (err error) {
 	x := w.x
+	if err := x.parts.check(x.request); err != nil {
+		return httpcall.NotSent(err)
+	}
+	defer func() {
+		if err != nil {
+			x.parts.tryEnded(t.ctx, x.request, t.reservation, t.response, err)
+		}
+	}()
 	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, request)
 	if err != nil {
 		return x.handleSendError(t.ctx, t.reservation, err)
--- a/node/gateway/partguard.go
+++ b/node/gateway/partguard.go
@@ -123,9 +123,6 @@
 	return slices.ContainsFunc(parts, func(p poison.Part) bool { return g.states[p].state == poison.Blocked })
 }
 
-// blocks reports whether a part of the request is blocked, like check without counting a refused request.
-func (g *PartGuard) blocks(r *Request) bool { return g.BlocksAny() && g.Blocks(r.Parts) }
-
 // blockedChanged returns a channel that is closed when another part is blocked. Callers get the channel before they call check.
 func (g *PartGuard) blockedChanged() <-chan struct{} {
 	if g == nil {
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -104,9 +104,12 @@
 }
 
 // relayHedge waits until a hedge that the request goes on with has made progress, and relays its response.
-func (x *execution) relayHedge(t *targetTry, watch *silenceWatch) (err error) {
+func (x *execution) relayHedge(t *targetTry, watch *silenceWatch) error {
 	<-t.opened
-	defer func() { x.parts.tryEnded(t.ctx, x.request, t.reservation, t.response, err) }()
+	var err error
+	if t.err == nil { // otherwise openHedge has told of the end
+		defer func() { x.parts.tryEnded(t.ctx, x.request, t.reservation, t.response, err) }()
+	}
 	switch {
 	case t.whole != nil:
 		err = x.finishWhole(t, t.whole, t.info, watch)
--- a/node/gateway/waitqueue.go
+++ b/node/gateway/waitqueue.go
@@ -124,10 +124,10 @@
 	ticker := time.NewTicker(queueCheckInterval)
 	defer ticker.Stop()
 	for {
-		room := w.board.RoomChanged()
 		if err := w.parts.check(r); err != nil {
 			return nil, err
 		}
+		room := w.board.RoomChanged()
 		reservation, result := w.board.reserveAmong(r.Service, string(r.ID), targets)
 		switch {
 		case reservation != nil:
