gateway: tests for tries that end during a hedge

TestHedgeGoesOnWhenTheSilentTargetBreaksOff fails if the hedge is dropped together with the first try, and TestCallerThatLeavesEndsTheHedgeToo if a hedge is not ended when the client's connection fails. Both pass; no other code changes.

--- a/node/gateway/silent_target_test.go
+++ b/node/gateway/silent_target_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -175,3 +177,70 @@
 		})
 	}
 }
+
+// stallsThen writes the events 0 to 2, is silent for d and ends with the script rest.
+func stallsThen(d time.Duration, rest script) script {
+	return func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, streamHead+chunk(event(0))+chunk(event(1))+chunk(event(2)))
+		time.Sleep(d)
+		return rest(w, r)
+	}
+}
+
+// Guards against giving up a hedge, whose target is at work, when the silent target breaks off.
+func TestHedgeGoesOnWhenTheSilentTargetBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(w io.Writer, r *http.Request) bool {
+			time.Sleep(200 * time.Millisecond)
+			return events(3, 5)(w, r)
+		}
+		w := newTestGateway(t, map[string]script{"t1": stallsThen(800*time.Millisecond, raw("")), "t2": slow})
+		defer w.close()
+		w.prefer("t1")
+		var out sink
+		started := time.Now()
+		require.Equal(t, gateway.Answered, w.do(t.Context(), &out).Verdict)
+		require.Equal(t, allEvents(0, 5), out.body.String())
+		require.Equal(t, 900*time.Millisecond, time.Since(started))
+		require.Equal(t, []receivedRequest{{"t1", ""}, {"t2", "2"}}, w.seen)
+	})
+}
+
+// commentSink fails at a comment.
+type commentSink struct{ sink }
+
+func (s *commentSink) Write(p []byte) error {
+	if p[0] == ':' {
+		return errors.New("broken pipe")
+	}
+	return s.sink.Write(p)
+}
+
+// Guards against tries that go on, or slots that stay taken, when the caller leaves during a hedge or its connection fails there.
+func TestCallerThatLeavesEndsTheHedgeToo(t *testing.T) {
+	comment := func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, chunk(": still there\n\n"))
+		return neverResponds(w, r)
+	}
+	for name, fails := range map[string]bool{"leaves": false, "fails": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t, map[string]script{"t1": stallsThen(800*time.Millisecond, comment), "t2": neverResponds})
+				defer w.close()
+				w.prefer("t1")
+				ctx, cancel := context.WithCancel(t.Context())
+				if !fails {
+					time.AfterFunc(750*time.Millisecond, cancel)
+				}
+				defer cancel()
+				require.Equal(t, gateway.ClientGone, w.doTo(ctx, &commentSink{}).Verdict)
+				require.Empty(t, w.board.OwnCounts())
+				time.Sleep(time.Second)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				require.Len(t, w.closed, 2, "both targets have learned of it")
+				require.Len(t, w.seen, 2)
+			})
+		})
+	}
+}
