--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"eelgrassproxy.example/adapters/httpcall"
 	"eelgrassproxy.example/adapters/rawhttp"
 	"eelgrassproxy.example/core/fleet"
 	"eelgrassproxy.example/core/limits"
@@ -270,8 +271,16 @@
 }
 
 // openHedge sends a hedge and reads its response up to the first event or, if it is not a stream, to its end.
-func (w *silenceWatch) openHedge(t *targetTry, request *rawhttp.Request, after int64) error {
+func (w *silenceWatch) openHedge(t *targetTry, request *rawhttp.Request, after int64) (err error) {
 	x := w.x
+	if err := x.parts.check(x.request); err != nil {
+		return httpcall.NotSent(err)
+	}
+	defer func() {
+		if err != nil {
+			x.parts.tryEnded(t.ctx, x.request, t.reservation, t.response, err)
+		}
+	}()
 	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, request)
 	if err != nil {
 		return x.handleSendError(t.ctx, t.reservation, err)
