gateway: a request does not wait for a full target if one that it left has room

Cause: after a failed try, place() queued the request for targets at which it had not run, and asked those that it had left only if there were no others. With the others full it waited until its deadline, or the queue refused it. Change: a request that would wait takes a free slot at a target to which it may return, before the queue and while it waits, and returns there if the queue refuses it. Result: TestRequestReturnsToTheTargetThatItLeftIfOthersAreFull failed and passes; the tests of silences in node/gateway pass.

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -267,8 +267,8 @@
 	}
 }
 
-// place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise at one that did
-// not fail. If there is none and the request may have run, so that its client could not be told to repeat it, it waits for targets that refused it.
+// place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise, or if those are
+// full, at one that did not fail. If there is none and the request may have run, so that its client could not be told to repeat it, it waits for targets that refused it.
 func (x *execution) place(ctx context.Context) (*Reservation, error) {
 	for {
 		x.mu.Lock()
@@ -280,9 +280,10 @@
 		var reservation *Reservation
 		err := errNoTarget
 		if mayRunElsewhere {
-			reservation, err = x.queues.enter(ctx, x.request, tried)
+			reservation, err = x.queues.enter(ctx, x.request, tried, again)
 		}
-		if errors.Is(err, errNoTarget) && len(again) > 0 {
+		var refused *refusedError
+		if len(again) > 0 && (errors.Is(err, errNoTarget) || errors.As(err, &refused)) {
 			reservation, err = x.queues.enterAgain(ctx, x.request, again)
 		}
 		if !errors.Is(err, errNoTarget) || !waits {
--- a/node/gateway/waitqueue.go
+++ b/node/gateway/waitqueue.go
@@ -79,11 +79,11 @@
 	return found
 }
 
-// enter reserves a slot for the request. It waits if all targets are full. The error is errNoTarget, a *refusedError, or wraps the cause of
-// ctx. exclude holds the targets that must not be chosen.
-func (w *waitQueues) enter(ctx context.Context, r *Request, exclude map[fleet.TargetID]bool) (*Reservation, error) {
+// enter reserves a slot for the request. It waits if all targets are full, for one of again as well: the request may have run there and may return. The
+// error is errNoTarget, a *refusedError, or wraps the cause of ctx. exclude holds the targets that must not be chosen, apart from those in again.
+func (w *waitQueues) enter(ctx context.Context, r *Request, exclude, again map[fleet.TargetID]bool) (*Reservation, error) {
 	room := w.board.RoomChanged()
-	entry, own, reservation, err := w.join(r, exclude)
+	entry, own, reservation, err := w.join(r, exclude, again)
 	if reservation != nil || err != nil {
 		return reservation, err
 	}
@@ -102,6 +102,13 @@
 		}
 		room = w.board.RoomChanged()
 		w.serve(r.Service)
+		if reservation, _ := w.board.reserveAmong(r.Service, string(r.ID), again); reservation != nil {
+			if queued, err := w.leaveWithoutTarget(r.Service, entry, own); err == nil {
+				reservation.Release()
+				return queued, nil
+			}
+			return reservation, nil
+		}
 		if !w.board.hasTarget(r.Service, exclude) {
 			return w.leaveWithoutTarget(r.Service, entry, own)
 		}
@@ -143,8 +150,8 @@
 	}
 }
 
-// join reserves a slot if nothing waits and a target has room, and queues or refuses the request otherwise.
-func (w *waitQueues) join(r *Request, exclude map[fleet.TargetID]bool) (*slots.Waiting, *waiter, *Reservation, error) {
+// join reserves a slot if nothing waits and a target has room, or if one of again has, and queues or refuses the request otherwise.
+func (w *waitQueues) join(r *Request, exclude, again map[fleet.TargetID]bool) (*slots.Waiting, *waiter, *Reservation, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	queue := w.queueFor(r.Service)
@@ -162,6 +169,9 @@
 			return nil, nil, reservation, nil
 		}
 	}
+	if reservation, _ := w.board.reserveAmong(r.Service, string(r.ID), again); reservation != nil {
+		return nil, nil, reservation, nil
+	}
 	if refused := queue.admit(w.board.Pool(r.Service), entry); refused != nil {
 		return nil, nil, nil, refused
 	}
