gateway: a long whole response does not go back and forth between targets

Cause: a sound target sends nothing before a response that is not a stream is complete. A request for a long one had a hedge at the target that it had left in each pause, returned there again and again, and began anew each time. Change: such a request returns to a target that it left once at most, and has a hedge there only when that could be kept. A request has 24 hedges without an event at most. No return at all would cost the answer of a sound target that was left for a dark one (TestSilenceOfASoundTargetCostsNoAnswer).

--- a/core/limits/hedge.go
+++ b/core/limits/hedge.go
@@ -28,7 +28,7 @@
 func (s HedgeState) KeepHedge(patience time.Duration) bool {
 	switch {
 	case s.HedgeLeft > 0:
-		patience <<= min(s.HedgeLeft+1, maxHedgeDoublings)
+		patience = ReturnPatience(patience, s.HedgeLeft)
 	case s.FirstSeen:
 		patience <<= min(s.Left, maxHedgeDoublings)
 	}
@@ -40,3 +40,9 @@
 	}
 	return s.Silent >= patience
 }
+
+// ReturnPatience returns the silence after which a request returns to a target that it left the given number of times because that was silent. It is four
+// times the patience with a target that it has not left, and doubles with each time.
+func ReturnPatience(patience time.Duration, left int) time.Duration {
+	return patience << min(left+1, maxHedgeDoublings)
+}
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -167,6 +167,7 @@
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
 	refused         map[fleet.TargetID]*refusals
 	left            map[fleet.TargetID]int // number of times that the request left a target because it was silent
+	hedges          int                    // hedges since the last event that was passed on
 	failureResponse *wholeResponse         // the latest failure response that was retried instead of written
 	hedgeBuffers    []heldBuffers          // of responses to hedges that are kept
 	tryLog          []string               // one entry for each try, for the log
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -26,6 +26,11 @@
 	minHedgePause = 100 * time.Millisecond
 	// maxPauseDoublings bounds the pause at 1.6 s, so that a target that goes on gets a hedge before most clients give up.
 	maxPauseDoublings = 4
+	// maxHedges is the maximum number of hedges of a request without an event in between. With their pauses they last for more than half a minute.
+	maxHedges = 24
+	// maxWholeReturns is the maximum number of times that a request for a response that is not a stream leaves a target and may still return to one. Each
+	// return begins the response anew, and a sound target sends nothing before its end, so that its silence says little.
+	maxWholeReturns = 1
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
 )
@@ -79,7 +84,7 @@
 func (w *silenceWatch) startHedge(now time.Time, silent time.Duration) bool {
 	x := w.x
 	left := x.request.Deadline.Sub(now)
-	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
+	if w.unrecorded > 0 || x.hedges >= maxHedges || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
 		return false
 	}
 	reservation := x.reserveHedge(w.current.target(), silent)
@@ -92,6 +97,7 @@
 	t.resumed = w.resume || x.request.Resume
 	request := x.newRequest(attempt, x.tries.Started)
 	w.hedge, w.hedgeEnds = t, now.Add(maxOverlap)
+	x.hedges++
 	x.countHedge("started")
 	w.hedging.Go(func() { w.runHedge(t, request, attempt.After) })
 	w.setTimer(maxOverlap)
@@ -119,6 +125,9 @@
 	}
 	again := x.sound()
 	delete(again, current)
+	if x.request.Route.Kind != routetable.Stream {
+		maps.DeleteFunc(again, func(id fleet.TargetID, _ int) bool { return !x.mayReturnWhole(id, silent) })
+	}
 	for len(again) > 0 {
 		fewest := make(map[fleet.TargetID]bool)
 		least := slices.Min(slices.Collect(maps.Values(again)))
@@ -135,6 +144,16 @@
 	return nil
 }
 
+// mayReturnWhole reports whether a request for a response that is not a stream may have a hedge at a target at which it may have run: the hedge could be
+// kept at the end of the overlap, and the request has not returned to a target yet; x.mu is held.
+func (x *execution) mayReturnWhole(id fleet.TargetID, silent time.Duration) bool {
+	left, all := x.left[id], 0
+	for _, n := range x.left {
+		all += n
+	}
+	return left == 0 || all <= maxWholeReturns && silent+maxOverlap >= limits.ReturnPatience(x.options.ProgressTimeout, left)
+}
+
 // sound returns the targets at which the request may have run and that did not fail, with the number of tries there: it left them, or gave up a hedge.
 // x.mu is held.
 func (x *execution) sound() map[fleet.TargetID]int {
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -137,7 +137,7 @@
 	default:
 		return false
 	}
-	w.lastProgress, w.relaying, w.dropped, w.hedgeFrom = time.Now(), true, 0, time.Time{}
+	w.lastProgress, w.relaying, w.dropped, w.hedgeFrom, w.x.hedges = time.Now(), true, 0, time.Time{}, 0
 	return true
 }
 
