gateway: pauses follow hedges that fail

Cause: a hedge that failed was followed by the next one at once, so that one silent request asked all targets of a fleet that refuses it. Change: from the second failure in a silence on, the pause that follows hedges without a sign (100 ms, doubled up to 1.6 s) follows each failure too.

--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -24,6 +24,9 @@
 	// minHedgePause is the pause after a hedge that showed nothing, and doubles with each in the same silence: the target of a hedge reads the prompt in
 	// vain.
 	minHedgePause = 100 * time.Millisecond
+	// unpausedFailures is the number of hedges that may fail in the same silence before a pause follows each, so that one request does not ask all targets
+	// of a fleet that refuses it.
+	unpausedFailures = 1
 	// maxPauseDoublings bounds the pause at 1.6 s, so that a target that goes on gets a hedge before most clients give up.
 	maxPauseDoublings = 4
 	// maxHedges is the maximum number of hedges of a request without an event in between. With their pauses they last for more than half a minute.
@@ -263,6 +266,9 @@
 	case t == w.hedge:
 		w.hedge = nil
 		w.x.countHedge("failed")
+		if w.failed++; w.failed > unpausedFailures {
+			w.hedgeFrom = time.Now().Add(minHedgePause << min(w.failed-unpausedFailures-1, maxPauseDoublings))
+		}
 		if !w.stopped {
 			w.setTimer(0)
 		}
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -49,6 +49,7 @@
 	hedgeFrom    time.Time     // earliest start of the next hedge
 	inVain       int           // hedges that were given up
 	dropped      int           // those of the current silence that showed nothing
+	failed       int           // hedges of the current silence that failed
 	unrecorded   int           // tries that were given up and have not ended yet; no hedge begins meanwhile
 	patience     time.Duration // factor of SuspectAfter and ProgressTimeout
 	due          time.Time     // when timer fires
@@ -137,7 +138,7 @@
 	default:
 		return false
 	}
-	w.lastProgress, w.relaying, w.dropped, w.hedgeFrom, w.x.hedges = time.Now(), true, 0, time.Time{}, 0
+	w.lastProgress, w.relaying, w.dropped, w.failed, w.hedgeFrom, w.x.hedges = time.Now(), true, 0, 0, time.Time{}, 0
 	return true
 }
 
