limits: a leaving target is not left for a hedge without an event

Cause: a sound target that accepts no new requests was left for a hedge that had only sent its header. If that broke off, the request could not return. Change: HedgeState tells whether the first target is leaving. It is then left for an event, or after four times the progress timeout.

--- a/core/limits/hedge_test.go
+++ b/core/limits/hedge_test.go
@@ -27,6 +27,8 @@
 		"the target that was left is as alive as the first": {limits.HedgeState{Silent: late, HedgeLeft: 1, Left: 1, HedgeAlive: true, FirstSeen: true}, false},
 		"only the target that was left was ever alive":      {limits.HedgeState{Silent: early, HedgeLeft: 1, Left: 1, HedgeAlive: true}, true},
 		"all targets that may be used are silent":           {limits.HedgeState{Silent: 4 * patience, HedgeLeft: 1, Left: 1}, true},
+		"there is no way back to the first target":          {limits.HedgeState{Silent: late, HedgeAlive: true, NoReturn: true}, false},
+		"the first target without a way back is dark":       {limits.HedgeState{Silent: 4 * patience, NoReturn: true}, true},
 		"what arrived during a pause is not read yet":       {limits.HedgeState{Silent: late, HedgeAlive: true, Paused: true}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -132,6 +132,12 @@
 	return slices.ContainsFunc(v.byService[service], func(t *target) bool { return !exclude[t.ID] && v.accepts(t) })
 }
 
+// IsLeaving reports whether a target, as it was last listed, accepts no new requests.
+func (v *View) IsLeaving(id fleet.TargetID) bool {
+	t := v.targets[id]
+	return t != nil && !v.accepts(t)
+}
+
 // onlineScore rises with the expected wait. With a free slot it is the number of slots in use; otherwise it is the number of slots plus that
 // of the requests that do not yield.
 func onlineScore(load Count, slots int) float64 {
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -143,6 +143,13 @@
 	return b.view.HasTarget(service, exclude)
 }
 
+// isLeaving reports whether a target, as it was last listed, accepts no new requests.
+func (b *Board) isLeaving(id fleet.TargetID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.IsLeaving(id)
+}
+
 // hasRoom reports whether a target that is neither other nor in exclude has room for an online request.
 func (b *Board) hasRoom(service string, other fleet.TargetID, exclude map[fleet.TargetID]bool) bool {
 	without := make(map[fleet.TargetID]bool, len(exclude)+1)
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -217,7 +217,7 @@
 	state := limits.HedgeState{
 		Silent: silent, Paused: paused, HedgeLeft: w.x.left[w.hedge.target()], Left: len(w.x.left),
 		FirstSeen: w.current.reservation.activeSince(w.current.started), FirstAlive: w.current.reservation.activeSince(w.hedge.started),
-		HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started),
+		HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started), NoReturn: w.x.board.isLeaving(w.current.target()),
 	}
 	if state.KeepHedge(w.x.options.ProgressTimeout) {
 		w.keepHedge("kept")
