gateway: batch items do not yield to a hedge at once

Cause: a hedge got a slot like any online request, so that each one made an item at a full target yield, though it may be dropped after 250 ms. Change: a hedge needs a free slot until its request has been silent for 1.3 s, longer than a sound target. Result: TestHedgeMakesNoItemYield failed with four yields and passes; the tests of silences in node/gateway pass.

--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -132,6 +132,17 @@
 	return slices.ContainsFunc(v.byService[service], func(t *target) bool { return !exclude[t.ID] && v.accepts(t) })
 }
 
+// Occupied returns the targets of a service whose slots are all in use, by batch items too.
+func (v *View) Occupied(service string, now time.Time) []fleet.TargetID {
+	var list []fleet.TargetID
+	for _, t := range v.byService[service] {
+		if v.Load(t.ID, now).Total() >= t.Slots {
+			list = append(list, t.ID)
+		}
+	}
+	return list
+}
+
 // IsLeaving reports whether a target, as it was last listed, accepts no new requests.
 func (v *View) IsLeaving(id fleet.TargetID) bool {
 	t := v.targets[id]
--- a/node/gateway/board.go
+++ b/node/gateway/board.go
@@ -143,6 +143,13 @@
 	return b.view.HasTarget(service, exclude)
 }
 
+// occupied returns the targets of a service whose slots are all in use, by batch items too.
+func (b *Board) occupied(service string) []fleet.TargetID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view.Occupied(service, time.Now())
+}
+
 // isLeaving reports whether a target, as it was last listed, accepts no new requests.
 func (b *Board) isLeaving(id fleet.TargetID) bool {
 	b.mu.Lock()
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -34,6 +34,8 @@
 	// maxWholeReturns is the maximum number of times that a request for a response that is not a stream leaves a target and may still return to one. Each
 	// return begins the response anew, and a sound target sends nothing before its end, so that its silence says little.
 	maxWholeReturns = 1
+	// maxSoundSilence is the silence from which on batch items yield to hedges. A sound target may be silent for about a second, and clients give up after 2 s.
+	maxSoundSilence = 1300 * time.Millisecond
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
 )
@@ -108,7 +110,8 @@
 }
 
 // reserveHedge reserves a slot for a hedge while the request is at another target: one at which it has not run, and otherwise one at which it has and
-// that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
+// that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before, and those without a free slot
+// only after maxSoundSilence; x.mu is held.
 func (x *execution) reserveHedge(current fleet.TargetID, silent time.Duration) *Reservation {
 	service, salt := x.request.Service, string(x.request.ID)
 	x.readmit(time.Now())
@@ -116,6 +119,14 @@
 	tried[current] = true
 	ran := len(tried)
 	maps.Copy(tried, x.excluded)
+	again := x.sound()
+	delete(again, current)
+	if silent < maxSoundSilence {
+		for _, id := range x.board.occupied(service) {
+			tried[id] = true
+			delete(again, id)
+		}
+	}
 	if ran < x.request.Route.MaxAttempts {
 		if reservation := x.board.reserveUsable(service, salt, tried); reservation != nil {
 			return reservation
@@ -126,8 +137,6 @@
 			}
 		}
 	}
-	again := x.sound()
-	delete(again, current)
 	if x.request.Route.Kind != routetable.Stream {
 		maps.DeleteFunc(again, func(id fleet.TargetID, _ int) bool { return !x.mayReturnWhole(id, silent) })
 	}
