gateway: a request whose hedge runs is not reported as not run

Cause: if the deadline passed just after a hedge had become the current try, the outcome was computed before that try was recorded. Change: whether the request must end is decided first; the tries that would continue it are then ended and recorded before the outcome is computed. Result: TestRequestWhoseHedgeRunsIsNotReportedAsNotRun failed and passes; the tests of silences in node/gateway pass.

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -234,24 +234,34 @@
 			x.logTry(t, "")
 			return Outcome{Verdict: Answered, Status: x.status}, true
 		}
-		end, ended := x.afterFailure(ctx, t, err, next != nil)
-		if ended && next != nil {
-			x.abandon(watch, next)
+		if next == nil {
+			return x.afterFailure(ctx, t, err)
 		}
-		if ended || next == nil {
-			return end, ended
+		if x.mustEnd(ctx, err) {
+			x.abandon(watch, next)
+			return x.afterFailure(ctx, t, err)
 		}
 		t = next
 	}
 }
 
-// abandon ends the hedge that would continue the request, and those after it.
+// mustEnd reports whether the request ends after a try that failed with err, though a hedge could continue it.
+func (x *execution) mustEnd(ctx context.Context, err error) bool {
+	return ctx.Err() != nil || errors.Is(err, ErrSinkFailed) || errors.Is(err, errOverlong) && x.sinkStarted || errors.Is(err, rawhttp.ErrInvalidRequest)
+}
+
+// abandon ends and records the hedge that would continue the request, and those after it.
 func (x *execution) abandon(watch *silenceWatch, next *targetTry) {
 	for _, t := range watch.cancelFrom(next) {
 		<-t.opened
-		if t.err == nil {
+		err := t.err
+		if err == nil {
+			err = errOvertaken
 			t.response.Abort()
 		}
+		x.mu.Lock()
+		x.record(t, err)
+		x.mu.Unlock()
 		x.board.EndUnobserved(t.target())
 		x.endTry(t)
 	}
@@ -391,9 +401,9 @@
 	x.logTry(t, ": "+err.Error())
 }
 
-// afterFailure decides whether another try follows a failed one. If none does, it returns the outcome and true. goesOn tells that a hedge continues the
-// request.
-func (x *execution) afterFailure(ctx context.Context, t *targetTry, err error, goesOn bool) (Outcome, bool) {
+// afterFailure decides whether another try follows a failed one that no hedge continues. If none does, it returns the outcome and true. All tries must have
+// been recorded.
+func (x *execution) afterFailure(ctx context.Context, t *targetTry, err error) (Outcome, bool) {
 	x.mu.Lock()
 	tries, maxAttempts := x.tries, x.request.Route.MaxAttempts
 	if len(x.sound()) > 0 {
@@ -409,8 +419,6 @@
 		return x.giveUp(err), true // some of the events that were passed on may not belong to the response
 	case errors.Is(err, rawhttp.ErrInvalidRequest):
 		return x.giveUp(err), true
-	case goesOn:
-		return Outcome{}, false
 	}
 	left := time.Until(x.request.Deadline)
 	reason := tries.CheckRetry(!isNotRun(err), x.request.Route.Repeatable(), maxAttempts, left)
