gateway: an empty hedge of a stream that the client resumed does not win

Cause: a hedge that ended without an event won if the request asked for the events after a position, but relay passes on an end only after an event. Change: a hedge may end without an event only if events of this request were passed on. Result: TestEmptyHedgeOfAStreamResumedByTheClientDoesNotWin failed and passes; the tests of silences in node/gateway pass.

--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -59,6 +59,7 @@
 	// The fields below are those of a hedge. Its goroutine sets them before it closes opened.
 	opened    chan struct{} // nil for other tries
 	resumed   bool          // the request asks for the events after a position
+	mayEnd    bool          // events were passed on, so that a stream without further ones completes the response
 	response  *rawhttp.Response
 	info      ResponseInfo
 	prefix    []byte         // what was read of a stream, with at least one event
@@ -99,7 +100,7 @@
 	t := newTry(w.ctx, reservation)
 	t.opened, t.buffers = make(chan struct{}), heldBuffers{budget: x.buffers.budget}
 	attempt := Attempt{Target: reservation.Target, Remaining: left, Resume: w.resume, After: w.passedOn}
-	t.resumed = w.resume || x.request.Resume
+	t.resumed, t.mayEnd = w.resume || x.request.Resume, w.resume
 	request := x.newRequest(attempt, x.tries.Started)
 	w.hedge, w.hedgeEnds = t, now.Add(maxOverlap)
 	x.hedges++
@@ -332,7 +333,7 @@
 }
 
 // readFirstEvent reads the response to a hedge up to the end of its first event. A stream that is complete without further events is valid if it
-// continues one and its end is marked.
+// continues one of which events were passed on and its end is marked.
 func (t *targetTry) readFirstEvent(after int64) error {
 	if !t.info.Complete {
 		return errUnmarked
@@ -356,7 +357,7 @@
 			return err
 		}
 		switch {
-		case readErr == io.EOF && t.resumed && t.response.Framed && splitter.Pending() == 0:
+		case readErr == io.EOF && t.mayEnd && t.response.Framed && splitter.Pending() == 0:
 			return nil
 		case readErr != nil && t.ctx.Err() != nil:
 			return fmt.Errorf("%w: %w", errTruncated, context.Cause(t.ctx))
