gateway: a client error of a hedge is passed on if the first target is dark

Cause: a hedge of a stream that received a client error failed, and its response was kept until the deadline, which then ended the request without it. Change: if the first target sends nothing on any connection for 1.3 s, longer than a sound one, its try ends and the client error is passed on. 408 and 429 do not count, and a client error is kept rather than an earlier failure response. Result: TestClientErrorOfAHedgeIsPassedOnIfTheFirstTargetIsDark failed and passes; the tests of silences in node/gateway pass.

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -417,6 +417,8 @@
 		return x.interrupted(ctx), true
 	case errors.Is(err, errOverlong) && x.sinkStarted:
 		return x.giveUp(err), true // some of the events that were passed on may not belong to the response
+	case errors.Is(context.Cause(t.ctx), errAnsweredElsewhere):
+		return x.giveUp(err), true
 	case errors.Is(err, rawhttp.ErrInvalidRequest):
 		return x.giveUp(err), true
 	}
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -34,7 +34,7 @@
 	// maxWholeReturns is the maximum number of times that a request for a response that is not a stream leaves a target and may still return to one. Each
 	// return begins the response anew, and a sound target sends nothing before its end, so that its silence says little.
 	maxWholeReturns = 1
-	// maxSoundSilence is the silence from which on batch items yield to hedges. A sound target may be silent for about a second, and clients give up after 2 s.
+	// maxSoundSilence is the silence from which on batch items yield to hedges, and a client error of a hedge is passed on. A sound target may be silent for about a second, and clients give up after 2 s.
 	maxSoundSilence = 1300 * time.Millisecond
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
@@ -42,7 +42,9 @@
 
 var (
 	errOvertaken = errors.New("target was slower than another one")
-	errNoSign    = errors.New("target of the hedge showed no progress in time")
+	// errAnsweredElsewhere ends a try at a silent target if a hedge has received a client error.
+	errAnsweredElsewhere = errors.New("another target has answered with a client error")
+	errNoSign            = errors.New("target of the hedge showed no progress in time")
 )
 
 // targetTry is one try of a request at one target. A hedge is a try that begins while another one is silent: the first of the two that makes progress
@@ -290,9 +292,19 @@
 	w.x.endHedge(t)
 }
 
+// hasClientError reports whether a hedge received a client error that may be passed on; x.mu is held.
+func (x *execution) hasClientError() bool {
+	return x.failureResponse != nil && isClientError(x.failureResponse.status)
+}
+
+// isClientError reports whether a status says that the request itself is at fault, so that other targets would answer with the same.
+func isClientError(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
 // endHedge releases what a hedge holds. A response that may still be passed on if nothing better follows is kept; x.mu is held.
 func (x *execution) endHedge(t *targetTry) {
-	if t.whole != nil && t.err != nil && x.failureResponse == nil {
+	if t.whole != nil && t.err != nil && (x.failureResponse == nil || isClientError(t.whole.status) && !x.hasClientError()) {
 		x.failureResponse = t.whole
 	}
 	if t.whole != nil && x.failureResponse == t.whole {
--- a/node/gateway/silence.go
+++ b/node/gateway/silence.go
@@ -222,6 +222,11 @@
 			return
 		}
 	}
+	if !active && silent >= maxSoundSilence && !w.resume && w.x.hasClientError() {
+		w.stopped = true
+		w.current.cancel(errAnsweredElsewhere)
+		return
+	}
 	if (!active || late) && w.x.sink != nil && w.startHedge(now, silent) {
 		return
 	}
