gateway: a hedge does not win with status 408 or 429

Cause: any whole response below 500 of a hedge won over the first target, though 408 and 429 say nothing about the request itself. Change: such a response fails the hedge, and is passed on only if nothing better follows. Result: TestHedgeDoesNotWinWithTooManyRequests failed and passes; the tests of silences in node/gateway pass.

--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -338,7 +338,7 @@
 		return errUnmarked
 	}
 	t.whole = whole
-	if x.request.Route.Kind == routetable.Stream || whole.status >= http.StatusInternalServerError {
+	if x.request.Route.Kind == routetable.Stream || whole.status >= http.StatusBadRequest && !isClientError(whole.status) {
 		return fmt.Errorf("target returned status %d", whole.status) // the silent target may have something better
 	}
 	return nil
