gateway: the counts of tries are read under the mutex

Cause: the number of tries for the connect timeout and for the outcome was read without execution.mu, though goroutines of hedges write it. Change: both are read under the mutex. Result: no test showed the race; the tests of silences in node/gateway pass as before.

--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -431,9 +431,17 @@
 	return x.giveUp(fmt.Errorf("%s: %w", reason, err)), true
 }
 
+// triesSoFar returns the counts of the tries that were recorded.
+func (x *execution) triesSoFar() limits.Tries {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tries
+}
+
 // interrupted returns the outcome of a request whose ctx has ended, by the cause of ctx.
 func (x *execution) interrupted(ctx context.Context) Outcome {
 	cause := context.Cause(ctx)
+	tries := x.triesSoFar()
 	switch {
 	case errors.Is(cause, ErrYielded):
 		return Outcome{Verdict: Yielded, Cause: cause}
@@ -441,7 +449,7 @@
 		return Outcome{Verdict: ClientGone, Cause: cause}
 	case x.sinkStarted:
 		return Outcome{Verdict: Incomplete, Cause: cause}
-	case x.tries.MayHaveRun == 0:
+	case tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause}
 	}
 	return Outcome{Verdict: TimedOut, Cause: cause}
@@ -464,7 +472,7 @@
 // an error of the gateway.
 func (x *execution) giveUp(cause error) Outcome {
 	x.mu.Lock()
-	failure := x.failureResponse
+	failure, tries := x.failureResponse, x.tries
 	x.mu.Unlock()
 	switch {
 	case x.sinkStarted:
@@ -474,7 +482,7 @@
 			return Outcome{Verdict: ClientGone, Cause: err}
 		}
 		return Outcome{Verdict: Answered, Status: failure.status, Cause: cause}
-	case x.tries.MayHaveRun == 0:
+	case tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause, RetryAfter: retryAfterNoTarget}
 	}
 	return Outcome{Verdict: Unknown, Cause: cause}
--- a/node/gateway/try.go
+++ b/node/gateway/try.go
@@ -83,7 +83,7 @@
 		return x.relayHedge(t, watch)
 	}
 	attempt := Attempt{Target: t.reservation.Target, Remaining: time.Until(x.request.Deadline), Resume: x.progress.Events > 0, After: x.progress.Last}
-	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, x.newRequest(attempt, x.tries.Started))
+	response, err := x.client.Do(t.ctx, t.reservation.Target.Address, x.newRequest(attempt, x.triesSoFar().Started))
 	if err != nil {
 		x.countSilence(t.ctx)
 		return x.handleSendError(t.ctx, t.reservation, err)
