--- a/node/gateway/boardcrashes.go
+++ b/node/gateway/boardcrashes.go
@@ -7,11 +7,11 @@
 	"eelgrassproxy.example/core/slots"
 )
 
-// isLeaving reports whether a target is no longer listed, or leaves by its entry or its own word.
-func (b *Board) isLeaving(id fleet.TargetID) bool {
+// accepts reports whether a target is listed, and leaves neither by its entry nor by its own word.
+func (b *Board) accepts(id fleet.TargetID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.view.Accepts(id)
+	return b.view.Accepts(id)
 }
 
 // isReplaced reports whether another process is listed at the address of a target.
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -103,7 +103,7 @@
 // brokeOff records a try that broke off and starts to look for the cause. The end of a target that is leaving is no crash.
 func (g *PartGuard) brokeOff(reservation *Reservation, try brokenTry) {
 	target := reservation.Target
-	if g.board.isLeaving(target.ID) {
+	if !g.board.accepts(target.ID) {
 		return
 	}
 	g.mu.Lock()
@@ -179,7 +179,7 @@
 
 // probed applies the result of a probe to the tries that wait for it. Without a crash they are kept for a while, see findRestarts.
 func (g *PartGuard) probed(b *brokenTarget, gone bool) {
-	gone = gone && (!g.board.isLeaving(b.ID) || g.board.isReplaced(b.Target))
+	gone = gone && (g.board.accepts(b.ID) || g.board.isReplaced(b.Target))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b.probing = false
@@ -291,7 +291,7 @@
 		}
 		return
 	}
-	if g.board.isLeaving(target.ID) {
+	if !g.board.accepts(target.ID) {
 		return
 	}
 	g.mu.Lock()
--- a/node/gateway/forward.go
+++ b/node/gateway/forward.go
@@ -172,6 +172,7 @@
 	excluded        map[fleet.TargetID]bool // targets at which a try failed
 	refused         map[fleet.TargetID]*refusals
 	left            map[fleet.TargetID]int // number of times that the request left a target because it was silent
+	hedges          int                    // hedges since the last event that was passed on
 	failureResponse *wholeResponse         // the latest failure response that was retried instead of written
 	hedgeBuffers    []heldBuffers          // of responses to hedges that are kept
 	tryLog          []string               // one entry for each try, for the log
@@ -238,24 +239,34 @@
 			x.logTry(t, "")
 			return Outcome{Verdict: Answered, Status: x.status}, true
 		}
-		end, ended := x.afterFailure(ctx, t, err, next != nil)
-		if ended && next != nil {
-			x.abandon(watch, next)
+		if next == nil {
+			return x.afterFailure(ctx, t, err)
 		}
-		if ended || next == nil {
-			return end, ended
+		if x.mustEnd(ctx, err) {
+			x.abandon(watch, next)
+			return x.afterFailure(ctx, t, err)
 		}
 		t = next
 	}
 }
 
-// abandon ends the hedge that would continue the request, and those after it.
+// mustEnd reports whether the request ends after a try that failed with err, though a hedge could continue it.
+func (x *execution) mustEnd(ctx context.Context, err error) bool {
+	return ctx.Err() != nil || errors.Is(err, ErrSinkFailed) || errors.Is(err, errOverlong) && x.sinkStarted || errors.Is(err, rawhttp.ErrInvalidRequest)
+}
+
+// abandon ends and records the hedge that would continue the request, and those after it.
 func (x *execution) abandon(watch *silenceWatch, next *targetTry) {
 	for _, t := range watch.cancelFrom(next) {
 		<-t.opened
-		if t.err == nil {
+		err := t.err
+		if err == nil {
+			err = errOvertaken
 			t.response.Abort()
 		}
+		x.mu.Lock()
+		x.record(t, err)
+		x.mu.Unlock()
 		x.board.EndUnobserved(t.target())
 		x.endTry(t)
 	}
@@ -272,8 +283,8 @@
 	}
 }
 
-// place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise at one that did
-// not fail. If there is none and the request may have run, so that its client could not be told to repeat it, it waits for targets that refused it.
+// place reserves a slot for the next try: at a target at which the request has not run if its route allows another one, and otherwise, or if those are
+// full, at one that did not fail. If there is none and the request may have run, so that its client could not be told to repeat it, it waits for targets that refused it.
 func (x *execution) place(ctx context.Context) (*Reservation, error) {
 	for {
 		x.mu.Lock()
@@ -285,9 +296,10 @@
 		var reservation *Reservation
 		err := errNoTarget
 		if mayRunElsewhere {
-			reservation, err = x.queues.enter(ctx, x.request, tried)
+			reservation, err = x.queues.enter(ctx, x.request, tried, again)
 		}
-		if errors.Is(err, errNoTarget) && len(again) > 0 {
+		var refused *refusedError
+		if len(again) > 0 && (errors.Is(err, errNoTarget) || errors.As(err, &refused)) {
 			reservation, err = x.queues.enterAgain(ctx, x.request, again)
 		}
 		if !errors.Is(err, errNoTarget) || !waits {
@@ -394,9 +406,9 @@
 	x.logTry(t, ": "+err.Error())
 }
 
-// afterFailure decides whether another try follows a failed one. If none does, it returns the outcome and true. goesOn tells that a hedge continues the
-// request.
-func (x *execution) afterFailure(ctx context.Context, t *targetTry, err error, goesOn bool) (Outcome, bool) {
+// afterFailure decides whether another try follows a failed one that no hedge continues. If none does, it returns the outcome and true. All tries must have
+// been recorded.
+func (x *execution) afterFailure(ctx context.Context, t *targetTry, err error) (Outcome, bool) {
 	x.mu.Lock()
 	tries, maxAttempts := x.tries, x.request.Route.MaxAttempts
 	if len(x.sound()) > 0 {
@@ -410,10 +422,10 @@
 		return x.interrupted(ctx), true
 	case errors.Is(err, errOverlong) && x.sinkStarted:
 		return x.giveUp(err), true // some of the events that were passed on may not belong to the response
+	case errors.Is(context.Cause(t.ctx), errAnsweredElsewhere):
+		return x.giveUp(err), true
 	case errors.Is(err, rawhttp.ErrInvalidRequest):
 		return x.giveUp(err), true
-	case goesOn:
-		return Outcome{}, false
 	}
 	left := time.Until(x.request.Deadline)
 	reason := tries.CheckRetry(!isNotRun(err), x.request.Route.Repeatable(), maxAttempts, left)
@@ -424,9 +436,17 @@
 	return x.giveUp(fmt.Errorf("%s: %w", reason, err)), true
 }
 
+// triesSoFar returns the counts of the tries that were recorded.
+func (x *execution) triesSoFar() limits.Tries {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tries
+}
+
 // interrupted returns the outcome of a request whose ctx has ended, by the cause of ctx.
 func (x *execution) interrupted(ctx context.Context) Outcome {
 	cause := context.Cause(ctx)
+	tries := x.triesSoFar()
 	switch {
 	case errors.Is(cause, ErrYielded):
 		return Outcome{Verdict: Yielded, Cause: cause}
@@ -434,7 +454,7 @@
 		return Outcome{Verdict: ClientGone, Cause: cause}
 	case x.sinkStarted:
 		return Outcome{Verdict: Incomplete, Cause: cause}
-	case x.tries.MayHaveRun == 0:
+	case tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause}
 	}
 	return Outcome{Verdict: TimedOut, Cause: cause}
@@ -457,7 +477,7 @@
 // an error of the gateway.
 func (x *execution) giveUp(cause error) Outcome {
 	x.mu.Lock()
-	failure := x.failureResponse
+	failure, tries := x.failureResponse, x.tries
 	x.mu.Unlock()
 	switch {
 	case x.sinkStarted:
@@ -467,9 +487,9 @@
 			return Outcome{Verdict: ClientGone, Cause: err}
 		}
 		return Outcome{Verdict: Answered, Status: failure.status, Cause: cause}
-	case x.tries.MayHaveRun == 0 && errors.Is(cause, errPartBlocked):
+	case tries.MayHaveRun == 0 && errors.Is(cause, errPartBlocked):
 		return Outcome{Verdict: Blocked, Cause: cause}
-	case x.tries.MayHaveRun == 0:
+	case tries.MayHaveRun == 0:
 		return Outcome{Verdict: NotRun, Cause: cause, RetryAfter: retryAfterNoTarget}
 	}
 	return Outcome{Verdict: Unknown, Cause: cause}
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -25,15 +25,27 @@
 	// minHedgePause is the pause after a hedge that showed nothing, and doubles with each in the same silence: the target of a hedge reads the prompt in
 	// vain.
 	minHedgePause = 100 * time.Millisecond
+	// unpausedFailures is the number of hedges that may fail in the same silence before a pause follows each, so that one request does not ask all targets
+	// of a fleet that refuses it.
+	unpausedFailures = 1
 	// maxPauseDoublings bounds the pause at 1.6 s, so that a target that goes on gets a hedge before most clients give up.
 	maxPauseDoublings = 4
+	// maxHedges is the maximum number of hedges of a request without an event in between. With their pauses they last for more than half a minute.
+	maxHedges = 24
+	// maxWholeReturns is the maximum number of times that a request for a response that is not a stream leaves a target and may still return to one. Each
+	// return begins the response anew, and a sound target sends nothing before its end, so that its silence says little.
+	maxWholeReturns = 1
+	// maxSoundSilence is the silence from which on batch items yield to hedges, and a client error of a hedge is passed on. A sound target may be silent for about a second, and clients give up after 2 s.
+	maxSoundSilence = 1300 * time.Millisecond
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
 )
 
 var (
 	errOvertaken = errors.New("target was slower than another one")
-	errNoSign    = errors.New("target of the hedge showed no progress in time")
+	// errAnsweredElsewhere ends a try at a silent target if a hedge has received a client error.
+	errAnsweredElsewhere = errors.New("another target has answered with a client error")
+	errNoSign            = errors.New("target of the hedge showed no progress in time")
 )
 
 // targetTry is one try of a request at one target. A hedge is a try that begins while another one is silent: the first of the two that makes progress
@@ -50,6 +62,7 @@
 	// The fields below are those of a hedge. Its goroutine sets them before it closes opened.
 	opened    chan struct{} // nil for other tries
 	resumed   bool          // the request asks for the events after a position
+	mayEnd    bool          // events were passed on, so that a stream without further ones completes the response
 	response  *rawhttp.Response
 	info      ResponseInfo
 	prefix    []byte         // what was read of a stream, with at least one event
@@ -80,7 +93,7 @@
 func (w *silenceWatch) startHedge(now time.Time, silent time.Duration) bool {
 	x := w.x
 	left := x.request.Deadline.Sub(now)
-	if w.unrecorded > 0 || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
+	if w.unrecorded > 0 || x.hedges >= maxHedges || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
 		return false
 	}
 	reservation := x.reserveHedge(w.current.target(), silent)
@@ -90,9 +103,10 @@
 	t := newTry(w.ctx, reservation)
 	t.opened, t.buffers = make(chan struct{}), heldBuffers{budget: x.buffers.budget}
 	attempt := Attempt{Target: reservation.Target, Remaining: left, Resume: w.resume, After: w.passedOn}
-	t.resumed = w.resume || x.request.Resume
+	t.resumed, t.mayEnd = w.resume || x.request.Resume, w.resume
 	request := x.newRequest(attempt, x.tries.Started)
 	w.hedge, w.hedgeEnds = t, now.Add(maxOverlap)
+	x.hedges++
 	x.countHedge("started")
 	w.hedging.Go(func() { w.runHedge(t, request, attempt.After) })
 	w.setTimer(maxOverlap)
@@ -100,7 +114,8 @@
 }
 
 // reserveHedge reserves a slot for a hedge while the request is at another target: one at which it has not run, and otherwise one at which it has and
-// that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before; x.mu is held.
+// that did not fail, in turn. Avoided targets are used only after the progress timeout, or if the request was there before, and those without a free slot
+// only after maxSoundSilence; x.mu is held.
 func (x *execution) reserveHedge(current fleet.TargetID, silent time.Duration) *Reservation {
 	service, salt := x.request.Service, string(x.request.ID)
 	x.readmit(time.Now())
@@ -108,6 +123,14 @@
 	tried[current] = true
 	ran := len(tried)
 	maps.Copy(tried, x.excluded)
+	again := x.sound()
+	delete(again, current)
+	if silent < maxSoundSilence {
+		for _, id := range x.board.occupied(service) {
+			tried[id] = true
+			delete(again, id)
+		}
+	}
 	if ran < x.request.Route.MaxAttempts {
 		if reservation := x.board.reserveUsable(service, salt, tried); reservation != nil {
 			return reservation
@@ -118,8 +141,9 @@
 			}
 		}
 	}
-	again := x.sound()
-	delete(again, current)
+	if x.request.Route.Kind != routetable.Stream {
+		maps.DeleteFunc(again, func(id fleet.TargetID, _ int) bool { return !x.mayReturnWhole(id, silent) })
+	}
 	for len(again) > 0 {
 		fewest := make(map[fleet.TargetID]bool)
 		least := slices.Min(slices.Collect(maps.Values(again)))
@@ -136,6 +160,16 @@
 	return nil
 }
 
+// mayReturnWhole reports whether a request for a response that is not a stream may have a hedge at a target at which it may have run: the hedge could be
+// kept at the end of the overlap, and the request has not returned to a target yet; x.mu is held.
+func (x *execution) mayReturnWhole(id fleet.TargetID, silent time.Duration) bool {
+	left, all := x.left[id], 0
+	for _, n := range x.left {
+		all += n
+	}
+	return left == 0 || all <= maxWholeReturns && silent+maxOverlap >= limits.ReturnPatience(x.options.ProgressTimeout, left)
+}
+
 // sound returns the targets at which the request may have run and that did not fail, with the number of tries there: it left them, or gave up a hedge.
 // x.mu is held.
 func (x *execution) sound() map[fleet.TargetID]int {
@@ -196,7 +230,7 @@
 	state := limits.HedgeState{
 		Silent: silent, Paused: paused, HedgeLeft: w.x.left[w.hedge.target()], Left: len(w.x.left),
 		FirstSeen: w.current.reservation.activeSince(w.current.started), FirstAlive: w.current.reservation.activeSince(w.hedge.started),
-		HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started),
+		HedgeAlive: w.hedge.reservation.activeSince(w.hedge.started), NoReturn: w.x.board.isLeaving(w.current.target()),
 	}
 	if state.KeepHedge(w.x.options.ProgressTimeout) {
 		w.keepHedge("kept")
@@ -245,6 +279,9 @@
 	case t == w.hedge:
 		w.hedge = nil
 		w.x.countHedge("failed")
+		if w.failed++; w.failed > unpausedFailures {
+			w.hedgeFrom = time.Now().Add(minHedgePause << min(w.failed-unpausedFailures-1, maxPauseDoublings))
+		}
 		if !w.stopped {
 			w.setTimer(0)
 		}
@@ -256,9 +293,19 @@
 	w.x.endHedge(t)
 }
 
+// hasClientError reports whether a hedge received a client error that may be passed on; x.mu is held.
+func (x *execution) hasClientError() bool {
+	return x.failureResponse != nil && isClientError(x.failureResponse.status)
+}
+
+// isClientError reports whether a status says that the request itself is at fault, so that other targets would answer with the same.
+func isClientError(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
 // endHedge releases what a hedge holds. A response that may still be passed on if nothing better follows is kept; x.mu is held.
 func (x *execution) endHedge(t *targetTry) {
-	if t.whole != nil && t.err != nil && x.failureResponse == nil {
+	if t.whole != nil && t.err != nil && (x.failureResponse == nil || isClientError(t.whole.status) && !x.hasClientError()) {
 		x.failureResponse = t.whole
 	}
 	if t.whole != nil && x.failureResponse == t.whole {
@@ -300,14 +347,14 @@
 		return errUnmarked
 	}
 	t.whole = whole
-	if x.request.Route.Kind == routetable.Stream || whole.status >= http.StatusInternalServerError {
+	if x.request.Route.Kind == routetable.Stream || whole.status >= http.StatusBadRequest && !isClientError(whole.status) {
 		return fmt.Errorf("target returned status %d", whole.status) // the silent target may have something better
 	}
 	return nil
 }
 
 // readFirstEvent reads the response to a hedge up to the end of its first event. A stream that is complete without further events is valid if it
-// continues one and its end is marked.
+// continues one of which events were passed on and its end is marked.
 func (t *targetTry) readFirstEvent(after int64) error {
 	if !t.info.Complete {
 		return errUnmarked
@@ -331,7 +378,7 @@
 			return err
 		}
 		switch {
-		case readErr == io.EOF && t.resumed && t.response.Framed && splitter.Pending() == 0:
+		case readErr == io.EOF && t.mayEnd && t.response.Framed && splitter.Pending() == 0:
 			return nil
 		case readErr != nil && t.ctx.Err() != nil:
 			return fmt.Errorf("%w: %w", errTruncated, context.Cause(t.ctx))
