--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -35,7 +35,8 @@
 	// maxWholeReturns is the maximum number of times that a request for a response that is not a stream leaves a target and may still return to one. Each
 	// return begins the response anew, and a sound target sends nothing before its end, so that its silence says little.
 	maxWholeReturns = 1
-	// maxSoundSilence is the silence from which on batch items yield to hedges, and a client error of a hedge is passed on. A sound target may be silent for about a second, and clients give up after 2 s.
+	// maxSoundSilence is the silence from which on batch items yield to hedges, and a client error of a hedge is passed on. A sound target may be silent
+	// for about a second, and clients give up after 2 s.
 	maxSoundSilence = 1300 * time.Millisecond
 	// minHedgeTime is the shortest time before the deadline in which a hedge can succeed: connecting, and the first event of an idle target.
 	minHedgeTime = 50 * time.Millisecond
@@ -93,7 +94,10 @@
 func (w *silenceWatch) startHedge(now time.Time, silent time.Duration) bool {
 	x := w.x
 	left := x.request.Deadline.Sub(now)
-	if w.unrecorded > 0 || x.hedges >= maxHedges || now.Before(w.hedgeFrom) || silent < w.hedgeDelay() || left < minHedgeTime || !x.request.Route.Repeatable() || w.current.ctx.Err() != nil {
+	switch {
+	case !x.request.Route.Repeatable() || left < minHedgeTime || w.current.ctx.Err() != nil:
+		return false
+	case w.unrecorded > 0 || x.hedges >= maxHedges || now.Before(w.hedgeFrom) || silent < w.hedgeDelay():
 		return false
 	}
 	reservation := x.reserveHedge(w.current.target(), silent)
--- a/node/gateway/item.go
+++ b/node/gateway/item.go
@@ -20,9 +20,10 @@
 
 // RunItem makes one try of a batch item at the reserved target, continuing after progress, which it updates. The sink receives the events. The verdict
 // is Answered after the last event, Yielded if ctx was cancelled with ErrYielded, FailedAtTarget with the status of the response if the target sent a
-// failure or another valid response that is not an event stream, NotRun if the target ran no part of the item, Blocked if the item has a part that crashes targets, Overlong if it sent more than the item
-// asks for, NotKept if the sink did not take an event or has no memory for it, or ctx was cancelled with ErrNotKept, and otherwise Unknown. After Overlong and NotKept, progress is as before
-// the try, and the caller must drop the events that it got from it: where the sound ones end is not known. The caller releases the reservation.
+// failure or another valid response that is not an event stream, NotRun if the target ran no part of the item, Blocked if the item has a part that
+// crashes targets, Overlong if it sent more than the item asks for, NotKept if the sink did not take an event or has no memory for it, or ctx was
+// cancelled with ErrNotKept, and otherwise Unknown. After Overlong and NotKept, progress is as before the try, and the caller must drop the events that it
+// got from it: where the sound ones end is not known. The caller releases the reservation.
 func (f *Forwarder) RunItem(ctx context.Context, r *Request, reservation *Reservation, progress *Progress, sink ItemSink) Outcome {
 	x := f.newExecution(r, progress, heldBuffers{budget: sink, free: relayBufferBytes * eventCopies})
 	x.items = sink
