--- a/core/slots/place.go
+++ b/core/slots/place.go
@@ -68,11 +68,18 @@
 }
 
 func (v *View) place(service, salt string, exclude map[fleet.TargetID]bool, now time.Time, includeAvoided bool) (Target, PlaceResult) {
+	outside := v.needsOtherGroups(service, exclude, now)
+	return v.placeWhere(service, salt, now, func(t *target) bool {
+		return (!t.outside || outside) && !exclude[t.ID] && v.accepts(t) && (includeAvoided || v.usable(t, now))
+	})
+}
+
+// placeWhere returns the best target with room of those that may be used.
+func (v *View) placeWhere(service, salt string, now time.Time, mayUse func(*target) bool) (Target, PlaceResult) {
 	found := bestTarget{salt: salt}
 	result := NoTarget
-	outside := v.needsOtherGroups(service, exclude, now)
 	for _, t := range v.byService[service] {
-		if t.outside && !outside || exclude[t.ID] || !v.accepts(t) || !includeAvoided && !v.usable(t, now) {
+		if !mayUse(t) {
 			continue
 		}
 		load := v.Load(t.ID, now)
@@ -101,23 +108,7 @@
 // PlaceAmong returns the best of the given targets of a service for an online request, like Place. Avoided and ejected ones, and those of other groups,
 // are used as well: the request was there before.
 func (v *View) PlaceAmong(service, salt string, among map[fleet.TargetID]bool, now time.Time) (Target, PlaceResult) {
-	found := bestTarget{salt: salt}
-	result := NoTarget
-	for _, t := range v.byService[service] {
-		if !among[t.ID] || !v.accepts(t) {
-			continue
-		}
-		load := v.Load(t.ID, now)
-		if load.Online+load.Firm >= t.Slots+v.policy.MaxQueue {
-			result = Full
-			continue
-		}
-		found.consider(t, onlineScore(load, t.Slots)+v.distancePenalty(t))
-	}
-	if found.target == nil {
-		return Target{}, result
-	}
-	return found.target.Target, Placed
+	return v.placeWhere(service, salt, now, func(t *target) bool { return among[t.ID] && v.accepts(t) })
 }
 
 // HasRoom reports whether Place would find a target at now without using avoided or ejected ones.
